project: design, message codec and build

Ruled out: decoding frames with the library alone. The fuzz table of test_message showed under the address sanitizer that a corrupted array length made the library ask for 64 GB at once (0x1000000008 bytes).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+# Thin wrapper around CMake; every target works on a fresh Debian machine.
+
+BUILD ?= build
+JOBS ?= $(shell nproc)
+PACKAGES = build-essential cmake pkg-config python3 curl \
+	libevent-dev libzmq3-dev libglib2.0-dev libmsgpack-dev \
+	libjansson-dev libinih-dev libcmocka-dev
+LINT_PACKAGES = clang-format cppcheck
+
+all: build
+
+# Installs the packages that are missing; asks nothing when all are there.
+deps:
+	@tools/install-packages $(PACKAGES)
+
+lint-deps:
+	@tools/install-packages $(LINT_PACKAGES)
+
+build: deps
+	cmake -S . -B $(BUILD) -DWERROR=ON >/dev/null
+	cmake --build $(BUILD) -j $(JOBS)
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+check-sanitize: deps
+	cmake -S . -B $(BUILD)-sanitize -DWERROR=ON -DSANITIZE=ON >/dev/null
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
+
+format-check: lint-deps
+	git ls-files '*.c' '*.h' | xargs clang-format --dry-run -Werror
+
+format: lint-deps
+	git ls-files '*.c' '*.h' | xargs clang-format -i
+
+lint: lint-deps build
+	tools/lint $(BUILD)
+
+demo: build
+	tools/demo $(BUILD)
+
+bench: build
+	tools/bench $(BUILD)
+
+capacity: build
+	tools/capacity $(BUILD)
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-sanitize
+
+.PHONY: all deps lint-deps build check check-sanitize format-check format lint \
+	demo bench capacity clean
--- /dev/null
+++ b/packages/base/include/counters.h
@@ -0,0 +1,62 @@
+#ifndef CATKINHILL_COUNTERS_H
+#define CATKINHILL_COUNTERS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "list.h"
+
+/*
+ * NAME
+ *	counters - counters, gauges and histograms of one process
+ *
+ * NOTES
+ *	A metric is a static struct that registers itself in a set by
+ *	counter_add(); the set owns no memory of the metric. Rendering gives
+ *	the text format that monitoring systems scrape: one HELP and TYPE
+ *	line a name, then name{labels} value. Metrics that share a name must
+ *	be added one after the other.
+ */
+enum counter_kind {
+	COUNTER_TOTAL,
+	COUNTER_GAUGE
+};
+
+struct counter {
+	struct list node;
+	enum counter_kind kind;
+	const char *name;   /* such as catkinhill_requests_total */
+	const char *labels; /* such as outcome="done"; NULL for none */
+	const char *help;
+	int64_t value;
+};
+
+/* Upper bounds of the buckets in milliseconds; one more holds the rest. */
+#define HISTOGRAM_BUCKETS 16
+extern const int64_t histogram_bounds_ms[HISTOGRAM_BUCKETS];
+
+struct histogram {
+	struct list node;
+	const char *name;
+	const char *help;
+	int64_t count[HISTOGRAM_BUCKETS + 1];
+	int64_t sum_ms;
+};
+
+struct counter_set {
+	struct list counters;
+	struct list histograms;
+};
+
+void counter_set_init(struct counter_set *set);
+void counter_add(struct counter_set *set, struct counter *counter);
+void histogram_add(struct counter_set *set, struct histogram *histogram);
+void histogram_observe(struct histogram *histogram, int64_t value_ms);
+
+/*
+ * RETURN VALUE
+ *	Newly allocated text, to be freed by the caller.
+ */
+char *counter_set_render(const struct counter_set *set);
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/configsync.h
@@ -0,0 +1,32 @@
+#ifndef CATKINHILL_CONFIGSYNC_H
+#define CATKINHILL_CONFIGSYNC_H
+
+#include "daemon.h"
+
+/*
+ * NAME
+ *	configsync - follows and writes the live configuration in the store
+ *
+ * NOTES
+ *	For entries: one watch of the key cfg and a read every 5 s. Puts each
+ *	higher version into daemon->config and calls fn(arg).
+ */
+struct configsync;
+
+typedef void (*config_changed_fn)(void *arg);
+
+struct configsync *configsync_new(struct daemon *daemon, config_changed_fn fn,
+				  void *arg);
+void configsync_delete(struct configsync *sync);
+
+/*
+ * Writes next as version basis + 1 if the store still holds version basis.
+ * A lost answer is settled by reading back the writer's token. Calls done
+ * with 0, ERR_CONFLICT (another version is in force), ERR_UNAVAILABLE (not
+ * written) or ERR_UNKNOWN (the store stayed silent after the write).
+ */
+typedef void (*config_write_fn)(void *arg, int err);
+void configsync_write(struct configsync *sync, const struct config *next,
+		      uint64_t basis, config_write_fn done, void *arg);
+
+#endif
--- /dev/null
+++ b/packages/io/include/settings.h
@@ -0,0 +1,78 @@
+#ifndef CATKINHILL_SETTINGS_H
+#define CATKINHILL_SETTINGS_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "events.h"
+#include "message.h"
+
+/*
+ * NAME
+ *	settings - the daemon's INI file
+ *
+ * NOTES
+ *	Read once at the start, checked at once, passed down as const. One
+ *	table in settings.c holds section, key, type, unit, range, default
+ *	and the roles for which a key is required or allowed;
+ *	docs/configuration.md lists it and a test compares the two.
+ */
+enum role {
+	ROLE_ENTRY,
+	ROLE_AGENT
+};
+
+#define SEEDS_MAX 8
+
+struct settings {
+	/* [daemon] */
+	enum role role;
+	char id[ID_SIZE];
+	char region[NAME_SIZE];
+	char domain[NAME_SIZE];
+	char rack[NAME_SIZE];
+	enum log_level log_level;
+	int64_t stop_ms; /* bound of a graceful stop */
+
+	/* [listen], each ip:port */
+	char callers[ID_SIZE]; /* entry: HTTP for callers */
+	char peers[ID_SIZE];   /* entry: ZeroMQ for agents */
+	char admin[ID_SIZE];   /* both: metrics, health, operator API */
+
+	/* [store] */
+	char store_address[ID_SIZE];
+	int64_t store_timeout_ms;
+	int64_t store_lease_s; /* registration and ownership leases */
+
+	/* [entry] */
+	char default_service[ID_SIZE];
+	int64_t body_buffer_mb; /* bytes of buffered bodies, all requests */
+
+	/* [agent] */
+	char seeds[SEEDS_MAX][ID_SIZE]; /* entries, each ip:port */
+	size_t seed_count;
+	char service[ID_SIZE];
+	char upstream[ID_SIZE]; /* HTTP of the service, ip:port */
+	char tasks[ID_SIZE];	/* task interface of the worker, ip:port */
+	int64_t slots;
+	int64_t connections;
+	int64_t queue; /* requests waiting for a slot */
+	int64_t cpu_milli;
+	int64_t mem_mb;
+	int64_t accel;
+};
+
+/*
+ * Reads and checks the file.
+ *
+ * RETURN VALUE
+ *	0, or ERR_INVALID; then message holds one line with file, line, key
+ *	and what is allowed.
+ */
+int settings_load(struct settings *settings, const char *path, char *message,
+		  size_t message_size);
+
+/* Prints the table of keys, for --help-settings and docs. */
+char *settings_describe(void);
+
+#endif
--- /dev/null
+++ b/packages/io/include/store.h
@@ -0,0 +1,88 @@
+#ifndef CATKINHILL_STORE_H
+#define CATKINHILL_STORE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "loop.h"
+
+/*
+ * NAME
+ *	store - client of the platform's key-value service
+ *
+ * NOTES
+ *	Speaks the JSON gateway of the etcd v3 protocol; see
+ *	docs/store-interface.md. Every call ends in exactly one callback,
+ *	never inside the function that started it, unless the client is
+ *	deleted first. Values are bytes of at most STORE_VALUE_MAX.
+ *	Outcomes passed as err:
+ *	0		 done
+ *	ERR_CONFLICT	 the comparison failed; nothing was written
+ *	ERR_UNAVAILABLE	 not sent
+ *	ERR_UNKNOWN	 sent, no answer: a write may have taken effect
+ *	ERR_NOT_FOUND	 the key (get) or the lease (keepalive) is gone
+ *	ERR_MALFORMED	 the answer cannot be understood
+ */
+#define STORE_VALUE_MAX (1024 * 1024)
+
+struct store;
+
+struct store_item {
+	const char *key;
+	const unsigned char *value;
+	size_t len;
+	int64_t revision; /* modification revision, for store_put_if() */
+};
+
+typedef void (*store_get_fn)(void *arg, int err, const struct store_item *item);
+typedef void (*store_list_fn)(void *arg, int err,
+			      const struct store_item *items, size_t count);
+typedef void (*store_write_fn)(void *arg, int err, int64_t revision);
+typedef void (*store_lease_fn)(void *arg, int err, int64_t lease);
+/* item->value is NULL when the key was deleted. */
+typedef void (*store_watch_fn)(void *arg, int err,
+			       const struct store_item *item);
+
+struct store *store_new(struct loop *loop, const char *address,
+			int64_t timeout_ms);
+void store_delete(struct store *store);
+
+void store_get(struct store *store, const char *key, store_get_fn fn,
+	       void *arg);
+
+/* All keys that start with prefix, in ascending order, at most limit. */
+void store_list(struct store *store, const char *prefix, int limit,
+		store_list_fn fn, void *arg);
+
+/*
+ * Writes the value if the key's modification revision is still the one
+ * given; 0 means that the key must not exist. lease is 0 for none.
+ */
+void store_put_if(struct store *store, const char *key, int64_t revision,
+		  const void *value, size_t len, int64_t lease,
+		  store_write_fn fn, void *arg);
+
+/* Deletes the key if its revision is still the one given. */
+void store_delete_if(struct store *store, const char *key, int64_t revision,
+		     store_write_fn fn, void *arg);
+
+void store_lease_grant(struct store *store, int64_t ttl_seconds,
+		       store_lease_fn fn, void *arg);
+void store_lease_keepalive(struct store *store, int64_t lease,
+			   store_lease_fn fn, void *arg);
+void store_lease_revoke(struct store *store, int64_t lease, store_lease_fn fn,
+			void *arg);
+
+/*
+ * Watches one key until store_watch_stop(). fn gets each new value; after
+ * an error (err not 0, item NULL) the watch has ended and must be stopped.
+ */
+struct store_watch;
+struct store_watch *store_watch_start(struct store *store, const char *key,
+				      store_watch_fn fn, void *arg);
+void store_watch_stop(struct store_watch *watch);
+
+/* Calls made since the start; a watch counts as one. */
+int64_t store_calls(const struct store *store);
+
+#endif
--- /dev/null
+++ b/packages/io/include/transport.h
@@ -0,0 +1,65 @@
+#ifndef CATKINHILL_TRANSPORT_H
+#define CATKINHILL_TRANSPORT_H
+
+#include <stdint.h>
+
+#include "counters.h"
+#include "loop.h"
+#include "message.h"
+
+/*
+ * NAME
+ *	transport - messages over ZeroMQ in the event loop
+ *
+ * NOTES
+ *	A server (ROUTER) is bound by an entry; a client (DEALER) connects an
+ *	agent to one entry and reconnects by itself. Peers of a server are
+ *	named by the routing id that the client chose: "AGENT/INCARNATION".
+ *	Frames that cannot be decoded, are too large or of unknown type are
+ *	counted, logged (EV_FRAME_DROPPED) and dropped. Queues are bounded;
+ *	a message that does not fit is refused to the sender, not blocked.
+ */
+struct transport;
+
+/* Called once a message; the message is released after the call. */
+typedef void (*transport_fn)(void *arg, const char *peer,
+			     const struct message *msg);
+
+struct transport_stats {
+	int64_t bytes_in, bytes_out;
+	int64_t messages_in, messages_out;
+	int64_t dropped_in;  /* frames that could not be decoded */
+	int64_t refused_out; /* sends that returned an error */
+};
+
+/*
+ * RETURN VALUE
+ *	NULL when the address cannot be used; address is "ip:port".
+ */
+struct transport *transport_server_new(struct loop *loop, const char *address,
+				       transport_fn fn, void *arg);
+
+/* The peer passed to fn is the address given here. */
+struct transport *transport_client_new(struct loop *loop, const char *address,
+				       const char *routing_id, transport_fn fn,
+				       void *arg);
+
+/* Unsent messages are given up to 100 ms. May be called in fn. */
+void transport_delete(struct transport *transport);
+
+/*
+ * Queues a message. peer names the receiver of a server and is ignored by
+ * a client.
+ *
+ * ERRORS
+ *	ERR_UNAVAILABLE	a server has no such peer
+ *	ERR_FULL	the queue to the peer is full
+ *	and those of message_encode()
+ */
+int transport_send(struct transport *transport, const char *peer,
+		   const struct message *msg);
+
+const struct transport_stats *transport_stats(
+	const struct transport *transport);
+
+#endif
--- /dev/null
+++ b/packages/io/src/loop.c
@@ -0,0 +1,133 @@
+#include "loop.h"
+
+#include <stdlib.h>
+
+#include <event2/event.h>
+
+#include "errors.h"
+#include "mem.h"
+
+struct signal_watch {
+	struct event *event;
+	loop_fn fn;
+	void *arg;
+};
+
+struct loop {
+	struct event_base *base;
+	struct signal_watch signals[LOOP_SIGNALS_MAX];
+	int signal_count;
+};
+
+struct loop_timer {
+	struct event *event;
+	loop_fn fn;
+	void *arg;
+};
+
+struct loop *loop_new(void)
+{
+	struct loop *loop = xcalloc(1, sizeof(*loop));
+
+	loop->base = event_base_new();
+	if (!loop->base)
+		abort();
+	return loop;
+}
+
+void loop_delete(struct loop *loop)
+{
+	int i;
+
+	if (!loop)
+		return;
+	for (i = 0; i < loop->signal_count; i++)
+		event_free(loop->signals[i].event);
+	event_base_free(loop->base);
+	free(loop);
+}
+
+struct event_base *loop_base(struct loop *loop)
+{
+	return loop->base;
+}
+
+void loop_run(struct loop *loop)
+{
+	event_base_loop(loop->base, EVLOOP_NO_EXIT_ON_EMPTY);
+}
+
+void loop_break(struct loop *loop)
+{
+	event_base_loopbreak(loop->base);
+}
+
+static void on_signal(evutil_socket_t fd, short what, void *arg)
+{
+	struct signal_watch *watch = arg;
+
+	watch->fn(watch->arg);
+}
+
+int loop_on_signal(struct loop *loop, int signum, loop_fn fn, void *arg)
+{
+	struct signal_watch *watch;
+
+	if (loop->signal_count == LOOP_SIGNALS_MAX)
+		return ERR_FULL;
+	watch = &loop->signals[loop->signal_count];
+	watch->fn = fn;
+	watch->arg = arg;
+	watch->event = evsignal_new(loop->base, signum, on_signal, watch);
+	if (!watch->event)
+		return ERR_SYSTEM;
+	if (event_add(watch->event, NULL)) {
+		event_free(watch->event);
+		return ERR_SYSTEM;
+	}
+	loop->signal_count++;
+	return 0;
+}
+
+static void on_timer(evutil_socket_t fd, short what, void *arg)
+{
+	struct loop_timer *timer = arg;
+
+	timer->fn(timer->arg);
+}
+
+struct loop_timer *loop_timer_new(struct loop *loop, loop_fn fn, void *arg)
+{
+	struct loop_timer *timer = xcalloc(1, sizeof(*timer));
+
+	timer->fn = fn;
+	timer->arg = arg;
+	timer->event = evtimer_new(loop->base, on_timer, timer);
+	if (!timer->event)
+		abort();
+	return timer;
+}
+
+void loop_timer_delete(struct loop_timer *timer)
+{
+	if (!timer)
+		return;
+	event_free(timer->event);
+	free(timer);
+}
+
+void loop_timer_start(struct loop_timer *timer, int64_t delay_ms)
+{
+	struct timeval tv;
+
+	if (delay_ms < 0)
+		delay_ms = 0;
+	tv.tv_sec = delay_ms / 1000;
+	tv.tv_usec = (delay_ms % 1000) * 1000;
+	evtimer_add(timer->event, &tv);
+}
+
+void loop_timer_stop(struct loop_timer *timer)
+{
+	evtimer_del(timer->event);
+}
--- /dev/null
+++ b/packages/wire/include/message.h
@@ -0,0 +1,333 @@
+#ifndef CATKINHILL_MESSAGE_H
+#define CATKINHILL_MESSAGE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/*
+ * NAME
+ *	message - messages between the processes of the system
+ *
+ * NOTES
+ *	One message is one frame: a MessagePack array of the protocol
+ *	version, the type and the fields in the order of the structs below.
+ *	Every length is bounded on both sides. Identifiers are fixed arrays
+ *	and always terminated; a const char * or a span of a decoded message
+ *	points into its storage and is valid until message_clear().
+ */
+#define MESSAGE_VERSION 1
+#define FRAME_MAX (128 * 1024)
+#define BODY_CHUNK_MAX (64 * 1024)
+#define ID_SIZE 64
+#define NAME_SIZE 32
+#define HEADERS_MAX 64
+#define TASKS_MAX 256
+#define ENTRIES_MAX 64
+
+/* What is known about a request. */
+enum outcome {
+	OUTCOME_DONE,
+	OUTCOME_NOT_RUN,
+	OUTCOME_UNKNOWN
+};
+
+enum agent_state {
+	AGENT_NOT_READY,
+	AGENT_READY,
+	AGENT_LEAVING
+};
+
+/* Why an agent proved that a request was not run. */
+enum refusal {
+	REFUSAL_FULL,	   /* no slot, connection or place in the queue */
+	REFUSAL_LEAVING,   /* the upstream is leaving */
+	REFUSAL_NOT_READY, /* the worker cannot be reached */
+	REFUSAL_DEADLINE,  /* the deadline passed before the start */
+	REFUSAL_CANCELLED, /* cancelled before the start */
+	REFUSAL_MALFORMED, /* the request cannot be sent as it is */
+	REFUSAL_COUNT
+};
+
+enum task_state {
+	TASK_STARTING,
+	TASK_RUNNING,
+	TASK_STOPPING,
+	TASK_STOPPED,  /* stopped by command; checkpoint is final */
+	TASK_FINISHED, /* ended by itself with success */
+	TASK_FAILED,   /* ended by itself without success */
+	TASK_LOST,     /* the worker no longer knows it */
+	TASK_REFUSED,  /* never started; refusal in detail */
+	TASK_STATE_COUNT
+};
+
+enum stop_mode {
+	STOP_EVICT,
+	STOP_CANCEL
+};
+
+const char *outcome_name(enum outcome outcome);
+const char *agent_state_name(enum agent_state state);
+const char *refusal_name(enum refusal refusal);
+const char *task_state_name(enum task_state state);
+
+struct span {
+	const unsigned char *data;
+	size_t len;
+};
+
+struct resources {
+	uint32_t cpu_milli;
+	uint32_t mem_mb;
+	uint32_t accel;
+};
+
+/* Load of an upstream as its agent sees it. */
+struct load {
+	uint32_t in_flight;   /* requests that hold a slot */
+	uint32_t queued;      /* requests that wait for a slot */
+	uint32_t connections; /* in flight and streams */
+	uint32_t latency_ms;  /* average of recent answers */
+	struct resources used;
+};
+
+struct http_header {
+	const char *name;
+	const char *value;
+};
+
+struct header_list {
+	struct http_header *items;
+	size_t count;
+};
+
+struct entry_address {
+	char id[ID_SIZE];
+	char address[ID_SIZE]; /* ip:port for agents */
+};
+
+struct entry_list {
+	struct entry_address *items;
+	size_t count;
+};
+
+struct task_status {
+	char job[ID_SIZE];
+	uint64_t run;
+	uint32_t state;		/* enum task_state */
+	struct resources used;	/* observed by the worker, with a lag */
+	const char *checkpoint; /* "" for none */
+	const char *detail;	/* reason of a failure or refusal, or "" */
+};
+
+struct task_list {
+	struct task_status *items;
+	size_t count;
+};
+
+enum message_type {
+	MSG_ANNOUNCE = 1,
+	MSG_ANNOUNCE_ACK,
+	MSG_CONFIG,
+	MSG_REQUEST,
+	MSG_REQUEST_BODY,
+	MSG_CANCEL,
+	MSG_REFUSED,
+	MSG_RESPONSE,
+	MSG_RESPONSE_BODY,
+	MSG_RESPONSE_END,
+	MSG_CREDIT,
+	MSG_TASK_START,
+	MSG_TASK_STOP,
+	MSG_TASK_THROTTLE,
+	MSG_TASK_REPORT,
+	MSG_TASK_REPORT_ACK,
+	MSG_OWNER,
+	MSG_TYPE_COUNT
+};
+
+struct msg_announce {
+	char agent[ID_SIZE];
+	uint64_t incarnation;
+	uint64_t seq;
+	char service[ID_SIZE];
+	char region[NAME_SIZE];
+	char domain[NAME_SIZE];
+	char rack[NAME_SIZE];
+	uint32_t slots;
+	uint32_t connections;
+	struct resources capacity;
+	uint32_t state; /* enum agent_state */
+	struct load load;
+	uint64_t config_version;
+	uint64_t directory_hash;
+};
+
+struct msg_announce_ack {
+	uint64_t seq;
+	uint64_t config_version;
+	uint64_t directory_hash;
+	struct entry_list entries; /* empty when the agent's hash is equal */
+};
+
+struct msg_config {
+	uint64_t version;
+	const char *json;
+};
+
+/*
+ * The number of a request is chosen by the entry, anew for each attempt;
+ * its upper bits are random for each start of an entry, so that an answer to
+ * an earlier process is never taken for an answer to this one.
+ */
+struct msg_request {
+	uint64_t request;
+	char trace[ID_SIZE]; /* the same for all attempts, for logs */
+	uint32_t attempt;    /* 1, 2, ... */
+	uint32_t remaining_ms;
+	const char *method;
+	const char *path;
+	struct header_list headers;
+	uint64_t body_length;
+};
+
+struct msg_request_body {
+	uint64_t request;
+	uint64_t offset;
+	struct span data;
+	uint32_t last;
+};
+
+struct msg_cancel {
+	uint64_t request;
+};
+
+struct msg_refused {
+	uint64_t request;
+	uint32_t reason; /* enum refusal */
+	struct load load;
+};
+
+struct msg_response {
+	uint64_t request;
+	uint32_t status;
+	uint32_t stream; /* 1: an open stream, without deadline */
+	struct header_list headers;
+};
+
+struct msg_response_body {
+	uint64_t request;
+	uint64_t offset;
+	struct span data;
+};
+
+struct msg_response_end {
+	uint64_t request;
+	uint32_t outcome; /* enum outcome; done: the answer is whole */
+	uint32_t moved;	  /* 1: the stream ends because the upstream leaves */
+	uint64_t total;	  /* bytes of the body */
+	struct load load;
+};
+
+struct msg_credit {
+	uint64_t request;
+	uint32_t bytes;
+};
+
+struct msg_task_start {
+	uint32_t partition;
+	uint64_t epoch;
+	char job[ID_SIZE];
+	uint64_t run;
+	struct resources need;
+	const char *checkpoint;
+	const char *command;
+};
+
+struct msg_task_stop {
+	uint32_t partition;
+	uint64_t epoch;
+	char job[ID_SIZE];
+	uint64_t run;
+	uint32_t mode; /* enum stop_mode */
+};
+
+struct msg_task_throttle {
+	uint32_t partition;
+	uint64_t epoch;
+	char job[ID_SIZE];
+	uint64_t run;
+	uint32_t percent;
+};
+
+struct msg_task_report {
+	uint64_t seq;
+	uint32_t partition;
+	uint64_t epoch;
+	char agent[ID_SIZE];
+	struct task_list tasks;
+};
+
+struct msg_task_report_ack {
+	uint64_t seq;
+	uint32_t partition;
+	uint64_t epoch;
+};
+
+struct msg_owner {
+	uint32_t partition;
+	uint64_t epoch;
+	char entry[ID_SIZE];
+};
+
+struct message {
+	enum message_type type;
+	union {
+		struct msg_announce announce;
+		struct msg_announce_ack announce_ack;
+		struct msg_config config;
+		struct msg_request request;
+		struct msg_request_body request_body;
+		struct msg_cancel cancel;
+		struct msg_refused refused;
+		struct msg_response response;
+		struct msg_response_body response_body;
+		struct msg_response_end response_end;
+		struct msg_credit credit;
+		struct msg_task_start task_start;
+		struct msg_task_stop task_stop;
+		struct msg_task_throttle task_throttle;
+		struct msg_task_report task_report;
+		struct msg_task_report_ack task_report_ack;
+		struct msg_owner owner;
+	} u;
+	void *storage; /* of a decoded message; NULL in one that is sent */
+};
+
+/*
+ * Encodes a message. NULL strings are sent as "".
+ *
+ * RETURN VALUE
+ *	0; *data is newly allocated and freed by the caller.
+ * ERRORS
+ *	ERR_INVALID	unknown type
+ *	ERR_TOO_LARGE	a field or the frame is over its bound
+ */
+int message_encode(const struct message *msg, unsigned char **data,
+		   size_t *len);
+
+/*
+ * Decodes a frame; on success the message is released by message_clear().
+ *
+ * ERRORS
+ *	ERR_MALFORMED	not a frame of this version, wrong field types, a
+ *			value outside its range
+ *	ERR_TOO_LARGE	a field or the frame is over its bound
+ *	ERR_INVALID	unknown type
+ */
+int message_decode(struct message *msg, const unsigned char *data, size_t len);
+
+void message_clear(struct message *msg);
+
+const char *message_type_name(enum message_type type);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_message.c
@@ -0,0 +1,195 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "message.h"
+#include "rng.h"
+
+static struct http_header headers[] = {
+	{ "Content-Type", "text/plain" },
+	{ "X-Empty", "" },
+};
+
+static struct task_status tasks[] = {
+	{ .job = "j1",
+	  .run = 3,
+	  .state = TASK_RUNNING,
+	  .checkpoint = "c2",
+	  .detail = "" },
+};
+
+static struct entry_address entries[] = { { "e1", "127.0.0.1:7001" } };
+
+/* One message of each type with a field that must survive. */
+static const struct message samples[] = {
+	{ MSG_ANNOUNCE,
+	  { .announce = { .agent = "a1",
+			  .slots = 8,
+			  .state = AGENT_READY,
+			  .load = { .used = { .mem_mb = 7 } } } } },
+	{ MSG_ANNOUNCE_ACK,
+	  { .announce_ack = { .seq = 9, .entries = { entries, 1 } } } },
+	{ MSG_CONFIG, { .config = { 4, "{}" } } },
+	{ MSG_REQUEST,
+	  { .request = { .request = UINT64_MAX,
+			 .trace = "t",
+			 .method = "GET",
+			 .path = "/a?b=c",
+			 .headers = { headers, 2 } } } },
+	{ MSG_REQUEST_BODY,
+	  { .request_body = { 1, 5, { (const void *)"a\0b", 3 }, 1 } } },
+	{ MSG_CANCEL, { .cancel = { 1 } } },
+	{ MSG_REFUSED, { .refused = { 1, REFUSAL_FULL } } },
+	{ MSG_RESPONSE, { .response = { 1, 200, 1, { headers, 1 } } } },
+	{ MSG_RESPONSE_BODY, { .response_body = { 1, 2, { NULL, 0 } } } },
+	{ MSG_RESPONSE_END, { .response_end = { 1, OUTCOME_DONE, 0, 42 } } },
+	{ MSG_CREDIT, { .credit = { 1, 65536 } } },
+	{ MSG_TASK_START,
+	  { .task_start = { 2, 3, "j", 4, { 1, 2, 3 }, "c", "run" } } },
+	{ MSG_TASK_STOP, { .task_stop = { 2, 3, "j", 4, STOP_CANCEL } } },
+	{ MSG_TASK_THROTTLE, { .task_throttle = { 2, 3, "j", 4, 50 } } },
+	{ MSG_TASK_REPORT, { .task_report = { 1, 2, 3, "a1", { tasks, 1 } } } },
+	{ MSG_TASK_REPORT_ACK, { .task_report_ack = { 1, 2, 3 } } },
+	{ MSG_OWNER, { .owner = { 1, 2, "e1" } } },
+};
+
+#define SAMPLES (sizeof(samples) / sizeof(samples[0]))
+
+/* Guards against a field that is lost or reordered by the codec. */
+static void test_round_trip(void **state)
+{
+	size_t i;
+
+	assert_int_equal(SAMPLES, MSG_TYPE_COUNT - 1);
+	for (i = 0; i < SAMPLES; i++) {
+		unsigned char *first, *second;
+		size_t first_len, second_len;
+		struct message decoded;
+
+		assert_int_equal(
+			message_encode(&samples[i], &first, &first_len), 0);
+		assert_int_equal(message_decode(&decoded, first, first_len), 0);
+		assert_int_equal(decoded.type, samples[i].type);
+		assert_int_equal(message_encode(&decoded, &second, &second_len),
+				 0);
+		assert_int_equal(first_len, second_len);
+		assert_memory_equal(first, second, first_len);
+		message_clear(&decoded);
+		free(first);
+		free(second);
+	}
+}
+
+/* Guards against reading past a frame that was cut in transit. */
+static void test_truncated(void **state)
+{
+	size_t i, len, cut;
+
+	for (i = 0; i < SAMPLES; i++) {
+		unsigned char *data;
+		struct message decoded;
+
+		assert_int_equal(message_encode(&samples[i], &data, &len), 0);
+		for (cut = 0; cut < len; cut++) {
+			unsigned char *part = malloc(cut ? cut : 1);
+
+			memcpy(part, data, cut);
+			assert_int_not_equal(
+				message_decode(&decoded, part, cut), 0);
+			free(part);
+		}
+		free(data);
+	}
+}
+
+/* Guards against a crash on frames with arbitrary bytes changed. */
+static void test_corrupted(void **state)
+{
+	struct rng rng;
+	int round;
+
+	rng_seed(&rng, 1);
+	for (round = 0; round < 20000; round++) {
+		const struct message *msg = &samples[round % SAMPLES];
+		struct message decoded;
+		unsigned char *data;
+		size_t len;
+
+		assert_int_equal(message_encode(msg, &data, &len), 0);
+		data[rng_below(&rng, (uint32_t)len)] =
+			(unsigned char)rng_below(&rng, 256);
+		if (!message_decode(&decoded, data, len))
+			message_clear(&decoded);
+		free(data);
+	}
+}
+
+static void test_bounds(void **state)
+{
+	static char big[16 * 1024];
+	struct message path = { MSG_REQUEST, { .request = { .path = big } } };
+	struct message body = { MSG_REQUEST_BODY,
+				{ .request_body = {
+					  .data = { (const void *)big,
+						    BODY_CHUNK_MAX + 1 } } } };
+	struct message unknown = { MSG_TYPE_COUNT, { .cancel = { 1 } } };
+	unsigned char *data;
+	size_t len;
+
+	memset(big, 'x', sizeof(big) - 1);
+	assert_int_equal(message_encode(&path, &data, &len), ERR_TOO_LARGE);
+	assert_int_equal(message_encode(&body, &data, &len), ERR_TOO_LARGE);
+	assert_int_equal(message_encode(&unknown, &data, &len), ERR_INVALID);
+}
+
+static void test_hand_made_frames(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *bytes;
+		size_t len;
+		int err;
+	} cases[] = {
+		{ "empty", "", 0, ERR_MALFORMED },
+		{ "not an array", "\x01", 1, ERR_MALFORMED },
+		{ "other version", "\x93\x02\x06\x91\x01", 5, ERR_MALFORMED },
+		{ "type 0", "\x93\x01\x00\x91\x01", 5, ERR_INVALID },
+		{ "type 99", "\x93\x01\x63\x91\x01", 5, ERR_INVALID },
+		{ "missing field", "\x93\x01\x06\x90", 4, ERR_MALFORMED },
+		{ "text for number", "\x93\x01\x06\x91\xa1x", 6,
+		  ERR_MALFORMED },
+		{ "trailing byte", "\x93\x01\x06\x91\x01\x00", 6,
+		  ERR_MALFORMED },
+		{ "huge array", "\xdd\xff\xff\xff\xff", 5, ERR_MALFORMED },
+		{ "good cancel", "\x93\x01\x06\x91\x01", 5, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct message msg;
+		int err = message_decode(&msg, (const void *)cases[i].bytes,
+					 cases[i].len);
+
+		if (err != cases[i].err)
+			fail_msg("%s: got %s", cases[i].name, error_name(err));
+		message_clear(&msg);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_truncated),
+		cmocka_unit_test(test_corrupted),
+		cmocka_unit_test(test_bounds),
+		cmocka_unit_test(test_hand_made_frames),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
