base: rename the tag of the event numbers

enum event and libevent's struct event share C's tag namespace, so that no source could include log.h and event2/event.h. Including them in separate files was ruled out: the transport logs what it drops. The tag is now enum event_number; the constants keep their names.

--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -20,7 +20,7 @@
 	LOG_DEBUG
 };
 
-enum event {
+enum event_number {
 	/* 1000: entry and routing */
 	EV_ROUTE_CHOSEN = 1001,
 	EV_ROUTE_NONE = 1002,
@@ -46,7 +46,7 @@
 };
 
 struct event_info {
-	enum event event;
+	enum event_number event;
 	enum log_level level;
 	const char *name;    /* such as route-chosen */
 	const char *meaning; /* one sentence for the catalogue */
--- a/packages/io/include/log.h
+++ b/packages/io/include/log.h
@@ -17,7 +17,7 @@
  */
 void log_init(FILE *out, enum log_level max_level, const char *process_id);
 
-void log_event(enum event event, const char *fmt, ...)
+void log_event(enum event_number event, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
 #endif
--- a/packages/io/src/log.c
+++ b/packages/io/src/log.c
@@ -28,7 +28,7 @@
 	fprintf(out, "%s.%03dZ", text, (int)(now.tv_usec / 1000));
 }
 
-void log_event(enum event event, const char *fmt, ...)
+void log_event(enum event_number event, const char *fmt, ...)
 {
 	const struct event_info *info = event_find(event);
 	FILE *out = log_out ? log_out : stderr;
