io: add the ZeroMQ transport

Entries and agents need messages in the libevent loop. ZMQ_FD is edge-triggered and every call on the socket consumes the edge, so the transport looks at ZMQ_EVENTS after each send and after each bounded drain (64 messages) and continues in the next turn by a zero timer.

event_active() was ruled out: libevent runs the callback again in the same turn, before any timer. test_timers_are_not_starved fails with it, and test_both_directions fails without the look after a send.

ZMQ_MAXMSGSIZE is twice FRAME_MAX, since ZeroMQ closes the connection over that bound without a word; frames in between are counted and dropped.

--- a/packages/io/include/transport.h
+++ b/packages/io/include/transport.h
@@ -18,6 +18,14 @@
  *	Frames that cannot be decoded, are too large or of unknown type are
  *	counted, logged (EV_FRAME_DROPPED) and dropped. Queues are bounded;
  *	a message that does not fit is refused to the sender, not blocked.
+ *	A client queues messages while it is not connected; a server has no
+ *	such peer then. A message that was accepted is lost when the
+ *	connection breaks before it is delivered. A second client with the
+ *	same routing id takes the place of the first. Routing ids are 1 to
+ *	255 printable ASCII characters without spaces and double quotes;
+ *	messages of other peers are dropped. A frame of more than twice
+ *	FRAME_MAX makes ZeroMQ close the connection, which is not counted.
+ *	At most one dropped frame a second is logged.
  */
 struct transport;
 
@@ -26,7 +34,7 @@
 			     const struct message *msg);
 
 struct transport_stats {
-	int64_t bytes_in, bytes_out;
+	int64_t bytes_in, bytes_out; /* of frames, without ZeroMQ's framing */
 	int64_t messages_in, messages_out;
 	int64_t dropped_in;  /* frames that could not be decoded */
 	int64_t refused_out; /* sends that returned an error */
@@ -44,7 +52,10 @@
 				       const char *routing_id, transport_fn fn,
 				       void *arg);
 
-/* Unsent messages are given up to 100 ms. May be called in fn. */
+/*
+ * Unsent messages are given up to 100 ms; the deletion of the last transport
+ * of the process waits for them. May be called in fn.
+ */
 void transport_delete(struct transport *transport);
 
 /*
--- /dev/null
+++ b/tests/unit/test_transport.c
@@ -0,0 +1,359 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+#include <zmq.h>
+
+#include "errors.h"
+#include "log.h"
+#include "support.h"
+#include "transport.h"
+
+#define BACKLOG_SIZE 2000
+
+struct fixture {
+	struct loop *loop;
+	char address[ID_SIZE];
+	struct transport *server, *client;
+	void *raw_context, *raw;  /* a peer that breaks the rules */
+	struct loop_timer *timer; /* started by the first message */
+	int server_got, client_got, timer_fired_at;
+	int is_deleting;
+	char last_peer[256];
+	uint64_t last_request;
+	int64_t wanted;
+};
+
+static struct message cancel(uint64_t request)
+{
+	struct message msg = { MSG_CANCEL, { .cancel = { request } } };
+
+	return msg;
+}
+
+static void on_server(void *arg, const char *peer, const struct message *msg)
+{
+	struct fixture *f = arg;
+
+	f->server_got++;
+	if (f->timer && f->server_got == 1)
+		loop_timer_start(f->timer, 0);
+	strcpy(f->last_peer, peer);
+	f->last_request = msg->u.cancel.request;
+	if (f->is_deleting) {
+		transport_delete(f->server);
+		f->server = NULL;
+	}
+}
+
+static void on_client(void *arg, const char *peer, const struct message *msg)
+{
+	struct fixture *f = arg;
+
+	f->client_got++;
+	f->last_request = msg->u.cancel.request;
+}
+
+static int setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+
+	f->loop = loop_new();
+	free_address(f->address, sizeof(f->address));
+	f->server = transport_server_new(f->loop, f->address, on_server, f);
+	assert_non_null(f->server);
+	f->client =
+		transport_client_new(f->loop, f->address, "a1/1", on_client, f);
+	assert_non_null(f->client);
+	*state = f;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	if (f->raw) {
+		zmq_close(f->raw);
+		zmq_ctx_term(f->raw_context);
+	}
+	transport_delete(f->client);
+	transport_delete(f->server);
+	loop_delete(f->loop);
+	free(f);
+	return 0;
+}
+
+static void open_raw(struct fixture *f, const char *id)
+{
+	char endpoint[ID_SIZE + 8];
+	int linger = 0;
+
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", f->address);
+	f->raw_context = zmq_ctx_new();
+	f->raw = zmq_socket(f->raw_context, ZMQ_DEALER);
+	zmq_setsockopt(f->raw, ZMQ_LINGER, &linger, sizeof(linger));
+	if (id)
+		zmq_setsockopt(f->raw, ZMQ_ROUTING_ID, id, strlen(id));
+	assert_int_equal(zmq_connect(f->raw, endpoint), 0);
+}
+
+static int server_got_wanted(void *arg)
+{
+	struct fixture *f = arg;
+
+	return f->server_got >= f->wanted;
+}
+
+static int client_got_wanted(void *arg)
+{
+	struct fixture *f = arg;
+
+	return f->client_got >= f->wanted;
+}
+
+static int server_dropped_wanted(void *arg)
+{
+	struct fixture *f = arg;
+
+	return transport_stats(f->server)->dropped_in >= f->wanted;
+}
+
+static void expect_server(struct fixture *f, int count)
+{
+	f->wanted = count;
+	assert_true(loop_wait(f->loop, server_got_wanted, f));
+}
+
+/* Guards against a lost edge of ZMQ_FD: nothing else wakes the receiver. */
+static void test_both_directions(void **state)
+{
+	struct fixture *f = *state;
+	struct message msg = cancel(7);
+	int round;
+
+	for (round = 1; round <= 50; round++) {
+		assert_int_equal(transport_send(f->client, NULL, &msg), 0);
+		expect_server(f, round);
+		assert_string_equal(f->last_peer, "a1/1");
+		assert_int_equal(transport_send(f->server, "a1/1", &msg), 0);
+		f->wanted = round;
+		assert_true(loop_wait(f->loop, client_got_wanted, f));
+	}
+	assert_int_equal(transport_stats(f->client)->bytes_out,
+			 transport_stats(f->server)->bytes_in);
+	assert_int_equal(transport_stats(f->server)->messages_out, round - 1);
+	assert_int_equal(transport_send(f->server, "a2/1", &msg),
+			 ERR_UNAVAILABLE);
+	assert_int_equal(transport_stats(f->server)->refused_out, 1);
+}
+
+static void on_timer(void *arg)
+{
+	struct fixture *f = arg;
+
+	f->timer_fired_at = f->server_got;
+}
+
+/* Guards against a full queue that keeps timers from firing. */
+static void test_timers_are_not_starved(void **state)
+{
+	struct fixture *f = *state;
+	struct message msg = cancel(1);
+	int i;
+
+	f->timer = loop_timer_new(f->loop, on_timer, f);
+	for (i = 0; i < 1000; i++)
+		assert_int_equal(transport_send(f->client, NULL, &msg), 0);
+	/* Lets the messages arrive, so that all of them wait at once. */
+	usleep(200 * 1000);
+	expect_server(f, 1000);
+	assert_in_range(f->timer_fired_at, 1, 999);
+	loop_timer_delete(f->timer);
+}
+
+static struct message body(unsigned char *data)
+{
+	struct message msg = { MSG_REQUEST_BODY,
+			       { .request_body = {
+					 .data = { data, BODY_CHUNK_MAX } } } };
+
+	return msg;
+}
+
+/* Sends to a receiver that does not read until a message is refused. */
+static int fill(struct transport *transport, const char *peer)
+{
+	static unsigned char data[BODY_CHUNK_MAX];
+	struct message msg = body(data);
+	int accepted;
+	int err = 0;
+
+	for (accepted = 0; accepted < 100000; accepted++) {
+		err = transport_send(transport, peer, &msg);
+		if (err)
+			break;
+	}
+	assert_int_equal(err, ERR_FULL);
+	assert_int_equal(transport_stats(transport)->refused_out, 1);
+	return accepted;
+}
+
+/* Guards against a send that blocks, and against losing accepted messages. */
+static void test_full_queue(void **state)
+{
+	struct fixture *f = *state;
+	struct message hello = cancel(1);
+	int accepted;
+
+	transport_send(f->client, NULL, &hello);
+	expect_server(f, 1);
+	accepted = fill(f->server, "a1/1");
+	f->wanted = accepted;
+	assert_true(loop_wait(f->loop, client_got_wanted, f));
+	accepted = fill(f->client, NULL);
+	expect_server(f, accepted + 1);
+	assert_int_equal(f->server_got, accepted + 1);
+}
+
+/* Guards against frames that reach the callbacks undecoded or uncounted. */
+static void test_bad_frames(void **state)
+{
+	static const char good[] = "\x93\x01\x06\x91\x05";
+	static char large[FRAME_MAX + 1];
+	static const struct {
+		const char *id;
+		const char *data;
+		size_t len;
+		int parts;
+		int dropped;
+	} cases[] = {
+		{ "x", "", 0, 1, 1 },
+		{ "x", "garbage", 7, 1, 1 },
+		{ "x", "\x93\x01\x63\x91\x01", 5, 1, 1 },
+		{ "x", large, sizeof(large), 1, 1 },
+		{ "x", good, 5, 2, 1 },
+		{ "bad id", good, 5, 1, 1 },
+		{ NULL, good, 5, 1, 1 },
+		{ "x", good, 5, 1, 0 },
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		open_raw(f, cases[i].id);
+		if (cases[i].parts > 1)
+			zmq_send(f->raw, "more", 4, ZMQ_SNDMORE);
+		zmq_send(f->raw, cases[i].data, cases[i].len, 0);
+		if (cases[i].dropped) {
+			f->wanted = (int64_t)i + 1;
+			assert_true(
+				loop_wait(f->loop, server_dropped_wanted, f));
+			assert_int_equal(f->server_got, 0);
+		} else {
+			expect_server(f, 1);
+			assert_int_equal(f->last_request, 5);
+		}
+		zmq_close(f->raw);
+		zmq_ctx_term(f->raw_context);
+		f->raw = NULL;
+	}
+}
+
+/* Guards against a huge frame that takes memory or disturbs other peers. */
+static void test_huge_frame(void **state)
+{
+	static char huge[4 * FRAME_MAX];
+	struct fixture *f = *state;
+	struct message msg = cancel(3);
+
+	open_raw(f, "x");
+	zmq_send(f->raw, huge, sizeof(huge), 0);
+	transport_send(f->client, NULL, &msg);
+	expect_server(f, 1);
+	assert_string_equal(f->last_peer, "a1/1");
+}
+
+/* Guards against a client that stays away after its server's restart. */
+static void test_reconnect(void **state)
+{
+	struct fixture *f = *state;
+	struct message msg = cancel(1);
+
+	transport_send(f->client, NULL, &msg);
+	expect_server(f, 1);
+	transport_delete(f->server);
+	f->server = NULL;
+	while (!f->server)
+		f->server =
+			transport_server_new(f->loop, f->address, on_server, f);
+	/* The old connection may still take the first message with it. */
+	while (f->server_got < 2) {
+		transport_send(f->client, NULL, &msg);
+		f->wanted = 2;
+		loop_wait_ms(f->loop, server_got_wanted, f, 50);
+	}
+	assert_string_equal(f->last_peer, "a1/1");
+}
+
+/* Guards against a second start of an agent that is shut out by its first. */
+static void test_handover(void **state)
+{
+	struct fixture *f = *state;
+	struct message msg = cancel(1);
+	struct transport *second;
+
+	transport_send(f->client, NULL, &msg);
+	expect_server(f, 1);
+	second =
+		transport_client_new(f->loop, f->address, "a1/1", on_client, f);
+	transport_send(second, NULL, &msg);
+	expect_server(f, 2);
+	assert_int_equal(transport_send(f->server, "a1/1", &msg), 0);
+	f->wanted = 1;
+	assert_true(loop_wait(f->loop, client_got_wanted, f));
+	transport_delete(second);
+}
+
+/* Guards against use after free when a callback deletes its transport. */
+static void test_delete_in_callback(void **state)
+{
+	struct fixture *f = *state;
+	struct message msg = cancel(1);
+
+	f->is_deleting = 1;
+	transport_send(f->client, NULL, &msg);
+	transport_send(f->client, NULL, &msg);
+	expect_server(f, 1);
+	assert_null(f->server);
+}
+
+static void test_bad_address(void **state)
+{
+	struct fixture *f = *state;
+
+	assert_null(transport_server_new(f->loop, "nowhere", on_server, f));
+	assert_null(transport_server_new(f->loop, f->address, on_server, f));
+	assert_null(
+		transport_client_new(f->loop, "1.2.3.4:x", "a", on_client, f));
+	assert_null(
+		transport_client_new(f->loop, f->address, "", on_client, f));
+}
+
+#define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		CASE(test_both_directions), CASE(test_timers_are_not_starved),
+		CASE(test_full_queue),	    CASE(test_bad_frames),
+		CASE(test_huge_frame),	    CASE(test_reconnect),
+		CASE(test_handover),	    CASE(test_delete_in_callback),
+		CASE(test_bad_address),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
