io: add the HTTP client

Agents call their upstream, and both roles call the store, over HTTP/1.1 in the libevent loop. The client is built on evhttp: one call a connection, idle connections kept in a pool and removed when their server closes them.

Bytes after an answer close the connection instead of passing as the next answer.

--- /dev/null
+++ b/packages/io/src/httpconn.c
@@ -0,0 +1,162 @@
+#include "httpconn.h"
+
+#include <errno.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "mem.h"
+
+/* evhttp's own timeouts would end streams after 50 s; each call has a timer. */
+#define NO_TIMEOUT_S (365 * 24 * 3600)
+#define HEAD_MAX (64 * 1024)
+
+static void connection_free(struct connection *conn)
+{
+	list_del(&conn->node);
+	evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
+	evhttp_connection_free(conn->evcon);
+	free(conn);
+}
+
+/* evhttp may still use the connection that it calls back from. */
+static void reap(void *arg)
+{
+	struct httpc_pool *pool = arg;
+
+	while (!list_empty(&pool->dead))
+		connection_free(
+			list_entry(pool->dead.next, struct connection, node));
+}
+
+static void connection_kill(struct connection *conn)
+{
+	struct httpc_pool *pool = conn->pool;
+
+	list_del(&conn->node);
+	list_add_tail(&pool->dead, &conn->node);
+	loop_timer_start(pool->reaper, 0);
+}
+
+static void on_close(struct evhttp_connection *evcon, void *arg)
+{
+	struct connection *conn = arg;
+
+	if (conn->is_closed)
+		return;
+	conn->is_closed = 1;
+	if (conn->call)
+		return;
+	conn->pool->idle_count--;
+	connection_kill(conn);
+}
+
+static struct connection *connection_new(struct httpc_pool *pool)
+{
+	struct connection *conn;
+	struct evhttp_connection *evcon;
+
+	evcon = evhttp_connection_base_new(loop_base(pool->loop), NULL,
+					   pool->host, pool->port);
+	if (!evcon)
+		return NULL;
+	evhttp_connection_set_timeout(evcon, NO_TIMEOUT_S);
+	evhttp_connection_set_max_headers_size(evcon, HEAD_MAX);
+	/*
+	 * EVHTTP_CON_READ_ON_WRITE_ERROR would save an early answer, but with
+	 * it libevent 2.1.12 never reports the end of a connection that is
+	 * cut inside a chunk.
+	 */
+	conn = xcalloc(1, sizeof(*conn));
+	list_init(&conn->node);
+	conn->pool = pool;
+	conn->evcon = evcon;
+	evhttp_connection_set_closecb(evcon, on_close, conn);
+	return conn;
+}
+
+static int connection_fd(const struct connection *conn)
+{
+	return bufferevent_getfd(
+		evhttp_connection_get_bufferevent(conn->evcon));
+}
+
+/* The server may have closed, but the loop has not seen it yet. */
+static int is_stale(const struct connection *conn)
+{
+	char byte;
+	ssize_t len =
+		recv(connection_fd(conn), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+	return len >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+int connection_is_open(const struct connection *conn)
+{
+	struct sockaddr_storage peer;
+	socklen_t len = sizeof(peer);
+	int fd = connection_fd(conn);
+
+	return fd >= 0 && !getpeername(fd, (struct sockaddr *)&peer, &len);
+}
+
+struct connection *connection_get(struct httpc_pool *pool)
+{
+	struct connection *conn;
+
+	while (!list_empty(&pool->idle)) {
+		conn = list_entry(pool->idle.next, struct connection, node);
+		list_del(&conn->node);
+		pool->idle_count--;
+		if (!is_stale(conn))
+			return conn;
+		conn->is_closed = 1;
+		connection_kill(conn);
+	}
+	return connection_new(pool);
+}
+
+/* Bytes after the end of an answer must not pass as the next answer. */
+static int has_input(const struct connection *conn)
+{
+	struct bufferevent *bev =
+		evhttp_connection_get_bufferevent(conn->evcon);
+
+	return evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+}
+
+void connection_put(struct connection *conn, int reusable)
+{
+	struct httpc_pool *pool = conn->pool;
+
+	conn->call = NULL;
+	if (!reusable || conn->is_closed || has_input(conn) ||
+	    pool->idle_count >= pool->max_idle) {
+		conn->is_closed = 1;
+		connection_kill(conn);
+		return;
+	}
+	list_add_head(&pool->idle, &conn->node);
+	pool->idle_count++;
+}
+
+void connections_init(struct httpc_pool *pool)
+{
+	list_init(&pool->idle);
+	list_init(&pool->dead);
+	list_init(&pool->calls);
+	pool->reaper = loop_timer_new(pool->loop, reap, pool);
+}
+
+void connections_free(struct httpc_pool *pool)
+{
+	while (!list_empty(&pool->idle))
+		connection_free(
+			list_entry(pool->idle.next, struct connection, node));
+	reap(pool);
+	loop_timer_delete(pool->reaper);
+}
--- /dev/null
+++ b/packages/io/src/httpconn.h
@@ -0,0 +1,54 @@
+#ifndef CATKINHILL_HTTPCONN_H
+#define CATKINHILL_HTTPCONN_H
+
+#include <stdint.h>
+
+#include "httpc.h"
+#include "list.h"
+
+#define HOST_SIZE 64
+
+struct evhttp_connection;
+
+/*
+ * NAME
+ *	httpconn - connections of the HTTP client
+ *
+ * NOTES
+ *	A connection serves one call at a time. An idle one that its server
+ *	closes is removed at once; one that was closed unnoticed is found by
+ *	connection_get(). Connections are freed in the next turn of the loop,
+ *	because evhttp may still use the one that it calls back from.
+ */
+struct httpc_pool {
+	struct loop *loop;
+	char address[HOST_SIZE];
+	char host[HOST_SIZE];
+	uint16_t port;
+	int max_idle, idle_count;
+	struct list idle, dead, calls;
+	struct loop_timer *reaper;
+};
+
+struct connection {
+	struct list node; /* of pool->idle or pool->dead */
+	struct httpc_pool *pool;
+	struct evhttp_connection *evcon;
+	struct httpc_call *call;
+	int is_closed;
+};
+
+/* Sets up the lists of a pool whose loop is set, and frees what is in them. */
+void connections_init(struct httpc_pool *pool);
+void connections_free(struct httpc_pool *pool);
+
+/* NULL when no connection can be made; it may not be open yet. */
+struct connection *connection_get(struct httpc_pool *pool);
+
+/* Keeps the connection for another call, or closes it. */
+void connection_put(struct connection *conn, int reusable);
+
+/* Whether the connection is established, so that bytes may have been sent. */
+int connection_is_open(const struct connection *conn);
+
+#endif
