daemon: add settings, admin server and process frame

Cause: every role needs one way to be configured, observed and stopped.

Conclusion: catkinhilld links once entry.c, agent.c and the store exist.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -33,6 +33,10 @@
 	{ EV_DAEMON_STOPPED, LOG_INFO, "daemon-stopped", "The daemon ends." },
 	{ EV_SETTINGS_INVALID, LOG_ERROR, "settings-invalid",
 	  "The settings file has an error; the daemon does not start." },
+	{ EV_LISTEN_FAILED, LOG_ERROR, "listen-failed",
+	  "An address cannot be bound; the daemon does not start." },
+	{ EV_STOP_OVERDUE, LOG_ERROR, "stop-overdue",
+	  "A part missed the bound of the graceful stop; the daemon ends." },
 };
 
 #define TABLE_LENGTH (sizeof(table) / sizeof(table[0]))
--- /dev/null
+++ b/packages/daemon/src/main.c
@@ -0,0 +1,233 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "admin.h"
+#include "agent.h"
+#include "daemon.h"
+#include "entry.h"
+#include "log.h"
+
+#define VERSION "0.1.0"
+
+/* Given to a part that misses its own bound before the process ends. */
+#define STOP_MARGIN_MS 2000
+
+enum exit_code {
+	EXIT_OK = 0,
+	EXIT_FAILED = 1,
+	EXIT_USAGE = 2
+};
+
+struct process {
+	struct settings settings;
+	struct daemon daemon;
+	struct entry *entry;
+	struct agent *agent;
+	struct loop_timer *stop_timer;
+	int stopping;
+};
+
+struct arguments {
+	gchar *config_path;
+	gboolean check;
+	gboolean help_settings;
+	gboolean version;
+};
+
+static void on_stopped(void *arg)
+{
+	struct process *process = arg;
+
+	loop_break(process->daemon.loop);
+}
+
+static void on_stop_overdue(void *arg)
+{
+	log_event(EV_STOP_OVERDUE, "margin_ms=%d", STOP_MARGIN_MS);
+	on_stopped(arg);
+}
+
+/* The first signal stops gracefully, the second one ends the process. */
+static void on_terminate(void *arg)
+{
+	struct process *process = arg;
+
+	if (process->stopping) {
+		log_event(EV_DAEMON_STOPPED, "reason=second-signal");
+		_exit(EXIT_FAILED);
+	}
+	process->stopping = 1;
+	log_event(EV_DAEMON_STOPPING, "bound_ms=%lld",
+		  (long long)process->settings.stop_ms);
+	admin_set_ready(process->daemon.admin, 0, "stopping");
+	loop_timer_start(process->stop_timer,
+			 process->settings.stop_ms + STOP_MARGIN_MS);
+	if (process->entry)
+		entry_stop(process->entry, on_stopped, process);
+	else
+		agent_stop(process->agent, on_stopped, process);
+}
+
+static int role_start(struct process *process)
+{
+	struct daemon *daemon = &process->daemon;
+
+	if (process->settings.role == ROLE_ENTRY)
+		process->entry = entry_new(daemon);
+	else
+		process->agent = agent_new(daemon);
+	return process->entry || process->agent;
+}
+
+static void daemon_init(struct daemon *daemon, const struct settings *settings)
+{
+	daemon->loop = loop_new();
+	daemon->settings = settings;
+	counter_set_init(&daemon->counters);
+	daemon->incarnation = daemon_incarnation();
+	config_init(&daemon->config);
+	if (settings->store_address[0])
+		daemon->store = store_new(daemon->loop, settings->store_address,
+					  settings->store_timeout_ms);
+}
+
+static void daemon_clear(struct daemon *daemon)
+{
+	admin_delete(daemon->admin);
+	if (daemon->store)
+		store_delete(daemon->store);
+	loop_delete(daemon->loop);
+}
+
+static int serve(struct process *process)
+{
+	const struct settings *settings = &process->settings;
+	struct daemon *daemon = &process->daemon;
+
+	if (loop_on_signal(daemon->loop, SIGTERM, on_terminate, process) ||
+	    loop_on_signal(daemon->loop, SIGINT, on_terminate, process))
+		return EXIT_FAILED;
+	daemon->admin = admin_new(daemon);
+	if (!daemon->admin) {
+		log_event(EV_LISTEN_FAILED, "key=listen.admin address=%s",
+			  settings->admin);
+		return EXIT_FAILED;
+	}
+	if (!role_start(process))
+		return EXIT_FAILED;
+	log_event(EV_DAEMON_START,
+		  "role=%s region=%s domain=%s incarnation=%016llx admin=%s",
+		  process->entry ? "entry" : "agent", settings->region,
+		  settings->domain, (unsigned long long)daemon->incarnation,
+		  settings->admin);
+	loop_run(daemon->loop);
+	log_event(EV_DAEMON_STOPPED, "reason=stopped");
+	return EXIT_OK;
+}
+
+static int run(const char *path)
+{
+	struct process *process = g_new0(struct process, 1);
+	char message[512];
+	int code;
+
+	if (settings_load(&process->settings, path, message, sizeof(message))) {
+		log_event(EV_SETTINGS_INVALID, "message=\"%s\"", message);
+		g_free(process);
+		return EXIT_USAGE;
+	}
+	log_init(stderr, process->settings.log_level, process->settings.id);
+	signal(SIGPIPE, SIG_IGN);
+	daemon_init(&process->daemon, &process->settings);
+	process->stop_timer =
+		loop_timer_new(process->daemon.loop, on_stop_overdue, process);
+	code = serve(process);
+	if (process->entry)
+		entry_delete(process->entry);
+	if (process->agent)
+		agent_delete(process->agent);
+	loop_timer_delete(process->stop_timer);
+	daemon_clear(&process->daemon);
+	g_free(process);
+	return code;
+}
+
+static int check(const char *path)
+{
+	struct settings settings;
+	char message[512];
+
+	if (settings_load(&settings, path, message, sizeof(message))) {
+		fprintf(stderr, "%s\n", message);
+		return EXIT_USAGE;
+	}
+	printf("%s: ok\n", path);
+	return EXIT_OK;
+}
+
+static int describe(void)
+{
+	char *text = settings_describe();
+
+	fputs(text, stdout);
+	free(text);
+	return EXIT_OK;
+}
+
+static int parse_arguments(int argc, char **argv, struct arguments *args)
+{
+	const GOptionEntry options[] = {
+		{ "config", 'c', 0, G_OPTION_ARG_FILENAME, &args->config_path,
+		  "Settings file", "FILE" },
+		{ "check", 0, 0, G_OPTION_ARG_NONE, &args->check,
+		  "Check the settings file and end", NULL },
+		{ "help-settings", 0, 0, G_OPTION_ARG_NONE,
+		  &args->help_settings, "Describe all settings and end", NULL },
+		{ "version", 0, 0, G_OPTION_ARG_NONE, &args->version,
+		  "Print the version and end", NULL },
+		{ NULL }
+	};
+	GOptionContext *context =
+		g_option_context_new("- entry or agent of catkinhill");
+	GError *error = NULL;
+	int ok;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	ok = g_option_context_parse(context, &argc, &argv, &error) && argc == 1;
+	g_option_context_free(context);
+	if (ok)
+		return 0;
+	fprintf(stderr, "catkinhilld: %s; see --help\n",
+		error ? error->message : "unexpected argument");
+	g_clear_error(&error);
+	return -1;
+}
+
+int main(int argc, char **argv)
+{
+	struct arguments args = { 0 };
+	int code;
+
+	if (parse_arguments(argc, argv, &args)) {
+		code = EXIT_USAGE;
+	} else if (args.version) {
+		printf("catkinhilld %s\n", VERSION);
+		code = EXIT_OK;
+	} else if (args.help_settings) {
+		code = describe();
+	} else if (!args.config_path) {
+		fprintf(stderr, "catkinhilld: --config FILE is missing; see "
+				"--help\n");
+		code = EXIT_USAGE;
+	} else if (args.check) {
+		code = check(args.config_path);
+	} else {
+		code = run(args.config_path);
+	}
+	g_free(args.config_path);
+	return code;
+}
