core: add the live configuration

Cause: entries, agents and owners need one value that grows by version.

Change: strict parse and render, a table of limits with unit, range and initial value, and the last 16 changes with their versions, so that a stale plan can be told what came first. Limits at their initial value are left out, so a new limit reaches older daemons only once it is set.

Ruled out: rendering all limits; a daemon of an older release would refuse the whole value for one key that it does not know.

--- a/packages/core/include/config.h
+++ b/packages/core/include/config.h
@@ -50,12 +50,20 @@
 
 #define DOMAINS_MAX 64
 #define TEAMS_MAX 256
+#define CHANGES_KEPT 16
+#define CHANGE_SIZE 160
 
 struct team_quota {
 	char team[ID_SIZE];
 	struct resources quota;
 };
 
+/* One confirmed intent, so that a stale plan can be told what came first. */
+struct config_change {
+	uint64_t version; /* which this change made */
+	char text[CHANGE_SIZE];
+};
+
 struct config {
 	uint64_t version; /* 0: nothing written yet, all defaults */
 	char token[ID_SIZE];
@@ -64,6 +72,8 @@
 	size_t drained_count;
 	struct team_quota quotas[TEAMS_MAX];
 	size_t quota_count;
+	struct config_change changes[CHANGES_KEPT]; /* oldest first */
+	size_t change_count;
 };
 
 /* Version 0 with every limit at its initial value. */
@@ -76,9 +86,18 @@
  */
 int config_parse(struct config *config, const char *json, size_t len);
 
-/* RETURN VALUE: newly allocated JSON, freed by the caller. */
+/*
+ * Renders the limits that differ from their initial values and, always, the
+ * number of partitions.
+ *
+ * RETURN VALUE
+ *	Newly allocated JSON, freed by the caller.
+ */
 char *config_render(const struct config *config);
 
+/* Notes that version came about by the change; forgets the oldest one. */
+void config_note(struct config *config, uint64_t version, const char *text);
+
 /*
  * Replaces current by next if its version is higher.
  *
--- /dev/null
+++ b/tests/unit/test_config.c
@@ -0,0 +1,136 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "config.h"
+#include "errors.h"
+#include "mem.h"
+
+#define REST "\"limits\":{},\"drained\":[],\"quotas\":{},\"changes\":[]"
+
+/* Guards against a field that a new version of the configuration loses. */
+static void test_round_trip(void **state)
+{
+	struct config config, parsed;
+	char *first, *second;
+	int i;
+
+	config_init(&config);
+	config.version = 7;
+	str_copy(config.token, "e1/1/2", sizeof(config.token));
+	for (i = 0; i < LIMIT_COUNT; i++)
+		config.limits[i] = config_limits()[i].max;
+	str_copy(config.drained[config.drained_count++], "a1", NAME_SIZE);
+	str_copy(config.quotas[0].team, "returns", ID_SIZE);
+	config.quotas[0].quota = (struct resources){ 1, 2, 3 };
+	config.quota_count = 1;
+	for (i = 0; i < CHANGES_KEPT + 2; i++)
+		config_note(&config, (uint64_t)i + 1, "drain a1");
+	first = config_render(&config);
+	assert_int_equal(config_parse(&parsed, first, strlen(first)), 0);
+	second = config_render(&parsed);
+	assert_string_equal(first, second);
+	assert_int_equal(parsed.changes[0].version, 3);
+	assert_int_equal(parsed.limits[LIMIT_GRANT_MS],
+			 config_limits()[LIMIT_GRANT_MS].max);
+	assert_int_equal(config_quota(&parsed, "returns")->accel, 3);
+	assert_true(config_domain_drained(&parsed, "a1"));
+	free(first);
+	free(second);
+}
+
+/* Guards against limits whose initial value would be refused. */
+static void test_table(void **state)
+{
+	const struct limit_info *limits = config_limits();
+	int i;
+
+	for (i = 0; i < LIMIT_COUNT; i++) {
+		assert_non_null(limits[i].name);
+		assert_true(limits[i].min <= limits[i].initial);
+		assert_true(limits[i].initial <= limits[i].max);
+		assert_int_equal(config_limit_find(limits[i].name), i);
+	}
+	assert_int_equal(config_limit_find("nonsense"), -1);
+}
+
+/* Guards against a damaged value that replaces a good configuration. */
+static void test_bad_values(void **state)
+{
+	static const struct {
+		const char *json;
+		int err;
+	} cases[] = {
+		{ "", ERR_MALFORMED },
+		{ "[]", ERR_MALFORMED },
+		{ "{\"version\":1,\"token\":\"t\"," REST, ERR_MALFORMED },
+		{ "{\"version\":1}", ERR_INVALID },
+		{ "{\"version\":-1,\"token\":\"t\"," REST "}", ERR_INVALID },
+		{ "{\"version\":\"1\",\"token\":\"t\"," REST "}",
+		  ERR_MALFORMED },
+		{ "{\"version\":1,\"version\":2,\"token\":\"t\"," REST "}",
+		  ERR_MALFORMED },
+		{ "{\"version\":1,\"token\":\"t\",\"x\":1," REST "}",
+		  ERR_INVALID },
+		{ "{\"version\":1,\"token\":\"t\",\"limits\":{\"x\":1},"
+		  "\"drained\":[],\"quotas\":{},\"changes\":[]}",
+		  ERR_INVALID },
+		{ "{\"version\":1,\"token\":\"t\",\"limits\":{\"attempts\":0},"
+		  "\"drained\":[],\"quotas\":{},\"changes\":[]}",
+		  ERR_INVALID },
+		{ "{\"version\":1,\"token\":\"t\",\"limits\":{},"
+		  "\"drained\":[\"a\",\"a\"],\"quotas\":{},\"changes\":[]}",
+		  ERR_INVALID },
+		{ "{\"version\":1,\"token\":\"t\",\"limits\":{},"
+		  "\"drained\":[1],\"quotas\":{},\"changes\":[]}",
+		  ERR_INVALID },
+		{ "{\"version\":1,\"token\":\"t\",\"limits\":{},"
+		  "\"drained\":[],\"quotas\":{\"t\":{\"cpu\":1}},"
+		  "\"changes\":[]}",
+		  ERR_INVALID },
+	};
+	struct config config;
+	size_t i;
+
+	config_init(&config);
+	config.version = 9;
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		int err = config_parse(&config, cases[i].json,
+				       strlen(cases[i].json));
+
+		if (err != cases[i].err || config.version != 9)
+			fail_msg("case %zu: got %s", i, error_name(err));
+	}
+}
+
+/* Guards against a late answer that takes the configuration back. */
+static void test_advance(void **state)
+{
+	struct config current, next;
+
+	config_init(&current);
+	config_init(&next);
+	assert_int_equal(config_advance(&current, &next), 0);
+	next.version = 5;
+	assert_int_equal(config_advance(&current, &next), 1);
+	next.version = 4;
+	assert_int_equal(config_advance(&current, &next), ERR_FENCED);
+	assert_int_equal(current.version, 5);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_table),
+		cmocka_unit_test(test_bad_values),
+		cmocka_unit_test(test_advance),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
