--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -43,6 +43,8 @@
 	EV_DAEMON_STOPPING = 6002,
 	EV_DAEMON_STOPPED = 6003,
 	EV_SETTINGS_INVALID = 6004,
+	EV_LISTEN_FAILED = 6005,
+	EV_STOP_OVERDUE = 6006,
 };
 
 struct event_info {
