core, daemon: add plans and the operator API

Cause: nothing may move before an operator has seen and confirmed a plan.

Change: intents and plans with effect, warnings and refusals; a plan carries its intent, its basis version and a digest, so any entry confirms it. configsync follows and writes the configuration; a write without an answer is settled by the token that each change keeps. Submissions and cancellations go to the inbox by create-if-absent. store_forget() is declared, so that a part can end before its calls do.

Ruled out: comparing only the token of the value that is in force. When another write follows within the settling time, an effective write would be reported as lost; each kept change therefore names its writer.

--- a/packages/core/include/config.h
+++ b/packages/core/include/config.h
@@ -58,9 +58,13 @@
 	struct resources quota;
 };
 
-/* One confirmed intent, so that a stale plan can be told what came first. */
+/*
+ * One confirmed intent: tells a stale plan what came first, and a writer that
+ * lost an answer whether its write took effect before others followed.
+ */
 struct config_change {
-	uint64_t version; /* which this change made */
+	uint64_t version;    /* which this change made */
+	char token[ID_SIZE]; /* of its writer */
 	char text[CHANGE_SIZE];
 };
 
@@ -96,7 +100,21 @@
 char *config_render(const struct config *config);
 
 /* Notes that version came about by the change; forgets the oldest one. */
-void config_note(struct config *config, uint64_t version, const char *text);
+void config_note(struct config *config, uint64_t version, const char *token,
+		 const char *text);
+
+/* Gives the value to be written its token, also in its last change. */
+void config_set_token(struct config *config, const char *token);
+
+/*
+ * Whose write made a version.
+ *
+ * RETURN VALUE
+ *	1 if the token's, 0 if another one's, ERR_NOT_FOUND when the change is
+ *	no longer kept or the version is not reached.
+ */
+int config_written_by(const struct config *config, uint64_t version,
+		      const char *token);
 
 /*
  * Replaces current by next if its version is higher.
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -162,7 +162,7 @@
 static void parse_changes(struct strict *strict, struct config *config,
 			  const json_t *root)
 {
-	static const char *const keys[] = { "version", "text", NULL };
+	static const char *const keys[] = { "version", "token", "text", NULL };
 	json_t *array = strict_member(strict, root, "changes", JSON_ARRAY);
 	json_t *item;
 	size_t i;
@@ -170,7 +170,7 @@
 	json_array_foreach(array, i, item)
 	{
 		int64_t version = 0;
-		json_t *text;
+		json_t *token, *text;
 
 		if (!json_is_object(item)) {
 			strict_fail(strict, ERR_MALFORMED,
@@ -179,9 +179,11 @@
 		}
 		strict_keys(strict, item, keys);
 		strict_number(strict, item, "version", 1, INT64_MAX, &version);
+		token = strict_member(strict, item, "token", JSON_STRING);
 		text = strict_member(strict, item, "text", JSON_STRING);
 		if (text)
 			config_note(config, (uint64_t)version,
+				    json_string_value(token),
 				    json_string_value(text));
 	}
 }
@@ -258,6 +260,13 @@
 	return object;
 }
 
+static json_t *render_change(const struct config_change *change)
+{
+	return json_pack("{s:I, s:s, s:s}", "version",
+			 (json_int_t)change->version, "token", change->token,
+			 "text", change->text);
+}
+
 char *config_render(const struct config *config)
 {
 	json_t *drained = json_array();
@@ -269,11 +278,8 @@
 	for (i = 0; i < config->drained_count; i++)
 		json_array_append_new(drained, json_string(config->drained[i]));
 	for (i = 0; i < config->change_count; i++)
-		json_array_append_new(
-			changes,
-			json_pack("{s:I, s:s}", "version",
-				  (json_int_t)config->changes[i].version,
-				  "text", config->changes[i].text));
+		json_array_append_new(changes,
+				      render_change(&config->changes[i]));
 	root = json_pack("{s:I, s:s, s:o, s:o, s:o, s:o}", "version",
 			 (json_int_t)config->version, "token", config->token,
 			 "limits", render_limits(config), "drained", drained,
@@ -285,7 +291,8 @@
 	return text;
 }
 
-void config_note(struct config *config, uint64_t version, const char *text)
+void config_note(struct config *config, uint64_t version, const char *token,
+		 const char *text)
 {
 	struct config_change *change;
 
@@ -296,9 +303,29 @@
 	}
 	change = &config->changes[config->change_count++];
 	change->version = version;
+	str_copy(change->token, token, sizeof(change->token));
 	str_copy(change->text, text, sizeof(change->text));
 }
 
+void config_set_token(struct config *config, const char *token)
+{
+	str_copy(config->token, token, sizeof(config->token));
+	if (config->change_count)
+		str_copy(config->changes[config->change_count - 1].token, token,
+			 ID_SIZE);
+}
+
+int config_written_by(const struct config *config, uint64_t version,
+		      const char *token)
+{
+	size_t i;
+
+	for (i = 0; i < config->change_count; i++)
+		if (config->changes[i].version == version)
+			return !strcmp(config->changes[i].token, token);
+	return ERR_NOT_FOUND;
+}
+
 int config_advance(struct config *current, const struct config *next)
 {
 	if (next->version == current->version)
--- a/packages/daemon/include/configsync.h
+++ b/packages/daemon/include/configsync.h
@@ -29,4 +29,22 @@
 void configsync_write(struct configsync *sync, const struct config *next,
 		      uint64_t basis, config_write_fn done, void *arg);
 
+/* Reads the store now; then calls done with 0 or an error of store_get(). */
+void configsync_refresh(struct configsync *sync, config_write_fn done,
+			void *arg);
+
+/*
+ * Whether the store has told the configuration, or that there is none, or
+ * an agent has brought one. An entry is not ready before.
+ */
+int configsync_known(const struct configsync *sync);
+
+/*
+ * Takes a configuration that an agent has sent.
+ *
+ * RETURN VALUE
+ *	As config_advance(), or the errors of config_parse().
+ */
+int configsync_offer(struct configsync *sync, const char *json, size_t len);
+
 #endif
--- /dev/null
+++ b/packages/daemon/src/opjobs.c
@@ -0,0 +1,189 @@
+#include "opjobs.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "errors.h"
+#include "mem.h"
+
+struct opjobs {
+	struct daemon *daemon;
+	opjobs_fn fn;
+	void *arg;
+	struct loop_timer *timer; /* ends a read that needs no store */
+	char job[ID_SIZE];	  /* "" for all */
+	uint32_t partition;
+	struct plan_job *jobs;
+	size_t count;
+	int known;
+};
+
+static void finish(struct opjobs *jobs, int known)
+{
+	jobs->known = known;
+	jobs->fn(jobs->arg, jobs);
+}
+
+static void on_timer(void *arg)
+{
+	struct opjobs *jobs = arg;
+
+	finish(jobs, !jobs->job[0]);
+}
+
+static void add_job(struct opjobs *jobs, const char *job, const char *agent,
+		    int ended)
+{
+	struct plan_job *added;
+
+	jobs->jobs =
+		xrealloc(jobs->jobs, (jobs->count + 1) * sizeof(*jobs->jobs));
+	added = &jobs->jobs[jobs->count++];
+	memset(added, 0, sizeof(*added));
+	str_copy(added->job, job, sizeof(added->job));
+	str_copy(added->agent, agent ? agent : "", sizeof(added->agent));
+	added->ended = ended;
+}
+
+static int state_ended(const char *state)
+{
+	static const char *const ended[] = { "done", "failed", "cancelled",
+					     "impossible" };
+	size_t i;
+
+	for (i = 0; i < sizeof(ended) / sizeof(ended[0]); i++)
+		if (state && !strcmp(state, ended[i]))
+			return 1;
+	return 0;
+}
+
+/* RETURN VALUE: 0, or ERR_MALFORMED. */
+static int add_partition(struct opjobs *jobs, const struct store_item *item)
+{
+	json_t *root =
+		json_loadb((const char *)item->value, item->len, 0, NULL);
+	json_t *array = json_object_get(root, "jobs");
+	json_t *row;
+	size_t i;
+
+	json_array_foreach(array, i, row)
+	{
+		const char *job =
+			json_string_value(json_object_get(row, "job"));
+		const char *agent =
+			json_string_value(json_object_get(row, "agent"));
+		const char *state =
+			json_string_value(json_object_get(row, "state"));
+
+		if (job)
+			add_job(jobs, job, agent, state_ended(state));
+	}
+	json_decref(root);
+	return array ? 0 : ERR_MALFORMED;
+}
+
+static void on_partitions(void *arg, int err, const struct store_item *items,
+			  size_t count)
+{
+	struct opjobs *jobs = arg;
+	size_t i;
+
+	for (i = 0; !err && i < count; i++)
+		err = add_partition(jobs, &items[i]);
+	finish(jobs, !err);
+}
+
+static void on_inbox(void *arg, int err, const struct store_item *item)
+{
+	struct opjobs *jobs = arg;
+
+	if (!err)
+		add_job(jobs, jobs->job, "", 0);
+	finish(jobs, !err || err == ERR_NOT_FOUND);
+}
+
+static void on_partition(void *arg, int err, const struct store_item *item)
+{
+	struct opjobs *jobs = arg;
+	char *key;
+
+	if (!err)
+		err = add_partition(jobs, item);
+	if (err && err != ERR_NOT_FOUND) {
+		finish(jobs, 0);
+		return;
+	}
+	key = xstrfmt("inbox/%" PRIu32 "/%s", jobs->partition, jobs->job);
+	store_get(jobs->daemon->store, key, on_inbox, jobs);
+	free(key);
+}
+
+static void read_job(struct opjobs *jobs, const char *job)
+{
+	uint32_t partitions =
+		(uint32_t)jobs->daemon->config.limits[LIMIT_PARTITIONS];
+	char *key;
+
+	str_copy(jobs->job, job, sizeof(jobs->job));
+	if (!jobs->daemon->store) {
+		loop_timer_start(jobs->timer, 0);
+		return;
+	}
+	jobs->partition = job_partition(job, partitions);
+	key = xstrfmt("part/%" PRIu32, jobs->partition);
+	store_get(jobs->daemon->store, key, on_partition, jobs);
+	free(key);
+}
+
+static void read_all(struct opjobs *jobs)
+{
+	const struct config *config = &jobs->daemon->config;
+
+	if (jobs->daemon->store)
+		store_list(jobs->daemon->store, "part/",
+			   (int)config->limits[LIMIT_PARTITIONS], on_partitions,
+			   jobs);
+	else
+		loop_timer_start(jobs->timer, 0);
+}
+
+struct opjobs *opjobs_start(struct daemon *daemon, const struct intent *intent,
+			    opjobs_fn fn, void *arg)
+{
+	struct opjobs *jobs = xcalloc(1, sizeof(*jobs));
+
+	jobs->daemon = daemon;
+	jobs->fn = fn;
+	jobs->arg = arg;
+	jobs->timer = loop_timer_new(daemon->loop, on_timer, jobs);
+	if (intent->kind == INTENT_SUBMIT)
+		read_job(jobs, intent->u.submit.job);
+	else if (intent->kind == INTENT_CANCEL)
+		read_job(jobs, intent->u.job);
+	else if (intent->kind == INTENT_DRAIN)
+		read_all(jobs);
+	else
+		loop_timer_start(jobs->timer, 0);
+	return jobs;
+}
+
+void opjobs_delete(struct opjobs *jobs)
+{
+	if (!jobs)
+		return;
+	if (jobs->daemon->store)
+		store_forget(jobs->daemon->store, jobs);
+	loop_timer_delete(jobs->timer);
+	free(jobs->jobs);
+	free(jobs);
+}
+
+void opjobs_view(const struct opjobs *jobs, struct plan_view *view)
+{
+	view->jobs = jobs->jobs;
+	view->job_count = jobs->count;
+	view->jobs_known = jobs->known;
+}
--- a/packages/io/include/store.h
+++ b/packages/io/include/store.h
@@ -47,6 +47,9 @@
 			int64_t timeout_ms);
 void store_delete(struct store *store);
 
+/* No callback follows for any call that was started with arg. */
+void store_forget(struct store *store, const void *arg);
+
 void store_get(struct store *store, const char *key, store_get_fn fn,
 	       void *arg);
 
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config.c
@@ -30,7 +30,7 @@
 	config.quotas[0].quota = (struct resources){ 1, 2, 3 };
 	config.quota_count = 1;
 	for (i = 0; i < CHANGES_KEPT + 2; i++)
-		config_note(&config, (uint64_t)i + 1, "drain a1");
+		config_note(&config, (uint64_t)i + 1, "t", "drain a1");
 	first = config_render(&config);
 	assert_int_equal(config_parse(&parsed, first, strlen(first)), 0);
 	second = config_render(&parsed);
@@ -123,6 +123,21 @@
 	assert_int_equal(current.version, 5);
 }
 
+/* Guards against reporting a write as lost when others followed it. */
+static void test_written_by(void **state)
+{
+	struct config config;
+
+	config_init(&config);
+	config_note(&config, 4, "", "drain a1");
+	config_set_token(&config, "mine");
+	config_note(&config, 5, "other", "undrain a1");
+	assert_int_equal(config_written_by(&config, 4, "mine"), 1);
+	assert_int_equal(config_written_by(&config, 5, "mine"), 0);
+	assert_int_equal(config_written_by(&config, 3, "mine"), ERR_NOT_FOUND);
+	assert_int_equal(config_written_by(&config, 6, "mine"), ERR_NOT_FOUND);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -130,6 +145,7 @@
 		cmocka_unit_test(test_table),
 		cmocka_unit_test(test_bad_values),
 		cmocka_unit_test(test_advance),
+		cmocka_unit_test(test_written_by),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
