--- /dev/null
+++ b/packages/io/src/settingskeys.c
@@ -0,0 +1,279 @@
+#include "settingskeys.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "mem.h"
+
+#define FIELD(field) .offset = offsetof(struct settings, field)
+#define TEXT(field)                                                            \
+	FIELD(field), .size = sizeof(((struct settings *)NULL)->field)
+#define PORT_MAX 65535
+
+const struct key_info settings_keys[] = {
+	{ "daemon", "role", KEY_ROLE, FIELD(role), .allowed = FOR_BOTH,
+	  .required = FOR_BOTH, .meaning = "What this process does." },
+	{ "daemon", "id", KEY_NAME, TEXT(id), .allowed = FOR_BOTH,
+	  .required = FOR_BOTH,
+	  .meaning = "Identifier, different for each process." },
+	{ "daemon", "region", KEY_NAME, TEXT(region), .allowed = FOR_BOTH,
+	  .required = FOR_BOTH, .meaning = "Region of the VM." },
+	{ "daemon", "domain", KEY_NAME, TEXT(domain), .allowed = FOR_BOTH,
+	  .required = FOR_BOTH, .meaning = "Failure domain of the VM." },
+	{ "daemon", "rack", KEY_NAME, TEXT(rack), .allowed = FOR_BOTH,
+	  .initial = "none", .meaning = "Rack of the VM." },
+	{ "daemon", "log_level", KEY_LEVEL, FIELD(log_level),
+	  .allowed = FOR_BOTH, .initial = "info",
+	  .meaning = "Least important level that is logged." },
+	{ "daemon", "stop_ms", KEY_NUMBER, FIELD(stop_ms), .allowed = FOR_BOTH,
+	  .unit = "ms", .min = 0, .max = 600000, .initial = "30000",
+	  .meaning = "Bound of a graceful stop." },
+	{ "listen", "callers", KEY_ADDRESS, TEXT(callers), .allowed = FOR_ENTRY,
+	  .required = FOR_ENTRY, .meaning = "HTTP for callers." },
+	{ "listen", "peers", KEY_ADDRESS, TEXT(peers), .allowed = FOR_ENTRY,
+	  .required = FOR_ENTRY, .meaning = "ZeroMQ for agents." },
+	{ "listen", "admin", KEY_ADDRESS, TEXT(admin), .allowed = FOR_BOTH,
+	  .required = FOR_BOTH,
+	  .meaning = "HTTP for metrics, health and operators." },
+	{ "store", "address", KEY_ADDRESS, TEXT(store_address),
+	  .allowed = FOR_BOTH,
+	  .meaning = "Key-value store; an entry without one has no batch "
+		     "work, no configuration changes and no keyed requests." },
+	{ "store", "timeout_ms", KEY_NUMBER, FIELD(store_timeout_ms),
+	  .allowed = FOR_BOTH, .unit = "ms", .min = 50, .max = 60000,
+	  .initial = "2000", .meaning = "Bound of one call of the store." },
+	{ "store", "lease_s", KEY_NUMBER, FIELD(store_lease_s),
+	  .allowed = FOR_BOTH, .unit = "s", .min = 1, .max = 600,
+	  .initial = "15",
+	  .meaning = "Leases of registration and partition ownership." },
+	{ "entry", "default_service", KEY_NAME, TEXT(default_service),
+	  .allowed = FOR_ENTRY, .initial = "default",
+	  .meaning = "Service of a request whose Host names none." },
+	{ "entry", "body_buffer_mb", KEY_NUMBER, FIELD(body_buffer_mb),
+	  .allowed = FOR_ENTRY, .unit = "MB", .min = 16, .max = 65536,
+	  .initial = "256", .meaning = "Buffered bodies of all requests." },
+	{ "agent", "seeds", KEY_ADDRESS_LIST, FIELD(seeds),
+	  .allowed = FOR_AGENT, .required = FOR_AGENT,
+	  .meaning = "Entries to connect to first (listen.peers)." },
+	{ "agent", "service", KEY_NAME, TEXT(service), .allowed = FOR_AGENT,
+	  .required = FOR_AGENT, .meaning = "Service of the upstream." },
+	{ "agent", "upstream", KEY_ADDRESS, TEXT(upstream),
+	  .allowed = FOR_AGENT, .required = FOR_AGENT,
+	  .meaning = "HTTP of the upstream." },
+	{ "agent", "tasks", KEY_ADDRESS, TEXT(tasks), .allowed = FOR_AGENT,
+	  .required = FOR_AGENT, .meaning = "Task interface of the worker." },
+	{ "agent", "slots", KEY_NUMBER, FIELD(slots), .allowed = FOR_AGENT,
+	  .unit = "requests", .min = 1, .max = 4096, .initial = "8",
+	  .meaning = "Requests that the worker serves at once." },
+	{ "agent", "connections", KEY_NUMBER, FIELD(connections),
+	  .allowed = FOR_AGENT, .unit = "connections", .min = 1, .max = 65536,
+	  .initial = "64",
+	  .meaning = "Requests and streams open at the worker." },
+	{ "agent", "queue", KEY_NUMBER, FIELD(queue), .allowed = FOR_AGENT,
+	  .unit = "requests", .min = 0, .max = 4096, .initial = "8",
+	  .meaning = "Requests that wait for a slot." },
+	{ "agent", "cpu_milli", KEY_NUMBER, FIELD(cpu_milli),
+	  .allowed = FOR_AGENT, .unit = "1/1000 core", .min = 0,
+	  .max = 10000000, .initial = "64000",
+	  .meaning = "Processors for batch tasks." },
+	{ "agent", "mem_mb", KEY_NUMBER, FIELD(mem_mb), .allowed = FOR_AGENT,
+	  .unit = "MB", .min = 0, .max = 100000000, .initial = "250000",
+	  .meaning = "Memory for batch tasks." },
+	{ "agent", "accel", KEY_NUMBER, FIELD(accel), .allowed = FOR_AGENT,
+	  .unit = "accelerators", .min = 0, .max = 1024, .initial = "0",
+	  .meaning = "Accelerators for batch tasks." },
+};
+
+const size_t settings_key_count =
+	sizeof(settings_keys) / sizeof(settings_keys[0]);
+
+static const char *const role_names[] = {
+	[ROLE_ENTRY] = "entry",
+	[ROLE_AGENT] = "agent",
+};
+
+const char *role_name(enum role role)
+{
+	return role_names[role];
+}
+
+int settings_key_find(const char *section, const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < settings_key_count; i++)
+		if (!strcmp(settings_keys[i].section, section) &&
+		    !strcmp(settings_keys[i].name, name))
+			return (int)i;
+	return -1;
+}
+
+/* What is allowed for a key, in words. */
+const char *settings_key_allowed(const struct key_info *key, char *buf,
+				 size_t size)
+{
+	switch (key->type) {
+	case KEY_ROLE:
+		return "entry or agent";
+	case KEY_LEVEL:
+		return "error, warn, info or debug";
+	case KEY_NAME:
+		snprintf(buf, size, "1 to %zu letters, digits, '-', '_' or '.'",
+			 key->size - 1);
+		return buf;
+	case KEY_ADDRESS:
+		return "an IPv4 address and a port, such as 127.0.0.1:8080";
+	case KEY_ADDRESS_LIST:
+		snprintf(buf, size,
+			 "1 to %d addresses such as "
+			 "127.0.0.1:8080, separated by commas",
+			 SEEDS_MAX);
+		return buf;
+	case KEY_NUMBER:
+		snprintf(buf, size,
+			 "a whole number from %" PRId64 " to %" PRId64 " (%s)",
+			 key->min, key->max, key->unit);
+		return buf;
+	}
+	return "";
+}
+
+static int name_valid(const char *value, size_t size)
+{
+	static const char allowed[] = "abcdefghijklmnopqrstuvwxyz"
+				      "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+				      "0123456789-_.";
+	size_t len = strlen(value);
+
+	return len > 0 && len < size && strspn(value, allowed) == len;
+}
+
+static int number_parse(const char *value, int64_t *number)
+{
+	char *end;
+	long long parsed;
+
+	if (!*value || strspn(value, "0123456789") != strlen(value))
+		return ERR_INVALID;
+	errno = 0;
+	parsed = strtoll(value, &end, 10);
+	if (errno || *end)
+		return ERR_INVALID;
+	*number = parsed;
+	return 0;
+}
+
+static int address_valid(const char *value)
+{
+	const char *colon = strchr(value, ':');
+	struct in_addr addr;
+	char ip[INET_ADDRSTRLEN];
+	int64_t port;
+
+	if (!colon || (size_t)(colon - value) >= sizeof(ip))
+		return 0;
+	memcpy(ip, value, (size_t)(colon - value));
+	ip[colon - value] = '\0';
+	return inet_pton(AF_INET, ip, &addr) == 1 &&
+	       !number_parse(colon + 1, &port) && port >= 1 && port <= PORT_MAX;
+}
+
+static int set_name(void *field, const struct key_info *key, const char *value)
+{
+	if (!name_valid(value, key->size))
+		return ERR_INVALID;
+	return str_copy(field, value, key->size);
+}
+
+static int set_address(void *field, const struct key_info *key,
+		       const char *value)
+{
+	if (!address_valid(value))
+		return ERR_INVALID;
+	return str_copy(field, value, key->size);
+}
+
+static int set_seeds(struct settings *settings, const char *value)
+{
+	char *copy = xstrdup(value);
+	char *save = NULL;
+	char *item;
+	int err = 0;
+
+	settings->seed_count = 0;
+	for (item = strtok_r(copy, ", \t", &save); item && !err;
+	     item = strtok_r(NULL, ", \t", &save)) {
+		if (settings->seed_count == SEEDS_MAX || !address_valid(item))
+			err = ERR_INVALID;
+		else
+			str_copy(settings->seeds[settings->seed_count++], item,
+				 ID_SIZE);
+	}
+	free(copy);
+	return settings->seed_count ? err : ERR_INVALID;
+}
+
+static int set_role(struct settings *settings, const char *value)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(role_names) / sizeof(role_names[0]); i++) {
+		if (strcmp(value, role_names[i]))
+			continue;
+		settings->role = (enum role)i;
+		return 0;
+	}
+	return ERR_INVALID;
+}
+
+static int set_level(struct settings *settings, const char *value)
+{
+	int level;
+
+	for (level = LOG_ERROR; level <= LOG_DEBUG; level++) {
+		if (strcmp(value, log_level_name((enum log_level)level)))
+			continue;
+		settings->log_level = (enum log_level)level;
+		return 0;
+	}
+	return ERR_INVALID;
+}
+
+static int set_number(void *field, const struct key_info *key,
+		      const char *value)
+{
+	int64_t number;
+
+	if (number_parse(value, &number) || number < key->min ||
+	    number > key->max)
+		return ERR_INVALID;
+	*(int64_t *)field = number;
+	return 0;
+}
+
+int settings_key_set(struct settings *settings, const struct key_info *key,
+		     const char *value)
+{
+	void *field = (char *)settings + key->offset;
+
+	switch (key->type) {
+	case KEY_ROLE:
+		return set_role(settings, value);
+	case KEY_LEVEL:
+		return set_level(settings, value);
+	case KEY_NAME:
+		return set_name(field, key, value);
+	case KEY_ADDRESS:
+		return set_address(field, key, value);
+	case KEY_ADDRESS_LIST:
+		return set_seeds(settings, value);
+	case KEY_NUMBER:
+		return set_number(field, key, value);
+	}
+	return ERR_INVALID;
+}
--- /dev/null
+++ b/packages/io/src/settingskeys.h
@@ -0,0 +1,52 @@
+#ifndef CATKINHILL_SETTINGSKEYS_H
+#define CATKINHILL_SETTINGSKEYS_H
+
+#include "settings.h"
+
+/*
+ * NAME
+ *	settingskeys - the table of keys of the settings file
+ */
+enum key_type {
+	KEY_ROLE,
+	KEY_LEVEL,
+	KEY_NAME,	  /* letters, digits, '-', '_', '.' */
+	KEY_ADDRESS,	  /* ip:port */
+	KEY_ADDRESS_LIST, /* ip:port, separated by commas or spaces */
+	KEY_NUMBER
+};
+
+#define FOR_ENTRY (1u << ROLE_ENTRY)
+#define FOR_AGENT (1u << ROLE_AGENT)
+#define FOR_BOTH (FOR_ENTRY | FOR_AGENT)
+
+struct key_info {
+	const char *section;
+	const char *name;
+	enum key_type type;
+	size_t offset;
+	size_t size; /* of a text field, with its terminator */
+	unsigned allowed, required;
+	const char *unit;
+	int64_t min, max;
+	const char *initial; /* NULL: empty, or the key is required */
+	const char *meaning;
+};
+
+extern const struct key_info settings_keys[];
+extern const size_t settings_key_count;
+
+/* RETURN VALUE: index in the table, or -1. */
+int settings_key_find(const char *section, const char *name);
+
+/* RETURN VALUE: 0, or ERR_INVALID when the value is not allowed. */
+int settings_key_set(struct settings *settings, const struct key_info *key,
+		     const char *value);
+
+/* What is allowed for a key, in words; buf may be used for it. */
+const char *settings_key_allowed(const struct key_info *key, char *buf,
+				 size_t size);
+
+const char *role_name(enum role role);
+
+#endif
