--- a/tests/unit/test_docs.c
+++ b/tests/unit/test_docs.c
@@ -130,6 +130,45 @@
 	}
 }
 
+/* RETURN VALUE: the number at `NNNN name` or 0; *name gets its length. */
+static int event_reference(const char *at, const char **name, size_t *len)
+{
+	char *end;
+	long number = strtol(at, &end, 10);
+
+	if (end != at + 4 || *end != ' ' || number < 1000)
+		return 0;
+	*name = end + 1;
+	*len = strcspn(*name, "`");
+	return (int)number;
+}
+
+/* Guards against an operator who looks for an event that does not exist. */
+static void test_operators_events(void **state)
+{
+	char *page = read_page("docs/operators.md");
+	const char *at = page;
+	int count = 0;
+
+	while ((at = strchr(at, '`'))) {
+		const struct event_info *info;
+		const char *name;
+		size_t len;
+		int number = event_reference(++at, &name, &len);
+
+		if (!number)
+			continue;
+		count++;
+		info = event_find(number);
+		if (!info || strlen(info->name) != len ||
+		    strncmp(info->name, name, len))
+			fail_msg("docs/operators.md: %d %.*s is not an event",
+				 number, (int)len, name);
+	}
+	assert_true(count > 5);
+	free(page);
+}
+
 static void test_settings(void **state)
 {
 	check_block("docs/configuration.md", "settings", settings_text());
@@ -145,6 +184,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_events),
 		cmocka_unit_test(test_event_order),
+		cmocka_unit_test(test_operators_events),
 		cmocka_unit_test(test_settings),
 		cmocka_unit_test(test_limits),
 	};
