core: add batch decisions without I/O

Cause: owners of batch partitions need a job state machine, a choice of a worker, estimates of sizes, victims for urgent work and lease deadlines.

--- /dev/null
+++ b/packages/core/include/placement.h
@@ -0,0 +1,119 @@
+#ifndef CATKINHILL_PLACEMENT_H
+#define CATKINHILL_PLACEMENT_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "message.h"
+#include "rng.h"
+
+/*
+ * NAME
+ *	placement - chooses a worker for a run of a batch job
+ *
+ * NOTES
+ *	Workers come as an array; the agent's gate has the last word, so a
+ *	stale view costs a retry. Up to PLACEMENT_ALL workers are all looked
+ *	at. Of more, PLACEMENT_SAMPLE are drawn at random, and again up to
+ *	PLACEMENT_ROUNDS times while none of them fits, so that the cost of a
+ *	decision has a bound that does not depend on the number of workers.
+ *
+ * SOURCE
+ *	Sampling: Ousterhout et al., Sparrow, SOSP 2013; Mitzenmacher 2001.
+ */
+#define PLACEMENT_ALL 32
+#define PLACEMENT_SAMPLE 16
+#define PLACEMENT_ROUNDS 4
+#define PLACEMENT_OTHERS 3
+
+struct worker_view {
+	const char *agent;
+	uint64_t hash;	 /* hash_str(agent) */
+	uint32_t domain; /* index of its failure domain */
+	struct resources capacity;
+	struct resources used; /* reported, and what was placed since */
+	uint32_t requests;     /* latency-critical requests in flight */
+	uint32_t slots;	       /* for requests */
+	unsigned int usable : 1;
+	unsigned int drained : 1;
+	unsigned int ejected : 1;
+};
+
+struct placement_request {
+	struct resources need;	 /* estimated */
+	uint64_t avoid[2];	 /* hashes of agents; 0 for none */
+	const uint64_t *tried;	 /* hashes of agents where it failed */
+	uint32_t tried_count;
+	/* Tasks of the job's team by domain; NULL for no spreading. */
+	const uint32_t *domain_tasks;
+	uint32_t domain_count;
+	int64_t weight_latency;	 /* LIMIT_WEIGHT_LATENCY, percent */
+};
+
+enum placement_verdict {
+	PLACEMENT_FITS,
+	PLACEMENT_DOWN,	   /* not ready or silent */
+	PLACEMENT_DRAINED,
+	PLACEMENT_EJECTED, /* fails what it starts */
+	PLACEMENT_AVOIDED, /* refused or failed this job before */
+	PLACEMENT_CPU,
+	PLACEMENT_MEMORY,
+	PLACEMENT_ACCEL,
+	PLACEMENT_VERDICTS
+};
+
+const char *placement_verdict_name(enum placement_verdict verdict);
+
+struct placement {
+	int worker; /* index in the array, or -1 */
+	double score, spread, interference, leftover; /* lower is better */
+	struct {
+		int worker;
+		double score;
+	} others[PLACEMENT_OTHERS]; /* best of what it was chosen over */
+	uint32_t other_count;
+	uint32_t looked_at;
+	uint32_t verdicts[PLACEMENT_VERDICTS]; /* how many of looked_at */
+};
+
+void placement_choose(struct placement *result,
+		      const struct placement_request *request,
+		      const struct worker_view *workers, size_t count,
+		      struct rng *rng);
+
+/*
+ * One sentence with the reason, such as "a3: score 0.31 (spread 0.00,
+ * interference 0.12, leftover 0.50) over a1 0.40, a2 0.44".
+ */
+void placement_explain(const struct placement *result,
+		       const struct worker_view *workers, char *text,
+		       size_t size);
+
+/* RETURN VALUE: 1 if need fits beside used. */
+int placement_fits(const struct resources *need, const struct resources *used,
+		   const struct resources *capacity);
+
+/*
+ * RETURN VALUE
+ *	1 if some worker, whatever its state and load, has the capacity; -1 if
+ *	no worker is known at all.
+ * NOTES
+ *	Linear in the number of workers; for a job that could not be placed,
+ *	not for each decision. Compare with a maximum kept by the caller
+ *	instead where there are many.
+ */
+int placement_possible(const struct resources *need,
+		       const struct worker_view *workers, size_t count);
+
+/* What the order of waiting jobs depends on. */
+struct placement_order {
+	int urgent;
+	int under_quota;
+	uint64_t order; /* of arrival */
+};
+
+/* Less than 0 when a goes before b; for qsort(3). */
+int placement_compare(const struct placement_order *a,
+		      const struct placement_order *b);
+
+#endif
--- /dev/null
+++ b/packages/core/include/taskhealth.h
@@ -0,0 +1,43 @@
+#ifndef CATKINHILL_TASKHEALTH_H
+#define CATKINHILL_TASKHEALTH_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "mstime.h"
+
+/*
+ * NAME
+ *	taskhealth - workers that fail every task
+ *
+ * NOTES
+ *	A worker at which HEALTH_FAILURES runs of different jobs in a row
+ *	failed is ejected from placement for HEALTH_PAUSE_MS, doubled each
+ *	time up to HEALTH_PAUSE_MAX_MS, and is at fault for these failures
+ *	until a run finishes there. At most half of the workers are ejected
+ *	at a time, so that jobs that fail everywhere cannot eject them all.
+ */
+#define HEALTH_FAILURES 3
+#define HEALTH_PAUSE_MS 60000
+#define HEALTH_PAUSE_MAX_MS 960000
+
+struct taskhealth;
+
+struct taskhealth *taskhealth_new(void);
+void taskhealth_delete(struct taskhealth *health);
+
+/* agent and job are hash_str() of their ids. */
+void taskhealth_finished(struct taskhealth *health, uint64_t agent);
+
+/* RETURN VALUE: 1 if the worker is ejected by this failure. */
+int taskhealth_failed(struct taskhealth *health, uint64_t agent, uint64_t job,
+		      uint32_t workers, struct mstime now);
+
+/* RETURN VALUE: 1 while the worker gets no tasks. */
+int taskhealth_ejected(const struct taskhealth *health, uint64_t agent,
+		       struct mstime now);
+
+/* Hashes of the workers at fault; valid until the next call. */
+const uint64_t *taskhealth_blamed(struct taskhealth *health, size_t *count);
+
+#endif
--- /dev/null
+++ b/packages/core/src/estimate.c
@@ -0,0 +1,204 @@
+#include "estimate.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "hash.h"
+#include "mem.h"
+
+/* Bucket i ends at 2^(i / 4): steps of 19% from 1 to 2^20 units. */
+#define BUCKETS 80
+#define STEPS_PER_OCTAVE 4
+#define PERCENTILE 0.95
+#define MARGIN 1.10
+/* Sizes are declared up to 4 times too low. */
+#define UNKNOWN_FACTOR 4.0
+/* From this weight on the histogram alone decides. */
+#define TRUSTED_WEIGHT 4.0
+#define INDEX_BUCKETS 1024
+
+struct histo {
+	float weight[BUCKETS];
+	float total;
+};
+
+struct class {
+	struct class *next;
+	uint64_t key;
+	struct mstime used_at;
+	struct mstime scaled_at; /* weights are as of this time */
+	struct histo cpu, mem;
+};
+
+struct estimate {
+	struct class *index[INDEX_BUCKETS];
+	uint32_t count;
+};
+
+struct estimate *estimate_new(void)
+{
+	return xcalloc(1, sizeof(struct estimate));
+}
+
+void estimate_delete(struct estimate *estimate)
+{
+	size_t i;
+
+	if (!estimate)
+		return;
+	for (i = 0; i < INDEX_BUCKETS; i++)
+		while (estimate->index[i]) {
+			struct class *class = estimate->index[i];
+
+			estimate->index[i] = class->next;
+			free(class);
+		}
+	free(estimate);
+}
+
+static uint64_t class_key(const char *team, const char *command)
+{
+	return hash_str(team) * 31 + hash_bytes(command, strcspn(command, " "));
+}
+
+static struct class *find_class(const struct estimate *estimate, uint64_t key)
+{
+	struct class *class = estimate->index[key % INDEX_BUCKETS];
+
+	while (class && class->key != key)
+		class = class->next;
+	return class;
+}
+
+static void drop_oldest(struct estimate *estimate)
+{
+	struct class **oldest = NULL, **pos;
+	struct class *class;
+	size_t i;
+
+	for (i = 0; i < INDEX_BUCKETS; i++)
+		for (pos = &estimate->index[i]; *pos; pos = &(*pos)->next)
+			if (!oldest || mstime_before((*pos)->used_at,
+						     (*oldest)->used_at))
+				oldest = pos;
+	if (!oldest)
+		return;
+	class = *oldest;
+	*oldest = class->next;
+	free(class);
+	estimate->count--;
+}
+
+static struct class *add_class(struct estimate *estimate, uint64_t key,
+			       struct mstime now)
+{
+	struct class *class;
+
+	if (estimate->count >= ESTIMATE_CLASSES_MAX)
+		drop_oldest(estimate);
+	class = xcalloc(1, sizeof(*class));
+	class->key = key;
+	class->scaled_at = now;
+	class->next = estimate->index[key % INDEX_BUCKETS];
+	estimate->index[key % INDEX_BUCKETS] = class;
+	estimate->count++;
+	return class;
+}
+
+static void scale(struct histo *histo, float factor)
+{
+	size_t i;
+
+	for (i = 0; i < BUCKETS; i++)
+		histo->weight[i] *= factor;
+	histo->total *= factor;
+}
+
+static void decay(struct class *class, struct mstime now)
+{
+	double halves = (double)mstime_diff(now, class->scaled_at) /
+			ESTIMATE_HALF_LIFE_MS;
+	float factor = (float)exp2(-halves);
+
+	scale(&class->cpu, factor);
+	scale(&class->mem, factor);
+	class->scaled_at = now;
+}
+
+static size_t bucket_of(uint32_t value)
+{
+	double step = value > 1 ? ceil(log2(value) * STEPS_PER_OCTAVE) : 0;
+
+	return step < BUCKETS ? (size_t)step : BUCKETS - 1;
+}
+
+static void add_sample(struct histo *histo, uint32_t value)
+{
+	histo->weight[bucket_of(value)] += 1;
+	histo->total += 1;
+}
+
+void estimate_observe(struct estimate *estimate, const char *team,
+		      const char *command, const struct resources *peak,
+		      struct mstime now)
+{
+	uint64_t key = class_key(team, command);
+	struct class *class = find_class(estimate, key);
+
+	if (!class)
+		class = add_class(estimate, key, now);
+	decay(class, now);
+	class->used_at = now;
+	add_sample(&class->cpu, peak->cpu_milli);
+	add_sample(&class->mem, peak->mem_mb);
+}
+
+static double percentile(const struct histo *histo)
+{
+	float seen = 0;
+	size_t i = 0;
+
+	while (i < BUCKETS - 1) {
+		seen += histo->weight[i];
+		if (seen >= PERCENTILE * histo->total)
+			break;
+		i++;
+	}
+	return exp2((double)i / STEPS_PER_OCTAVE);
+}
+
+static uint32_t need_of(const struct histo *histo, uint32_t declared,
+			uint32_t bound)
+{
+	double known = histo && histo->total > 0 ? percentile(histo) * MARGIN
+						 : 0;
+	double trust = histo ? histo->total / TRUSTED_WEIGHT : 0;
+	double unknown = UNKNOWN_FACTOR * (double)declared;
+	double need;
+
+	if (trust > 1)
+		trust = 1;
+	need = known > unknown ? known : known * trust + unknown * (1 - trust);
+	if (need > bound)
+		need = bound;
+	return need < 1 ? 1 : (uint32_t)ceil(need);
+}
+
+void estimate_need(struct estimate *estimate, const char *team,
+		   const char *command, const struct resources *declared,
+		   const struct resources *bound, struct mstime now,
+		   struct resources *need)
+{
+	struct class *class = find_class(estimate, class_key(team, command));
+
+	if (class) {
+		decay(class, now);
+		class->used_at = now;
+	}
+	need->cpu_milli = need_of(class ? &class->cpu : NULL,
+				  declared->cpu_milli, bound->cpu_milli);
+	need->mem_mb = need_of(class ? &class->mem : NULL, declared->mem_mb,
+			       bound->mem_mb);
+	need->accel = declared->accel;
+}
--- /dev/null
+++ b/packages/core/src/partition.c
@@ -0,0 +1,312 @@
+#include "partition.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "hash.h"
+#include "mem.h"
+#include "partition_internal.h"
+
+/* Numbers, times and the framing of one job in the value, at most. */
+#define JOB_FIXED_BYTES 200
+/* What one job may add to the value when it starts to run. */
+#define JOB_GROWTH_BYTES (ID_SIZE + JOB_REASON_SIZE + JOB_CHECKPOINT_SIZE)
+/* Complete listings of the inbox without a job's key before it may go. */
+#define LISTINGS_WITHOUT_KEY 2
+
+const char *job_state_name(enum job_state state)
+{
+	static const char *const names[] = {
+		[JOB_QUEUED] = "queued",
+		[JOB_STARTING] = "starting",
+		[JOB_RUNNING] = "running",
+		[JOB_STOPPING] = "stopping",
+		[JOB_DONE] = "done",
+		[JOB_FAILED] = "failed",
+		[JOB_CANCELLED] = "cancelled",
+		[JOB_IMPOSSIBLE] = "impossible",
+	};
+
+	return state < JOB_STATE_COUNT ? names[state] : "other";
+}
+
+struct partition *partition_new(uint32_t number)
+{
+	struct partition *partition = xcalloc(1, sizeof(*partition));
+
+	partition->number = number;
+	list_init(&partition->jobs);
+	return partition;
+}
+
+static void job_delete(struct job *job)
+{
+	free(job->command);
+	free(job);
+}
+
+void partition_delete(struct partition *partition)
+{
+	struct list *pos, *tmp;
+
+	if (!partition)
+		return;
+	list_for_each_safe (pos, tmp, &partition->jobs)
+		job_delete(list_entry(pos, struct job, node));
+	free(partition);
+}
+
+static struct job **bucket_of(struct partition *partition, const char *id)
+{
+	return &partition->buckets[hash_str(id) % PARTITION_BUCKETS];
+}
+
+struct job *partition_find(const struct partition *partition, const char *id)
+{
+	struct job *job = partition->buckets[hash_str(id) % PARTITION_BUCKETS];
+
+	while (job && strcmp(job->id, id))
+		job = job->hash_next;
+	return job;
+}
+
+static size_t job_size(const struct job *job)
+{
+	return JOB_FIXED_BYTES + strlen(job->id) + strlen(job->team) +
+	       strlen(job->command) + strlen(job->agent) +
+	       strlen(job->checkpoint) + strlen(job->reason) +
+	       9 * (size_t)job->tried_count;
+}
+
+void partition_touch(struct partition *partition)
+{
+	partition->version++;
+}
+
+void job_touch(struct partition *partition, struct job *job)
+{
+	size_t bytes = job_size(job);
+
+	partition->bytes += bytes - job->bytes;
+	job->bytes = bytes;
+	job->version = ++partition->version;
+}
+
+void partition_link(struct partition *partition, struct job *job)
+{
+	struct job **bucket = bucket_of(partition, job->id);
+
+	job->hash_next = *bucket;
+	*bucket = job;
+	list_add_tail(&partition->jobs, &job->node);
+	partition->counts[job->state]++;
+	job->bytes = job_size(job);
+	partition->bytes += job->bytes;
+}
+
+static void unlink_job(struct partition *partition, struct job *job)
+{
+	struct job **pos = bucket_of(partition, job->id);
+
+	while (*pos != job)
+		pos = &(*pos)->hash_next;
+	*pos = job->hash_next;
+	list_del(&job->node);
+	partition->counts[job->state]--;
+	partition->bytes -= job->bytes;
+	partition_touch(partition);
+	job_delete(job);
+}
+
+void job_enter(struct partition *partition, struct job *job,
+	       enum job_state state, const char *reason)
+{
+	partition->counts[job->state]--;
+	partition->counts[state]++;
+	job->state = state;
+	snprintf(job->reason, sizeof(job->reason), "%s", reason);
+	job_touch(partition, job);
+}
+
+void job_end(struct partition *partition, struct job *job, enum job_state state,
+	     const char *reason, struct mstime now)
+{
+	job->ended_at = now;
+	job_enter(partition, job, state, reason);
+}
+
+void partition_committed(struct partition *partition, uint64_t version)
+{
+	if (version > partition->committed)
+		partition->committed = version;
+}
+
+int partition_submit(struct partition *partition, const struct job_spec *spec,
+		     struct mstime now)
+{
+	struct job *job;
+
+	if (partition_find(partition, spec->job))
+		return ERR_EXISTS;
+	if (partition->bytes + strlen(spec->command) + JOB_FIXED_BYTES +
+		    (size_t)2 * ID_SIZE >
+	    PARTITION_INTAKE_MAX)
+		return ERR_FULL;
+	job = xcalloc(1, sizeof(*job));
+	memcpy(job->id, spec->job, sizeof(job->id));
+	memcpy(job->team, spec->team, sizeof(job->team));
+	job->command = xstrdup(spec->command);
+	job->declared = spec->need;
+	job->urgent = spec->urgent;
+	job->order = partition->next_order++;
+	job->submitted_at = now;
+	job->inbox_listing = partition->inbox_listings;
+	partition_link(partition, job);
+	job_touch(partition, job);
+	return 0;
+}
+
+/* A run that no agent can have heard of needs no proof of its stop. */
+static int never_sent(const struct job *job)
+{
+	return job->state == JOB_STARTING && !job->inherited &&
+	       !job->start_sent;
+}
+
+static void stop_run(struct partition *partition, struct job *job,
+		     enum stop_mode mode, const char *reason)
+{
+	job->stop = mode;
+	job_enter(partition, job, JOB_STOPPING, reason);
+}
+
+int partition_cancel(struct partition *partition, const char *id,
+		     struct mstime now)
+{
+	struct job *job = partition_find(partition, id);
+
+	if (!job)
+		return ERR_NOT_FOUND;
+	if (job_ended(job))
+		return 0;
+	if (job->state == JOB_QUEUED || never_sent(job))
+		job_end(partition, job, JOB_CANCELLED, "cancelled before a run",
+			now);
+	else if (job->state != JOB_STOPPING || job->stop != STOP_CANCEL)
+		stop_run(partition, job, STOP_CANCEL, "cancelled");
+	return 0;
+}
+
+int partition_start(struct partition *partition, struct job *job,
+		    const char *agent, const struct resources *need,
+		    const char *reason, struct mstime now)
+{
+	if (job->state != JOB_QUEUED)
+		return ERR_INVALID;
+	if (partition->bytes + JOB_GROWTH_BYTES > PARTITION_VALUE_MAX -
+						      JOB_GROWTH_BYTES)
+		return ERR_FULL;
+	job->run++;
+	str_copy(job->agent, agent, sizeof(job->agent));
+	job->need = *need;
+	job->started_at = now;
+	job->saved_at = now;
+	job->inherited = 0;
+	job->start_sent = 0;
+	job->listed = 0;
+	memset(&job->used, 0, sizeof(job->used));
+	memset(&job->peak, 0, sizeof(job->peak));
+	job_enter(partition, job, JOB_STARTING, reason);
+	return 0;
+}
+
+int partition_evict(struct partition *partition, struct job *job,
+		    const char *reason, struct mstime now)
+{
+	if (job->state != JOB_STARTING && job->state != JOB_RUNNING)
+		return ERR_INVALID;
+	if (never_sent(job))
+		job_enter(partition, job, JOB_QUEUED, reason);
+	else
+		stop_run(partition, job, STOP_EVICT, reason);
+	return 0;
+}
+
+void partition_impossible(struct partition *partition, struct job *job,
+			  const char *reason, struct mstime now)
+{
+	if (job->state == JOB_QUEUED)
+		job_end(partition, job, JOB_IMPOSSIBLE, reason, now);
+}
+
+void partition_waits(struct job *job, const char *reason)
+{
+	if (job->state == JOB_QUEUED)
+		snprintf(job->reason, sizeof(job->reason), "%s", reason);
+}
+
+static enum job_command wanted_command(const struct job *job)
+{
+	if (job->state == JOB_STOPPING)
+		return COMMAND_STOP;
+	return job->state == JOB_STARTING && !job->listed ? COMMAND_START
+							  : COMMAND_NONE;
+}
+
+enum job_command partition_command(const struct partition *partition,
+				   struct job *job, struct mstime now)
+{
+	enum job_command command = wanted_command(job);
+
+	if (command == COMMAND_NONE || job->version > partition->committed)
+		return COMMAND_NONE;
+	if (job->commanded == job->version + 1 &&
+	    mstime_diff(now, job->commanded_at) < COMMAND_RESEND_MS)
+		return COMMAND_NONE;
+	/* One more than the version, because 0 means never. */
+	job->commanded = job->version + 1;
+	job->commanded_at = now;
+	if (command == COMMAND_START) {
+		job->start_sent = 1;
+		job->sent_at = now;
+	}
+	return command;
+}
+
+static int may_forget(const struct partition *partition, const struct job *job)
+{
+	return job_ended(job) && job->version <= partition->committed &&
+	       partition->inbox_listings >=
+		       job->inbox_listing + LISTINGS_WITHOUT_KEY;
+}
+
+static uint32_t count_ended(const struct partition *partition)
+{
+	return partition->counts[JOB_DONE] + partition->counts[JOB_FAILED] +
+	       partition->counts[JOB_CANCELLED] +
+	       partition->counts[JOB_IMPOSSIBLE];
+}
+
+/* Jobs are in order of arrival, so the first ended ones are the oldest. */
+void partition_expire(struct partition *partition, int64_t keep_ms,
+		      uint32_t keep_count, struct mstime now)
+{
+	uint32_t ended = count_ended(partition);
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &partition->jobs) {
+		struct job *job = list_entry(pos, struct job, node);
+
+		if (!ended)
+			break;
+		if (!may_forget(partition, job))
+			continue;
+		if (ended <= keep_count &&
+		    mstime_diff(now, job->ended_at) < keep_ms)
+			continue;
+		unlink_job(partition, job);
+		ended--;
+	}
+}
--- /dev/null
+++ b/packages/core/src/partition_codec.c
@@ -0,0 +1,332 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <msgpack.h>
+
+#include "errors.h"
+#include "mem.h"
+#include "partition.h"
+#include "partition_internal.h"
+
+#define VALUE_FORMAT 1
+#define HEAD_FIELDS 8
+#define JOB_FIELDS 22
+#define JOB_TIMES 5
+
+/* Times are written as ages: clocks of two processes are never compared. */
+static void pack_age(msgpack_packer *packer, struct mstime since,
+		     struct mstime now)
+{
+	int64_t age = mstime_diff(now, since);
+
+	msgpack_pack_uint64(packer, age > 0 ? (uint64_t)age : 0);
+}
+
+static void pack_str(msgpack_packer *packer, const char *str)
+{
+	size_t len = strlen(str);
+
+	msgpack_pack_str(packer, len);
+	msgpack_pack_str_body(packer, str, len);
+}
+
+static void pack_resources(msgpack_packer *packer, const struct resources *res)
+{
+	msgpack_pack_uint32(packer, res->cpu_milli);
+	msgpack_pack_uint32(packer, res->mem_mb);
+	msgpack_pack_uint32(packer, res->accel);
+}
+
+static void pack_job(msgpack_packer *packer, const struct job *job,
+		     struct mstime now)
+{
+	uint32_t i;
+
+	msgpack_pack_array(packer, JOB_FIELDS);
+	pack_str(packer, job->id);
+	pack_str(packer, job->team);
+	pack_str(packer, job->command);
+	pack_resources(packer, &job->declared);
+	msgpack_pack_uint8(packer, job->urgent != 0);
+	msgpack_pack_uint8(packer, job->state);
+	msgpack_pack_uint8(packer, job->stop);
+	msgpack_pack_uint64(packer, job->order);
+	msgpack_pack_uint64(packer, job->run);
+	pack_str(packer, job->agent);
+	pack_resources(packer, &job->need);
+	pack_str(packer, job->checkpoint);
+	/* The reason why a job waits is found anew by each owner. */
+	pack_str(packer, job->state == JOB_QUEUED ? "" : job->reason);
+	msgpack_pack_uint32(packer, job->tries);
+	msgpack_pack_uint32(packer, job->evictions);
+	msgpack_pack_uint8(packer, job->evicted != 0);
+	msgpack_pack_array(packer, job->tried_count);
+	for (i = 0; i < job->tried_count; i++)
+		msgpack_pack_uint64(packer, job->tried[i]);
+	msgpack_pack_array(packer, JOB_TIMES);
+	pack_age(packer, job->submitted_at, now);
+	pack_age(packer, job->started_at, now);
+	pack_age(packer, job->evicted_at, now);
+	pack_age(packer, job->ended_at, now);
+	pack_age(packer, job->saved_at, now);
+}
+
+int partition_encode(struct partition *partition, const char *writer,
+		     struct mstime now, char **data, size_t *len)
+{
+	uint32_t count = 0;
+	struct list *pos;
+	msgpack_sbuffer buffer;
+	msgpack_packer packer;
+	char token[sizeof(partition->token)];
+	size_t i;
+
+	for (i = 0; i < JOB_STATE_COUNT; i++)
+		count += partition->counts[i];
+	snprintf(token, sizeof(token), "%s/%" PRIu64, writer,
+		 partition->version);
+	msgpack_sbuffer_init(&buffer);
+	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
+	msgpack_pack_array(&packer, HEAD_FIELDS);
+	msgpack_pack_uint8(&packer, VALUE_FORMAT);
+	msgpack_pack_uint32(&packer, partition->number);
+	msgpack_pack_uint64(&packer, partition->epoch);
+	msgpack_pack_uint64(&packer, ++partition->seq);
+	pack_str(&packer, token);
+	msgpack_pack_uint64(&packer, (uint64_t)partition->holdover_ms);
+	msgpack_pack_uint64(&packer, partition->next_order);
+	msgpack_pack_array(&packer, count);
+	list_for_each (pos, &partition->jobs)
+		pack_job(&packer, list_entry(pos, struct job, node), now);
+	*len = buffer.size;
+	*data = msgpack_sbuffer_release(&buffer);
+	if (*len <= PARTITION_VALUE_MAX)
+		return 0;
+	free(*data);
+	return ERR_TOO_LARGE;
+}
+
+/* Reads the elements of one array in order; err stays set after a fault. */
+struct cursor {
+	const msgpack_object *next, *end;
+	int err;
+};
+
+static const msgpack_object *take(struct cursor *cursor,
+				  msgpack_object_type type)
+{
+	if (cursor->err || cursor->next == cursor->end ||
+	    cursor->next->type != type) {
+		cursor->err = ERR_MALFORMED;
+		return NULL;
+	}
+	return cursor->next++;
+}
+
+static uint64_t take_number(struct cursor *cursor, uint64_t max)
+{
+	const msgpack_object *object =
+		take(cursor, MSGPACK_OBJECT_POSITIVE_INTEGER);
+
+	if (object && object->via.u64 <= max)
+		return object->via.u64;
+	cursor->err = ERR_MALFORMED;
+	return 0;
+}
+
+static void take_str(struct cursor *cursor, char *dst, size_t size)
+{
+	const msgpack_object *object = take(cursor, MSGPACK_OBJECT_STR);
+
+	if (!object)
+		return;
+	if (object->via.str.size >= size) {
+		cursor->err = ERR_MALFORMED;
+		return;
+	}
+	memcpy(dst, object->via.str.ptr, object->via.str.size);
+	dst[object->via.str.size] = '\0';
+}
+
+static struct cursor take_array(struct cursor *cursor)
+{
+	const msgpack_object *object = take(cursor, MSGPACK_OBJECT_ARRAY);
+	struct cursor inner = { NULL, NULL, cursor->err };
+
+	if (object) {
+		inner.next = object->via.array.ptr;
+		inner.end = inner.next + object->via.array.size;
+	}
+	return inner;
+}
+
+static void take_resources(struct cursor *cursor, struct resources *res)
+{
+	res->cpu_milli = (uint32_t)take_number(cursor, UINT32_MAX);
+	res->mem_mb = (uint32_t)take_number(cursor, UINT32_MAX);
+	res->accel = (uint32_t)take_number(cursor, UINT32_MAX);
+}
+
+static struct mstime take_age(struct cursor *cursor, struct mstime now)
+{
+	return mstime_add(now, -(int64_t)take_number(cursor, INT64_MAX));
+}
+
+static void take_tried(struct cursor *cursor, struct job *job)
+{
+	struct cursor tried = take_array(cursor);
+
+	while (tried.next < tried.end && job->tried_count < JOB_TRIED_MAX &&
+	       !tried.err)
+		job->tried[job->tried_count++] =
+			take_number(&tried, UINT64_MAX);
+	if (tried.err)
+		cursor->err = tried.err;
+}
+
+static void take_times(struct cursor *cursor, struct job *job,
+		       struct mstime now)
+{
+	struct cursor times = take_array(cursor);
+
+	job->submitted_at = take_age(&times, now);
+	job->started_at = take_age(&times, now);
+	job->evicted_at = take_age(&times, now);
+	job->ended_at = take_age(&times, now);
+	job->saved_at = take_age(&times, now);
+	if (times.err)
+		cursor->err = times.err;
+}
+
+static void take_job(struct cursor *cursor, struct job *job, struct mstime now)
+{
+	char command[JOB_COMMAND_MAX + 1] = "";
+
+	take_str(cursor, job->id, sizeof(job->id));
+	take_str(cursor, job->team, sizeof(job->team));
+	take_str(cursor, command, sizeof(command));
+	job->command = xstrdup(command);
+	take_resources(cursor, &job->declared);
+	job->urgent = (int)take_number(cursor, 1);
+	job->state = (enum job_state)take_number(cursor, JOB_STATE_COUNT - 1);
+	job->stop = (enum stop_mode)take_number(cursor, STOP_CANCEL);
+	job->order = take_number(cursor, UINT64_MAX);
+	job->run = take_number(cursor, UINT64_MAX);
+	take_str(cursor, job->agent, sizeof(job->agent));
+	take_resources(cursor, &job->need);
+	take_str(cursor, job->checkpoint, sizeof(job->checkpoint));
+	take_str(cursor, job->reason, sizeof(job->reason));
+	job->tries = (uint32_t)take_number(cursor, UINT32_MAX);
+	job->evictions = (uint32_t)take_number(cursor, UINT32_MAX);
+	job->evicted = (int)take_number(cursor, 1);
+	take_tried(cursor, job);
+	take_times(cursor, job, now);
+}
+
+static int decode_job(struct partition *partition, struct cursor *jobs,
+		      struct mstime now)
+{
+	struct cursor fields = take_array(jobs);
+	struct job *job = xcalloc(1, sizeof(*job));
+
+	take_job(&fields, job, now);
+	if (fields.err || partition_find(partition, job->id)) {
+		free(job->command);
+		free(job);
+		return ERR_MALFORMED;
+	}
+	job->inherited = 1;
+	job->start_sent = 1;
+	job->sent_at = now;
+	partition_link(partition, job);
+	return 0;
+}
+
+struct head {
+	uint64_t number, epoch, seq, holdover_ms, next_order;
+	char token[160];
+};
+
+static void take_head(struct cursor *cursor, struct head *head)
+{
+	take_number(cursor, VALUE_FORMAT);
+	head->number = take_number(cursor, UINT32_MAX);
+	head->epoch = take_number(cursor, UINT64_MAX);
+	head->seq = take_number(cursor, UINT64_MAX);
+	take_str(cursor, head->token, sizeof(head->token));
+	head->holdover_ms = take_number(cursor, INT64_MAX);
+	head->next_order = take_number(cursor, UINT64_MAX);
+}
+
+static int decode_value(struct partition *partition, struct cursor *cursor,
+			struct mstime now)
+{
+	struct head head;
+	struct cursor jobs;
+
+	memset(&head, 0, sizeof(head));
+	take_head(cursor, &head);
+	jobs = take_array(cursor);
+	if (jobs.err || head.number != partition->number)
+		return ERR_MALFORMED;
+	partition->epoch = head.epoch;
+	partition->seq = head.seq;
+	partition->holdover_ms = (int64_t)head.holdover_ms;
+	partition->next_order = head.next_order;
+	memcpy(partition->token, head.token, sizeof(head.token));
+	while (jobs.next < jobs.end)
+		if (decode_job(partition, &jobs, now))
+			return ERR_MALFORMED;
+	return 0;
+}
+
+int partition_decode(struct partition *partition, const void *data, size_t len,
+		     struct mstime now)
+{
+	msgpack_unpacked unpacked;
+	struct cursor cursor = { NULL, NULL, 0 };
+	int err = ERR_MALFORMED;
+	size_t offset = 0;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, data, len, &offset) ==
+	    MSGPACK_UNPACK_SUCCESS) {
+		struct cursor outer = { &unpacked.data, &unpacked.data + 1, 0 };
+
+		cursor = take_array(&outer);
+		err = cursor.err ? cursor.err
+				 : decode_value(partition, &cursor, now);
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return err;
+}
+
+int partition_value_writer(const void *data, size_t len, const char *writer,
+			   uint64_t *epoch, uint64_t *version)
+{
+	msgpack_unpacked unpacked;
+	size_t offset = 0, prefix = strlen(writer);
+	struct head head;
+	int err = ERR_MALFORMED;
+
+	memset(&head, 0, sizeof(head));
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, data, len, &offset) ==
+	    MSGPACK_UNPACK_SUCCESS) {
+		struct cursor outer = { &unpacked.data, &unpacked.data + 1, 0 };
+		struct cursor cursor = take_array(&outer);
+
+		take_head(&cursor, &head);
+		err = cursor.err;
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	if (err)
+		return err;
+	*epoch = head.epoch;
+	if (strncmp(head.token, writer, prefix) || head.token[prefix] != '/')
+		return 0;
+	*version = strtoull(head.token + prefix + 1, NULL, 10);
+	return 1;
+}
--- /dev/null
+++ b/packages/core/src/partition_internal.h
@@ -0,0 +1,20 @@
+#ifndef CATKINHILL_PARTITION_INTERNAL_H
+#define CATKINHILL_PARTITION_INTERNAL_H
+
+#include "partition.h"
+
+/* Adds a job to the list, the index and the counts. */
+void partition_link(struct partition *partition, struct job *job);
+
+/* Marks a change of the job. */
+void job_touch(struct partition *partition, struct job *job);
+
+/* Changes the state with its reason, and marks the change. */
+void job_enter(struct partition *partition, struct job *job,
+	       enum job_state state, const char *reason);
+
+/* Ends the job. */
+void job_end(struct partition *partition, struct job *job, enum job_state state,
+	     const char *reason, struct mstime now);
+
+#endif
--- /dev/null
+++ b/packages/core/src/partition_report.c
@@ -0,0 +1,213 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "hash.h"
+#include "mem.h"
+#include "partition.h"
+#include "partition_internal.h"
+
+/* An agent that refused a run is not chosen again at once. */
+#define REFUSED_PAUSE_MS 3000
+
+static uint32_t max_u32(uint32_t a, uint32_t b)
+{
+	return a > b ? a : b;
+}
+
+static int is_terminal(uint32_t state)
+{
+	return state >= TASK_STOPPED;
+}
+
+static int is_blamed(const struct try_policy *policy, uint64_t agent)
+{
+	size_t i;
+
+	for (i = 0; i < policy->blamed_count; i++)
+		if (policy->blamed[i] == agent)
+			return 1;
+	return 0;
+}
+
+static void add_try(struct job *job)
+{
+	uint64_t agent = hash_str(job->agent);
+	uint32_t i;
+
+	job->tries++;
+	for (i = 0; i < job->tried_count; i++)
+		if (job->tried[i] == agent)
+			return;
+	if (job->tried_count < JOB_TRIED_MAX)
+		job->tried[job->tried_count++] = agent;
+}
+
+static uint32_t counted_tries(const struct job *job,
+			      const struct try_policy *policy)
+{
+	uint32_t count = 0, i;
+
+	for (i = 0; i < job->tried_count; i++)
+		count += !is_blamed(policy, job->tried[i]);
+	return count;
+}
+
+static void requeue(struct partition *partition, struct job *job,
+		    const char *reason)
+{
+	job->listed = 0;
+	job_enter(partition, job, JOB_QUEUED, reason);
+}
+
+static enum task_effect end_cancelled(struct partition *partition,
+				      struct job *job, struct mstime now)
+{
+	job_end(partition, job, JOB_CANCELLED, "cancelled while it had a run",
+		now);
+	return EFFECT_CANCELLED;
+}
+
+/* A run that ended without success and without a command to stop. */
+static enum task_effect take_failure(struct partition *partition,
+				     struct job *job, const char *what,
+				     const char *detail,
+				     const struct try_policy *policy,
+				     struct mstime now)
+{
+	char reason[JOB_REASON_SIZE];
+	uint32_t tries;
+
+	if (job->state == JOB_STOPPING && job->stop == STOP_CANCEL)
+		return end_cancelled(partition, job, now);
+	add_try(job);
+	tries = counted_tries(job, policy);
+	if (tries >= policy->job_tries || job->tries >= JOB_TRIES_TOTAL_MAX) {
+		snprintf(reason, sizeof(reason),
+			 "failed at %u workers in %u runs; last at %.40s: "
+			 "%s: %.60s",
+			 job->tried_count, job->tries, job->agent, what,
+			 detail);
+		job_end(partition, job, JOB_FAILED, reason, now);
+		return EFFECT_FAILED;
+	}
+	snprintf(reason, sizeof(reason), "%s at %.40s: %.80s", what, job->agent,
+		 detail);
+	job->avoid = hash_str(job->agent);
+	job->avoid_until = mstime_add(now, REFUSED_PAUSE_MS);
+	requeue(partition, job, reason);
+	return EFFECT_RETRY;
+}
+
+static enum task_effect take_stopped(struct partition *partition,
+				     struct job *job, struct mstime now)
+{
+	if (job->state == JOB_STOPPING && job->stop == STOP_CANCEL)
+		return end_cancelled(partition, job, now);
+	job->evictions++;
+	job->evicted = 1;
+	job->evicted_at = now;
+	requeue(partition, job, "stopped with a checkpoint; waits to resume");
+	return EFFECT_REQUEUED;
+}
+
+static enum task_effect take_refused(struct partition *partition,
+				     struct job *job, const char *detail,
+				     struct mstime now)
+{
+	char reason[JOB_REASON_SIZE];
+
+	if (job->state == JOB_STOPPING && job->stop == STOP_CANCEL)
+		return end_cancelled(partition, job, now);
+	snprintf(reason, sizeof(reason), "refused by %.40s: %.80s", job->agent,
+		 detail);
+	job->avoid = hash_str(job->agent);
+	job->avoid_until = mstime_add(now, REFUSED_PAUSE_MS);
+	requeue(partition, job, reason);
+	return EFFECT_REFUSED;
+}
+
+static void take_checkpoint(struct partition *partition, struct job *job,
+			    const char *checkpoint, struct mstime now)
+{
+	if (!checkpoint || !*checkpoint ||
+	    strlen(checkpoint) >= sizeof(job->checkpoint) ||
+	    !strcmp(job->checkpoint, checkpoint))
+		return;
+	str_copy(job->checkpoint, checkpoint, sizeof(job->checkpoint));
+	job->saved_at = now;
+	job_touch(partition, job);
+}
+
+static void take_usage(struct job *job, const struct resources *used)
+{
+	job->used = *used;
+	job->peak.cpu_milli = max_u32(job->peak.cpu_milli, used->cpu_milli);
+	job->peak.mem_mb = max_u32(job->peak.mem_mb, used->mem_mb);
+	job->peak.accel = max_u32(job->peak.accel, used->accel);
+}
+
+static enum task_effect take_end(struct partition *partition, struct job *job,
+				 const struct task_status *status,
+				 const struct try_policy *policy,
+				 struct mstime now)
+{
+	const char *detail = status->detail ? status->detail : "";
+
+	switch (status->state) {
+	case TASK_FINISHED:
+		job_end(partition, job, JOB_DONE, "finished", now);
+		return EFFECT_DONE;
+	case TASK_STOPPED:
+		return take_stopped(partition, job, now);
+	case TASK_REFUSED:
+		return take_refused(partition, job, detail, now);
+	case TASK_FAILED:
+		return take_failure(partition, job, "failed", detail, policy,
+				    now);
+	default:
+		return take_failure(partition, job, "lost", detail, policy,
+				    now);
+	}
+}
+
+enum task_effect partition_report(struct partition *partition,
+				  const char *agent,
+				  const struct task_status *status,
+				  const struct try_policy *policy,
+				  struct mstime now)
+{
+	struct job *job = partition_find(partition, status->job);
+
+	if (!job || !job_active(job) || job->run != status->run ||
+	    strcmp(job->agent, agent))
+		return is_terminal(status->state) ? EFFECT_NONE : EFFECT_STALE;
+	job->listed = 1;
+	job->listed_at = now;
+	take_usage(job, &status->used);
+	take_checkpoint(partition, job, status->checkpoint, now);
+	if (is_terminal(status->state))
+		return take_end(partition, job, status, policy, now);
+	if (status->state != TASK_RUNNING || job->state != JOB_STARTING)
+		return EFFECT_NONE;
+	job_enter(partition, job, JOB_RUNNING, job->reason);
+	return EFFECT_RUNNING;
+}
+
+int partition_settled(const struct partition *partition,
+		      const struct task_status *status)
+{
+	const struct job *job = partition_find(partition, status->job);
+
+	return !is_terminal(status->state) || !job ||
+	       job->version <= partition->committed;
+}
+
+enum task_effect partition_lost(struct partition *partition, struct job *job,
+				const char *reason,
+				const struct try_policy *policy,
+				struct mstime now)
+{
+	if (!job_active(job))
+		return EFFECT_NONE;
+	return take_failure(partition, job, "lost", reason, policy, now);
+}
