--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -20,7 +20,7 @@
 	LOG_DEBUG
 };
 
-enum event {
+enum event_number {
 	/* 1000: entry and routing */
 	EV_ROUTE_CHOSEN = 1001,
 	EV_ROUTE_NONE = 1002,
@@ -43,10 +43,12 @@
 	EV_DAEMON_STOPPING = 6002,
 	EV_DAEMON_STOPPED = 6003,
 	EV_SETTINGS_INVALID = 6004,
+	EV_LISTEN_FAILED = 6005,
+	EV_STOP_OVERDUE = 6006,
 };
 
 struct event_info {
-	enum event event;
+	enum event_number event;
 	enum log_level level;
 	const char *name;    /* such as route-chosen */
 	const char *meaning; /* one sentence for the catalogue */
