daemon: own batch partitions

Cause: jobs in the inbox need an owner that places them, commits each state before acting on it and moves runs only when they are proved stopped.

TASK_REPORT_ACK gains the field recorded: grants can be extended in an outage without letting the agent forget ends that are not in the store. Owners in holdover extend nothing for incarnations they do not know, because a restarted agent has forgotten the epoch that it followed.

Ruled out: holding back every answer until the commit, which stops running tasks T after the start of an outage.

--- a/packages/core/include/ownerlease.h
+++ b/packages/core/include/ownerlease.h
@@ -28,9 +28,10 @@
  *	Gray and Cheriton, Leases, SOSP 1989.
  */
 struct lease_bounds {
-	int64_t lease_ms;    /* L */
-	int64_t grant_ms;    /* T */
-	int64_t holdover_ms; /* H */
+	int64_t lease_ms;     /* L */
+	int64_t grant_ms;     /* T */
+	int64_t holdover_ms;  /* H */
+	int64_t store_ttl_ms; /* of the store lease that ownership is tied to */
 };
 
 /* Covers rounding, and the time a stop takes at the worker. */
@@ -46,6 +47,7 @@
 	 */
 	int64_t earlier_holdover_ms;
 	int64_t own_holdover_ms; /* H under which it extends grants */
+	int released;
 };
 
 /* Contact of one agent with one owner; see owner_lease_contact(). */
@@ -69,10 +71,29 @@
 			   const struct lease_bounds *bounds,
 			   int64_t written_holdover_ms);
 
+/*
+ * Ends all extensions for a graceful stop, so that the next owner need not
+ * wait for this one's H.
+ */
+void owner_lease_release(struct owner_lease *lease);
+
 void owner_lease_renewed(struct owner_lease *lease, struct mstime sent_at);
 
-/* RETURN VALUE: 1 while the owner may extend grants. */
-int owner_lease_may_extend(const struct owner_lease *lease, struct mstime now);
+/*
+ * RETURN VALUE
+ *	1 while the owner may extend the grants of an agent.
+ *
+ * known	the owner extended grants of this incarnation of it before
+ *
+ * NOTES
+ *	Once its store lease may have expired, an owner extends nothing for
+ *	incarnations that it does not know. A restarted agent has forgotten
+ *	the epoch that it followed; without this rule it could follow an owner
+ *	in holdover while the new owner counts it as adopted and then silent.
+ */
+int owner_lease_may_extend(const struct owner_lease *lease,
+			   const struct lease_bounds *bounds, int known,
+			   struct mstime now);
 
 /*
  * H that the next owner has to wait for, to be written with the partition:
--- a/packages/core/include/partition.h
+++ b/packages/core/include/partition.h
@@ -37,7 +37,7 @@
 
 #define JOB_TRIED_MAX 8
 #define JOB_REASON_SIZE 160
-#define JOB_CHECKPOINT_SIZE 256
+#define JOB_CHECKPOINT_SIZE 257
 /* A job that fails wherever it runs ends even if workers are ejected. */
 #define JOB_TRIES_TOTAL_MAX 12
 
@@ -51,13 +51,13 @@
 	int urgent;
 
 	enum job_state state;
-	enum stop_mode stop; /* while JOB_STOPPING */
-	uint64_t order;	     /* of arrival */
-	uint64_t run;	     /* current or last run; 0 before the first */
-	char agent[ID_SIZE]; /* of the current or last run */
+	enum stop_mode stop;   /* while JOB_STOPPING */
+	uint64_t order;	       /* of arrival */
+	uint64_t run;	       /* current or last run; 0 before the first */
+	char agent[ID_SIZE];   /* of the current or last run */
 	struct resources need; /* reserved by the current run */
 	char checkpoint[JOB_CHECKPOINT_SIZE];
-	char reason[JOB_REASON_SIZE]; /* why it is in its state */
+	char reason[JOB_REASON_SIZE];  /* why it is in its state */
 	uint64_t tried[JOB_TRIED_MAX]; /* hashes of agents where it failed */
 	uint32_t tried_count;
 	uint32_t tries; /* failed or lost runs */
@@ -69,21 +69,22 @@
 	struct mstime ended_at;
 
 	/* Not part of the value. */
-	uint64_t version;	/* of its last change */
-	size_t bytes;		/* upper bound of its size in the value */
-	int inherited;		/* its run is of an earlier epoch */
-	int start_sent;		/* a start may have left this process */
-	struct mstime sent_at;	/* last start sent, or the takeover */
-	uint64_t commanded;	/* version of the last command */
+	uint64_t version;      /* of its last change */
+	size_t bytes;	       /* upper bound of its size in the value */
+	int inherited;	       /* its run is of an earlier epoch */
+	int start_sent;	       /* a start may have left this process */
+	struct mstime sent_at; /* last start sent, or the takeover */
+	uint64_t commanded;    /* version of the last command */
 	struct mstime commanded_at;
 	struct mstime room_until; /* runs are being evicted for it */
-	struct mstime listed_at; /* last report that listed the run */
+	struct mstime listed_at;  /* last report that listed the run */
 	int listed;
 	struct mstime saved_at; /* last new checkpoint, or the start */
 	struct resources used;	/* as last reported */
 	struct resources peak;	/* of the current run */
 	uint64_t avoid;		/* hash of an agent that refused it */
 	struct mstime avoid_until;
+	uint64_t hold; /* hash of an agent whose room is kept for it, or 0 */
 	uint64_t inbox_listing; /* last listing with its inbox key */
 };
 
@@ -100,9 +101,9 @@
 	struct job *buckets[PARTITION_BUCKETS];
 	uint32_t counts[JOB_STATE_COUNT];
 	uint64_t next_order;
-	uint64_t version;   /* of the last change */
-	uint64_t committed; /* version that is known to be in the store */
-	size_t bytes;	    /* upper bound of the value's size */
+	uint64_t version;	 /* of the last change */
+	uint64_t committed;	 /* version that is known to be in the store */
+	size_t bytes;		 /* upper bound of the value's size */
 	uint64_t inbox_listings; /* complete listings of the inbox so far */
 };
 
@@ -222,15 +223,15 @@
 
 /* Bounds for failed runs; agents are given as hash_str() of their id. */
 struct try_policy {
-	uint32_t job_tries;	 /* different workers */
+	uint32_t job_tries;	/* different workers */
 	const uint64_t *blamed; /* workers at fault; not counted as tries */
 	size_t blamed_count;
 };
 
 enum task_effect {
-	EFFECT_NONE,	 /* nothing new, or about a run that has ended */
-	EFFECT_STALE,	 /* a run that must not run: tell the agent to stop */
-	EFFECT_RUNNING,	 /* now known to run */
+	EFFECT_NONE,	/* nothing new, or about a run that has ended */
+	EFFECT_STALE,	/* a run that must not run: tell the agent to stop */
+	EFFECT_RUNNING, /* now known to run */
 	EFFECT_DONE,
 	EFFECT_REQUEUED, /* stopped with a checkpoint; waits again */
 	EFFECT_RETRY,	 /* failed or lost; waits again */
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -40,19 +40,19 @@
 };
 
 struct placement_request {
-	struct resources need;	 /* estimated */
-	uint64_t avoid[2];	 /* hashes of agents; 0 for none */
-	const uint64_t *tried;	 /* hashes of agents where it failed */
+	struct resources need; /* estimated */
+	uint64_t avoid[2];     /* hashes of agents; 0 for none */
+	const uint64_t *tried; /* hashes of agents where it failed */
 	uint32_t tried_count;
 	/* Tasks of the job's team by domain; NULL for no spreading. */
 	const uint32_t *domain_tasks;
 	uint32_t domain_count;
-	int64_t weight_latency;	 /* LIMIT_WEIGHT_LATENCY, percent */
+	int64_t weight_latency; /* LIMIT_WEIGHT_LATENCY, percent */
 };
 
 enum placement_verdict {
 	PLACEMENT_FITS,
-	PLACEMENT_DOWN,	   /* not ready or silent */
+	PLACEMENT_DOWN, /* not ready or silent */
 	PLACEMENT_DRAINED,
 	PLACEMENT_EJECTED, /* fails what it starts */
 	PLACEMENT_AVOIDED, /* refused or failed this job before */
--- a/packages/core/src/estimate.c
+++ b/packages/core/src/estimate.c
@@ -23,7 +23,8 @@
 	float total;
 };
 
-struct class {
+struct class
+{
 	struct class *next;
 	uint64_t key;
 	struct mstime used_at;
@@ -79,8 +80,8 @@
 
 	for (i = 0; i < INDEX_BUCKETS; i++)
 		for (pos = &estimate->index[i]; *pos; pos = &(*pos)->next)
-			if (!oldest || mstime_before((*pos)->used_at,
-						     (*oldest)->used_at))
+			if (!oldest ||
+			    mstime_before((*pos)->used_at, (*oldest)->used_at))
 				oldest = pos;
 	if (!oldest)
 		return;
@@ -171,8 +172,8 @@
 static uint32_t need_of(const struct histo *histo, uint32_t declared,
 			uint32_t bound)
 {
-	double known = histo && histo->total > 0 ? percentile(histo) * MARGIN
-						 : 0;
+	double known =
+		histo && histo->total > 0 ? percentile(histo) * MARGIN : 0;
 	double trust = histo ? histo->total / TRUSTED_WEIGHT : 0;
 	double unknown = UNKNOWN_FACTOR * (double)declared;
 	double need;
--- a/packages/core/src/jobspec.c
+++ b/packages/core/src/jobspec.c
@@ -50,8 +50,8 @@
 	size_t size;
 };
 
-__attribute__((format(printf, 3, 4))) static int
-fail(const struct report *report, int err, const char *fmt, ...)
+__attribute__((format(printf, 3, 4))) static int fail(
+	const struct report *report, int err, const char *fmt, ...)
 {
 	va_list args;
 
@@ -151,8 +151,7 @@
 			return err;
 	}
 	for (i = 0; i < FIELD_COUNT; i++)
-		if (fields[i].required &&
-		    !json_object_get(root, fields[i].key))
+		if (fields[i].required && !json_object_get(root, fields[i].key))
 			return fail(report, ERR_INVALID, "%s is missing",
 				    fields[i].key);
 	return 0;
--- a/packages/core/src/ownerlease.c
+++ b/packages/core/src/ownerlease.c
@@ -13,6 +13,12 @@
 	lease->renewed_at = now;
 	lease->earlier_holdover_ms = earlier_holdover_ms;
 	lease->own_holdover_ms = bounds->holdover_ms;
+	lease->released = 0;
+}
+
+void owner_lease_release(struct owner_lease *lease)
+{
+	lease->released = 1;
 }
 
 void owner_lease_limit(struct owner_lease *lease,
@@ -36,9 +42,15 @@
 	lease->renewed_at = mstime_max(lease->renewed_at, sent_at);
 }
 
-int owner_lease_may_extend(const struct owner_lease *lease, struct mstime now)
+int owner_lease_may_extend(const struct owner_lease *lease,
+			   const struct lease_bounds *bounds, int known,
+			   struct mstime now)
 {
-	return mstime_diff(now, lease->renewed_at) < lease->own_holdover_ms;
+	int64_t since = mstime_diff(now, lease->renewed_at);
+
+	if (lease->released || (!known && since >= bounds->store_ttl_ms))
+		return 0;
+	return since < lease->own_holdover_ms || since < bounds->store_ttl_ms;
 }
 
 int64_t owner_lease_holdover(const struct owner_lease *lease,
@@ -46,10 +58,11 @@
 			     struct mstime now)
 {
 	int64_t earlier = lease->earlier_holdover_ms;
+	int64_t own = lease->released ? 0 : bounds->holdover_ms;
 
 	if (mstime_diff(now, lease->taken_at) >= earlier)
 		earlier = 0;
-	return earlier > bounds->holdover_ms ? earlier : bounds->holdover_ms;
+	return earlier > own ? earlier : own;
 }
 
 void agent_contact_report(struct agent_contact *contact, uint64_t report_epoch,
--- a/packages/core/src/partition.c
+++ b/packages/core/src/partition.c
@@ -19,14 +19,10 @@
 const char *job_state_name(enum job_state state)
 {
 	static const char *const names[] = {
-		[JOB_QUEUED] = "queued",
-		[JOB_STARTING] = "starting",
-		[JOB_RUNNING] = "running",
-		[JOB_STOPPING] = "stopping",
-		[JOB_DONE] = "done",
-		[JOB_FAILED] = "failed",
-		[JOB_CANCELLED] = "cancelled",
-		[JOB_IMPOSSIBLE] = "impossible",
+		[JOB_QUEUED] = "queued",       [JOB_STARTING] = "starting",
+		[JOB_RUNNING] = "running",     [JOB_STOPPING] = "stopping",
+		[JOB_DONE] = "done",	       [JOB_FAILED] = "failed",
+		[JOB_CANCELLED] = "cancelled", [JOB_IMPOSSIBLE] = "impossible",
 	};
 
 	return state < JOB_STATE_COUNT ? names[state] : "other";
@@ -205,8 +201,8 @@
 {
 	if (job->state != JOB_QUEUED)
 		return ERR_INVALID;
-	if (partition->bytes + JOB_GROWTH_BYTES > PARTITION_VALUE_MAX -
-						      JOB_GROWTH_BYTES)
+	if (partition->bytes + JOB_GROWTH_BYTES >
+	    PARTITION_VALUE_MAX - JOB_GROWTH_BYTES)
 		return ERR_FULL;
 	job->run++;
 	str_copy(job->agent, agent, sizeof(job->agent));
@@ -216,6 +212,7 @@
 	job->inherited = 0;
 	job->start_sent = 0;
 	job->listed = 0;
+	job->hold = 0;
 	memset(&job->used, 0, sizeof(job->used));
 	memset(&job->peak, 0, sizeof(job->peak));
 	job_enter(partition, job, JOB_STARTING, reason);
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -112,8 +112,8 @@
 			      worker->capacity.cpu_milli);
 	double mem = fraction(need->mem_mb, worker->used.mem_mb,
 			      worker->capacity.mem_mb);
-	double busy = worker->slots ? (double)worker->requests / worker->slots
-				    : 0;
+	double busy =
+		worker->slots ? (double)worker->requests / worker->slots : 0;
 	double latency = (double)request->weight_latency / 100;
 	double skew = cpu > mem ? cpu - mem : mem - cpu;
 	struct score score;
--- /dev/null
+++ b/packages/daemon/src/owner_agents.c
@@ -0,0 +1,423 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "hash.h"
+#include "log.h"
+#include "mem.h"
+#include "owner_internal.h"
+
+/* OWNER is repeated to agents with runs of a partition until they report. */
+#define ANNOUNCE_MS 2000
+
+static struct agent_link *find_link(const struct slot *slot, const char *agent)
+{
+	struct list *pos;
+
+	list_for_each (pos, &slot->links) {
+		struct agent_link *link =
+			list_entry(pos, struct agent_link, node);
+
+		if (!strcmp(link->agent, agent))
+			return link;
+	}
+	return NULL;
+}
+
+struct agent_link *owner_link(struct slot *slot, const char *agent)
+{
+	struct agent_link *link = find_link(slot, agent);
+
+	if (link)
+		return link;
+	link = xcalloc(1, sizeof(*link));
+	str_copy(link->agent, agent, sizeof(link->agent));
+	list_add_tail(&slot->links, &link->node);
+	return link;
+}
+
+void owner_links_drop(struct slot *slot)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &slot->links) {
+		list_del(pos);
+		free(list_entry(pos, struct agent_link, node));
+	}
+}
+
+static void send_owner(struct slot *slot, const char *peer)
+{
+	struct message msg = { .type = MSG_OWNER };
+
+	msg.u.owner.partition = slot->number;
+	msg.u.owner.epoch = slot->lease.epoch;
+	str_copy(msg.u.owner.entry, slot->owner->daemon->settings->id, ID_SIZE);
+	transport_send(slot->owner->transport, peer, &msg);
+}
+
+void owner_announce(struct slot *slot)
+{
+	const struct membership *members = slot->owner->membership;
+	struct list *pos;
+
+	list_for_each (pos, &members->members)
+		send_owner(slot, list_entry(pos, struct member, node)->peer);
+}
+
+static void send_stop(struct slot *slot, const char *peer, const char *job,
+		      uint64_t run, enum stop_mode mode)
+{
+	struct message msg = { .type = MSG_TASK_STOP };
+
+	msg.u.task_stop.partition = slot->number;
+	msg.u.task_stop.epoch = slot->lease.epoch;
+	str_copy(msg.u.task_stop.job, job, ID_SIZE);
+	msg.u.task_stop.run = run;
+	msg.u.task_stop.mode = mode;
+	transport_send(slot->owner->transport, peer, &msg);
+}
+
+static void send_start(struct slot *slot, const char *peer,
+		       const struct job *job)
+{
+	struct message msg = { .type = MSG_TASK_START };
+
+	msg.u.task_start.partition = slot->number;
+	msg.u.task_start.epoch = slot->lease.epoch;
+	str_copy(msg.u.task_start.job, job->id, ID_SIZE);
+	msg.u.task_start.run = job->run;
+	msg.u.task_start.need = job->need;
+	msg.u.task_start.checkpoint = job->checkpoint;
+	msg.u.task_start.command = job->command;
+	transport_send(slot->owner->transport, peer, &msg);
+}
+
+static void send_ack(struct slot *slot, struct agent_link *link, int recorded)
+{
+	struct message msg = { .type = MSG_TASK_REPORT_ACK };
+	struct mstime now = owner_now();
+	int known = !strcmp(link->extended_peer, link->peer);
+
+	if (!owner_lease_may_extend(&slot->lease, &slot->owner->bounds, known,
+				    now))
+		return;
+	send_owner(slot, link->peer);
+	memcpy(link->extended_peer, link->peer, sizeof(link->peer));
+	agent_contact_extend(&link->contact, now);
+	msg.u.task_report_ack.seq = link->seq;
+	msg.u.task_report_ack.partition = slot->number;
+	msg.u.task_report_ack.epoch = slot->lease.epoch;
+	msg.u.task_report_ack.recorded = (uint32_t)recorded;
+	transport_send(slot->owner->transport, link->peer, &msg);
+}
+
+/*
+ * Answers the latest report. Ends of runs must be in the store before the
+ * agent may forget them; while the store does not take them, grants are
+ * extended without that permission.
+ */
+static void answer(struct slot *slot, struct agent_link *link)
+{
+	int recorded = link->ack_version <= slot->partition->committed;
+	struct mstime now = owner_now();
+
+	if (!link->ack_wanted || slot->owner->stopping)
+		return;
+	if (!recorded && !link->unrecorded)
+		link->unrecorded_at = now;
+	link->unrecorded = !recorded;
+	if (!recorded &&
+	    mstime_diff(now, link->unrecorded_at) < OWNER_ACK_WAIT_MS)
+		return;
+	link->ack_wanted = 0;
+	send_ack(slot, link, recorded);
+}
+
+void owner_agents_committed(struct slot *slot)
+{
+	struct list *pos;
+
+	list_for_each (pos, &slot->links)
+		answer(slot, list_entry(pos, struct agent_link, node));
+}
+
+static void log_lost(const struct slot *slot, const struct job *job,
+		     const char *reason)
+{
+	log_event(EV_RUN_LOST,
+		  "partition=%u job=%s run=%" PRIu64
+		  " agent=%s tries=%u reason=\"%s\"",
+		  slot->number, job->id, job->run, job->agent, job->tries,
+		  reason);
+}
+
+static void note_failure(struct slot *slot, const struct job *job)
+{
+	struct owner *owner = slot->owner;
+
+	owner_count(owner, OWNER_FAILED_RUNS);
+	log_lost(slot, job, job->reason);
+	if (taskhealth_failed(owner->health, hash_str(job->agent),
+			      hash_str(job->id), owner->membership->count,
+			      owner_now()))
+		log_event(EV_WORKER_EJECTED,
+			  "agent=%s reason=\"runs of different jobs fail in a "
+			  "row\"",
+			  job->agent);
+}
+
+static void note_end(struct slot *slot, const struct job *job)
+{
+	struct owner *owner = slot->owner;
+
+	taskhealth_finished(owner->health, hash_str(job->agent));
+	if (job->peak.cpu_milli || job->peak.mem_mb)
+		estimate_observe(owner->estimate, job->team, job->command,
+				 &job->peak, owner_now());
+}
+
+static void note_effect(struct slot *slot, const struct job *job,
+			enum task_effect effect)
+{
+	switch (effect) {
+	case EFFECT_RUNNING:
+		log_event(EV_JOB_RUNNING,
+			  "partition=%u job=%s run=%" PRIu64 " agent=%s",
+			  slot->number, job->id, job->run, job->agent);
+		break;
+	case EFFECT_DONE:
+		note_end(slot, job);
+		owner_log_end(slot, job);
+		break;
+	case EFFECT_REQUEUED:
+	case EFFECT_REFUSED:
+		log_event(EV_JOB_REQUEUED,
+			  "partition=%u job=%s run=%" PRIu64
+			  " agent=%s checkpoint=%s reason=\"%s\"",
+			  slot->number, job->id, job->run, job->agent,
+			  job->checkpoint[0] ? job->checkpoint : "-",
+			  job->reason);
+		break;
+	case EFFECT_CANCELLED:
+	case EFFECT_FAILED:
+		owner_log_end(slot, job);
+		break;
+	default:
+		break;
+	}
+}
+
+static enum task_effect take_task(struct slot *slot, const char *agent,
+				  const struct task_status *status)
+{
+	struct owner *owner = slot->owner;
+	struct try_policy policy;
+	enum task_effect effect;
+	const struct job *job;
+
+	owner_try_policy(owner, &policy);
+	effect = partition_report(slot->partition, agent, status, &policy,
+				  owner_now());
+	job = partition_find(slot->partition, status->job);
+	if (!job)
+		return effect;
+	if (effect == EFFECT_RETRY || effect == EFFECT_FAILED)
+		note_failure(slot, job);
+	note_effect(slot, job, effect);
+	if (effect >= EFFECT_DONE && job->urgent)
+		slot->urgent = 1;
+	return effect;
+}
+
+static void stop_stale(struct slot *slot, const char *peer, const char *agent,
+		       const struct task_status *status)
+{
+	owner_count(slot->owner, OWNER_STALE_RUNS);
+	log_event(EV_RUN_STALE, "partition=%u job=%s run=%" PRIu64 " agent=%s",
+		  slot->number, status->job, status->run, agent);
+	send_stop(slot, peer, status->job, status->run, STOP_CANCEL);
+}
+
+static int take_tasks(struct slot *slot, struct agent_link *link,
+		      const struct msg_task_report *report)
+{
+	int stale = 0, changed = 0;
+	size_t i;
+
+	link->ack_version = 0;
+	for (i = 0; i < report->tasks.count; i++) {
+		const struct task_status *status = &report->tasks.items[i];
+		enum task_effect effect =
+			take_task(slot, report->agent, status);
+
+		if (effect == EFFECT_STALE) {
+			stop_stale(slot, link->peer, report->agent, status);
+			stale = 1;
+		}
+		changed |= effect >= EFFECT_DONE;
+		if (!partition_settled(slot->partition, status))
+			link->ack_version = slot->partition->version;
+	}
+	if (changed)
+		owner_tick_soon(slot->owner);
+	return !stale;
+}
+
+/* A report of an earlier connection or order is worth nothing. */
+static int take_sequence(struct agent_link *link, const char *peer,
+			 uint64_t seq)
+{
+	if (!strcmp(link->peer, peer) && seq <= link->seq)
+		return 0;
+	str_copy(link->peer, peer, sizeof(link->peer));
+	link->seq = seq;
+	return 1;
+}
+
+void owner_on_report(struct owner *owner, const char *peer,
+		     const struct msg_task_report *report)
+{
+	struct slot *slot;
+	struct agent_link *link;
+	int adopted;
+
+	if (report->partition >= owner->slot_count)
+		return;
+	slot = &owner->slots[report->partition];
+	if (slot->state != SLOT_OWNED)
+		return;
+	link = owner_link(slot, report->agent);
+	if (!take_sequence(link, peer, report->seq))
+		return;
+	adopted = link->contact.adopted;
+	agent_contact_report(&link->contact, report->epoch, &slot->lease,
+			     owner_now());
+	if (!adopted)
+		link->adopted_at = owner_now();
+	/* Without an answer, an agent with a stale run starts nothing new. */
+	link->ack_wanted = take_tasks(slot, link, report);
+	if (report->epoch > slot->lease.epoch) {
+		link->ack_wanted = 0;
+		partition_touch(slot->partition);
+		slot->urgent = 1;
+	}
+	answer(slot, link);
+}
+
+static const char *peer_of(struct slot *slot, const char *agent)
+{
+	const struct owner *owner = slot->owner;
+	const struct agent_link *link;
+	int i = worker_index_find(owner->workers, agent);
+
+	if (i >= 0)
+		return worker_index_member(owner->workers, i)->peer;
+	link = find_link(slot, agent);
+	return link && link->peer[0] ? link->peer : NULL;
+}
+
+static void command(struct slot *slot, struct job *job, struct mstime now)
+{
+	const char *peer = peer_of(slot, job->agent);
+
+	if (!peer)
+		return;
+	switch (partition_command(slot->partition, job, now)) {
+	case COMMAND_START:
+		send_start(slot, peer, job);
+		break;
+	case COMMAND_STOP:
+		send_stop(slot, peer, job->id, job->run, job->stop);
+		break;
+	default:
+		break;
+	}
+}
+
+static void announce_to(struct slot *slot, struct agent_link *link,
+			struct mstime now)
+{
+	const char *peer;
+
+	if (link->contact.adopted ||
+	    mstime_diff(now, link->announced_at) < ANNOUNCE_MS)
+		return;
+	peer = peer_of(slot, link->agent);
+	if (!peer)
+		return;
+	link->announced_at = now;
+	send_owner(slot, peer);
+}
+
+static void declare_lost(struct slot *slot, struct job *job, const char *reason,
+			 struct mstime now)
+{
+	struct try_policy policy;
+	enum task_effect effect;
+
+	owner_try_policy(slot->owner, &policy);
+	effect = partition_lost(slot->partition, job, reason, &policy, now);
+	owner_count(slot->owner, OWNER_LOST_RUNS);
+	log_lost(slot, job, reason);
+	note_effect(slot, job, effect);
+}
+
+/* A start that a live agent never lists is withdrawn before it moves. */
+static void withdraw(struct slot *slot, struct job *job, struct mstime now)
+{
+	const struct lease_bounds *bounds = &slot->owner->bounds;
+
+	if (job->state == JOB_STARTING && !job->listed && job->start_sent &&
+	    mstime_diff(now, job->started_at) >= bounds->grant_ms)
+		partition_evict(slot->partition, job,
+				"the agent does not take the start", now);
+}
+
+static void check_run(struct slot *slot, struct job *job, struct mstime now)
+{
+	const struct owner *owner = slot->owner;
+	struct agent_link *link = owner_link(slot, job->agent);
+	struct mstime heard = mstime_max(job->sent_at, job->listed_at);
+	struct mstime silent_at, unlisted_at;
+
+	announce_to(slot, link, now);
+	/* A run that was never sent can be nowhere. */
+	if (!job->start_sent)
+		return;
+	silent_at = owner_lease_stopped_at(&slot->lease, &owner->bounds,
+					   &link->contact, job->inherited,
+					   heard);
+	if (!mstime_before(now, silent_at)) {
+		declare_lost(slot, job, "the agent is silent", now);
+		return;
+	}
+	if (!link->contact.adopted)
+		return;
+	heard = mstime_max(heard, link->adopted_at);
+	unlisted_at = owner_lease_unlisted_at(&owner->bounds, heard);
+	if (!mstime_before(now, unlisted_at))
+		declare_lost(slot, job, "the agent no longer lists the run",
+			     now);
+	else
+		withdraw(slot, job, now);
+}
+
+void owner_agents_tick(struct slot *slot)
+{
+	struct mstime now = owner_now();
+	struct list *pos;
+
+	list_for_each (pos, &slot->partition->jobs) {
+		struct job *job = list_entry(pos, struct job, node);
+
+		if (!job_active(job))
+			continue;
+		check_run(slot, job, now);
+		if (job_active(job))
+			command(slot, job, now);
+	}
+	list_for_each (pos, &slot->links)
+		answer(slot, list_entry(pos, struct agent_link, node));
+}
--- /dev/null
+++ b/packages/daemon/src/owner_call.c
@@ -0,0 +1,39 @@
+#include <stdlib.h>
+
+#include "mem.h"
+#include "owner_internal.h"
+
+struct owner_call *owner_call_new(struct owner *owner, struct slot *slot)
+{
+	struct owner_call *call = xcalloc(1, sizeof(*call));
+
+	call->owner = owner;
+	call->slot = slot;
+	call->tenure = slot ? slot->tenure : 0;
+	call->started_at = owner_now();
+	list_add_tail(&owner->calls, &call->node);
+	return call;
+}
+
+int owner_call_end(void *arg, struct owner_call *copy)
+{
+	struct owner_call *call = arg;
+	int valid = call->owner != NULL &&
+		    (!call->slot || call->slot->tenure == call->tenure);
+
+	*copy = *call;
+	list_del(&call->node);
+	free(call);
+	return valid;
+}
+
+void owner_calls_drop(struct owner *owner)
+{
+	while (!list_empty(&owner->calls)) {
+		struct owner_call *call = list_entry(owner->calls.next,
+						     struct owner_call, node);
+
+		call->owner = NULL;
+		list_del(&call->node);
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/owner_store.c
@@ -0,0 +1,305 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "owner_internal.h"
+
+/* Entries that start together are listed before the first claim. */
+#define FIRST_CLAIM_MS 2000
+
+const char *owner_key(char *key, size_t size, const char *prefix,
+		      uint32_t number)
+{
+	snprintf(key, size, "%s/%u", prefix, number);
+	return key;
+}
+
+void owner_slots_resize(struct owner *owner)
+{
+	uint32_t count = (uint32_t)owner_limit(owner, LIMIT_PARTITIONS), i;
+
+	/* Fixed once written, so that slots never move under a call. */
+	if (owner->slot_count)
+		return;
+	owner->slots = xcalloc(count, sizeof(*owner->slots));
+	owner->slot_count = count;
+	for (i = 0; i < count; i++) {
+		owner->slots[i].owner = owner;
+		owner->slots[i].number = i;
+		list_init(&owner->slots[i].links);
+	}
+}
+
+void owner_slot_release(struct slot *slot)
+{
+	slot->tenure++;
+	slot->state = SLOT_FREE;
+	slot->commit = COMMIT_IDLE;
+	slot->urgent = 0;
+	slot->reclaim = 0;
+	slot->absent = 0;
+	owner_links_drop(slot);
+	owner_inbox_drop(slot);
+	partition_delete(slot->partition);
+	slot->partition = NULL;
+}
+
+void owner_slots_free(struct owner *owner)
+{
+	uint32_t i;
+
+	for (i = 0; i < owner->slot_count; i++)
+		owner_slot_release(&owner->slots[i]);
+	free(owner->slots);
+	owner->slots = NULL;
+	owner->slot_count = 0;
+}
+
+void owner_slot_fenced(struct slot *slot, uint64_t epoch)
+{
+	log_event(EV_PARTITION_FENCED,
+		  "partition=%u epoch=%" PRIu64 " found_epoch=%" PRIu64
+		  " holder=%s",
+		  slot->number, slot->partition->epoch, epoch,
+		  slot->holder[0] ? slot->holder : "-");
+	owner_count(slot->owner, OWNER_FENCED);
+	owner_slot_release(slot);
+}
+
+/* Lease of this process, to which its keys own/N are attached. */
+
+static void lease_lost(struct owner *owner)
+{
+	uint32_t i;
+
+	owner->lease = 0;
+	for (i = 0; i < owner->slot_count; i++) {
+		owner->slots[i].claimed = 0;
+		owner->slots[i].reclaim = owner->slots[i].state == SLOT_OWNED;
+	}
+}
+
+static void lease_renewed(struct owner *owner, struct mstime sent_at)
+{
+	uint32_t i;
+
+	if (owner->holdover)
+		log_event(EV_HOLDOVER, "state=ended");
+	owner->holdover = 0;
+	for (i = 0; i < owner->slot_count; i++) {
+		struct slot *slot = &owner->slots[i];
+
+		if (slot->state == SLOT_OWNED && slot->claimed &&
+		    slot->claim_lease == owner->lease)
+			owner_lease_renewed(&slot->lease, sent_at);
+	}
+}
+
+static void lease_silent(struct owner *owner, int err)
+{
+	if (!owner->holdover)
+		log_event(EV_HOLDOVER, "state=begun reason=%s holdover_ms=%lld",
+			  error_name(err),
+			  (long long)owner->bounds.holdover_ms);
+	owner->holdover = 1;
+}
+
+static void on_lease(void *arg, int err, int64_t lease)
+{
+	struct owner_call call;
+	struct owner *owner;
+
+	if (!owner_call_end(arg, &call))
+		return;
+	owner = call.owner;
+	if (owner->lease_busy < 0)
+		return;
+	owner->lease_busy = 0;
+	if (err == ERR_NOT_FOUND) {
+		lease_lost(owner);
+		owner_tick_soon(owner);
+	} else if (err) {
+		lease_silent(owner, err);
+	} else {
+		owner->lease = lease;
+		lease_renewed(owner, call.started_at);
+	}
+}
+
+static void tick_lease(struct owner *owner, struct mstime now)
+{
+	struct store *store = owner->daemon->store;
+	int64_t ttl_s = owner->daemon->settings->store_lease_s;
+	int64_t wait = owner->lease && !owner->holdover ? ttl_s * 1000 / 3
+							: OWNER_RETRY_MS;
+
+	if (owner->lease_busy ||
+	    (owner->lease_at.ms && mstime_diff(now, owner->lease_at) < wait))
+		return;
+	owner->lease_at = now;
+	owner->lease_busy = 1;
+	if (owner->lease)
+		store_lease_keepalive(store, owner->lease, on_lease,
+				      owner_call_new(owner, NULL));
+	else if (!owner->stopping)
+		store_lease_grant(store, ttl_s, on_lease,
+				  owner_call_new(owner, NULL));
+	else
+		owner->lease_busy = 0;
+}
+
+/* Entries, for the order in which partitions are claimed. */
+
+static void on_entries(void *arg, int err, const struct store_item *items,
+		       size_t count)
+{
+	struct owner_call call;
+	struct owner *owner;
+	size_t i;
+
+	if (!owner_call_end(arg, &call))
+		return;
+	owner = call.owner;
+	owner->listing_entries = 0;
+	if (err)
+		return;
+	owner->entries_known = 1;
+	free(owner->entries);
+	owner->entries = xcalloc(count + 1, sizeof(*owner->entries));
+	owner->entry_count = count;
+	for (i = 0; i < count; i++)
+		str_copy(owner->entries[i], items[i].key + strlen("entry/"),
+			 ID_SIZE);
+}
+
+static void tick_entries(struct owner *owner, struct mstime now)
+{
+	if (owner->listing_entries ||
+	    (owner->entries_known &&
+	     mstime_diff(now, owner->entries_at) < OWNER_ENTRIES_MS))
+		return;
+	owner->listing_entries = 1;
+	owner->entries_at = now;
+	store_list(owner->daemon->store, "entry/", OWNER_ENTRIES_MAX,
+		   on_entries, owner_call_new(owner, NULL));
+}
+
+/* Scan of own/ */
+
+static void see_holder(struct slot *slot, const struct store_item *item)
+{
+	const struct owner *owner = slot->owner;
+	json_t *root = json_loadb((const char *)item->value, item->len, 0,
+				  NULL);
+	const char *entry = "", *incarnation = "";
+	char own[24];
+
+	if (root)
+		json_unpack(root, "{s:s, s:s}", "entry", &entry, "incarnation",
+			    &incarnation);
+	str_copy(slot->holder, entry, sizeof(slot->holder));
+	snprintf(own, sizeof(own), "%016" PRIx64, owner->daemon->incarnation);
+	slot->claimed = !strcmp(entry, owner->daemon->settings->id) &&
+			!strcmp(incarnation, own);
+	if (slot->claimed) {
+		slot->claim_lease = owner->lease;
+		slot->reclaim = 0;
+	}
+	json_decref(root);
+	slot->absent = 0;
+}
+
+static void see_absent(struct slot *slot, struct mstime scan_at)
+{
+	if (slot->state == SLOT_LOADING)
+		return;
+	slot->holder[0] = '\0';
+	slot->claimed = 0;
+	if (slot->state == SLOT_OWNED) {
+		slot->reclaim = 1;
+	} else if (!slot->absent) {
+		slot->absent = 1;
+		slot->absent_at = scan_at;
+	}
+}
+
+/*
+ * Another entry holds own/N of a partition that this one works on. A commit
+ * finds out which of the two the partition's value belongs to.
+ */
+static void check_foreign(struct slot *slot)
+{
+	if (slot->state != SLOT_OWNED || slot->claimed)
+		return;
+	slot->reclaim = 0;
+	partition_touch(slot->partition);
+	slot->urgent = 1;
+}
+
+static void on_scan(void *arg, int err, const struct store_item *items,
+		    size_t count)
+{
+	struct owner_call call;
+	struct owner *owner;
+	size_t i = 0;
+	uint32_t n;
+	char *present;
+
+	if (!owner_call_end(arg, &call))
+		return;
+	owner = call.owner;
+	owner->scanning = 0;
+	if (err)
+		return;
+	present = xcalloc(owner->slot_count, 1);
+	for (i = 0; i < count; i++) {
+		n = (uint32_t)strtoul(items[i].key + strlen("own/"), NULL, 10);
+		if (n >= owner->slot_count)
+			continue;
+		present[n] = 1;
+		if (!mstime_before(owner->slots[n].claim_at, call.started_at))
+			continue;
+		see_holder(&owner->slots[n], &items[i]);
+		check_foreign(&owner->slots[n]);
+	}
+	for (n = 0; n < owner->slot_count; n++)
+		if (!present[n] &&
+		    mstime_before(owner->slots[n].claim_at, call.started_at))
+			see_absent(&owner->slots[n], call.started_at);
+	free(present);
+}
+
+static void tick_scan(struct owner *owner, struct mstime now)
+{
+	if (owner->scanning ||
+	    (owner->scan_at.ms &&
+	     mstime_diff(now, owner->scan_at) < OWNER_SCAN_MS))
+		return;
+	owner->scanning = 1;
+	owner->scan_at = now;
+	store_list(owner->daemon->store, "own/", OWNER_LIST_MAX, on_scan,
+		   owner_call_new(owner, NULL));
+}
+
+void owner_store_tick(struct owner *owner)
+{
+	struct mstime now = owner_now();
+	uint32_t i;
+
+	tick_lease(owner, now);
+	if (owner->stopping)
+		return;
+	tick_entries(owner, now);
+	tick_scan(owner, now);
+	if (!owner->lease || !owner->entries_known ||
+	    mstime_diff(now, owner->started_at) < FIRST_CLAIM_MS)
+		return;
+	for (i = 0; i < owner->slot_count; i++)
+		owner_takeover_tick(&owner->slots[i], now);
+}
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -267,10 +267,15 @@
 	struct task_list tasks;
 };
 
+/*
+ * recorded is 1 when the ends of runs in the report are in the store. With 0
+ * grants are extended all the same, but the agent keeps reporting these ends.
+ */
 struct msg_task_report_ack {
 	uint64_t seq;
 	uint32_t partition;
 	uint64_t epoch;
+	uint32_t recorded;
 };
 
 struct msg_owner {
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -237,6 +237,7 @@
 	U64(struct msg_task_report_ack, seq),
 	U32(struct msg_task_report_ack, partition),
 	U64(struct msg_task_report_ack, epoch),
+	ENUM(struct msg_task_report_ack, recorded, 2),
 };
 
 static const struct field owner_fields[] = {
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -54,7 +54,7 @@
 	{ MSG_TASK_STOP, { .task_stop = { 2, 3, "j", 4, STOP_CANCEL } } },
 	{ MSG_TASK_THROTTLE, { .task_throttle = { 2, 3, "j", 4, 50 } } },
 	{ MSG_TASK_REPORT, { .task_report = { 1, 2, 3, "a1", { tasks, 1 } } } },
-	{ MSG_TASK_REPORT_ACK, { .task_report_ack = { 1, 2, 3 } } },
+	{ MSG_TASK_REPORT_ACK, { .task_report_ack = { 1, 2, 3, 1 } } },
 	{ MSG_OWNER, { .owner = { 1, 2, "e1" } } },
 };
 
