core: add the decisions of the request path

All of it is kept free of I/O, so that tables and random schedules can test it.

Route keeps one array of members a service and region; a choice samples at most 32 of them, so its time does not depend on the number of members. A scan over the membership was ruled out for 20,000 workers.

--- /dev/null
+++ b/packages/core/src/route_choose.c
@@ -0,0 +1,253 @@
+#include "route.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "mem.h"
+#include "route_impl.h"
+
+/* Members looked at before a region counts as full. */
+#define LOOK_MAX 32
+
+struct candidates {
+	struct member *items[2];
+	uint32_t count;
+	uint32_t looked_at;
+};
+
+static int is_stale(const struct member *member, struct mstime now)
+{
+	return mstime_diff(now, member->reported_at) > ROUTE_STALE_MS;
+}
+
+static uint32_t in_flight(const struct member *member, struct mstime now)
+{
+	uint32_t reported = member->load.in_flight + member->load.queued;
+
+	if (is_stale(member, now) || member->own_in_flight > reported)
+		return member->own_in_flight;
+	return reported;
+}
+
+static double weight(const struct member *member, struct mstime now)
+{
+	const struct place *place = member->route_state;
+	double latency = place->latency_ms;
+
+	/* A member without answers is neither preferred nor avoided. */
+	if (latency <= 0)
+		latency = place->service->latency_ms;
+	if (latency <= 0)
+		latency = 1;
+	return (in_flight(member, now) + 1) * latency;
+}
+
+static int was_tried(const struct route_query *query,
+		     const struct member *member)
+{
+	size_t i;
+
+	for (i = 0; i < query->tried_count; i++)
+		if (!strcmp(query->tried[i], member->agent))
+			return 1;
+	return 0;
+}
+
+static int has_room(const struct member *member,
+		    const struct route_query *query)
+{
+	if (member->own_in_flight >= query->limit)
+		return 0;
+	if (member->load.connections >= member->connections)
+		return 0;
+	return in_flight(member, query->now) < member->slots + ROUTE_QUEUE;
+}
+
+static int suits(const struct route *route, const struct member *member,
+		 const struct route_query *query)
+{
+	return member_usable(route->membership, member, query->now) &&
+	       !was_tried(query, member) && has_room(member, query);
+}
+
+static void look_at(struct route *route, const struct route_query *query,
+		    struct member *member, struct candidates *found)
+{
+	found->looked_at++;
+	if (found->count && found->items[0] == member)
+		return;
+	if (suits(route, member, query))
+		found->items[found->count++] = member;
+}
+
+/* Few members are looked at without replacement, so that none is missed. */
+static void sample_all(struct route *route, const struct group *group,
+		       const struct route_query *query,
+		       struct candidates *found)
+{
+	uint32_t order[LOOK_MAX], i, j, picked;
+
+	for (i = 0; i < group->count; i++)
+		order[i] = i;
+	for (i = 0; i < group->count && found->count < 2; i++) {
+		j = i + rng_below(&route->rng, group->count - i);
+		picked = order[j];
+		order[j] = order[i];
+		look_at(route, query, group->items[picked], found);
+	}
+}
+
+static void sample(struct route *route, const struct group *group,
+		   const struct route_query *query, struct candidates *found)
+{
+	uint32_t i;
+
+	if (group->count <= LOOK_MAX) {
+		sample_all(route, group, query, found);
+		return;
+	}
+	for (i = 0; i < LOOK_MAX && found->count < 2; i++)
+		look_at(route, query,
+			group->items[rng_below(&route->rng, group->count)],
+			found);
+}
+
+static void take_better(struct route_choice *choice,
+			const struct candidates *found, struct mstime now)
+{
+	struct member *first = found->items[0], *second;
+	double first_weight = weight(first, now), second_weight;
+
+	choice->member = first;
+	choice->weight = first_weight;
+	if (found->count == 2) {
+		second = found->items[1];
+		second_weight = weight(second, now);
+		if (second_weight < first_weight) {
+			choice->member = second;
+			choice->weight = second_weight;
+			second = first;
+			second_weight = first_weight;
+		}
+		str_copy(choice->over, second->agent, sizeof(choice->over));
+		choice->over_weight = second_weight;
+	}
+	choice->in_flight = in_flight(choice->member, now);
+	choice->stale = is_stale(choice->member, now);
+}
+
+static int choose_probe(struct route *route, struct service *service,
+			const struct route_query *query,
+			struct route_choice *choice)
+{
+	const struct group *ejected = &service->ejected;
+	struct member *member;
+	struct place *place;
+
+	if (!query->may_probe || !ejected->count || query->tried_count)
+		return 0;
+	member = ejected->items[service->probe_cursor++ % ejected->count];
+	place = member->route_state;
+	if (!eject_probe_due(&place->eject, query->now) ||
+	    !member_usable(route->membership, member, query->now))
+		return 0;
+	choice->member = member;
+	choice->reason = ROUTE_PROBE;
+	choice->weight = weight(member, query->now);
+	choice->in_flight = in_flight(member, query->now);
+	return 1;
+}
+
+static int choose_local(struct route *route, const struct service *service,
+			const struct route_query *query,
+			struct route_choice *choice)
+{
+	const struct group *group = route_group(service, query->region);
+	struct candidates found = { .count = 0 };
+
+	if (!group)
+		return 0;
+	sample(route, group, query, &found);
+	choice->looked_at += found.looked_at;
+	if (!found.count)
+		return 0;
+	take_better(choice, &found, query->now);
+	choice->reason = found.count == 2 ? ROUTE_LOCAL : ROUTE_LOCAL_ONE;
+	return 1;
+}
+
+/* Of the other regions the one whose sampled member weighs least. */
+static int choose_remote(struct route *route, const struct service *service,
+			 const struct route_query *query,
+			 struct route_choice *choice)
+{
+	struct route_choice other;
+	struct list *pos;
+
+	list_for_each (pos, &service->groups) {
+		struct group *group = list_entry(pos, struct group, node);
+		struct candidates found = { .count = 0 };
+
+		if (!strcmp(group->region, query->region))
+			continue;
+		sample(route, group, query, &found);
+		choice->looked_at += found.looked_at;
+		if (!found.count)
+			continue;
+		memset(&other, 0, sizeof(other));
+		take_better(&other, &found, query->now);
+		if (choice->member && choice->weight <= other.weight)
+			continue;
+		other.looked_at = choice->looked_at;
+		*choice = other;
+		choice->reason = ROUTE_REMOTE;
+	}
+	return choice->member != NULL;
+}
+
+void route_choose(struct route *route, const struct route_query *query,
+		  struct route_choice *choice)
+{
+	struct service *service = route_service(route, query->service);
+
+	memset(choice, 0, sizeof(*choice));
+	choice->reason = ROUTE_NO_MEMBER;
+	if (!service)
+		return;
+	if (choose_probe(route, service, query, choice) ||
+	    choose_local(route, service, query, choice) ||
+	    choose_remote(route, service, query, choice))
+		return;
+	if (service->active)
+		choice->reason = ROUTE_NO_ROOM;
+}
+
+const char *route_reason_name(enum route_reason reason)
+{
+	static const char *const names[ROUTE_REASON_COUNT] = {
+		[ROUTE_LOCAL] = "local",
+		[ROUTE_LOCAL_ONE] = "local-only-one",
+		[ROUTE_REMOTE] = "remote",
+		[ROUTE_PROBE] = "probe",
+		[ROUTE_NO_MEMBER] = "no-member",
+		[ROUTE_NO_ROOM] = "no-room",
+	};
+
+	return names[reason];
+}
+
+void route_explain(const struct route_choice *choice, char *text, size_t size)
+{
+	if (!choice->member) {
+		snprintf(text, size, "reason=%s looked_at=%u",
+			 route_reason_name(choice->reason), choice->looked_at);
+		return;
+	}
+	snprintf(text, size,
+		 "reason=%s agent=%s weight=%.1f in_flight=%u stale=%d "
+		 "over=%s over_weight=%.1f looked_at=%u",
+		 route_reason_name(choice->reason), choice->member->agent,
+		 choice->weight, choice->in_flight, choice->stale,
+		 choice->over[0] ? choice->over : "none", choice->over_weight,
+		 choice->looked_at);
+}
--- /dev/null
+++ b/packages/core/src/streams.c
@@ -0,0 +1,242 @@
+#include "streams.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "mem.h"
+
+void streams_init(struct streams *streams)
+{
+	list_init(&streams->all);
+}
+
+static int may_join(const struct stream *stream, const char *last_event_id)
+{
+	switch (stream->state) {
+	case STREAM_WAITING:
+		return !strcmp(stream->asked_id, last_event_id);
+	case STREAM_OPEN:
+	case STREAM_MOVING:
+		return !last_event_id[0] ||
+		       (!stream->given_unnamed &&
+			!strcmp(stream->given_id, last_event_id));
+	}
+	abort();
+}
+
+struct stream *streams_find(const struct streams *streams, const char *key,
+			    const char *last_event_id)
+{
+	struct list *pos;
+
+	list_for_each (pos, &streams->all) {
+		struct stream *stream = list_entry(pos, struct stream, node);
+
+		if (!strcmp(stream->key, key) &&
+		    may_join(stream, last_event_id))
+			return stream;
+	}
+	return NULL;
+}
+
+struct stream *stream_new(struct streams *streams, const char *key,
+			  const char *last_event_id, void *owner)
+{
+	struct stream *stream = xcalloc(1, sizeof(*stream));
+
+	stream->key = xstrdup(key);
+	str_copy(stream->asked_id, last_event_id, EVENT_ID_MAX);
+	str_copy(stream->whole_id, last_event_id, EVENT_ID_MAX);
+	str_copy(stream->given_id, last_event_id, EVENT_ID_MAX);
+	stream->owner = owner;
+	list_add_tail(&streams->all, &stream->node);
+	return stream;
+}
+
+void stream_delete(struct stream *stream)
+{
+	list_del(&stream->node);
+	free(stream->key);
+	free(stream->data);
+	free(stream);
+}
+
+void stream_join(struct stream *stream)
+{
+	stream->callers++;
+}
+
+uint32_t stream_leave(struct stream *stream)
+{
+	return --stream->callers;
+}
+
+void stream_open(struct stream *stream, uint64_t source)
+{
+	stream->state = STREAM_OPEN;
+	stream->source = source;
+}
+
+static void end_event(struct stream *stream)
+{
+	if (stream->event_has_id) {
+		str_copy(stream->whole_id, stream->event_id, EVENT_ID_MAX);
+		stream->whole_unnamed = 0;
+	} else if (stream->event_has_data) {
+		stream->whole_unnamed = 1;
+	}
+	stream->event_has_id = 0;
+	stream->event_has_data = 0;
+}
+
+/* RETURN VALUE: the value of the field, or NULL for another field. */
+static const char *field_value(const char *line, size_t len, const char *name,
+			       size_t *value_len)
+{
+	size_t name_len = strlen(name);
+
+	if (len < name_len || memcmp(line, name, name_len) != 0)
+		return NULL;
+	if (len == name_len) {
+		*value_len = 0;
+		return line + len;
+	}
+	if (line[name_len] != ':')
+		return NULL;
+	name_len++;
+	if (len > name_len && line[name_len] == ' ')
+		name_len++;
+	*value_len = len - name_len;
+	return line + name_len;
+}
+
+static void take_line(struct stream *stream, const char *line, size_t len)
+{
+	const char *value;
+	size_t value_len;
+
+	if (field_value(line, len, "data", &value_len))
+		stream->event_has_data = 1;
+	value = field_value(line, len, "id", &value_len);
+	if (!value || memchr(value, '\0', value_len))
+		return;
+	/* An id that cannot be kept counts as none. */
+	if (value_len >= EVENT_ID_MAX)
+		return;
+	memcpy(stream->event_id, value, value_len);
+	stream->event_id[value_len] = '\0';
+	stream->event_has_id = 1;
+}
+
+static void scan(struct stream *stream)
+{
+	for (; stream->scanned < stream->len; stream->scanned++) {
+		const char *line = (const char *)stream->data + stream->line;
+		size_t len = stream->scanned - stream->line;
+
+		if (stream->data[stream->scanned] != '\n')
+			continue;
+		if (len && line[len - 1] == '\r')
+			len--;
+		stream->line = stream->scanned + 1;
+		if (len) {
+			take_line(stream, line, len);
+			continue;
+		}
+		end_event(stream);
+		stream->whole = stream->line;
+	}
+}
+
+static void drop_given(struct stream *stream)
+{
+	size_t given = stream->given;
+
+	if (!given)
+		return;
+	memmove(stream->data, stream->data + given, stream->len - given);
+	stream->len -= given;
+	stream->whole -= given;
+	stream->scanned -= given;
+	stream->line -= given;
+	stream->given = 0;
+}
+
+static void append(struct stream *stream, const void *data, size_t len)
+{
+	if (stream->len + len > stream->size) {
+		stream->size = (stream->len + len) * 2;
+		stream->data = xrealloc(stream->data, stream->size);
+	}
+	if (len)
+		memcpy(stream->data + stream->len, data, len);
+	stream->len += len;
+}
+
+static void hand_out(struct stream *stream, struct span *ready)
+{
+	ready->data = stream->data;
+	ready->len = stream->whole;
+	stream->given = stream->whole;
+	str_copy(stream->given_id, stream->whole_id, EVENT_ID_MAX);
+	stream->given_unnamed = stream->whole_unnamed;
+}
+
+int stream_feed(struct stream *stream, uint64_t source, const void *data,
+		size_t len, struct span *ready)
+{
+	ready->data = NULL;
+	ready->len = 0;
+	if (source != stream->source)
+		return ERR_NOT_FOUND;
+	drop_given(stream);
+	if (stream->len + len > STREAM_BUFFER_MAX)
+		return ERR_TOO_LARGE;
+	append(stream, data, len);
+	scan(stream);
+	if (stream->state != STREAM_MOVING)
+		hand_out(stream, ready);
+	return 0;
+}
+
+struct span stream_rest(const struct stream *stream)
+{
+	struct span rest = { NULL, 0 };
+
+	if (stream->len == stream->given)
+		return rest;
+	rest.data = stream->data + stream->given;
+	rest.len = stream->len - stream->given;
+	return rest;
+}
+
+const char *stream_move_begin(struct stream *stream)
+{
+	if (stream->given_unnamed)
+		return NULL;
+	stream->state = STREAM_MOVING;
+	return stream->given_id;
+}
+
+void stream_move_done(struct stream *stream, uint64_t source)
+{
+	stream->state = STREAM_OPEN;
+	stream->source = source;
+	stream->len = 0;
+	stream->given = 0;
+	stream->whole = 0;
+	stream->scanned = 0;
+	stream->line = 0;
+	stream->event_has_id = 0;
+	stream->event_has_data = 0;
+	str_copy(stream->whole_id, stream->given_id, EVENT_ID_MAX);
+	stream->whole_unnamed = 0;
+}
+
+void stream_move_failed(struct stream *stream, struct span *ready)
+{
+	drop_given(stream);
+	stream->state = STREAM_OPEN;
+	hand_out(stream, ready);
+}
