entry: serve callers over evhttp and ZeroMQ

Adds the process that accepts requests of callers, routes them to agents, replays outcomes of keyed requests, joins event streams, registers in the store and stops gracefully.

--- /dev/null
+++ b/packages/daemon/src/entry.c
@@ -0,0 +1,402 @@
+#include "entry.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "admin.h"
+#include "entry_impl.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+#define REQUESTS "catkinhill_requests_total"
+#define REFUSALS "catkinhill_refusals_total"
+#define SHED "catkinhill_shed_total"
+#define LINK "catkinhill_link_bytes_total"
+
+/* Items looked at when the queue is served, and services without room. */
+#define DRAIN_MAX 64
+#define FULL_SERVICES_MAX 4
+
+static const struct {
+	enum counter_kind kind;
+	const char *name, *labels, *help;
+} counter_table[COUNT_ENTRY_LAST] = {
+	[COUNT_DONE] = { COUNTER_TOTAL, REQUESTS, "outcome=\"done\"",
+			 "Requests of callers by outcome." },
+	[COUNT_NOT_RUN] = { COUNTER_TOTAL, REQUESTS, "outcome=\"not-run\"" },
+	[COUNT_UNKNOWN] = { COUNTER_TOTAL, REQUESTS, "outcome=\"unknown\"" },
+	[COUNT_CUT] = { COUNTER_TOTAL, REQUESTS, "outcome=\"cut\"" },
+	[COUNT_ATTEMPTS] = { COUNTER_TOTAL, "catkinhill_attempts_total", NULL,
+			     "Attempts sent to agents." },
+	[COUNT_REFUSED_FULL] = { COUNTER_TOTAL, REFUSALS, "reason=\"full\"",
+				 "Attempts refused by agents." },
+	[COUNT_REFUSED_LEAVING] = { COUNTER_TOTAL, REFUSALS,
+				    "reason=\"leaving\"" },
+	[COUNT_REFUSED_NOT_READY] = { COUNTER_TOTAL, REFUSALS,
+				      "reason=\"not-ready\"" },
+	[COUNT_REFUSED_DEADLINE] = { COUNTER_TOTAL, REFUSALS,
+				     "reason=\"deadline\"" },
+	[COUNT_REFUSED_CANCELLED] = { COUNTER_TOTAL, REFUSALS,
+				      "reason=\"cancelled\"" },
+	[COUNT_REFUSED_MALFORMED] = { COUNTER_TOTAL, REFUSALS,
+				      "reason=\"malformed\"" },
+	[COUNT_UNSENT] = { COUNTER_TOTAL, REFUSALS, "reason=\"unsent\"" },
+	[COUNT_RETRIES] = { COUNTER_TOTAL, "catkinhill_retries_total", NULL,
+			    "Further attempts of requests." },
+	[COUNT_RETRIES_DENIED] = { COUNTER_TOTAL,
+				   "catkinhill_retries_denied_total", NULL,
+				   "Further attempts that the budget denied." },
+	[COUNT_EJECTIONS] = { COUNTER_TOTAL, "catkinhill_ejections_total", NULL,
+			      "Upstreams taken out of rotation." },
+	[COUNT_RETURNS] = { COUNTER_TOTAL, "catkinhill_ejection_returns_total",
+			    NULL, "Ejected upstreams back in rotation." },
+	[COUNT_SHED_SHARE] = { COUNTER_TOTAL, SHED, "reason=\"share\"",
+			       "Requests given up before an attempt." },
+	[COUNT_SHED_FULL] = { COUNTER_TOTAL, SHED, "reason=\"full\"" },
+	[COUNT_SHED_OVERLOAD] = { COUNTER_TOTAL, SHED, "reason=\"overload\"" },
+	[COUNT_SHED_DEADLINE] = { COUNTER_TOTAL, SHED, "reason=\"deadline\"" },
+	[COUNT_STRAY_FRAMES] = { COUNTER_TOTAL,
+				 "catkinhill_stray_messages_total", NULL,
+				 "Messages without a request in progress." },
+	[COUNT_JOINED] = { COUNTER_TOTAL, "catkinhill_streams_joined_total",
+			   NULL, "Callers joined into a shared stream." },
+	[COUNT_MOVED] = { COUNTER_TOTAL, "catkinhill_streams_moved_total", NULL,
+			  "Streams handed over to another upstream." },
+	[COUNT_LINK_IN] = { COUNTER_TOTAL, LINK, "direction=\"in\"",
+			    "Bytes to and from agents of other regions." },
+	[COUNT_LINK_OUT] = { COUNTER_TOTAL, LINK, "direction=\"out\"" },
+	[COUNT_QUEUE] = { COUNTER_GAUGE, "catkinhill_queue_length", NULL,
+			  "Requests that wait for an upstream." },
+	[COUNT_IN_FLIGHT] = { COUNTER_GAUGE, "catkinhill_requests_in_flight",
+			      NULL, "Requests of callers in progress." },
+};
+
+void entry_count(struct entry *entry, enum entry_counter counter)
+{
+	entry->counters[counter].value++;
+}
+
+static void add_counters(struct entry *entry)
+{
+	struct counter_set *set = &entry->daemon->counters;
+	size_t i;
+
+	for (i = 0; i < COUNT_ENTRY_LAST; i++) {
+		struct counter *counter = &entry->counters[i];
+
+		counter->kind = counter_table[i].kind;
+		counter->name = counter_table[i].name;
+		counter->labels = counter_table[i].labels;
+		counter->help = counter_table[i].help;
+		counter_add(set, counter);
+	}
+	entry->latency.name = "catkinhill_request_ms";
+	entry->latency.help = "Time from arrival to the end of the answer.";
+	histogram_add(set, &entry->latency);
+}
+
+static void remove_counters(struct entry *entry)
+{
+	size_t i;
+
+	for (i = 0; i < COUNT_ENTRY_LAST; i++)
+		list_del(&entry->counters[i].node);
+	list_del(&entry->latency.node);
+}
+
+void entry_drain_soon(struct entry *entry)
+{
+	if (admission_waiting(entry->admission))
+		loop_timer_start(entry->drain, 0);
+}
+
+static int is_full(const char *const *full, size_t count, const char *service)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (!strcmp(full[i], service))
+			return 1;
+	return 0;
+}
+
+/*
+ * Serves waiting requests until no service has room. A request that is
+ * tried leaves the queue, so the search starts anew after each.
+ */
+static void on_drain(void *arg)
+{
+	struct entry *entry = arg;
+	const char *full[FULL_SERVICES_MAX];
+	struct admission_item *item = NULL;
+	size_t full_count = 0, looked;
+
+	for (looked = 0; looked < DRAIN_MAX; looked++) {
+		struct request *request;
+
+		item = admission_next(entry->admission, item, sysclock_now());
+		if (!item)
+			return;
+		request = request_of_item(item);
+		if (is_full(full, full_count, request->service))
+			continue;
+		if (request_try(request)) {
+			item = NULL;
+			full_count = 0;
+			continue;
+		}
+		if (full_count == FULL_SERVICES_MAX)
+			return;
+		full[full_count++] = request->service;
+	}
+}
+
+static void drop_expired(struct entry *entry, struct mstime now)
+{
+	struct admission_item *item;
+	enum admission_verdict why;
+
+	while ((item = admission_expired(entry->admission, now, &why)))
+		request_shed(request_of_item(item), why);
+}
+
+static int64_t count_list(const struct list *head)
+{
+	const struct list *pos;
+	int64_t count = 0;
+
+	list_for_each (pos, head)
+		count++;
+	return count;
+}
+
+static void on_tick(void *arg)
+{
+	struct entry *entry = arg;
+	struct mstime now = sysclock_now();
+
+	loop_timer_start(entry->tick, TICK_MS);
+	drop_expired(entry, now);
+	entry_tick_attempts(entry, now);
+	watches_tick(entry, now);
+	membership_expire(&entry->membership, now);
+	entry->counters[COUNT_QUEUE].value =
+		admission_waiting(entry->admission);
+	entry->counters[COUNT_IN_FLIGHT].value = count_list(&entry->requests);
+	entry_drain_soon(entry);
+}
+
+void entry_update_ready(struct entry *entry)
+{
+	if (!entry->daemon->admin || entry->stopping)
+		return;
+	if (registry_config_known(entry->registry))
+		admin_set_ready(entry->daemon->admin, 1, "");
+	else
+		admin_set_ready(entry->daemon->admin, 0, "config-not-known");
+}
+
+void entry_on_config(void *arg)
+{
+	struct entry *entry = arg;
+	const struct config *config = &entry->daemon->config;
+
+	/* The first read can come before entry_new() has returned. */
+	if (!entry->registry)
+		return;
+	retry_set(&entry->retry, config->limits[LIMIT_RETRY_PERCENT],
+		  config->limits[LIMIT_RETRY_FLOOR]);
+	admission_set_limit(entry->admission,
+			    (uint32_t)config->limits[LIMIT_ENTRY_QUEUE]);
+	route_config(entry->route, config);
+	owner_on_change(entry->owner);
+	entry_update_ready(entry);
+	entry_drain_soon(entry);
+}
+
+static void init_decisions(struct entry *entry)
+{
+	const struct config *config = &entry->daemon->config;
+	uint64_t incarnation = entry->daemon->incarnation;
+
+	membership_init(&entry->membership);
+	entry->membership.on_remove = entry_on_member_removed;
+	entry->membership.on_remove_arg = entry;
+	entry->route = route_new(&entry->membership, incarnation);
+	retry_init(&entry->retry, config->limits[LIMIT_RETRY_PERCENT],
+		   config->limits[LIMIT_RETRY_FLOOR], sysclock_now());
+	entry->admission =
+		admission_new((uint32_t)config->limits[LIMIT_ENTRY_QUEUE]);
+	streams_init(&entry->streams);
+	/* The random half of the incarnation tells processes apart. */
+	entry->next_number = incarnation << 32 | 1;
+}
+
+static void init_lists(struct entry *entry)
+{
+	size_t i;
+
+	list_init(&entry->exchanges);
+	list_init(&entry->requests);
+	list_init(&entry->watches);
+	for (i = 0; i < ATTEMPT_BUCKETS; i++)
+		list_init(&entry->attempts[i]);
+}
+
+static int listen_all(struct entry *entry)
+{
+	const struct settings *settings = entry->daemon->settings;
+
+	entry->transport =
+		transport_server_new(entry->daemon->loop, settings->peers,
+				     entry_on_message, entry);
+	if (!entry->transport) {
+		log_event(EV_LISTEN_FAILED, "key=listen.peers address=%s",
+			  settings->peers);
+		return 0;
+	}
+	if (entry_http_start(entry)) {
+		log_event(EV_LISTEN_FAILED, "key=listen.callers address=%s",
+			  settings->callers);
+		return 0;
+	}
+	return 1;
+}
+
+static void check_stopped(void *arg);
+
+static void start_parts(struct entry *entry)
+{
+	struct daemon *daemon = entry->daemon;
+
+	entry->claims = claims_new(entry);
+	entry->trails = trails_new(entry);
+	entry->owner = owner_new(daemon, entry->transport, &entry->membership);
+	entry->registry = registry_new(entry);
+	entry->sync = configsync_new(daemon, entry_on_config, entry);
+	entry->opapi = opapi_new(daemon, entry->sync, &entry->membership);
+	loop_timer_start(entry->tick, TICK_MS);
+	entry_update_ready(entry);
+}
+
+struct entry *entry_new(struct daemon *daemon)
+{
+	struct entry *entry = xcalloc(1, sizeof(*entry));
+
+	entry->daemon = daemon;
+	init_lists(entry);
+	init_decisions(entry);
+	add_counters(entry);
+	entry->tick = loop_timer_new(daemon->loop, on_tick, entry);
+	entry->drain = loop_timer_new(daemon->loop, on_drain, entry);
+	entry->stop_timer = loop_timer_new(daemon->loop, check_stopped, entry);
+	if (!listen_all(entry)) {
+		entry_delete(entry);
+		return NULL;
+	}
+	start_parts(entry);
+	return entry;
+}
+
+static void delete_requests(struct entry *entry)
+{
+	while (!list_empty(&entry->requests)) {
+		struct request *request = list_entry(entry->requests.next,
+						     struct request, node);
+
+		request_finish(request, OUTCOME_UNKNOWN, 1);
+	}
+}
+
+void entry_delete(struct entry *entry)
+{
+	entry->stopped = NULL;
+	delete_requests(entry);
+	entry_http_stop(entry);
+	if (entry->opapi)
+		opapi_delete(entry->opapi);
+	if (entry->sync)
+		configsync_delete(entry->sync);
+	if (entry->owner)
+		owner_delete(entry->owner);
+	registry_delete(entry->registry);
+	claims_delete(entry->claims);
+	membership_clear(&entry->membership);
+	route_delete(entry->route);
+	if (entry->transport)
+		transport_delete(entry->transport);
+	trails_delete(entry->trails);
+	admission_delete(entry->admission);
+	loop_timer_delete(entry->tick);
+	loop_timer_delete(entry->drain);
+	loop_timer_delete(entry->stop_timer);
+	remove_counters(entry);
+	free(entry->config_json);
+	free(entry);
+}
+
+static int nothing_left(const struct entry *entry)
+{
+	return entry->owner_stopped && entry->registry_stopped &&
+	       list_empty(&entry->requests) && list_empty(&entry->exchanges);
+}
+
+/* Also called when the bound of the stop has passed. */
+static void check_stopped(void *arg)
+{
+	struct entry *entry = arg;
+	stopped_fn fn = entry->stopped;
+
+	if (!fn)
+		return;
+	if (!nothing_left(entry) &&
+	    mstime_before(sysclock_now(), entry->stop_until)) {
+		loop_timer_start(entry->stop_timer,
+				 mstime_diff(entry->stop_until,
+					     sysclock_now()));
+		return;
+	}
+	log_event(EV_ENTRY_STOPPED, "left=%lld",
+		  (long long)count_list(&entry->requests));
+	entry->stopped = NULL;
+	fn(entry->stopped_arg);
+}
+
+/* Later, because the caller may still use what the callback deletes. */
+void entry_check_stopped(struct entry *entry)
+{
+	if (entry->stopped && nothing_left(entry))
+		loop_timer_start(entry->stop_timer, 0);
+}
+
+static void on_owner_stopped(void *arg)
+{
+	struct entry *entry = arg;
+
+	entry->owner_stopped = 1;
+	entry_check_stopped(entry);
+}
+
+static void on_registry_stopped(void *arg)
+{
+	struct entry *entry = arg;
+
+	entry->registry_stopped = 1;
+	entry_check_stopped(entry);
+}
+
+void entry_stop(struct entry *entry, stopped_fn fn, void *arg)
+{
+	int64_t bound_ms = entry->daemon->settings->stop_ms;
+
+	entry->stopping = 1;
+	entry->stopped = fn;
+	entry->stopped_arg = arg;
+	entry->stop_until = mstime_add(sysclock_now(), bound_ms);
+	loop_timer_start(entry->stop_timer, bound_ms);
+	registry_stop(entry->registry, on_registry_stopped, entry);
+	owner_stop(entry->owner, on_owner_stopped, entry);
+	watches_stop(entry);
+	entry_check_stopped(entry);
+}
--- /dev/null
+++ b/packages/daemon/src/entry_agents.c
@@ -0,0 +1,263 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "config.h"
+#include "entry_impl.h"
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+/* A daemon's transport counts bytes; the difference is that of one message. */
+int entry_send(struct entry *entry, const char *peer, int remote,
+	       const struct message *msg)
+{
+	const struct transport_stats *stats = transport_stats(entry->transport);
+	int64_t before = stats->bytes_out;
+	int err = transport_send(entry->transport, peer, msg);
+
+	if (remote)
+		entry->counters[COUNT_LINK_OUT].value +=
+			stats->bytes_out - before;
+	return err;
+}
+
+static void count_link_in(struct entry *entry, const char *region)
+{
+	const struct transport_stats *stats = transport_stats(entry->transport);
+
+	if (region && strcmp(region, entry->daemon->settings->region) != 0)
+		entry->counters[COUNT_LINK_IN].value +=
+			stats->bytes_in - entry->seen_bytes_in;
+}
+
+static void send_config(struct entry *entry, const struct member *member,
+			int remote)
+{
+	const struct config *config = &entry->daemon->config;
+	struct message msg = { .type = MSG_CONFIG };
+
+	if (!entry->config_json ||
+	    entry->config_json_version != config->version) {
+		free(entry->config_json);
+		entry->config_json = config_render(config);
+		entry->config_json_version = config->version;
+	}
+	msg.u.config.version = config->version;
+	msg.u.config.json = entry->config_json;
+	entry_send(entry, member->peer, remote, &msg);
+}
+
+static void acknowledge(struct entry *entry, const struct member *member,
+			const struct msg_announce *announce)
+{
+	const struct entry_list *entries = registry_entries(entry->registry);
+	uint64_t version = entry->daemon->config.version;
+	uint64_t hash = registry_hash(entry->registry);
+	int remote =
+		strcmp(member->region, entry->daemon->settings->region) != 0;
+	struct message msg = { .type = MSG_ANNOUNCE_ACK };
+
+	msg.u.announce_ack.seq = announce->seq;
+	msg.u.announce_ack.config_version = version;
+	msg.u.announce_ack.directory_hash = hash;
+	if (announce->directory_hash != hash)
+		msg.u.announce_ack.entries = *entries;
+	entry_send(entry, member->peer, remote, &msg);
+	if (announce->config_version < version)
+		send_config(entry, member, remote);
+}
+
+/* Attempts at an earlier incarnation of the agent cannot be answered. */
+static void lose_attempts(struct entry *entry, const struct member *member,
+			  int all, const char *why)
+{
+	size_t i;
+
+	for (i = 0; i < ATTEMPT_BUCKETS; i++) {
+		struct list *pos, *tmp;
+
+		list_for_each_safe (pos, tmp, &entry->attempts[i]) {
+			struct attempt *attempt =
+				list_entry(pos, struct attempt, bucket);
+
+			if (attempt->member != member ||
+			    (!all &&
+			     attempt->incarnation == member->incarnation))
+				continue;
+			if (attempt->watch)
+				watch_attempt_lost(attempt);
+			else
+				request_attempt_lost(attempt->request, why);
+			/* Ending one request may have ended the next one. */
+			tmp = entry->attempts[i].next;
+		}
+	}
+}
+
+static void on_announce(struct entry *entry, const char *peer,
+			const struct msg_announce *announce)
+{
+	size_t len = strlen(announce->agent);
+	enum membership_change change;
+	struct member *member;
+
+	if (strncmp(peer, announce->agent, len) != 0 || peer[len] != '/') {
+		entry_count(entry, COUNT_STRAY_FRAMES);
+		return;
+	}
+	change = membership_announce(&entry->membership, announce, peer,
+				     sysclock_now());
+	if (change == MEMBER_STALE)
+		return;
+	member = membership_find(&entry->membership, announce->agent);
+	count_link_in(entry, member->region);
+	if (change != MEMBER_UNCHANGED) {
+		log_event(EV_MEMBER_CHANGED,
+			  "agent=%s state=%s service=%s region=%s domain=%s "
+			  "joined=%d",
+			  member->agent, agent_state_name(member->state),
+			  member->service, member->region, member->domain,
+			  change == MEMBER_JOINED);
+		route_update(entry->route, member, &entry->daemon->config);
+		owner_on_change(entry->owner);
+	}
+	if (change == MEMBER_JOINED)
+		lose_attempts(entry, member, 0, "the agent has restarted");
+	if (change == MEMBER_STATE && member->state == AGENT_LEAVING)
+		watch_member_leaving(entry, member);
+	acknowledge(entry, member, announce);
+	entry_drain_soon(entry);
+}
+
+/* An agent that has seen a newer configuration passes it on. */
+static void on_config(struct entry *entry, const struct msg_config *msg)
+{
+	struct config config;
+
+	if (config_parse(&config, msg->json, strlen(msg->json)) ||
+	    config.version != msg->version) {
+		entry_count(entry, COUNT_STRAY_FRAMES);
+		return;
+	}
+	if (config_advance(&entry->daemon->config, &config) != 1)
+		return;
+	log_event(EV_CONFIG_APPLIED, "version=%llu source=agent",
+		  (unsigned long long)config.version);
+	entry_on_config(entry);
+}
+
+static uint64_t number_of(const struct message *msg)
+{
+	switch (msg->type) {
+	case MSG_REFUSED:
+		return msg->u.refused.request;
+	case MSG_RESPONSE:
+		return msg->u.response.request;
+	case MSG_RESPONSE_BODY:
+		return msg->u.response_body.request;
+	case MSG_RESPONSE_END:
+		return msg->u.response_end.request;
+	default:
+		return 0;
+	}
+}
+
+/* An answer to a finished or unknown attempt is never passed on. */
+static void on_answer(struct entry *entry, const char *peer,
+		      const struct message *msg)
+{
+	struct attempt *attempt = attempt_find(entry, number_of(msg));
+
+	if (!attempt || strcmp(attempt->peer, peer) != 0) {
+		entry_count(entry, COUNT_STRAY_FRAMES);
+		return;
+	}
+	if (attempt->remote)
+		count_link_in(entry,
+			      attempt->member ? attempt->member->region : NULL);
+	if (attempt->watch)
+		watch_on_message(attempt, msg);
+	else
+		request_on_message(attempt, msg);
+}
+
+void entry_on_message(void *arg, const char *peer, const struct message *msg)
+{
+	struct entry *entry = arg;
+
+	switch (msg->type) {
+	case MSG_ANNOUNCE:
+		on_announce(entry, peer, &msg->u.announce);
+		break;
+	case MSG_CONFIG:
+		on_config(entry, &msg->u.config);
+		break;
+	case MSG_REFUSED:
+	case MSG_RESPONSE:
+	case MSG_RESPONSE_BODY:
+	case MSG_RESPONSE_END:
+		on_answer(entry, peer, msg);
+		break;
+	case MSG_TASK_REPORT:
+		owner_on_report(entry->owner, peer, &msg->u.task_report);
+		break;
+	default:
+		entry_count(entry, COUNT_STRAY_FRAMES);
+		break;
+	}
+	entry->seen_bytes_in = transport_stats(entry->transport)->bytes_in;
+}
+
+void entry_on_member_removed(void *arg, struct member *member)
+{
+	struct entry *entry = arg;
+	size_t i;
+
+	lose_attempts(entry, member, 1, "the agent was forgotten");
+	for (i = 0; i < ATTEMPT_BUCKETS; i++) {
+		struct list *pos;
+
+		list_for_each (pos, &entry->attempts[i]) {
+			struct attempt *attempt =
+				list_entry(pos, struct attempt, bucket);
+
+			if (attempt->member == member)
+				attempt->member = NULL;
+		}
+	}
+	route_remove(entry->route, member);
+}
+
+/*
+ * Attempts at agents that have been silent for too long, and parts that a
+ * full queue has refused.
+ */
+void entry_tick_attempts(struct entry *entry, struct mstime now)
+{
+	size_t i;
+
+	for (i = 0; i < ATTEMPT_BUCKETS; i++) {
+		struct list *pos, *tmp;
+
+		list_for_each_safe (pos, tmp, &entry->attempts[i]) {
+			struct attempt *attempt =
+				list_entry(pos, struct attempt, bucket);
+			const struct member *member = attempt->member;
+
+			if (!attempt->body_done)
+				attempt_send_body(attempt);
+			if (attempt->credit_owed)
+				attempt_credit(attempt, 0);
+			if (!member || mstime_diff(now, member->reported_at) <=
+					       entry->membership.silent_ms)
+				continue;
+			if (attempt->watch)
+				watch_attempt_lost(attempt);
+			else
+				request_attempt_lost(attempt->request,
+						     "the agent is silent");
+			tmp = entry->attempts[i].next;
+		}
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry_answer.c
@@ -0,0 +1,252 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_headers.h"
+#include "entry_impl.h"
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+static void drop_attempt(struct request *request)
+{
+	struct attempt *attempt = request->attempt;
+
+	request->attempt = NULL;
+	attempt_delete(attempt);
+}
+
+void request_cut(struct request *request, const char *why)
+{
+	trail_step(request->trail, "cut: %s", why);
+	log_event(EV_ANSWER_CUT, "trace=%s reason=\"%s\" bytes=%llu",
+		  request->trace, why, (unsigned long long)request->sent);
+	if (request->claim)
+		claim_run_end(request->claim, OUTCOME_UNKNOWN, request->status,
+			      NULL);
+	request_finish(request, OUTCOME_UNKNOWN, 1);
+}
+
+static int may_retry(struct request *request, int proven, enum refusal reason)
+{
+	struct entry *entry = request->entry;
+	struct mstime now = sysclock_now();
+
+	if (!proven && !request->repeatable)
+		return 0;
+	if (reason == REFUSAL_DEADLINE || reason == REFUSAL_MALFORMED ||
+	    request->caller_left)
+		return 0;
+	if (request->attempts >= entry->daemon->config.limits[LIMIT_ATTEMPTS] ||
+	    !mstime_before(now, request->deadline))
+		return 0;
+	if (!retry_take(&entry->retry, now)) {
+		entry_count(entry, COUNT_RETRIES_DENIED);
+		trail_step(request->trail, "retry denied by the budget");
+		return 0;
+	}
+	entry_count(entry, COUNT_RETRIES);
+	return 1;
+}
+
+void request_after_failure(struct request *request, int proven,
+			   enum refusal reason)
+{
+	static const int statuses[REFUSAL_COUNT] = {
+		[REFUSAL_FULL] = 503,	   [REFUSAL_LEAVING] = 503,
+		[REFUSAL_NOT_READY] = 503, [REFUSAL_DEADLINE] = 504,
+		[REFUSAL_CANCELLED] = 503, [REFUSAL_MALFORMED] = 400,
+	};
+
+	if (!proven)
+		request->maybe_ran = 1;
+	if (may_retry(request, proven, reason)) {
+		if (!request_try(request))
+			request_dispatch(request);
+		return;
+	}
+	if (request->maybe_ran)
+		request_answer(request, 502, OUTCOME_UNKNOWN,
+			       "the upstream did not answer");
+	else
+		request_answer(request, statuses[reason], OUTCOME_NOT_RUN,
+			       refusal_name(reason));
+}
+
+void request_attempt_lost(struct request *request, const char *why)
+{
+	trail_step(request->trail, "lost: %s", why);
+	attempt_judge(request->attempt, 1);
+	if (request->head_sent) {
+		request_cut(request, why);
+		return;
+	}
+	drop_attempt(request);
+	request_after_failure(request, 0, REFUSAL_NOT_READY);
+}
+
+static void on_refused(struct request *request, const struct msg_refused *msg)
+{
+	struct attempt *attempt = request->attempt;
+
+	if (attempt->head) {
+		request_attempt_lost(request, "refused after the head");
+		return;
+	}
+	entry_count(request->entry, COUNT_REFUSED_FULL + msg->reason);
+	trail_step(request->trail, "%s refused: %s", attempt->agent,
+		   refusal_name((enum refusal)msg->reason));
+	log_event(EV_ATTEMPT_REFUSED, "trace=%s agent=%s reason=%s",
+		  request->trace, attempt->agent,
+		  refusal_name((enum refusal)msg->reason));
+	if (attempt->member)
+		attempt->member->load = msg->load;
+	if (msg->reason == REFUSAL_NOT_READY)
+		attempt_judge(attempt, 1);
+	drop_attempt(request);
+	request_after_failure(request, 1, (enum refusal)msg->reason);
+}
+
+/* A failing upstream is avoided when the request can be repeated. */
+static int retry_status(struct request *request, const struct msg_response *msg)
+{
+	if (msg->status < 500 || msg->status == 501 || msg->stream ||
+	    !request->repeatable)
+		return 0;
+	if (!may_retry(request, 0, REFUSAL_NOT_READY))
+		return 0;
+	request->maybe_ran = 1;
+	trail_step(request->trail, "status %u, another attempt", msg->status);
+	attempt_cancel(request->attempt);
+	request->attempt = NULL;
+	if (!request_try(request))
+		request_dispatch(request);
+	return 1;
+}
+
+static void send_head(struct request *request, const struct msg_response *msg)
+{
+	struct header_list headers;
+
+	answer_headers(&msg->headers, (int)msg->stream, &headers,
+		       &request->length);
+	request->head_sent = 1;
+	request->status = (int)msg->status;
+	request->stream = (int)msg->stream;
+	request->progress_at = sysclock_now();
+	exchange_head(request->exchange, request->status, &headers,
+		      OUTCOME_DONE, request->trace);
+	if (request->claim)
+		claim_run_head(request->claim, request->status, &headers);
+	free(headers.items);
+}
+
+static void on_head(struct request *request, const struct msg_response *msg)
+{
+	struct attempt *attempt = request->attempt;
+
+	if (attempt->head || msg->status < 200) {
+		request_attempt_lost(request, "a second or an interim head");
+		return;
+	}
+	attempt->head = 1;
+	attempt_judge(attempt, msg->status >= 500);
+	if (retry_status(request, msg) || watch_on_head(request, msg))
+		return;
+	send_head(request, msg);
+	if (!request->stream)
+		return;
+	attempt_release(attempt);
+	loop_timer_stop(request->timer);
+}
+
+static int has_no_body(const struct request *request)
+{
+	return !strcmp(request->exchange->method, "HEAD") ||
+	       request->status == 204 || request->status == 304;
+}
+
+static void on_body(struct request *request,
+		    const struct msg_response_body *msg)
+{
+	struct attempt *attempt = request->attempt;
+
+	if (!attempt->head || msg->offset != attempt->received) {
+		request_attempt_lost(request, "a gap in the body");
+		return;
+	}
+	attempt->received += msg->data.len;
+	request->progress_at = sysclock_now();
+	if (has_no_body(request)) {
+		attempt_credit(attempt, (uint32_t)msg->data.len);
+		return;
+	}
+	/* More bytes would be read as the head of the next answer. */
+	if (request->length >= 0 &&
+	    attempt->received > (uint64_t)request->length) {
+		request_attempt_lost(request, "longer than its length");
+		return;
+	}
+	request->sent += msg->data.len;
+	if (request->claim)
+		claim_run_data(request->claim, msg->data.data, msg->data.len);
+	if (request->exchange->conn)
+		exchange_data(request->exchange, msg->data.data, msg->data.len);
+	else
+		attempt_credit(attempt, (uint32_t)msg->data.len);
+}
+
+static int is_whole(const struct request *request,
+		    const struct msg_response_end *msg)
+{
+	const struct attempt *attempt = request->attempt;
+
+	return msg->outcome == OUTCOME_DONE && !msg->moved &&
+	       msg->total == attempt->received &&
+	       (request->length < 0 || has_no_body(request) ||
+		attempt->received == (uint64_t)request->length);
+}
+
+static void on_end(struct request *request, const struct msg_response_end *msg)
+{
+	struct attempt *attempt = request->attempt;
+
+	if (attempt->member)
+		attempt->member->load = msg->load;
+	if (!attempt->head && msg->outcome == OUTCOME_NOT_RUN) {
+		drop_attempt(request);
+		request_after_failure(request, 1, REFUSAL_NOT_READY);
+		return;
+	}
+	if (!attempt->head || !is_whole(request, msg)) {
+		request_attempt_lost(request, "ended before it was whole");
+		return;
+	}
+	drop_attempt(request);
+	if (request->claim)
+		claim_run_end(request->claim, OUTCOME_DONE, request->status,
+			      NULL);
+	request_finish(request, OUTCOME_DONE, 0);
+}
+
+void request_on_message(struct attempt *attempt, const struct message *msg)
+{
+	struct request *request = attempt->request;
+
+	switch (msg->type) {
+	case MSG_REFUSED:
+		on_refused(request, &msg->u.refused);
+		break;
+	case MSG_RESPONSE:
+		on_head(request, &msg->u.response);
+		break;
+	case MSG_RESPONSE_BODY:
+		on_body(request, &msg->u.response_body);
+		break;
+	case MSG_RESPONSE_END:
+		on_end(request, &msg->u.response_end);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/entry_attempt.c
@@ -0,0 +1,197 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_impl.h"
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+static struct list *bucket_of(struct entry *entry, uint64_t number)
+{
+	return &entry->attempts[number % ATTEMPT_BUCKETS];
+}
+
+struct attempt *attempt_find(struct entry *entry, uint64_t number)
+{
+	struct list *bucket = bucket_of(entry, number), *pos;
+
+	list_for_each (pos, bucket) {
+		struct attempt *attempt =
+			list_entry(pos, struct attempt, bucket);
+
+		if (attempt->number == number)
+			return attempt;
+	}
+	return NULL;
+}
+
+static struct attempt *new_attempt(struct entry *entry,
+				   const struct route_choice *choice,
+				   const struct attempt_params *params)
+{
+	struct attempt *attempt = xcalloc(1, sizeof(*attempt));
+	struct member *member = choice->member;
+
+	attempt->entry = entry;
+	attempt->number = entry->next_number++;
+	attempt->member = member;
+	str_copy(attempt->agent, member->agent, sizeof(attempt->agent));
+	str_copy(attempt->peer, member->peer, sizeof(attempt->peer));
+	attempt->incarnation = member->incarnation;
+	attempt->probe = choice->reason == ROUTE_PROBE;
+	attempt->remote =
+		strcmp(member->region, entry->daemon->settings->region) != 0;
+	attempt->sent_at = sysclock_now();
+	attempt->limit_ms = params->remaining_ms;
+	attempt->body = params->body;
+	return attempt;
+}
+
+static int send_request(struct attempt *attempt,
+			const struct attempt_params *params)
+{
+	struct message msg = {
+		.type = MSG_REQUEST,
+		.u.request = {
+			.request = attempt->number,
+			.attempt = params->number,
+			.remaining_ms = (uint32_t)params->remaining_ms,
+			.method = params->method,
+			.path = params->path,
+			.headers = *params->headers,
+			.body_length = params->body.len,
+		},
+	};
+
+	str_copy(msg.u.request.trace, params->trace,
+		 sizeof(msg.u.request.trace));
+	return entry_send(attempt->entry, attempt->peer, attempt->remote, &msg);
+}
+
+struct attempt *attempt_start(struct entry *entry,
+			      const struct route_choice *choice,
+			      const struct attempt_params *params, int *err)
+{
+	struct attempt *attempt = new_attempt(entry, choice, params);
+
+	*err = send_request(attempt, params);
+	if (*err) {
+		free(attempt);
+		return NULL;
+	}
+	entry_count(entry, COUNT_ATTEMPTS);
+	list_add_head(bucket_of(entry, attempt->number), &attempt->bucket);
+	route_sent(entry->route, choice->member, attempt->probe,
+		   attempt->sent_at);
+	attempt_send_body(attempt);
+	return attempt;
+}
+
+/* A body without bytes is stated by the length in the request itself. */
+void attempt_send_body(struct attempt *attempt)
+{
+	struct message msg = { .type = MSG_REQUEST_BODY };
+	int err;
+
+	while (!attempt->body_done && attempt->body_sent < attempt->body.len) {
+		size_t rest = attempt->body.len - (size_t)attempt->body_sent;
+		size_t len = rest < BODY_CHUNK_MAX ? rest : BODY_CHUNK_MAX;
+
+		msg.u.request_body.request = attempt->number;
+		msg.u.request_body.offset = attempt->body_sent;
+		msg.u.request_body.data.data =
+			attempt->body.data + attempt->body_sent;
+		msg.u.request_body.data.len = len;
+		msg.u.request_body.last = len == rest;
+		err = entry_send(attempt->entry, attempt->peer, attempt->remote,
+				 &msg);
+		/* A full queue is tried again by the entry's tick. */
+		if (err)
+			return;
+		attempt->body_sent += len;
+	}
+	attempt->body_done = 1;
+}
+
+void attempt_release(struct attempt *attempt)
+{
+	if (attempt->released)
+		return;
+	attempt->released = 1;
+	if (attempt->member)
+		route_released(attempt->entry->route, attempt->member,
+			       attempt->incarnation);
+	entry_drain_soon(attempt->entry);
+}
+
+static void log_route_event(struct attempt *attempt, enum route_event event)
+{
+	uint32_t active, ejected;
+
+	route_count(attempt->entry->route, attempt->member->service, &active,
+		    &ejected);
+	if (event == ROUTE_EVENT_EJECTED) {
+		entry_count(attempt->entry, COUNT_EJECTIONS);
+		log_event(EV_UPSTREAM_EJECTED, "agent=%s active=%u ejected=%u",
+			  attempt->agent, active, ejected);
+	}
+	if (event == ROUTE_EVENT_RETURNED) {
+		entry_count(attempt->entry, COUNT_RETURNS);
+		log_event(EV_UPSTREAM_RETURNED, "agent=%s active=%u ejected=%u",
+			  attempt->agent, active, ejected);
+	}
+}
+
+void attempt_judge(struct attempt *attempt, int failed)
+{
+	struct mstime now = sysclock_now();
+	int64_t took_ms = mstime_diff(now, attempt->sent_at);
+
+	if (attempt->judged || !attempt->member ||
+	    attempt->member->incarnation != attempt->incarnation)
+		return;
+	attempt->judged = 1;
+	if (failed)
+		took_ms = attempt->limit_ms;
+	log_route_event(attempt,
+			route_result(attempt->entry->route, attempt->member,
+				     failed, attempt->probe, took_ms, now));
+}
+
+void attempt_delete(struct attempt *attempt)
+{
+	if (!attempt)
+		return;
+	attempt_release(attempt);
+	if (attempt->probe && !attempt->judged && attempt->member)
+		route_probe_void(attempt->entry->route, attempt->member);
+	list_del(&attempt->bucket);
+	free(attempt);
+}
+
+void attempt_cancel(struct attempt *attempt)
+{
+	struct message msg = { .type = MSG_CANCEL };
+
+	if (!attempt)
+		return;
+	msg.u.cancel.request = attempt->number;
+	/* An agent that does not hear it stops at the deadline. */
+	entry_send(attempt->entry, attempt->peer, attempt->remote, &msg);
+	attempt_delete(attempt);
+}
+
+void attempt_credit(struct attempt *attempt, uint32_t bytes)
+{
+	struct message msg = { .type = MSG_CREDIT };
+
+	attempt->credit_owed += bytes;
+	if (!attempt->credit_owed)
+		return;
+	msg.u.credit.request = attempt->number;
+	msg.u.credit.bytes = attempt->credit_owed;
+	/* A lost credit would stop the answer; the tick sends it again. */
+	if (!entry_send(attempt->entry, attempt->peer, attempt->remote, &msg))
+		attempt->credit_owed = 0;
+}
--- /dev/null
+++ b/packages/daemon/src/entry_http.h
@@ -0,0 +1,68 @@
+#ifndef CATKINHILL_ENTRY_HTTP_H
+#define CATKINHILL_ENTRY_HTTP_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "list.h"
+#include "message.h"
+
+struct entry;
+struct evhttp_connection;
+struct evhttp_request;
+struct request;
+
+/*
+ * NAME
+ *	exchange - one request of a caller and its answer over evhttp
+ *
+ * NOTES
+ *	The strings point into the evhttp request and live as long as the
+ *	exchange. An exchange that has a request belongs to it until
+ *	exchange_end(), exchange_cut() or exchange_reply().
+ */
+#define BODY_MAX (16 * 1024 * 1024)
+
+struct exchange {
+	struct list node; /* entry->exchanges */
+	struct entry *entry;
+	struct evhttp_request *http;
+	struct evhttp_connection *conn; /* NULL after the caller has left */
+	struct request *request;	/* NULL after the end of the answer */
+	const char *method;
+	const char *path;
+	const char *host;
+	char address[ID_SIZE];
+	struct header_list headers; /* to be forwarded */
+	struct span body;
+	size_t unwritten; /* bytes of the answer that evhttp still holds */
+	int head_sent;
+	int ended;
+	int close_after;
+};
+
+/* RETURN VALUE: 0, or ERR_SYSTEM when the address cannot be bound. */
+int entry_http_start(struct entry *entry);
+
+/* Cuts all exchanges and closes all connections. */
+void entry_http_stop(struct entry *entry);
+
+const char *exchange_header(const struct exchange *exchange, const char *name);
+
+/* Sends the head; outcome and trace become headers of the answer. */
+void exchange_head(struct exchange *exchange, int status,
+		   const struct header_list *headers, enum outcome outcome,
+		   const char *trace);
+void exchange_data(struct exchange *exchange, const void *data, size_t len);
+
+/* Ends a whole answer; the exchange must not be used afterwards. */
+void exchange_end(struct exchange *exchange);
+
+/* Closes the connection so that the caller sees the answer as truncated. */
+void exchange_cut(struct exchange *exchange);
+
+/* Head, a line of text and end in one. */
+void exchange_reply(struct exchange *exchange, int status, enum outcome outcome,
+		    const char *trace, const char *text);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/entry_request.c
@@ -0,0 +1,459 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <arpa/inet.h>
+
+#include "entry_impl.h"
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+/* An answer without progress for so long is cut. */
+#define STALL_MS 30000
+
+struct request *request_of_item(struct admission_item *item)
+{
+	return list_entry(item, struct request, item);
+}
+
+static int64_t limit_of(const struct entry *entry, enum limit_key key)
+{
+	return entry->daemon->config.limits[key];
+}
+
+/* A host without a name, such as 127.0.0.1:8080, means the default. */
+static void choose_service(struct request *request)
+{
+	const struct settings *settings = request->entry->daemon->settings;
+	const char *host = request->exchange->host;
+	unsigned char address[sizeof(struct in6_addr)];
+	char name[ID_SIZE];
+
+	if (!host || str_copy(name, host, sizeof(name)))
+		name[0] = '\0';
+	name[strcspn(name, ":")] = '\0';
+	if (!name[0] || name[0] == '[' || !strcasecmp(name, "localhost") ||
+	    inet_pton(AF_INET, name, address) == 1)
+		str_copy(name, settings->default_service, sizeof(name));
+	str_copy(request->service, name, sizeof(request->service));
+}
+
+static int read_deadline(struct request *request)
+{
+	const char *text =
+		exchange_header(request->exchange, "Catkinhill-Deadline-Ms");
+	int64_t max = limit_of(request->entry, LIMIT_DEADLINE_MAX_MS);
+	long long ms = limit_of(request->entry, LIMIT_DEADLINE_DEFAULT_MS);
+	char *end;
+
+	if (text) {
+		ms = strtoll(text, &end, 10);
+		if (end == text || *end || ms < 0)
+			return ERR_INVALID;
+	}
+	request->deadline = mstime_add(request->arrived, ms < max ? ms : max);
+	return 0;
+}
+
+static int is_repeatable(const struct request *request)
+{
+	const char *method = request->exchange->method;
+
+	return !request->keyed &&
+	       (!strcmp(method, "GET") || !strcmp(method, "HEAD") ||
+		!strcmp(method, "OPTIONS"));
+}
+
+static void on_timer(void *arg)
+{
+	struct request *request = arg;
+	struct mstime now = sysclock_now();
+	int64_t idle_ms = mstime_diff(now, request->progress_at);
+	struct attempt *attempt = request->attempt;
+
+	if (request->head_sent) {
+		/* What the caller has not read yet is not a stall. */
+		if (idle_ms < STALL_MS || request->exchange->unwritten)
+			loop_timer_start(request->timer, STALL_MS);
+		else
+			request_cut(request, "stalled");
+		return;
+	}
+	if (attempt) {
+		request->maybe_ran = 1;
+		if (attempt->member &&
+		    route_is_late(request->entry->route, attempt->member,
+				  mstime_diff(now, attempt->sent_at)))
+			attempt_judge(attempt, 1);
+	}
+	entry_count(request->entry, COUNT_SHED_DEADLINE);
+	request_answer(request, 504,
+		       request->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+		       "deadline passed");
+}
+
+static void start_timer(struct request *request)
+{
+	request->timer =
+		loop_timer_new(request->entry->daemon->loop, on_timer, request);
+	loop_timer_start(request->timer,
+			 mstime_diff(request->deadline, request->arrived));
+}
+
+static const char *caller_name(const struct request *request)
+{
+	const char *name =
+		exchange_header(request->exchange, "Catkinhill-Caller");
+
+	return name && *name ? name : request->exchange->address;
+}
+
+static struct request *create(struct entry *entry, struct exchange *exchange)
+{
+	struct request *request = xcalloc(1, sizeof(*request));
+
+	request->entry = entry;
+	request->exchange = exchange;
+	exchange->request = request;
+	request->arrived = sysclock_now();
+	request->deadline = request->arrived;
+	request->length = -1;
+	list_init(&request->watch_node);
+	list_add_tail(&entry->requests, &request->node);
+	snprintf(request->trace, sizeof(request->trace), "%.24s-%08x-%" PRIx64,
+		 entry->daemon->settings->id,
+		 (uint32_t)entry->daemon->incarnation, entry->next_trace++);
+	request->keyed = exchange_header(exchange, "Idempotency-Key") != NULL;
+	request->repeatable = is_repeatable(request);
+	choose_service(request);
+	request->body_len = (int64_t)exchange->body.len;
+	entry->body_bytes += request->body_len;
+	request->trail = trail_start(entry->trails, request);
+	return request;
+}
+
+/* RETURN VALUE: 1 when the request was answered. */
+static int refuse_early(struct request *request)
+{
+	struct entry *entry = request->entry;
+	int64_t buffer_max =
+		entry->daemon->settings->body_buffer_mb * 1024 * 1024;
+
+	if (read_deadline(request)) {
+		request_answer(request, 400, OUTCOME_NOT_RUN,
+			       "Catkinhill-Deadline-Ms must be a number of "
+			       "milliseconds");
+		return 1;
+	}
+	if (entry->stopping) {
+		request->exchange->close_after = 1;
+		request_answer(request, 503, OUTCOME_NOT_RUN, "stopping");
+		return 1;
+	}
+	if (request->exchange->body.len > BODY_MAX) {
+		request_answer(request, 413, OUTCOME_NOT_RUN,
+			       "request is over 16 MB");
+		return 1;
+	}
+	if (buffer_max && entry->body_bytes > buffer_max) {
+		entry_count(entry, COUNT_SHED_FULL);
+		request_answer(request, 503, OUTCOME_NOT_RUN,
+			       "no buffer for the body");
+		return 1;
+	}
+	if (!registry_config_known(entry->registry)) {
+		request_answer(request, 503, OUTCOME_NOT_RUN,
+			       "configuration not known yet");
+		return 1;
+	}
+	return 0;
+}
+
+void request_new(struct entry *entry, struct exchange *exchange)
+{
+	struct request *request = create(entry, exchange);
+	const char *key = exchange_header(exchange, "Idempotency-Key");
+	enum admission_verdict verdict;
+
+	if (refuse_early(request))
+		return;
+	verdict = admission_enter(entry->admission, &request->item,
+				  caller_name(request), request->deadline,
+				  request->arrived);
+	if (verdict != ADMISSION_OK) {
+		request_shed(request, verdict);
+		return;
+	}
+	retry_request(&entry->retry);
+	start_timer(request);
+	if (key)
+		claim_run_start(request, key);
+	else if (!watch_wanted(request) || !watch_join(request))
+		request_dispatch(request);
+}
+
+void request_shed(struct request *request, enum admission_verdict why)
+{
+	static const struct {
+		enum entry_counter counter;
+		int status;
+		const char *text;
+	} answers[] = {
+		[ADMISSION_OVER_SHARE] = { COUNT_SHED_SHARE, 429,
+					   "over the share of this caller" },
+		[ADMISSION_FULL] = { COUNT_SHED_FULL, 503, "queue is full" },
+		[ADMISSION_DEADLINE] = { COUNT_SHED_DEADLINE, 504,
+					 "deadline passed" },
+		[ADMISSION_OVERLOAD] = { COUNT_SHED_OVERLOAD, 503,
+					 "overloaded" },
+	};
+
+	entry_count(request->entry, answers[why].counter);
+	trail_step(request->trail, "shed: %s", answers[why].text);
+	request_answer(request, answers[why].status,
+		       request->maybe_ran ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
+		       answers[why].text);
+}
+
+static void enqueue(struct request *request)
+{
+	struct entry *entry = request->entry;
+	struct admission_item *evicted;
+	enum admission_verdict why;
+
+	trail_step(request->trail, "queued behind %u",
+		   admission_waiting(entry->admission));
+	admission_wait(entry->admission, &request->item, sysclock_now(),
+		       &evicted, &why);
+	if (evicted)
+		request_shed(request_of_item(evicted), why);
+}
+
+void request_dispatch(struct request *request)
+{
+	/* A request must not overtake those that wait already. */
+	if (admission_waiting(request->entry->admission) ||
+	    !request_try(request))
+		enqueue(request);
+}
+
+static void choose(struct request *request, struct route_choice *choice)
+{
+	struct entry *entry = request->entry;
+	struct route_query query = {
+		.service = request->service,
+		.region = entry->daemon->settings->region,
+		.tried_count = request->tried_count,
+		.may_probe = request->repeatable,
+		.limit = (uint32_t)limit_of(entry, LIMIT_UPSTREAM_REQUESTS),
+		.now = sysclock_now(),
+	};
+	size_t i;
+
+	for (i = 0; i < request->tried_count; i++)
+		query.tried[i] = request->tried[i];
+	route_choose(entry->route, &query, choice);
+}
+
+static void note_choice(struct request *request,
+			const struct route_choice *choice)
+{
+	char text[256];
+
+	route_explain(choice, text, sizeof(text));
+	trail_step(request->trail, "attempt %u: %s", request->attempts + 1,
+		   text);
+	if (choice->member)
+		log_event(EV_ROUTE_CHOSEN, "trace=%s attempt=%u service=%s %s",
+			  request->trace, request->attempts + 1,
+			  request->service, text);
+	else
+		log_event(EV_ROUTE_NONE, "trace=%s service=%s %s",
+			  request->trace, request->service, text);
+}
+
+static void remember_tried(struct request *request, const char *agent)
+{
+	if (request->tried_count < ROUTE_TRIED_MAX)
+		str_copy(request->tried[request->tried_count++], agent,
+			 ID_SIZE);
+}
+
+static int send_to(struct request *request, const struct route_choice *choice)
+{
+	const struct exchange *exchange = request->exchange;
+	int64_t remaining = mstime_diff(request->deadline, sysclock_now());
+	struct attempt_params params = {
+		.trace = request->trace,
+		.method = exchange->method,
+		.path = exchange->path,
+		.headers = &exchange->headers,
+		.body = exchange->body,
+		.number = request->attempts + 1,
+		.remaining_ms = remaining > 0 ? remaining : 0,
+	};
+	int err;
+
+	remember_tried(request, choice->member->agent);
+	request->attempts++;
+	request->attempt = attempt_start(request->entry, choice, &params, &err);
+	if (!request->attempt)
+		return err;
+	request->attempt->request = request;
+	return 0;
+}
+
+/* Nothing has left this process, which proves that nothing has run. */
+static void after_unsent(struct request *request, int err)
+{
+	trail_step(request->trail, "not sent: %s", error_name(err));
+	entry_count(request->entry, COUNT_UNSENT);
+	if (err == ERR_TOO_LARGE || err == ERR_INVALID)
+		request_after_failure(request, 1, REFUSAL_MALFORMED);
+	else
+		request_after_failure(request, 1, REFUSAL_FULL);
+}
+
+int request_try(struct request *request)
+{
+	struct route_choice choice;
+	int err;
+
+	if (!mstime_before(sysclock_now(), request->deadline)) {
+		request_shed(request, ADMISSION_DEADLINE);
+		return 1;
+	}
+	choose(request, &choice);
+	if (choice.reason == ROUTE_NO_ROOM) {
+		/* After all were tried, any of them may have room again. */
+		request->tried_count = 0;
+		return 0;
+	}
+	note_choice(request, &choice);
+	if (!choice.member) {
+		request_answer(request, 503,
+			       request->maybe_ran ? OUTCOME_UNKNOWN
+						  : OUTCOME_NOT_RUN,
+			       "no upstream");
+		return 1;
+	}
+	admission_take(request->entry->admission, &request->item);
+	err = send_to(request, &choice);
+	if (err)
+		after_unsent(request, err);
+	return 1;
+}
+
+void request_caller_left(struct request *request)
+{
+	request->caller_left = 1;
+	trail_step(request->trail, "the caller left");
+	/*
+	 * A keyed request goes on, so that a retry of the caller finds its
+	 * outcome.
+	 */
+	if (request->claim && !request->head_sent)
+		return;
+	if (request->claim && request->attempt)
+		return;
+	request_finish(request,
+		       request->attempt || request->maybe_ran ||
+				       request->head_sent
+			       ? OUTCOME_UNKNOWN
+			       : OUTCOME_NOT_RUN,
+		       request->head_sent);
+}
+
+void request_written(struct request *request, size_t bytes)
+{
+	request->progress_at = sysclock_now();
+	if (request->attempt)
+		attempt_credit(request->attempt, (uint32_t)bytes);
+}
+
+void request_answer(struct request *request, int status, enum outcome outcome,
+		    const char *text)
+{
+	struct attempt *attempt = request->attempt;
+
+	request->attempt = NULL;
+	attempt_cancel(attempt);
+	admission_take(request->entry->admission, &request->item);
+	if (request->claim &&
+	    claim_run_end(request->claim, outcome, status, text))
+		return;
+	/*
+	 * Without a claim nothing is known about earlier requests with the
+	 * same key, which may have run.
+	 */
+	if (request->keyed)
+		outcome = OUTCOME_UNKNOWN;
+	request_answer_now(request, status, outcome, text);
+}
+
+void request_answer_now(struct request *request, int status,
+			enum outcome outcome, const char *text)
+{
+	struct exchange *exchange = request->exchange;
+
+	request->status = status;
+	request->exchange = NULL;
+	exchange_reply(exchange, status, outcome, request->trace, text);
+	request_finish(request, outcome, 0);
+}
+
+static void count_outcome(struct request *request, enum outcome outcome,
+			  int cut)
+{
+	static const enum entry_counter counters[] = {
+		[OUTCOME_DONE] = COUNT_DONE,
+		[OUTCOME_NOT_RUN] = COUNT_NOT_RUN,
+		[OUTCOME_UNKNOWN] = COUNT_UNKNOWN,
+	};
+
+	entry_count(request->entry, cut ? COUNT_CUT : counters[outcome]);
+}
+
+static void report(struct request *request, enum outcome outcome, int cut)
+{
+	int64_t took_ms = mstime_diff(sysclock_now(), request->arrived);
+	const char *name = cut ? "cut" : outcome_name(outcome);
+
+	count_outcome(request, outcome, cut);
+	if (!request->stream)
+		histogram_observe(&request->entry->latency, took_ms);
+	log_event(EV_REQUEST_DONE,
+		  "trace=%s service=%s status=%d outcome=%s attempts=%u "
+		  "ms=%" PRId64 " caller_left=%d",
+		  request->trace, request->service, request->status, name,
+		  request->attempts, took_ms, request->caller_left);
+	trail_end(request->trail, request->status, name, took_ms);
+}
+
+void request_finish(struct request *request, enum outcome outcome, int cut)
+{
+	struct entry *entry = request->entry;
+	struct exchange *exchange = request->exchange;
+
+	report(request, outcome, cut);
+	attempt_cancel(request->attempt);
+	if (request->watch)
+		watch_leave(request);
+	if (request->claim)
+		claim_run_detach(request->claim);
+	admission_leave(entry->admission, &request->item);
+	loop_timer_delete(request->timer);
+	entry->body_bytes -= request->body_len;
+	list_del(&request->node);
+	free(request);
+	if (exchange && cut)
+		exchange_cut(exchange);
+	else if (exchange)
+		exchange_end(exchange);
+	entry_drain_soon(entry);
+	entry_check_stopped(entry);
+}
