gate: add the ledger of one worker's capacity

Cause: the agent must refuse what its worker cannot hold.

Change: slots, connections and queue for requests, reservations for tasks.

--- /dev/null
+++ b/packages/core/src/gate.c
@@ -0,0 +1,236 @@
+#include "gate.h"
+
+#include <string.h>
+
+#include "errors.h"
+
+void gate_init(struct gate *gate, const struct gate_limits *limits)
+{
+	memset(gate, 0, sizeof(*gate));
+	gate->limits = *limits;
+	list_init(&gate->queue);
+	list_init(&gate->tasks);
+}
+
+void gate_close(struct gate *gate, enum refusal reason)
+{
+	gate->refusing = 1;
+	gate->reason = reason;
+}
+
+void gate_open(struct gate *gate)
+{
+	gate->refusing = 0;
+}
+
+static int has_room(const struct gate *gate)
+{
+	return gate->slots_used < gate->limits.slots &&
+	       gate->connections_used < gate->limits.connections;
+}
+
+static void start(struct gate *gate, struct gate_request *request)
+{
+	gate->slots_used++;
+	gate->connections_used++;
+	request->stage = GATE_RUNNING;
+}
+
+enum gate_stage gate_admit(struct gate *gate, struct gate_request *request,
+			   struct mstime deadline, struct mstime now,
+			   enum refusal *reason)
+{
+	if (request->stage != GATE_OUTSIDE)
+		return request->stage;
+	list_init(&request->node);
+	request->deadline = deadline;
+	if (gate->refusing) {
+		*reason = gate->reason;
+		return GATE_OUTSIDE;
+	}
+	if (!mstime_before(now, deadline)) {
+		*reason = REFUSAL_DEADLINE;
+		return GATE_OUTSIDE;
+	}
+	/* A newcomer must not overtake those that wait for the same slot. */
+	if (!gate->queued && has_room(gate)) {
+		start(gate, request);
+		return GATE_RUNNING;
+	}
+	if (gate->queued >= gate->limits.queue) {
+		*reason = REFUSAL_FULL;
+		return GATE_OUTSIDE;
+	}
+	list_add_tail(&gate->queue, &request->node);
+	gate->queued++;
+	request->stage = GATE_WAITING;
+	return GATE_WAITING;
+}
+
+static void dequeue(struct gate *gate, struct gate_request *request)
+{
+	list_del(&request->node);
+	gate->queued--;
+	request->stage = GATE_OUTSIDE;
+}
+
+struct gate_request *gate_next(struct gate *gate, struct mstime now,
+			       enum refusal *reason)
+{
+	struct gate_request *request;
+	struct list *pos;
+
+	list_for_each(pos, &gate->queue) {
+		request = list_entry(pos, struct gate_request, node);
+		if (!gate->refusing && mstime_before(now, request->deadline))
+			continue;
+		*reason = gate->refusing ? gate->reason : REFUSAL_DEADLINE;
+		dequeue(gate, request);
+		return request;
+	}
+	if (list_empty(&gate->queue) || !has_room(gate))
+		return NULL;
+	request = list_entry(gate->queue.next, struct gate_request, node);
+	dequeue(gate, request);
+	start(gate, request);
+	return request;
+}
+
+int gate_next_deadline(const struct gate *gate, struct mstime *deadline)
+{
+	const struct list *pos;
+	int found = 0;
+
+	list_for_each(pos, &gate->queue) {
+		struct mstime t =
+			list_entry(pos, struct gate_request, node)->deadline;
+
+		*deadline = found ? mstime_min(*deadline, t) : t;
+		found = 1;
+	}
+	return found;
+}
+
+void gate_stream(struct gate *gate, struct gate_request *request)
+{
+	if (request->stage != GATE_RUNNING)
+		return;
+	gate->slots_used--;
+	request->stage = GATE_STREAM;
+}
+
+void gate_release(struct gate *gate, struct gate_request *request)
+{
+	switch (request->stage) {
+	case GATE_OUTSIDE:
+		return;
+	case GATE_WAITING:
+		dequeue(gate, request);
+		return;
+	case GATE_RUNNING:
+		gate->slots_used--;
+		/* fall through */
+	case GATE_STREAM:
+		gate->connections_used--;
+		request->stage = GATE_OUTSIDE;
+	}
+}
+
+static uint32_t larger(uint32_t a, uint32_t b)
+{
+	return a > b ? a : b;
+}
+
+static uint32_t add(uint32_t a, uint32_t b)
+{
+	return a > UINT32_MAX - b ? UINT32_MAX : a + b;
+}
+
+static struct resources add_resources(struct resources a, struct resources b)
+{
+	a.cpu_milli = add(a.cpu_milli, b.cpu_milli);
+	a.mem_mb = add(a.mem_mb, b.mem_mb);
+	a.accel = add(a.accel, b.accel);
+	return a;
+}
+
+static int within(struct resources a, struct resources b)
+{
+	return a.cpu_milli <= b.cpu_milli && a.mem_mb <= b.mem_mb &&
+	       a.accel <= b.accel;
+}
+
+struct resources gate_reserved(const struct gate *gate)
+{
+	struct resources sum = { 0, 0, 0 };
+	const struct list *pos;
+
+	list_for_each(pos, &gate->tasks) {
+		const struct gate_task *t =
+			list_entry(pos, struct gate_task, node);
+		struct resources r = {
+			larger(t->declared.cpu_milli, t->observed.cpu_milli),
+			larger(t->declared.mem_mb, t->observed.mem_mb),
+			larger(t->declared.accel, t->observed.accel),
+		};
+
+		sum = add_resources(sum, r);
+	}
+	return sum;
+}
+
+int gate_over(const struct gate *gate)
+{
+	return !within(gate_reserved(gate), gate->limits.capacity);
+}
+
+int gate_task_reserve(struct gate *gate, struct gate_task *task,
+		      const struct resources *declared)
+{
+	if (task->reserved)
+		return ERR_EXISTS;
+	if (gate->refusing)
+		return ERR_STOPPING;
+	if (!within(*declared, gate->limits.capacity))
+		return ERR_TOO_LARGE;
+	if (!within(add_resources(gate_reserved(gate), *declared),
+		    gate->limits.capacity))
+		return ERR_FULL;
+	gate_task_adopt(gate, task, &(struct resources){ 0, 0, 0 });
+	task->declared = *declared;
+	return 0;
+}
+
+void gate_task_adopt(struct gate *gate, struct gate_task *task,
+		     const struct resources *observed)
+{
+	if (task->reserved)
+		return;
+	memset(task, 0, sizeof(*task));
+	task->reserved = 1;
+	task->observed = *observed;
+	list_add_tail(&gate->tasks, &task->node);
+}
+
+void gate_task_observe(struct gate *gate, struct gate_task *task,
+		       const struct resources *observed)
+{
+	if (task->reserved)
+		task->observed = *observed;
+}
+
+void gate_task_release(struct gate *gate, struct gate_task *task)
+{
+	if (!task->reserved)
+		return;
+	list_del(&task->node);
+	task->reserved = 0;
+}
+
+void gate_load(const struct gate *gate, struct load *load)
+{
+	load->in_flight = gate->slots_used;
+	load->queued = gate->queued;
+	load->connections = gate->connections_used;
+	load->used = gate_reserved(gate);
+}
