agent: add the thin path and the task side, uncompiled daemon

Cause: one agent beside each worker gates requests and batch runs.

Change: links to the entries, requests through the gate, runs under grants, reports to the partition owners.

Ruled out: closing the connection of a cancelled request at once; an upstream may go on with it, and its slot would be given twice.

--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -56,13 +56,16 @@
 	uint32_t slots_used;
 	uint32_t connections_used;
 	uint32_t queued;
-	int refusing;	      /* refuse everything, for reason */
+	int refusing; /* refuse everything, for reason */
 	enum refusal reason;
 };
 
 void gate_init(struct gate *gate, const struct gate_limits *limits);
 
-/* Refuses new requests and tasks, and those in the queue, from now on. */
+/*
+ * Refuses new requests, and those in the queue, from now on; with
+ * REFUSAL_LEAVING also tasks.
+ */
 void gate_close(struct gate *gate, enum refusal reason);
 void gate_open(struct gate *gate);
 
@@ -104,7 +107,7 @@
  * ERRORS
  *	ERR_FULL	it does not fit beside what is reserved
  *	ERR_TOO_LARGE	it would not fit into the empty worker
- *	ERR_STOPPING	the gate is closed
+ *	ERR_STOPPING	the gate is closed for REFUSAL_LEAVING
  *	ERR_EXISTS	the task has a reservation already
  */
 int gate_task_reserve(struct gate *gate, struct gate_task *task,
--- a/packages/core/src/gate.c
+++ b/packages/core/src/gate.c
@@ -80,7 +80,7 @@
 	struct gate_request *request;
 	struct list *pos;
 
-	list_for_each(pos, &gate->queue) {
+	list_for_each (pos, &gate->queue) {
 		request = list_entry(pos, struct gate_request, node);
 		if (!gate->refusing && mstime_before(now, request->deadline))
 			continue;
@@ -101,7 +101,7 @@
 	const struct list *pos;
 	int found = 0;
 
-	list_for_each(pos, &gate->queue) {
+	list_for_each (pos, &gate->queue) {
 		struct mstime t =
 			list_entry(pos, struct gate_request, node)->deadline;
 
@@ -165,7 +165,7 @@
 	struct resources sum = { 0, 0, 0 };
 	const struct list *pos;
 
-	list_for_each(pos, &gate->tasks) {
+	list_for_each (pos, &gate->tasks) {
 		const struct gate_task *t =
 			list_entry(pos, struct gate_task, node);
 		struct resources r = {
@@ -189,7 +189,7 @@
 {
 	if (task->reserved)
 		return ERR_EXISTS;
-	if (gate->refusing)
+	if (gate->refusing && gate->reason == REFUSAL_LEAVING)
 		return ERR_STOPPING;
 	if (!within(*declared, gate->limits.capacity))
 		return ERR_TOO_LARGE;
--- /dev/null
+++ b/packages/daemon/src/agent_counters.c
@@ -0,0 +1,88 @@
+#include "agent_counters.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const struct {
+	const char *name;
+	const char *help;
+} gauges[] = {
+	[GAUGE_SLOTS] = { "catkinhill_agent_slots_used",
+			  "Requests that hold a slot." },
+	[GAUGE_CONNECTIONS] = { "catkinhill_agent_connections_used",
+				"Requests and streams at the upstream." },
+	[GAUGE_QUEUED] = { "catkinhill_agent_queued",
+			   "Requests that wait for a slot." },
+	[GAUGE_CPU] = { "catkinhill_agent_cpu_milli_reserved",
+			"Processor time reserved by tasks, in 1/1000 core." },
+	[GAUGE_MEM] = { "catkinhill_agent_mem_mb_reserved",
+			"Memory reserved by tasks, in MB." },
+	[GAUGE_ACCEL] = { "catkinhill_agent_accel_reserved",
+			  "Accelerators reserved by tasks." },
+};
+
+static void add(struct counter_set *set, struct counter *counter,
+		enum counter_kind kind, const char *name, const char *help)
+{
+	counter->kind = kind;
+	counter->name = name;
+	counter->help = help;
+	counter_add(set, counter);
+}
+
+static void label(struct counter *counter, char *text, const char *key,
+		  const char *value)
+{
+	snprintf(text, NAME_SIZE, "%s=\"%s\"", key, value);
+	counter->labels = text;
+}
+
+void agent_counters_init(struct agent_counters *counters,
+			 struct counter_set *set)
+{
+	char(*text)[NAME_SIZE] = counters->labels;
+	int i;
+
+	memset(counters, 0, sizeof(*counters));
+	for (i = 0; i <= OUTCOME_UNKNOWN; i++) {
+		label(&counters->requests[i], *text++, "outcome",
+		      outcome_name(i));
+		add(set, &counters->requests[i], COUNTER_TOTAL,
+		    "catkinhill_agent_requests_total",
+		    "Requests that ended, by outcome.");
+	}
+	for (i = 0; i < REFUSAL_COUNT; i++) {
+		label(&counters->refusals[i], *text++, "reason",
+		      refusal_name(i));
+		add(set, &counters->refusals[i], COUNTER_TOTAL,
+		    "catkinhill_agent_refusals_total",
+		    "Requests that were refused, by reason.");
+	}
+	for (i = 0; i < TASK_STATE_COUNT; i++) {
+		label(&counters->tasks[i], *text++, "state",
+		      task_state_name(i));
+		add(set, &counters->tasks[i], COUNTER_GAUGE,
+		    "catkinhill_agent_tasks", "Task runs known, by state.");
+	}
+	add(set, &counters->fenced, COUNTER_TOTAL,
+	    "catkinhill_agent_fenced_total",
+	    "Messages of owners refused for an old epoch or run.");
+	for (i = 0; i < GAUGE_COUNT; i++)
+		add(set, &counters->gauges[i], COUNTER_GAUGE, gauges[i].name,
+		    gauges[i].help);
+	add(set, &counters->links, COUNTER_GAUGE, "catkinhill_agent_links",
+	    "Entries that answer the announcements.");
+}
+
+void agent_counters_gate(struct agent_counters *counters,
+			 const struct gate *gate)
+{
+	struct resources reserved = gate_reserved(gate);
+
+	counters->gauges[GAUGE_SLOTS].value = gate->slots_used;
+	counters->gauges[GAUGE_CONNECTIONS].value = gate->connections_used;
+	counters->gauges[GAUGE_QUEUED].value = gate->queued;
+	counters->gauges[GAUGE_CPU].value = reserved.cpu_milli;
+	counters->gauges[GAUGE_MEM].value = reserved.mem_mb;
+	counters->gauges[GAUGE_ACCEL].value = reserved.accel;
+}
--- /dev/null
+++ b/packages/daemon/src/agent_reports.c
@@ -0,0 +1,155 @@
+#include "agent_reports.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent_links.h"
+#include "agent_task.h"
+#include "agent_tasks.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+static struct agent_owner *find_owner(const struct agent *agent,
+				      uint32_t partition)
+{
+	struct list *pos;
+
+	list_for_each (pos, &agent->owners) {
+		struct agent_owner *owner =
+			list_entry(pos, struct agent_owner, node);
+
+		if (owner->partition == partition)
+			return owner;
+	}
+	return NULL;
+}
+
+void agent_reports_owner(struct agent_link *link, uint32_t partition,
+			 uint64_t epoch)
+{
+	struct agent *agent = link->agent;
+	struct agent_owner *owner = find_owner(agent, partition);
+
+	if (owner && owner->epoch == epoch && owner->link == link)
+		return;
+	if (!owner) {
+		owner = xcalloc(1, sizeof(*owner));
+		owner->partition = partition;
+		list_add_tail(&agent->owners, &owner->node);
+	}
+	owner->epoch = epoch;
+	owner->link = link;
+	log_event(EV_TASK_OWNER, "partition=%u epoch=%llu entry=%s", partition,
+		  (unsigned long long)epoch, link->address);
+	agent_tasks_report_soon(agent);
+}
+
+void agent_tasks_link_removed(struct agent_link *link)
+{
+	struct list *pos;
+
+	list_for_each (pos, &link->agent->owners) {
+		struct agent_owner *owner =
+			list_entry(pos, struct agent_owner, node);
+
+		if (owner->link == link)
+			owner->link = NULL;
+	}
+}
+
+void agent_tasks_report_soon(struct agent *agent)
+{
+	if (agent->report_timer)
+		loop_timer_start(agent->report_timer, 0);
+}
+
+static void send_report(struct agent *agent, const struct message *msg)
+{
+	const struct agent_owner *owner =
+		find_owner(agent, msg->u.task_report.partition);
+	struct list *pos;
+
+	if (owner && owner->link && owner->link->answering) {
+		agent_link_send(owner->link, msg);
+		return;
+	}
+	list_for_each (pos, &agent->links)
+		agent_link_send(list_entry(pos, struct agent_link, node), msg);
+}
+
+static void fill_row(struct task_status *row, const struct agent_task *t)
+{
+	str_copy(row->job, t->grant.job, sizeof(row->job));
+	row->run = t->grant.run;
+	row->state = t->state;
+	row->used = t->used;
+	row->checkpoint = t->checkpoint;
+	row->detail = t->detail;
+}
+
+/* Sends the runs of first's partition that this round has not listed. */
+static void report_partition(struct agent *agent, struct list *first,
+			     uint64_t round)
+{
+	uint32_t partition =
+		list_entry(first, struct agent_task, node)->grant.partition;
+	struct task_status rows[AGENT_REPORT_TASKS];
+	struct message msg = { .type = MSG_TASK_REPORT };
+	struct msg_task_report *report = &msg.u.task_report;
+	struct mstime now = sysclock_now();
+	struct list *pos;
+
+	report->seq = ++agent->report_seq;
+	report->partition = partition;
+	report->epoch = grants_epoch(&agent->grants, partition);
+	report->tasks.items = rows;
+	str_copy(report->agent, agent->daemon->settings->id,
+		 sizeof(report->agent));
+	for (pos = first; pos != &agent->tasks; pos = pos->next) {
+		struct agent_task *t = list_entry(pos, struct agent_task, node);
+
+		if (t->grant.partition != partition ||
+		    t->report_round == round || !grants_reportable(&t->grant))
+			continue;
+		t->report_round = round;
+		grants_listed(&t->grant, report->seq, now);
+		fill_row(&rows[report->tasks.count++], t);
+		if (report->tasks.count == AGENT_REPORT_TASKS)
+			break;
+	}
+	send_report(agent, &msg);
+}
+
+static void on_timer(void *arg)
+{
+	struct agent *agent = arg;
+	uint64_t round = ++agent->report_round;
+	struct list *pos;
+
+	list_for_each (pos, &agent->tasks) {
+		struct agent_task *t = list_entry(pos, struct agent_task, node);
+
+		if (t->report_round != round && grants_reportable(&t->grant))
+			report_partition(agent, pos, round);
+	}
+	loop_timer_start(agent->report_timer, AGENT_REPORT_MS);
+}
+
+void agent_reports_start(struct agent *agent)
+{
+	agent->report_timer =
+		loop_timer_new(agent->daemon->loop, on_timer, agent);
+	loop_timer_start(agent->report_timer, AGENT_REPORT_MS);
+}
+
+void agent_reports_stop(struct agent *agent)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &agent->owners)
+		free(list_entry(pos, struct agent_owner, node));
+	list_init(&agent->owners);
+	loop_timer_delete(agent->report_timer);
+	agent->report_timer = NULL;
+}
--- /dev/null
+++ b/packages/daemon/src/agent_requests.c
@@ -0,0 +1,280 @@
+#include "agent_requests.h"
+
+#include <string.h>
+
+#include "agent_links.h"
+#include "agent_request.h"
+#include "errors.h"
+#include "log.h"
+#include "sysclock.h"
+
+#define IDLE_CONNECTIONS 8
+
+static struct agent_request *entry_of(struct list *pos)
+{
+	return list_entry(pos, struct agent_request, node);
+}
+
+static struct agent_request *find(struct agent_link *link, uint64_t number)
+{
+	struct list *pos;
+
+	list_for_each (pos, &link->agent->requests) {
+		struct agent_request *r = entry_of(pos);
+
+		if (r->link == link && r->number == number)
+			return r;
+	}
+	return NULL;
+}
+
+/* RETURN VALUE: 1 and the time at which the request needs attention. */
+static int due_at(const struct agent_request *r, struct mstime *at)
+{
+	int open_end = r->stage == REQUEST_RUNNING && r->stream && r->head_sent;
+
+	if (!r->link)
+		*at = r->drain_until;
+	else if (r->blocked)
+		*at = mstime_add(sysclock_now(), AGENT_BLOCKED_MS);
+	else if (!open_end || !r->link->answering)
+		*at = r->deadline;
+	else
+		return 0;
+	return 1;
+}
+
+void agent_requests_arm(struct agent *agent)
+{
+	struct mstime now = sysclock_now(), next = mstime_add(now, 60000), at;
+	struct list *pos;
+
+	list_for_each (pos, &agent->requests)
+		if (due_at(entry_of(pos), &at))
+			next = mstime_min(next, at);
+	loop_timer_start(agent->request_timer, mstime_diff(next, now));
+}
+
+static void check(struct agent_request *r, struct mstime now)
+{
+	if (!r->link) {
+		if (!mstime_before(now, r->drain_until))
+			agent_request_delete(r);
+		return;
+	}
+	if (mstime_before(now, r->deadline) ||
+	    (r->stream && r->stage >= REQUEST_RUNNING)) {
+		if (r->blocked)
+			agent_request_flush(r);
+		return;
+	}
+	if (r->stage < REQUEST_RUNNING)
+		agent_request_refuse(r, REFUSAL_DEADLINE);
+	else
+		agent_request_cut(r, 0, "deadline");
+}
+
+static void on_timer(void *arg)
+{
+	struct agent *agent = arg;
+	struct mstime now = sysclock_now();
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &agent->requests)
+		check(entry_of(pos), now);
+	agent_requests_pump(agent);
+	agent_check_stopped(agent);
+}
+
+int agent_requests_start(struct agent *agent)
+{
+	struct daemon *daemon = agent->daemon;
+
+	agent->request_timer = loop_timer_new(daemon->loop, on_timer, agent);
+	agent->upstream = httpc_pool_new(
+		daemon->loop, daemon->settings->upstream, IDLE_CONNECTIONS);
+	agent->upstream_fresh =
+		httpc_pool_new(daemon->loop, daemon->settings->upstream, 0);
+	return agent->upstream && agent->upstream_fresh ? 0 : ERR_SYSTEM;
+}
+
+void agent_requests_stop(struct agent *agent)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &agent->requests)
+		agent_request_delete(entry_of(pos));
+	loop_timer_delete(agent->request_timer);
+	if (agent->upstream)
+		httpc_pool_delete(agent->upstream);
+	if (agent->upstream_fresh)
+		httpc_pool_delete(agent->upstream_fresh);
+}
+
+static void admit(struct agent_request *r)
+{
+	enum refusal reason = REFUSAL_FULL;
+
+	switch (gate_admit(&r->agent->gate, &r->ticket, r->deadline,
+			   sysclock_now(), &reason)) {
+	case GATE_RUNNING:
+		agent_request_run(r);
+		break;
+	case GATE_WAITING:
+		r->stage = REQUEST_WAITING;
+		break;
+	default:
+		agent_request_refuse(r, reason);
+	}
+}
+
+void agent_requests_pump(struct agent *agent)
+{
+	struct gate_request *ticket;
+	enum refusal reason = REFUSAL_FULL;
+
+	while ((ticket = gate_next(&agent->gate, sysclock_now(), &reason))) {
+		struct agent_request *r =
+			list_entry(ticket, struct agent_request, ticket);
+
+		if (ticket->stage == GATE_RUNNING)
+			agent_request_run(r);
+		else
+			agent_request_refuse(r, reason);
+	}
+	agent_requests_arm(agent);
+}
+
+/* Early refusals, so that no body is sent for nothing. */
+static int judge(const struct agent *agent, const struct msg_request *msg,
+		 enum refusal *reason)
+{
+	if (msg->body_length > AGENT_BODY_MAX) {
+		*reason = REFUSAL_MALFORMED;
+		return 0;
+	}
+	if (agent->gate.refusing) {
+		*reason = agent->gate.reason;
+		return 0;
+	}
+	*reason = REFUSAL_FULL;
+	return agent->body_bytes + msg->body_length <= AGENT_BODIES_MAX;
+}
+
+void agent_requests_on_request(struct agent_link *link,
+			       const struct msg_request *msg)
+{
+	struct agent_request *r;
+	enum refusal reason;
+
+	if (find(link, msg->request)) {
+		log_event(EV_FRAME_DROPPED, "peer=%s reason=duplicate-request",
+			  link->address);
+		return;
+	}
+	if (!judge(link->agent, msg, &reason)) {
+		/* The refused request has no body to hold. */
+		struct msg_request bare = *msg;
+
+		bare.body_length = 0;
+		agent_request_refuse(agent_request_new(link, &bare), reason);
+		return;
+	}
+	r = agent_request_new(link, msg);
+	if (!r->body_len)
+		admit(r);
+	agent_requests_arm(link->agent);
+}
+
+void agent_requests_on_body(struct agent_link *link,
+			    const struct msg_request_body *msg)
+{
+	struct agent_request *r = find(link, msg->request);
+
+	if (!r || r->stage != REQUEST_BODY_DUE)
+		return;
+	if (msg->offset != r->body_have ||
+	    msg->data.len > r->body_len - r->body_have) {
+		agent_request_refuse(r, REFUSAL_MALFORMED);
+		return;
+	}
+	if (msg->data.len)
+		memcpy(r->body + r->body_have, msg->data.data, msg->data.len);
+	r->body_have += msg->data.len;
+	if (r->body_have == r->body_len)
+		admit(r);
+	else if (msg->last)
+		agent_request_refuse(r, REFUSAL_MALFORMED);
+	agent_requests_arm(link->agent);
+}
+
+void agent_requests_on_cancel(struct agent_link *link,
+			      const struct msg_cancel *msg)
+{
+	struct agent_request *r = find(link, msg->request);
+
+	if (!r)
+		return;
+	if (r->stage < REQUEST_RUNNING)
+		agent_request_refuse(r, REFUSAL_CANCELLED);
+	else
+		agent_request_cut(r, 0, "cancelled");
+	agent_requests_pump(link->agent);
+	agent_check_stopped(link->agent);
+}
+
+void agent_requests_on_credit(struct agent_link *link,
+			      const struct msg_credit *msg)
+{
+	struct agent_request *r = find(link, msg->request);
+
+	if (!r)
+		return;
+	r->window += msg->bytes;
+	/* An entry that sends too much credit does not raise the bound. */
+	if (r->window > AGENT_WINDOW)
+		r->window = AGENT_WINDOW;
+	agent_request_flush(r);
+	agent_check_stopped(link->agent);
+}
+
+void agent_requests_link_silent(struct agent_link *link)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &link->agent->requests) {
+		struct agent_request *r = entry_of(pos);
+
+		if (r->link != link)
+			continue;
+		if (r->stage < REQUEST_RUNNING)
+			agent_request_refuse(r, REFUSAL_CANCELLED);
+		else
+			agent_request_cut(r, 0, "link-silent");
+	}
+	agent_requests_pump(link->agent);
+}
+
+void agent_requests_move(struct agent *agent)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &agent->requests) {
+		struct agent_request *r = entry_of(pos);
+
+		if (r->stream && r->stage == REQUEST_RUNNING)
+			agent_request_cut(r, 1, "moved");
+	}
+	agent_requests_pump(agent);
+}
+
+uint32_t agent_requests_open(const struct agent *agent)
+{
+	const struct list *pos;
+	uint32_t count = 0;
+
+	list_for_each (pos, &agent->requests)
+		if (list_entry(pos, struct agent_request, node)->link)
+			count++;
+	return count;
+}
--- /dev/null
+++ b/packages/daemon/src/agent_state.h
@@ -0,0 +1,100 @@
+#ifndef CATKINHILL_AGENT_STATE_H
+#define CATKINHILL_AGENT_STATE_H
+
+#include "agent.h"
+#include "agent_counters.h"
+#include "gate.h"
+#include "grants.h"
+#include "httpc.h"
+#include "list.h"
+#include "loop.h"
+#include "rng.h"
+#include "taskapi.h"
+#include "transport.h"
+
+/*
+ * NAME
+ *	agent_state - what the parts of the agent share
+ */
+#define AGENT_ANNOUNCE_MS 1000
+#define AGENT_LEAVE_ANNOUNCE_MS 200
+/* The gate closes before the 2 s that an entry may still send new work. */
+#define AGENT_CLOSE_MS 1500
+#define AGENT_LINK_SILENT_MS 5000
+
+/* One entry, as the agent sees it. */
+struct agent_link {
+	struct list node;
+	struct agent *agent;
+	struct transport *transport;
+	char address[ID_SIZE];
+	int seed;      /* named by the settings: never given up */
+	int answering; /* heard from within AGENT_LINK_SILENT_MS */
+	int answered;  /* heard from at all */
+	struct mstime heard_at;
+	struct mstime listed_at;  /* last time an entry named it */
+	uint64_t directory_hash;  /* of the list that this entry sent last */
+	struct mstime offered_at; /* configuration last sent to it */
+};
+
+struct agent {
+	struct daemon *daemon;
+	struct gate gate;
+	struct grants grants;
+	struct agent_counters counters;
+	struct rng rng;
+
+	enum agent_state state;
+	const char *reason; /* why it is not ready */
+	int worker_known;   /* GET /tasks has been answered since the start */
+	int worker_down;    /* the task interface does not answer */
+	int upstream_down;  /* the last connection to it was refused */
+	int drained;	    /* the configuration drains this domain */
+	int stopping;	    /* agent_stop() was called */
+	int leave_closed;   /* the gate was closed for leaving */
+	struct mstime leaving_at;
+	stopped_fn stopped;
+	void *stopped_arg;
+	struct loop_timer *leave_timer;
+	struct loop_timer *upstream_timer;
+
+	/* agent_links.c */
+	struct list links;
+	struct loop_timer *announce_timer;
+	uint64_t announce_seq;
+	struct mstime tick_at;
+	struct mstime seeds_read_at;
+
+	/* agent_requests.c */
+	struct list requests;
+	struct httpc_pool *upstream;	   /* reuses connections */
+	struct httpc_pool *upstream_fresh; /* a new connection each */
+	struct loop_timer *request_timer;
+	size_t body_bytes; /* of all requests */
+	int64_t latency_us;
+
+	/* agent_tasks.c */
+	struct list tasks;
+	struct taskapi *taskapi;
+	struct loop_timer *task_timer;
+	struct loop_timer *report_timer;
+	uint64_t report_seq;
+	uint64_t report_round;
+	uint64_t list_round;
+	int over; /* reservations are above the capacity */
+	int list_active;
+	int list_failures;
+	struct mstime list_sent_at;
+	struct list owners; /* struct agent_owner */
+};
+
+/* Derives state and gate from the facts above; announces a change. */
+void agent_update(struct agent *agent);
+
+/* A newer configuration is in force. */
+void agent_configured(struct agent *agent);
+
+/* Ends a stop that has nothing left to wait for. */
+void agent_check_stopped(struct agent *agent);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/agent_task.c
@@ -0,0 +1,306 @@
+#include "agent_task.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent_tasks.h"
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+struct agent_task *agent_task_new(struct agent *agent, uint32_t partition,
+				  const char *job, uint64_t run)
+{
+	struct agent_task *t = xcalloc(1, sizeof(*t));
+	struct mstime now = sysclock_now();
+
+	t->agent = agent;
+	t->state = TASK_STARTING;
+	t->accepted_at = now;
+	t->lease_sent_at = now;
+	t->renew_at = now;
+	t->retry_at = now;
+	t->checkpoint_at = mstime_add(now, AGENT_CHECKPOINT_MS);
+	grants_add(&agent->grants, &t->grant, partition, job, run, now);
+	list_add_tail(&agent->tasks, &t->node);
+	return t;
+}
+
+void agent_task_delete(struct agent_task *t)
+{
+	gate_task_release(&t->agent->gate, &t->gate);
+	grants_remove(&t->agent->grants, &t->grant);
+	list_del(&t->node);
+	free(t->command);
+	free(t);
+}
+
+struct agent_task *agent_task_find(const struct agent *agent, const char *job)
+{
+	struct grant_task *grant = grants_find(&agent->grants, job);
+
+	return grant ? list_entry(grant, struct agent_task, grant) : NULL;
+}
+
+static int64_t lease_ms(const struct agent_task *t)
+{
+	return t->agent->daemon->config.limits[LIMIT_TASK_LEASE_MS];
+}
+
+void agent_task_end(struct agent_task *t, enum task_state state,
+		    const char *detail)
+{
+	t->state = state;
+	str_copy(t->detail, detail, sizeof(t->detail));
+	grants_end(&t->grant, sysclock_now());
+	gate_task_release(&t->agent->gate, &t->gate);
+	log_event(state == TASK_REFUSED ? EV_TASK_REFUSED : EV_TASK_ENDED,
+		  "job=%s run=%llu state=%s reason=\"%s\" checkpoint=\"%s\"",
+		  t->grant.job, (unsigned long long)t->grant.run,
+		  task_state_name(state), t->detail, t->checkpoint);
+	agent_tasks_report_soon(t->agent);
+}
+
+void agent_task_want_stop(struct agent_task *t, enum stop_wanted stop,
+			  const char *reason)
+{
+	if (t->grant.phase == GRANT_ENDED || t->stop >= stop)
+		return;
+	t->stop = stop;
+	t->stop_reason = reason;
+	t->retry_at = sysclock_now();
+	t->state = TASK_STOPPING;
+	log_event(EV_TASK_STOPPING, "job=%s run=%llu reason=%s checkpoint=%d",
+		  t->grant.job, (unsigned long long)t->grant.run, reason,
+		  stop == STOP_CHECKPOINT);
+	agent_tasks_report_soon(t->agent);
+}
+
+static void confirm(struct agent_task *t)
+{
+	if (t->confirmed)
+		return;
+	t->confirmed = 1;
+	t->confirmed_at = sysclock_now();
+	t->grant.phase = GRANT_LIVE;
+	if (t->state == TASK_STARTING)
+		t->state = TASK_RUNNING;
+	log_event(EV_TASK_STARTED, "job=%s run=%llu checkpoint=\"%s\"",
+		  t->grant.job, (unsigned long long)t->grant.run,
+		  t->checkpoint);
+	agent_tasks_report_soon(t->agent);
+}
+
+static void set_checkpoint(struct agent_task *t, const char *checkpoint)
+{
+	if (!*checkpoint || !strcmp(t->checkpoint, checkpoint))
+		return;
+	str_copy(t->checkpoint, checkpoint, sizeof(t->checkpoint));
+	agent_tasks_report_soon(t->agent);
+}
+
+void agent_task_observe(struct agent_task *t, const struct task_status *row)
+{
+	if (t->grant.phase == GRANT_ENDED)
+		return;
+	t->used = row->used;
+	gate_task_observe(&t->agent->gate, &t->gate, &row->used);
+	set_checkpoint(t, row->checkpoint);
+	switch (row->state) {
+	case TASK_STOPPED:
+	case TASK_FINISHED:
+	case TASK_FAILED:
+		agent_task_end(t, row->state, row->detail);
+		break;
+	default:
+		confirm(t);
+	}
+}
+
+static void retry(struct agent_task *t, const char *call, int err)
+{
+	t->retry_at = mstime_add(sysclock_now(), AGENT_TASK_RETRY_MS);
+	log_event(EV_TASK_CALL_FAILED, "job=%s run=%llu call=%s error=%s",
+		  t->grant.job, (unsigned long long)t->grant.run, call,
+		  error_name(err));
+}
+
+/*
+ * RETURN VALUE
+ *	1 when nothing is left to do for the answer: the run has ended before
+ *	or by this error.
+ */
+static int settle(struct agent_task *t, const char *call, int err)
+{
+	t->call_active = 0;
+	if (t->grant.phase == GRANT_ENDED)
+		return 1;
+	switch (err) {
+	case 0:
+		return 0;
+	case ERR_NOT_FOUND:
+		agent_task_end(t, TASK_LOST, "unknown-to-worker");
+		return 1;
+	case ERR_FENCED:
+		agent_task_end(t, TASK_LOST, "fenced-by-worker");
+		return 1;
+	case ERR_CONFLICT:
+		/* The next list shows the state in which it ended. */
+		t->retry_at = mstime_add(sysclock_now(), AGENT_LIST_MS);
+		return 1;
+	default:
+		retry(t, call, err);
+		return 1;
+	}
+}
+
+static void on_started(void *arg, int err)
+{
+	struct agent_task *t = arg;
+
+	t->call_active = 0;
+	if (t->grant.phase == GRANT_ENDED)
+		return;
+	switch (err) {
+	case 0:
+		confirm(t);
+		return;
+	case ERR_FULL:
+		agent_task_end(t, TASK_REFUSED, "worker-full");
+		return;
+	case ERR_INVALID:
+		agent_task_end(t, TASK_REFUSED, "worker-refused");
+		return;
+	case ERR_FENCED:
+		agent_task_end(t, TASK_REFUSED, "fenced-by-worker");
+		return;
+	default:
+		retry(t, "start", err);
+	}
+	/* Proof that no start has arrived, unless one before may have. */
+	if (err == ERR_UNAVAILABLE && t->sent == 1) {
+		t->sent = 0;
+		t->grant.phase = GRANT_PENDING;
+	}
+	if (mstime_diff(sysclock_now(), t->accepted_at) >= AGENT_START_MS)
+		agent_task_want_stop(t, STOP_CHECKPOINT, "worker-unreachable");
+}
+
+static void call_start(struct agent_task *t, struct mstime now)
+{
+	struct taskapi_start start = { .job = t->grant.job,
+				       .run = t->grant.run,
+				       .lease_ms = lease_ms(t),
+				       .need = t->need,
+				       .checkpoint = t->checkpoint,
+				       .command = t->command };
+
+	/* A second attempt cannot prove that the first did not arrive. */
+	t->sent++;
+	t->grant.phase = GRANT_LIVE;
+	t->lease_sent_at = now;
+	t->renew_at = mstime_add(now, lease_ms(t) / 3);
+	t->call_active = 1;
+	taskapi_start(t->agent->taskapi, &start, on_started, t);
+}
+
+static void on_renewed(void *arg, int err)
+{
+	struct agent_task *t = arg;
+
+	if (settle(t, "renew", err))
+		return;
+	t->renew_at = mstime_add(t->lease_sent_at, lease_ms(t) / 3);
+}
+
+static void on_throttled(void *arg, int err)
+{
+	struct agent_task *t = arg;
+
+	if (!settle(t, "throttle", err))
+		t->throttle_due = 0;
+}
+
+static void on_checkpoint(void *arg, int err, const char *checkpoint)
+{
+	struct agent_task *t = arg;
+
+	t->checkpoint_at = mstime_add(sysclock_now(), AGENT_CHECKPOINT_MS);
+	if (!settle(t, "checkpoint", err))
+		set_checkpoint(t, checkpoint);
+}
+
+static void on_stopped(void *arg, int err, const char *checkpoint)
+{
+	struct agent_task *t = arg;
+
+	if (settle(t, "stop", err))
+		return;
+	set_checkpoint(t, checkpoint);
+	agent_task_end(t, TASK_STOPPED, t->stop_reason);
+}
+
+static void step_stop(struct agent_task *t)
+{
+	if (!t->sent) {
+		agent_task_end(t,
+			       t->stop_commanded ? TASK_STOPPED : TASK_REFUSED,
+			       t->stop_reason);
+		return;
+	}
+	t->call_active = 1;
+	taskapi_stop(t->agent->taskapi, t->grant.job, t->grant.run,
+		     t->stop == STOP_CHECKPOINT, on_stopped, t);
+}
+
+static void step_live(struct agent_task *t, struct mstime now)
+{
+	struct taskapi *api = t->agent->taskapi;
+	const char *job = t->grant.job;
+	uint64_t run = t->grant.run;
+
+	if (!mstime_before(now, t->renew_at)) {
+		t->lease_sent_at = now;
+		t->call_active = 1;
+		taskapi_renew(api, job, run, lease_ms(t), on_renewed, t);
+	} else if (t->throttle_due) {
+		t->call_active = 1;
+		taskapi_throttle(api, job, run, t->throttle, on_throttled, t);
+	} else if (!mstime_before(now, t->checkpoint_at)) {
+		t->call_active = 1;
+		taskapi_checkpoint(api, job, run, on_checkpoint, t);
+	}
+}
+
+/* Every lease that this agent has sent has expired by now. */
+static int lease_gone(const struct agent_task *t, struct mstime now)
+{
+	return t->sent && t->agent->worker_down &&
+	       mstime_diff(now, t->lease_sent_at) >=
+		       2 * lease_ms(t) + AGENT_LEASE_MARGIN_MS;
+}
+
+void agent_task_step(struct agent_task *t, struct mstime now)
+{
+	if (t->grant.phase == GRANT_ENDED)
+		return;
+	if (lease_gone(t, now)) {
+		agent_task_end(t, TASK_LOST, "worker-down");
+		return;
+	}
+	if (grants_expired(&t->grant, now))
+		agent_task_want_stop(t, STOP_CHECKPOINT,
+				     t->grant.granted ? "grant-expired"
+						      : "no-grant");
+	if (t->call_active || mstime_before(now, t->retry_at))
+		return;
+	if (t->stop)
+		step_stop(t);
+	else if (!grants_valid(&t->grant, now))
+		return;
+	else if (!t->confirmed)
+		call_start(t, now);
+	else
+		step_live(t, now);
+}
--- /dev/null
+++ b/packages/daemon/src/agent_task.h
@@ -0,0 +1,73 @@
+#ifndef CATKINHILL_AGENT_TASK_H
+#define CATKINHILL_AGENT_TASK_H
+
+#include "agent_state.h"
+
+/*
+ * NAME
+ *	agent_task - one batch run and its calls of the task interface
+ */
+#define CHECKPOINT_SIZE 257
+#define DETAIL_SIZE 128
+
+/* The worker may still hold a lease this long after the last renewal. */
+#define AGENT_LEASE_MARGIN_MS 2000
+/* A start that the worker does not answer is given up after this time. */
+#define AGENT_START_MS 10000
+
+enum stop_wanted {
+	STOP_NOT_WANTED,
+	STOP_CHECKPOINT, /* checkpoint and stop in one step */
+	STOP_PLAIN
+};
+
+struct agent_task {
+	struct list node;
+	struct agent *agent;
+	struct grant_task grant;
+	struct gate_task gate;
+	enum task_state state;
+	struct resources need, used;
+	char checkpoint[CHECKPOINT_SIZE];
+	char detail[DETAIL_SIZE];
+	char *command;
+	int adopted; /* found at the worker, not commanded so far */
+	int sent;    /* a start may have reached the worker */
+	int confirmed;
+	struct mstime confirmed_at; /* the worker has shown that it runs */
+	struct mstime accepted_at;
+	struct mstime lease_sent_at; /* last start or renewal */
+	enum stop_wanted stop;
+	const char *stop_reason;
+	int stop_commanded; /* by the owner */
+	int call_active;
+	struct mstime renew_at, retry_at, checkpoint_at;
+	uint32_t throttle;
+	int throttle_due;
+	uint64_t list_round;   /* last list that named it */
+	uint64_t report_round; /* last round of reports that listed it */
+};
+
+/* Adds a run; its grant is pending and its state TASK_STARTING. */
+struct agent_task *agent_task_new(struct agent *agent, uint32_t partition,
+				  const char *job, uint64_t run);
+void agent_task_delete(struct agent_task *task);
+
+/* RETURN VALUE: the highest run known of the job, or NULL. */
+struct agent_task *agent_task_find(const struct agent *agent, const char *job);
+
+/* Records the final state, gives the reservation back and reports. */
+void agent_task_end(struct agent_task *task, enum task_state state,
+		    const char *detail);
+
+/* Begins a stop; a plain one replaces one with a checkpoint. */
+void agent_task_want_stop(struct agent_task *task, enum stop_wanted stop,
+			  const char *reason);
+
+/* Takes what the worker's list says about the run. */
+void agent_task_observe(struct agent_task *task, const struct task_status *row);
+
+/* Makes the next call that is due; one call at a time. */
+void agent_task_step(struct agent_task *task, struct mstime now);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/agent_tasks.c
@@ -0,0 +1,421 @@
+#include "agent_tasks.h"
+
+#include <string.h>
+
+#include "agent_reports.h"
+#include "agent_requests.h"
+#include "agent_task.h"
+#include "errors.h"
+#include "jobspec.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+static struct agent_task *task_of(struct list *pos)
+{
+	return list_entry(pos, struct agent_task, node);
+}
+
+static uint32_t partition_of(const struct agent *agent, const char *job)
+{
+	const int64_t *limits = agent->daemon->config.limits;
+
+	return job_partition(job, (uint32_t)limits[LIMIT_PARTITIONS]);
+}
+
+static void fenced(struct agent_link *link, const char *command, uint64_t epoch,
+		   const char *job, uint64_t run)
+{
+	link->agent->counters.fenced.value++;
+	log_event(EV_TASK_FENCED,
+		  "entry=%s command=%s epoch=%llu job=%s run=%llu",
+		  link->address, command, (unsigned long long)epoch, job,
+		  (unsigned long long)run);
+}
+
+/* Adds a run, which replaces the ended run of the job before it. */
+static struct agent_task *replace(struct agent *agent, uint32_t partition,
+				  const char *job, uint64_t run)
+{
+	struct agent_task *old = agent_task_find(agent, job);
+
+	/* A call in progress refers to its task until it ends. */
+	if (old && !old->call_active)
+		agent_task_delete(old);
+	return agent_task_new(agent, partition, job, run);
+}
+
+/* RETURN VALUE: why the run cannot be accepted, or NULL. */
+static const char *accept_run(struct agent_task *t)
+{
+	struct agent *agent = t->agent;
+
+	if (agent->stopping)
+		return "leaving";
+	if (agent->drained)
+		return "drained";
+	if (!agent->worker_known || agent->worker_down)
+		return "worker-down";
+	switch (gate_task_reserve(&agent->gate, &t->gate, &t->need)) {
+	case 0:
+		return NULL;
+	case ERR_TOO_LARGE:
+		return "larger-than-worker";
+	case ERR_STOPPING:
+		return "leaving";
+	default:
+		return "no-room";
+	}
+}
+
+static void add_run(struct agent *agent, const struct msg_task_start *msg)
+{
+	struct agent_task *t =
+		replace(agent, msg->partition, msg->job, msg->run);
+	const char *refusal;
+
+	t->need = msg->need;
+	t->command = xstrdup(msg->command);
+	str_copy(t->checkpoint, msg->checkpoint, sizeof(t->checkpoint));
+	refusal = accept_run(t);
+	if (refusal) {
+		agent_task_end(t, TASK_REFUSED, refusal);
+		return;
+	}
+	log_event(EV_TASK_ACCEPTED,
+		  "job=%s run=%llu partition=%u epoch=%llu cpu_milli=%u "
+		  "mem_mb=%u accel=%u",
+		  t->grant.job, (unsigned long long)t->grant.run,
+		  msg->partition, (unsigned long long)msg->epoch,
+		  t->need.cpu_milli, t->need.mem_mb, t->need.accel);
+	agent_tasks_report_soon(agent);
+}
+
+/* The owner has not seen the run's state, or has lost it. */
+static void report_again(struct agent_task *t)
+{
+	t->adopted = 0;
+	t->grant.end_acked = 0;
+	agent_tasks_report_soon(t->agent);
+}
+
+/*
+ * Judges a command; passes the run in *task when it is known here.
+ *
+ * RETURN VALUE
+ *	0, ERR_NOT_FOUND, or another error after which nothing is to be done.
+ */
+static int judge(struct agent_link *link, const char *command,
+		 uint32_t partition, uint64_t epoch, const char *job,
+		 uint64_t run, struct agent_task **task)
+{
+	struct agent *agent = link->agent;
+	struct grant_task *grant;
+	int err = grants_command(&agent->grants, partition, epoch, job, run,
+				 &grant);
+
+	*task = grant ? list_entry(grant, struct agent_task, grant) : NULL;
+	if (err == ERR_FENCED)
+		fenced(link, command, epoch, job, run);
+	if (epoch == grants_epoch(&agent->grants, partition))
+		agent_reports_owner(link, partition, epoch);
+	if (err == ERR_CONFLICT)
+		agent_task_want_stop(*task, STOP_CHECKPOINT, "superseded");
+	return err;
+}
+
+void agent_tasks_on_start(struct agent_link *link,
+			  const struct msg_task_start *msg)
+{
+	struct agent_task *t;
+	int err = judge(link, "start", msg->partition, msg->epoch, msg->job,
+			msg->run, &t);
+
+	if (!err)
+		report_again(t);
+	else if (err == ERR_NOT_FOUND)
+		add_run(link->agent, msg);
+}
+
+void agent_tasks_on_stop(struct agent_link *link,
+			 const struct msg_task_stop *msg)
+{
+	struct agent_task *t;
+	int err = judge(link, "stop", msg->partition, msg->epoch, msg->job,
+			msg->run, &t);
+
+	if (err == ERR_NOT_FOUND) {
+		/* The record refuses a start that arrives after this stop. */
+		t = replace(link->agent, msg->partition, msg->job, msg->run);
+		agent_task_end(t, TASK_LOST, "not-known");
+		return;
+	}
+	if (err)
+		return;
+	report_again(t);
+	t->stop_commanded = 1;
+	agent_task_want_stop(
+		t, msg->mode == STOP_EVICT ? STOP_CHECKPOINT : STOP_PLAIN,
+		msg->mode == STOP_EVICT ? "evicted" : "cancelled");
+	agent_task_step(t, sysclock_now());
+}
+
+void agent_tasks_on_throttle(struct agent_link *link,
+			     const struct msg_task_throttle *msg)
+{
+	struct agent_task *t;
+
+	if (judge(link, "throttle", msg->partition, msg->epoch, msg->job,
+		  msg->run, &t))
+		return;
+	t->throttle = msg->percent;
+	t->throttle_due = 1;
+	agent_task_step(t, sysclock_now());
+}
+
+static void step_all(struct agent *agent)
+{
+	struct mstime now = sysclock_now();
+	struct list *pos;
+
+	list_for_each (pos, &agent->tasks)
+		agent_task_step(task_of(pos), now);
+}
+
+void agent_tasks_on_ack(struct agent_link *link,
+			const struct msg_task_report_ack *msg)
+{
+	struct agent *agent = link->agent;
+
+	if (grants_ack(&agent->grants, msg->partition, msg->epoch, msg->seq,
+		       sysclock_now()) < 0) {
+		fenced(link, "ack", msg->epoch, "", 0);
+		return;
+	}
+	agent_reports_owner(link, msg->partition, msg->epoch);
+	step_all(agent);
+	agent_check_stopped(agent);
+}
+
+void agent_tasks_on_owner(struct agent_link *link, const struct msg_owner *msg)
+{
+	if (grants_advance(&link->agent->grants, msg->partition, msg->epoch) <
+	    0) {
+		fenced(link, "owner", msg->epoch, "", 0);
+		return;
+	}
+	agent_reports_owner(link, msg->partition, msg->epoch);
+}
+
+static void adopt(struct agent *agent, const struct taskapi_task *row)
+{
+	const struct task_status *status = &row->status;
+	struct agent_task *t = replace(agent, partition_of(agent, status->job),
+				       status->job, status->run);
+
+	t->adopted = 1;
+	t->sent = 1;
+	t->confirmed = 1;
+	t->confirmed_at = agent->list_sent_at;
+	t->need = row->need;
+	t->state = TASK_RUNNING;
+	t->grant.phase = GRANT_LIVE;
+	gate_task_adopt(&agent->gate, &t->gate, &status->used);
+	t->gate.declared = row->need;
+	log_event(EV_TASK_ADOPTED, "job=%s run=%llu state=%s partition=%u",
+		  status->job, (unsigned long long)status->run,
+		  task_state_name(status->state), t->grant.partition);
+	agent_task_observe(t, status);
+	agent_tasks_report_soon(agent);
+}
+
+static void ignore_stop(void *arg, int err, const char *checkpoint)
+{
+}
+
+static void take_row(struct agent *agent, const struct taskapi_task *row)
+{
+	const struct task_status *status = &row->status;
+	struct agent_task *t = agent_task_find(agent, status->job);
+
+	if (!t || status->run > t->grant.run) {
+		adopt(agent, row);
+		t = agent_task_find(agent, status->job);
+	} else if (status->run == t->grant.run) {
+		agent_task_observe(t, status);
+	} else if (status->state == TASK_RUNNING) {
+		log_event(EV_TASK_STOPPING,
+			  "job=%s run=%llu reason=superseded checkpoint=1",
+			  status->job, (unsigned long long)status->run);
+		taskapi_stop(agent->taskapi, status->job, status->run, 1,
+			     ignore_stop, agent);
+		return;
+	}
+	t->list_round = agent->list_round;
+}
+
+/* Runs that the worker had and does not list any more. */
+static void find_lost(struct agent *agent)
+{
+	struct list *pos;
+
+	list_for_each (pos, &agent->tasks) {
+		struct agent_task *t = task_of(pos);
+
+		if (t->grant.phase == GRANT_ENDED || !t->confirmed ||
+		    t->list_round == agent->list_round ||
+		    !mstime_before(t->confirmed_at, agent->list_sent_at))
+			continue;
+		agent_task_end(t, TASK_LOST, "not-listed");
+	}
+}
+
+static void check_over(struct agent *agent)
+{
+	struct resources r = gate_reserved(&agent->gate);
+	int over = gate_over(&agent->gate);
+
+	if (over && !agent->over)
+		log_event(EV_WORKER_OVER, "cpu_milli=%u mem_mb=%u accel=%u",
+			  r.cpu_milli, r.mem_mb, r.accel);
+	agent->over = over;
+}
+
+static void on_list_failed(struct agent *agent, int err)
+{
+	agent->list_failures++;
+	if (err != ERR_UNAVAILABLE &&
+	    agent->list_failures < AGENT_LIST_FAILURES)
+		return;
+	agent->worker_down = 1;
+	agent_update(agent);
+}
+
+static void on_list(void *arg, int err, const struct taskapi_task *tasks,
+		    size_t count)
+{
+	struct agent *agent = arg;
+	size_t i;
+
+	agent->list_active = 0;
+	if (err) {
+		on_list_failed(agent, err);
+		return;
+	}
+	agent->list_failures = 0;
+	agent->list_round++;
+	for (i = 0; i < count; i++)
+		take_row(agent, &tasks[i]);
+	find_lost(agent);
+	check_over(agent);
+	agent->worker_known = 1;
+	agent->worker_down = 0;
+	agent_update(agent);
+	if (agent->stopping || agent->drained)
+		agent_tasks_leave(agent, "leaving");
+}
+
+static void forget(struct agent *agent, struct mstime now)
+{
+	struct grant_task *grant;
+
+	while ((grant = grants_forgettable(&agent->grants, now))) {
+		struct agent_task *t =
+			list_entry(grant, struct agent_task, grant);
+
+		if (t->call_active)
+			return;
+		agent_task_delete(t);
+	}
+}
+
+static void count_states(struct agent *agent)
+{
+	struct list *pos;
+	int i;
+
+	for (i = 0; i < TASK_STATE_COUNT; i++)
+		agent->counters.tasks[i].value = 0;
+	list_for_each (pos, &agent->tasks)
+		agent->counters.tasks[task_of(pos)->state].value++;
+}
+
+static void on_timer(void *arg)
+{
+	struct agent *agent = arg;
+	struct mstime now = sysclock_now();
+
+	if (!agent->list_active &&
+	    (!agent->worker_known ||
+	     mstime_diff(now, agent->list_sent_at) >= AGENT_LIST_MS)) {
+		agent->list_active = 1;
+		agent->list_sent_at = now;
+		taskapi_list(agent->taskapi, on_list, agent);
+	}
+	step_all(agent);
+	forget(agent, now);
+	count_states(agent);
+	loop_timer_start(agent->task_timer, AGENT_TASK_TICK_MS);
+}
+
+int agent_tasks_start(struct agent *agent)
+{
+	struct daemon *daemon = agent->daemon;
+
+	grants_init(&agent->grants, daemon->config.limits[LIMIT_GRANT_MS]);
+	agent->taskapi = taskapi_new(daemon->loop, daemon->settings->tasks,
+				     AGENT_TASK_CALL_MS);
+	if (!agent->taskapi)
+		return ERR_SYSTEM;
+	agent->task_timer = loop_timer_new(daemon->loop, on_timer, agent);
+	agent_reports_start(agent);
+	loop_timer_start(agent->task_timer, 0);
+	return 0;
+}
+
+void agent_tasks_stop(struct agent *agent)
+{
+	struct list *pos, *tmp;
+
+	taskapi_delete(agent->taskapi);
+	list_for_each_safe (pos, tmp, &agent->tasks)
+		agent_task_delete(task_of(pos));
+	agent_reports_stop(agent);
+	loop_timer_delete(agent->task_timer);
+	if (agent->taskapi)
+		grants_clear(&agent->grants);
+}
+
+void agent_tasks_configured(struct agent *agent)
+{
+	struct list *pos;
+
+	agent->grants.grant_ms = agent->daemon->config.limits[LIMIT_GRANT_MS];
+	list_for_each (pos, &agent->tasks) {
+		struct agent_task *t = task_of(pos);
+
+		if (t->adopted)
+			t->grant.partition = partition_of(agent, t->grant.job);
+	}
+	agent_tasks_report_soon(agent);
+}
+
+void agent_tasks_leave(struct agent *agent, const char *reason)
+{
+	struct list *pos;
+
+	list_for_each (pos, &agent->tasks)
+		agent_task_want_stop(task_of(pos), STOP_CHECKPOINT, reason);
+	step_all(agent);
+}
+
+uint32_t agent_tasks_open(const struct agent *agent)
+{
+	const struct list *pos;
+	uint32_t count = 0;
+
+	list_for_each (pos, &agent->tasks)
+		count += (uint32_t)grants_reportable(
+			&list_entry(pos, struct agent_task, node)->grant);
+	return count;
+}
--- a/packages/io/include/taskapi.h
+++ b/packages/io/include/taskapi.h
@@ -1,6 +1,9 @@
 #ifndef CATKINHILL_TASKAPI_H
 #define CATKINHILL_TASKAPI_H
 
+#include <stddef.h>
+#include <stdint.h>
+
 #include "loop.h"
 #include "message.h"
 
@@ -14,7 +17,10 @@
  *	0		 done
  *	ERR_FENCED	 the worker has seen a higher run of this job
  *	ERR_NOT_FOUND	 the worker does not know the task
+ *	ERR_CONFLICT	 the task has ended by itself; see its state in the
+ *			 list
  *	ERR_FULL	 the worker refused to start it
+ *	ERR_INVALID	 the worker refused the call as malformed
  *	ERR_UNAVAILABLE	 not sent
  *	ERR_UNKNOWN	 sent, no answer
  */
@@ -33,11 +39,23 @@
 /* checkpoint is "" when there is none; valid during the call. */
 typedef void (*taskapi_checkpoint_fn)(void *arg, int err,
 				      const char *checkpoint);
+
+/* One row of the list; texts are valid during the call. */
+struct taskapi_task {
+	struct task_status status;
+	struct resources need; /* as declared at the start */
+};
+
+#define TASKAPI_LIST_MAX 4096
+
 typedef void (*taskapi_list_fn)(void *arg, int err,
-				const struct task_list *tasks);
+				const struct taskapi_task *tasks, size_t count);
 
+/* Calls never end inside the function that starts them. */
 struct taskapi *taskapi_new(struct loop *loop, const char *address,
 			    int64_t timeout_ms);
+
+/* Calls in progress end without a callback. */
 void taskapi_delete(struct taskapi *api);
 
 void taskapi_start(struct taskapi *api, const struct taskapi_start *start,
