--- /dev/null
+++ b/packages/io/src/taskapi.c
@@ -0,0 +1,349 @@
+#include "taskapi.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "errors.h"
+#include "httpc.h"
+#include "list.h"
+#include "mem.h"
+
+#define IDLE_CONNECTIONS 4
+#define ANSWER_MAX (4 * 1024 * 1024)
+
+struct taskapi {
+	struct loop *loop;
+	struct httpc_pool *pool;
+	int64_t timeout_ms;
+	struct list calls;
+};
+
+enum call_kind {
+	CALL_PLAIN,
+	CALL_CHECKPOINT,
+	CALL_LIST
+};
+
+struct call {
+	struct list node;
+	struct taskapi *api;
+	enum call_kind kind;
+	union {
+		taskapi_fn plain;
+		taskapi_checkpoint_fn checkpoint;
+		taskapi_list_fn list;
+	} fn;
+	void *arg;
+	struct httpc_call *http;
+	struct loop_timer *timer; /* of a call that could not be started */
+	int early_err;
+	char *answer;
+	size_t answer_len;
+};
+
+static void call_delete(struct call *call)
+{
+	if (call->http)
+		httpc_cancel(call->http);
+	loop_timer_delete(call->timer);
+	list_del(&call->node);
+	free(call->answer);
+	free(call);
+}
+
+struct taskapi *taskapi_new(struct loop *loop, const char *address,
+			    int64_t timeout_ms)
+{
+	struct taskapi *api = xcalloc(1, sizeof(*api));
+
+	api->loop = loop;
+	api->timeout_ms = timeout_ms;
+	list_init(&api->calls);
+	api->pool = httpc_pool_new(loop, address, IDLE_CONNECTIONS);
+	if (api->pool)
+		return api;
+	free(api);
+	return NULL;
+}
+
+void taskapi_delete(struct taskapi *api)
+{
+	struct list *pos, *tmp;
+
+	if (!api)
+		return;
+	list_for_each_safe (pos, tmp, &api->calls)
+		call_delete(list_entry(pos, struct call, node));
+	httpc_pool_delete(api->pool);
+	free(api);
+}
+
+static const char *text_of(const json_t *root, const char *key)
+{
+	const char *text = json_string_value(json_object_get(root, key));
+
+	return text ? text : "";
+}
+
+static uint32_t number_of(const json_t *root, const char *key)
+{
+	json_int_t n = json_integer_value(json_object_get(root, key));
+
+	return n < 0 ? 0 : n > UINT32_MAX ? UINT32_MAX : (uint32_t)n;
+}
+
+static struct resources resources_of(const json_t *root)
+{
+	struct resources r = { number_of(root, "cpu_milli"),
+			       number_of(root, "mem_mb"),
+			       number_of(root, "accel") };
+
+	return r;
+}
+
+static const struct {
+	const char *name;
+	enum task_state state;
+} states[] = {
+	{ "running", TASK_RUNNING },
+	{ "stopped", TASK_STOPPED },
+	{ "finished", TASK_FINISHED },
+	{ "failed", TASK_FAILED },
+};
+
+static int state_of(const char *name)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(states) / sizeof(states[0]); i++)
+		if (!strcmp(states[i].name, name))
+			return (int)states[i].state;
+	return -1;
+}
+
+static int parse_row(struct taskapi_task *task, const json_t *row)
+{
+	const json_t *run = json_object_get(row, "run");
+	int state = state_of(text_of(row, "state"));
+	const char *job = text_of(row, "job");
+
+	if (state < 0 || !*job || strlen(job) >= ID_SIZE ||
+	    !json_is_integer(run) || json_integer_value(run) < 0)
+		return ERR_MALFORMED;
+	str_copy(task->status.job, job, sizeof(task->status.job));
+	task->status.run = (uint64_t)json_integer_value(run);
+	task->status.state = (uint32_t)state;
+	task->status.used = resources_of(json_object_get(row, "used"));
+	task->status.checkpoint = text_of(row, "checkpoint");
+	task->status.detail = text_of(row, "detail");
+	task->need = resources_of(row);
+	return 0;
+}
+
+static void end_list(struct call *call, int err, const json_t *root)
+{
+	const json_t *rows = json_object_get(root, "tasks");
+	struct taskapi_task *tasks;
+	size_t i, count = json_array_size(rows);
+
+	if (!err && (!json_is_array(rows) || count > TASKAPI_LIST_MAX))
+		err = ERR_MALFORMED;
+	if (err) {
+		call->fn.list(call->arg, err, NULL, 0);
+		return;
+	}
+	tasks = xcalloc(count + 1, sizeof(*tasks));
+	for (i = 0; i < count && !err; i++)
+		err = parse_row(&tasks[i], json_array_get(rows, i));
+	call->fn.list(call->arg, err, tasks, err ? 0 : count);
+	free(tasks);
+}
+
+/* See docs/worker-interface.md for the answers. */
+static int error_of(int err, int status, const json_t *root)
+{
+	const char *name = text_of(root, "error");
+
+	if (err)
+		return err == ERR_UNAVAILABLE || err == ERR_INVALID
+			       ? err
+			       : ERR_UNKNOWN;
+	if (status == 200)
+		return json_is_object(root) ? 0 : ERR_UNKNOWN;
+	if (status == 400)
+		return ERR_INVALID;
+	if (status == 404)
+		return ERR_NOT_FOUND;
+	if (status == 409)
+		return strcmp(name, "ended") ? ERR_FENCED : ERR_CONFLICT;
+	if (status == 507)
+		return ERR_FULL;
+	return ERR_UNKNOWN;
+}
+
+static void call_end(struct call *call, int err, int status)
+{
+	json_t *root = json_loadb(call->answer ? call->answer : "",
+				  call->answer_len, 0, NULL);
+
+	call->http = NULL;
+	err = error_of(err, status, root);
+	switch (call->kind) {
+	case CALL_PLAIN:
+		call->fn.plain(call->arg, err);
+		break;
+	case CALL_CHECKPOINT:
+		call->fn.checkpoint(call->arg, err,
+				    err ? "" : text_of(root, "checkpoint"));
+		break;
+	case CALL_LIST:
+		end_list(call, err, root);
+	}
+	json_decref(root);
+	call_delete(call);
+}
+
+static void on_data(void *arg, const void *data, size_t len)
+{
+	struct call *call = arg;
+
+	call->answer = xrealloc(call->answer, call->answer_len + len);
+	memcpy(call->answer + call->answer_len, data, len);
+	call->answer_len += len;
+}
+
+static void on_end(void *arg, int err, int status)
+{
+	call_end(arg, err, status);
+}
+
+static void on_not_started(void *arg)
+{
+	struct call *call = arg;
+
+	call_end(call, call->early_err, 0);
+}
+
+static void call_fail(struct call *call, int err)
+{
+	call->early_err = err;
+	call->timer = loop_timer_new(call->api->loop, on_not_started, call);
+	loop_timer_start(call->timer, 0);
+}
+
+static struct call *call_new(struct taskapi *api, enum call_kind kind,
+			     void *arg)
+{
+	struct call *call = xcalloc(1, sizeof(*call));
+
+	call->api = api;
+	call->kind = kind;
+	call->arg = arg;
+	list_add_tail(&api->calls, &call->node);
+	return call;
+}
+
+static void call_start(struct call *call, const char *method, const char *path,
+		       const char *body)
+{
+	static const struct httpc_handlers handlers = { NULL, on_data, on_end };
+	struct http_header type = { "Content-Type", "application/json" };
+	struct header_list headers = { &type, body ? 1 : 0 };
+	struct httpc_request request = { .method = method,
+					 .path = path,
+					 .headers = &headers,
+					 .body = body,
+					 .body_len = body ? strlen(body) : 0,
+					 .timeout_ms = call->api->timeout_ms,
+					 .max_answer = ANSWER_MAX };
+
+	call->http = httpc_start(call->api->pool, &request, &handlers, call);
+	if (!call->http)
+		call_fail(call, ERR_UNAVAILABLE);
+}
+
+/* Takes over the reference to body. */
+static void post(struct call *call, const char *job, const char *verb,
+		 json_t *body)
+{
+	char *path = xstrfmt("/tasks/%s/%s", job, verb);
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	/* A text that is not UTF-8 cannot be sent as JSON. */
+	if (text)
+		call_start(call, "POST", path, text);
+	else
+		call_fail(call, ERR_INVALID);
+	json_decref(body);
+	free(text);
+	free(path);
+}
+
+void taskapi_start(struct taskapi *api, const struct taskapi_start *start,
+		   taskapi_fn fn, void *arg)
+{
+	struct call *call = call_new(api, CALL_PLAIN, arg);
+
+	call->fn.plain = fn;
+	post(call, start->job, "start",
+	     json_pack("{s:I, s:I, s:I, s:I, s:I, s:s, s:s}", "run",
+		       (json_int_t)start->run, "lease_ms",
+		       (json_int_t)start->lease_ms, "cpu_milli",
+		       (json_int_t)start->need.cpu_milli, "mem_mb",
+		       (json_int_t)start->need.mem_mb, "accel",
+		       (json_int_t)start->need.accel, "checkpoint",
+		       start->checkpoint, "command", start->command));
+}
+
+void taskapi_renew(struct taskapi *api, const char *job, uint64_t run,
+		   int64_t lease_ms, taskapi_fn fn, void *arg)
+{
+	struct call *call = call_new(api, CALL_PLAIN, arg);
+
+	call->fn.plain = fn;
+	post(call, job, "renew",
+	     json_pack("{s:I, s:I}", "run", (json_int_t)run, "lease_ms",
+		       (json_int_t)lease_ms));
+}
+
+void taskapi_checkpoint(struct taskapi *api, const char *job, uint64_t run,
+			taskapi_checkpoint_fn fn, void *arg)
+{
+	struct call *call = call_new(api, CALL_CHECKPOINT, arg);
+
+	call->fn.checkpoint = fn;
+	post(call, job, "checkpoint",
+	     json_pack("{s:I}", "run", (json_int_t)run));
+}
+
+void taskapi_throttle(struct taskapi *api, const char *job, uint64_t run,
+		      uint32_t percent, taskapi_fn fn, void *arg)
+{
+	struct call *call = call_new(api, CALL_PLAIN, arg);
+
+	call->fn.plain = fn;
+	post(call, job, "throttle",
+	     json_pack("{s:I, s:I}", "run", (json_int_t)run, "percent",
+		       (json_int_t)percent));
+}
+
+void taskapi_stop(struct taskapi *api, const char *job, uint64_t run,
+		  int checkpoint, taskapi_checkpoint_fn fn, void *arg)
+{
+	struct call *call = call_new(api, CALL_CHECKPOINT, arg);
+
+	call->fn.checkpoint = fn;
+	post(call, job, "stop",
+	     json_pack("{s:I, s:b}", "run", (json_int_t)run, "checkpoint",
+		       checkpoint));
+}
+
+void taskapi_list(struct taskapi *api, taskapi_list_fn fn, void *arg)
+{
+	struct call *call = call_new(api, CALL_LIST, arg);
+
+	call->fn.list = fn;
+	call_start(call, "GET", "/tasks", NULL);
+}
--- /dev/null
+++ b/tests/fakes/fakeworker.c
@@ -0,0 +1,215 @@
+#include "fakeworker/fakeworker.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "mem.h"
+
+int64_t worker_now_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
+}
+
+void run_later(struct worker *worker, int64_t delay_ms, event_callback_fn fn,
+	       void *arg)
+{
+	struct timeval tv = { delay_ms / 1000, delay_ms % 1000 * 1000 };
+
+	event_base_once(worker->base, -1, EV_TIMEOUT, fn, arg, &tv);
+}
+
+void reply_json(struct evhttp_request *request, int status, json_t *body)
+{
+	struct evbuffer *buffer = evbuffer_new();
+	char *text = json_dumps(body, JSON_COMPACT);
+
+	evhttp_add_header(evhttp_request_get_output_headers(request),
+			  "Content-Type", "application/json");
+	evbuffer_add_printf(buffer, "%s", text ? text : "{}");
+	evhttp_send_reply(request, status, NULL, buffer);
+	evbuffer_free(buffer);
+	free(text);
+	json_decref(body);
+}
+
+/* The client may have closed the connection in the meantime. */
+static void on_close(evutil_socket_t fd, short what, void *arg)
+{
+	struct evhttp_connection *connection =
+		evhttp_request_get_connection(arg);
+
+	if (connection)
+		evhttp_connection_free(connection);
+}
+
+/* The connection must not be freed inside its own callback. */
+void reply_lost(struct worker *worker, struct evhttp_request *request)
+{
+	run_later(worker, 0, on_close, request);
+}
+
+json_t *request_json(struct evhttp_request *request)
+{
+	struct evbuffer *input = evhttp_request_get_input_buffer(request);
+	size_t len = evbuffer_get_length(input);
+
+	return json_loadb((const char *)evbuffer_pullup(input, -1), len, 0,
+			  NULL);
+}
+
+static void set_number(const json_t *root, const char *key, int64_t *value)
+{
+	const json_t *number = json_object_get(root, key);
+
+	if (json_is_integer(number))
+		*value = json_integer_value(number);
+}
+
+static void serve_control(struct worker *worker, struct evhttp_request *request)
+{
+	json_t *root = request_json(request);
+	struct faults *faults = &worker->faults;
+	const json_t *fail = json_object_get(root, "fail");
+
+	if (!json_is_object(root)) {
+		json_decref(root);
+		reply_json(request, 400, NULL);
+		return;
+	}
+	if (json_is_true(json_object_get(root, "die")))
+		_exit(1);
+	if (fail)
+		faults->fail = json_is_true(fail);
+	set_number(root, "slow_ms", &faults->slow_ms);
+	set_number(root, "slow_tasks_ms", &faults->slow_tasks_ms);
+	set_number(root, "lose", &faults->lose);
+	set_number(root, "lose_tasks", &faults->lose_tasks);
+	json_decref(root);
+	reply_json(request, 200, NULL);
+}
+
+static int serve_common(struct worker *worker, struct evhttp_request *request)
+{
+	const char *path =
+		evhttp_uri_get_path(evhttp_request_get_evhttp_uri(request));
+
+	if (!strcmp(path, "/record"))
+		record_serve(worker, request);
+	else if (!strcmp(path, "/control"))
+		serve_control(worker, request);
+	else
+		return 0;
+	return 1;
+}
+
+static void on_service(struct evhttp_request *request, void *arg)
+{
+	if (!serve_common(arg, request))
+		service_serve(arg, request);
+}
+
+static void on_tasks(struct evhttp_request *request, void *arg)
+{
+	if (!serve_common(arg, request))
+		tasks_serve(arg, request);
+}
+
+static int listen_at(struct worker *worker, const char *address,
+		     void (*fn)(struct evhttp_request *, void *))
+{
+	struct evhttp *http = evhttp_new(worker->base);
+	char host[ID_SIZE];
+	char *colon;
+
+	str_copy(host, address, sizeof(host));
+	colon = strrchr(host, ':');
+	if (!colon)
+		return -1;
+	*colon = '\0';
+	evhttp_set_allowed_methods(http, 0x1ff);
+	evhttp_set_gencb(http, fn, worker);
+	return evhttp_bind_socket(http, host, (uint16_t)atoi(colon + 1));
+}
+
+static void on_signal(evutil_socket_t fd, short what, void *arg)
+{
+	event_base_loopbreak(arg);
+}
+
+static int parse_limits(struct worker *worker, const char *limits)
+{
+	int64_t *l = worker->limits;
+
+	return sscanf(limits ? limits : "8,64,64000,250000,0",
+		      "%" SCNd64 ",%" SCNd64 ",%" SCNd64 ",%" SCNd64
+		      ",%" SCNd64,
+		      &l[0], &l[1], &l[2], &l[3], &l[4]) == USAGE_COUNT
+		       ? 0
+		       : -1;
+}
+
+static int run(struct worker *worker, const char *service, const char *tasks)
+{
+	struct event *term;
+
+	if (listen_at(worker, service, on_service) ||
+	    listen_at(worker, tasks, on_tasks)) {
+		fprintf(stderr, "fakeworker: cannot listen\n");
+		return 1;
+	}
+	term = evsignal_new(worker->base, SIGTERM, on_signal, worker->base);
+	event_add(term, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	printf("ready\n");
+	fflush(stdout);
+	event_base_dispatch(worker->base);
+	event_free(term);
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	struct worker worker = { .base = event_base_new(),
+				 .history = json_array() };
+	gchar *service = NULL, *tasks = NULL, *id = NULL, *limits = NULL;
+	gchar *history = NULL;
+	const GOptionEntry options[] = {
+		{ "service", 0, 0, G_OPTION_ARG_STRING, &service,
+		  "Address of the service", "IP:PORT" },
+		{ "tasks", 0, 0, G_OPTION_ARG_STRING, &tasks,
+		  "Address of the task interface", "IP:PORT" },
+		{ "id", 0, 0, G_OPTION_ARG_STRING, &id,
+		  "Name in the records (default: the service's address)",
+		  "NAME" },
+		{ "history", 0, 0, G_OPTION_ARG_STRING, &history,
+		  "Appends the records to a file, one line each", "FILE" },
+		{ "limits", 0, 0, G_OPTION_ARG_STRING, &limits,
+		  "Limits shown in the records of usage",
+		  "SLOTS,CONNECTIONS,CPU_MILLI,MEM_MB,ACCEL" },
+		{ NULL }
+	};
+	GOptionContext *context =
+		g_option_context_new("- stand-in of a worker");
+	int ok;
+
+	g_option_context_add_main_entries(context, options, NULL);
+	ok = g_option_context_parse(context, &argc, &argv, NULL);
+	g_option_context_free(context);
+	if (!ok || !service || !tasks || parse_limits(&worker, limits)) {
+		fprintf(stderr, "fakeworker: see --help\n");
+		return 2;
+	}
+	worker.who = id ? id : service;
+	worker.history_file = history ? fopen(history, "a") : NULL;
+	list_init(&worker.tasks);
+	return run(&worker, service, tasks);
+}
--- /dev/null
+++ b/tests/fakes/fakeworker/fakeworker.h
@@ -0,0 +1,80 @@
+#ifndef CATKINHILL_FAKEWORKER_H
+#define CATKINHILL_FAKEWORKER_H
+
+#include <inttypes.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <jansson.h>
+
+#include "list.h"
+#include "message.h"
+
+/*
+ * NAME
+ *	fakeworker - stand-in of a worker: a service and the task interface
+ *
+ * NOTES
+ *	Starts whatever it is given, whether it fits or not, and keeps a
+ *	record of what it did, so that tests can prove limits and effects.
+ */
+enum usage_kind {
+	USAGE_SLOTS, /* requests in progress, without streams after the head */
+	USAGE_CONNECTIONS, /* requests and streams */
+	USAGE_CPU,
+	USAGE_MEM,
+	USAGE_ACCEL,
+	USAGE_COUNT
+};
+
+struct faults {
+	int64_t slow_ms;    /* added to each request of the service */
+	int fail;	    /* 500 for every request; every task fails */
+	int64_t lose;	    /* answers of the service lost after the effect */
+	int64_t lose_tasks; /* the same at the task interface */
+	int64_t slow_tasks_ms;
+};
+
+struct worker {
+	struct event_base *base;
+	const char *who;
+	struct faults faults;
+	int64_t limits[USAGE_COUNT];
+	int64_t usage[USAGE_COUNT];
+	int64_t max[USAGE_COUNT];
+	json_t *history; /* records as in history.h */
+	FILE *history_file;
+	struct list tasks;
+	int64_t published;
+};
+
+int64_t worker_now_ms(void);
+
+/* record.c: takes over the reference; adds "t" and "who". */
+void record_add(struct worker *worker, json_t *record);
+void record_usage(struct worker *worker, enum usage_kind kind, int64_t delta);
+void record_serve(struct worker *worker, struct evhttp_request *request);
+
+/* service.c */
+void service_serve(struct worker *worker, struct evhttp_request *request);
+
+/* tasks.c */
+void tasks_serve(struct worker *worker, struct evhttp_request *request);
+
+/* Answers with JSON; takes over the reference. */
+void reply_json(struct evhttp_request *request, int status, json_t *body);
+
+/* Closes the connection of a request without an answer. */
+void reply_lost(struct worker *worker, struct evhttp_request *request);
+
+/* Calls fn(arg) once after delay_ms. */
+void run_later(struct worker *worker, int64_t delay_ms, event_callback_fn fn,
+	       void *arg);
+
+/* RETURN VALUE: the body parsed, a new reference, or NULL. */
+json_t *request_json(struct evhttp_request *request);
+
+#endif
--- /dev/null
+++ b/tests/fakes/fakeworker/record.c
@@ -0,0 +1,64 @@
+#include "fakeworker/fakeworker.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+static const char *const names[USAGE_COUNT] = {
+	[USAGE_SLOTS] = "slots",   [USAGE_CONNECTIONS] = "connections",
+	[USAGE_CPU] = "cpu_milli", [USAGE_MEM] = "mem_mb",
+	[USAGE_ACCEL] = "accel",
+};
+
+void record_add(struct worker *worker, json_t *record)
+{
+	json_object_set_new(record, "t", json_integer(worker_now_ms()));
+	json_object_set_new(record, "who", json_string(worker->who));
+	if (worker->history_file) {
+		json_dumpf(record, worker->history_file, JSON_COMPACT);
+		fputc('\n', worker->history_file);
+		fflush(worker->history_file);
+	}
+	json_array_append_new(worker->history, record);
+}
+
+static json_t *array_of(const int64_t *values)
+{
+	json_t *array = json_array();
+	int i;
+
+	for (i = 0; i < USAGE_COUNT; i++)
+		json_array_append_new(array, json_integer(values[i]));
+	return array;
+}
+
+/* Each new maximum is recorded, which bounds the number of records. */
+void record_usage(struct worker *worker, enum usage_kind kind, int64_t delta)
+{
+	worker->usage[kind] += delta;
+	if (worker->usage[kind] <= worker->max[kind])
+		return;
+	worker->max[kind] = worker->usage[kind];
+	record_add(worker, json_pack("{s:s, s:o, s:o}", "kind", "usage", "used",
+				     array_of(worker->usage), "limit",
+				     array_of(worker->limits)));
+}
+
+static json_t *object_of(const int64_t *values)
+{
+	json_t *object = json_object();
+	int i;
+
+	for (i = 0; i < USAGE_COUNT; i++)
+		json_object_set_new(object, names[i], json_integer(values[i]));
+	return object;
+}
+
+void record_serve(struct worker *worker, struct evhttp_request *request)
+{
+	reply_json(request, 200,
+		   json_pack("{s:o, s:o, s:I, s:O}", "max",
+			     object_of(worker->max), "now",
+			     object_of(worker->usage), "published",
+			     (json_int_t)worker->published, "history",
+			     worker->history));
+}
--- /dev/null
+++ b/tests/unit/test_gate.c
@@ -0,0 +1,232 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "gate.h"
+#include "rng.h"
+
+#define NOW mstime_from(1000)
+#define LATER mstime_from(2000)
+
+static const struct gate_limits small = { 2, 3, 1, { 1000, 100, 1 } };
+
+static enum gate_stage admit(struct gate *gate, struct gate_request *r,
+			     enum refusal *reason)
+{
+	return gate_admit(gate, r, LATER, NOW, reason);
+}
+
+/* Guards against a third request at a worker with two slots. */
+static void test_slots_and_queue(void **state)
+{
+	struct gate gate;
+	struct gate_request r[4] = { 0 };
+	enum refusal reason = REFUSAL_COUNT;
+
+	gate_init(&gate, &small);
+	assert_int_equal(admit(&gate, &r[0], &reason), GATE_RUNNING);
+	assert_int_equal(admit(&gate, &r[1], &reason), GATE_RUNNING);
+	assert_int_equal(admit(&gate, &r[2], &reason), GATE_WAITING);
+	assert_int_equal(admit(&gate, &r[3], &reason), GATE_OUTSIDE);
+	assert_int_equal(reason, REFUSAL_FULL);
+	assert_null(gate_next(&gate, NOW, &reason));
+	gate_release(&gate, &r[0]);
+	/* A newcomer must not take the slot that a waiting one is due. */
+	assert_int_equal(admit(&gate, &r[3], &reason), GATE_OUTSIDE);
+	assert_ptr_equal(gate_next(&gate, NOW, &reason), &r[2]);
+	assert_int_equal(r[2].stage, GATE_RUNNING);
+	gate_release(&gate, &r[2]);
+	gate_release(&gate, &r[2]);
+	assert_int_equal(gate.slots_used, 1);
+	assert_int_equal(gate.connections_used, 1);
+}
+
+/* Guards against streams that block slots, or escape the connections. */
+static void test_streams(void **state)
+{
+	struct gate gate;
+	struct gate_request r[4] = { 0 };
+	enum refusal reason;
+	int i;
+
+	gate_init(&gate, &small);
+	for (i = 0; i < 3; i++) {
+		assert_int_equal(admit(&gate, &r[i], &reason), GATE_RUNNING);
+		gate_stream(&gate, &r[i]);
+		gate_stream(&gate, &r[i]);
+	}
+	assert_int_equal(gate.slots_used, 0);
+	assert_int_equal(admit(&gate, &r[3], &reason), GATE_WAITING);
+	gate_release(&gate, &r[1]);
+	assert_ptr_equal(gate_next(&gate, NOW, &reason), &r[3]);
+}
+
+/* Guards against work that starts after its deadline or after closing. */
+static void test_deadline_and_close(void **state)
+{
+	struct gate gate;
+	struct gate_request r[4] = { 0 };
+	enum refusal reason;
+	struct mstime deadline;
+
+	gate_init(&gate, &small);
+	assert_int_equal(gate_admit(&gate, &r[0], NOW, NOW, &reason),
+			 GATE_OUTSIDE);
+	assert_int_equal(reason, REFUSAL_DEADLINE);
+	admit(&gate, &r[0], &reason);
+	admit(&gate, &r[1], &reason);
+	assert_false(gate_next_deadline(&gate, &deadline));
+	admit(&gate, &r[2], &reason);
+	assert_true(gate_next_deadline(&gate, &deadline));
+	assert_int_equal(deadline.ms, LATER.ms);
+	gate_release(&gate, &r[0]);
+	assert_ptr_equal(gate_next(&gate, LATER, &reason), &r[2]);
+	assert_int_equal(r[2].stage, GATE_OUTSIDE);
+	assert_int_equal(reason, REFUSAL_DEADLINE);
+	admit(&gate, &r[0], &reason);
+	admit(&gate, &r[2], &reason);
+	gate_close(&gate, REFUSAL_LEAVING);
+	assert_ptr_equal(gate_next(&gate, NOW, &reason), &r[2]);
+	assert_int_equal(reason, REFUSAL_LEAVING);
+	assert_int_equal(admit(&gate, &r[3], &reason), GATE_OUTSIDE);
+	gate_open(&gate);
+	gate_release(&gate, &r[0]);
+	assert_int_equal(admit(&gate, &r[3], &reason), GATE_RUNNING);
+}
+
+/* Guards against tasks that do not fit, by declaration or by growth. */
+static void test_tasks(void **state)
+{
+	static const struct {
+		const char *name;
+		struct resources declared, observed, second;
+		int err;
+	} cases[] = {
+		{ "fits", { 500, 50, 0 }, { 0, 0, 0 }, { 500, 50, 1 }, 0 },
+		{ "cpu", { 500, 50, 0 }, { 0, 0, 0 }, { 501, 1, 0 }, ERR_FULL },
+		{ "mem", { 500, 50, 0 }, { 0, 0, 0 }, { 1, 51, 0 }, ERR_FULL },
+		{ "accel", { 1, 1, 1 }, { 0, 0, 0 }, { 1, 1, 1 }, ERR_FULL },
+		{ "grown", { 1, 1, 0 }, { 1, 99, 0 }, { 1, 2, 0 }, ERR_FULL },
+		{ "unused", { 1, 60, 0 }, { 1, 2, 0 }, { 1, 50, 0 }, ERR_FULL },
+		{ "over", { 1, 1, 0 }, { 1, 200, 0 }, { 0, 0, 0 }, ERR_FULL },
+		{ "huge",
+		  { 0, 0, 0 },
+		  { 0, 0, 0 },
+		  { 1, 101, 0 },
+		  ERR_TOO_LARGE },
+		{ "sum wraps",
+		  { 1, 1, 0 },
+		  { UINT32_MAX, 1, 0 },
+		  { 2, 1, 0 },
+		  ERR_FULL },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct gate_task a = { 0 }, b = { 0 };
+		struct gate gate;
+		int err;
+
+		gate_init(&gate, &small);
+		assert_int_equal(
+			gate_task_reserve(&gate, &a, &cases[i].declared), 0);
+		gate_task_observe(&gate, &a, &cases[i].observed);
+		err = gate_task_reserve(&gate, &b, &cases[i].second);
+		if (err != cases[i].err)
+			fail_msg("%s: got %s", cases[i].name, error_name(err));
+		gate_task_release(&gate, &a);
+		gate_task_release(&gate, &a);
+		gate_task_release(&gate, &b);
+		assert_int_equal(gate_reserved(&gate).mem_mb, 0);
+	}
+}
+
+#define REQUESTS 24
+#define TASKS 12
+
+static void check_ledger(struct gate *gate, const struct gate_request *r)
+{
+	uint32_t slots = 0, connections = 0, queued = 0;
+	int i;
+
+	for (i = 0; i < REQUESTS; i++) {
+		slots += r[i].stage == GATE_RUNNING;
+		queued += r[i].stage == GATE_WAITING;
+		connections += r[i].stage >= GATE_RUNNING;
+	}
+	assert_int_equal(slots, gate->slots_used);
+	assert_int_equal(connections, gate->connections_used);
+	assert_int_equal(queued, gate->queued);
+	assert_true(slots <= gate->limits.slots);
+	assert_true(connections <= gate->limits.connections);
+	assert_true(queued <= gate->limits.queue);
+	assert_false(gate_over(gate));
+}
+
+/*
+ * Guards against a sum above the limits, or a ledger that differs from what
+ * its users hold, for any order of calls.
+ */
+static void test_any_order(void **state)
+{
+	struct gate_limits limits = { 4, 8, 5, { 4000, 400, 2 } };
+	struct gate_request r[REQUESTS] = { 0 };
+	struct gate_task t[TASKS] = { 0 };
+	struct gate gate;
+	struct rng rng;
+	int round;
+
+	rng_seed(&rng, 7);
+	gate_init(&gate, &limits);
+	for (round = 0; round < 200000; round++) {
+		struct mstime now = mstime_from(round);
+		struct gate_request *one = &r[rng_below(&rng, REQUESTS)];
+		struct gate_task *task = &t[rng_below(&rng, TASKS)];
+		struct resources need = { rng_below(&rng, 2500),
+					  rng_below(&rng, 250),
+					  rng_below(&rng, 2) };
+		enum refusal reason;
+
+		switch (rng_below(&rng, 7)) {
+		case 0:
+		case 1:
+			gate_admit(&gate, one,
+				   mstime_add(now, rng_below(&rng, 30) - 2),
+				   now, &reason);
+			break;
+		case 2:
+			gate_stream(&gate, one);
+			break;
+		case 3:
+			gate_release(&gate, one);
+			break;
+		case 4:
+			while (gate_next(&gate, now, &reason))
+				continue;
+			break;
+		case 5:
+			gate_task_reserve(&gate, task, &need);
+			break;
+		default:
+			gate_task_release(&gate, task);
+		}
+		check_ledger(&gate, r);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_slots_and_queue),
+		cmocka_unit_test(test_streams),
+		cmocka_unit_test(test_deadline_and_close),
+		cmocka_unit_test(test_tasks),
+		cmocka_unit_test(test_any_order),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
