--- a/packages/core/include/config.h
+++ b/packages/core/include/config.h
@@ -50,12 +50,24 @@
 
 #define DOMAINS_MAX 64
 #define TEAMS_MAX 256
+#define CHANGES_KEPT 16
+#define CHANGE_SIZE 160
 
 struct team_quota {
 	char team[ID_SIZE];
 	struct resources quota;
 };
 
+/*
+ * One confirmed intent: tells a stale plan what came first, and a writer that
+ * lost an answer whether its write took effect before others followed.
+ */
+struct config_change {
+	uint64_t version;    /* which this change made */
+	char token[ID_SIZE]; /* of its writer */
+	char text[CHANGE_SIZE];
+};
+
 struct config {
 	uint64_t version; /* 0: nothing written yet, all defaults */
 	char token[ID_SIZE];
@@ -64,6 +76,8 @@
 	size_t drained_count;
 	struct team_quota quotas[TEAMS_MAX];
 	size_t quota_count;
+	struct config_change changes[CHANGES_KEPT]; /* oldest first */
+	size_t change_count;
 };
 
 /* Version 0 with every limit at its initial value. */
@@ -76,9 +90,32 @@
  */
 int config_parse(struct config *config, const char *json, size_t len);
 
-/* RETURN VALUE: newly allocated JSON, freed by the caller. */
+/*
+ * Renders the limits that differ from their initial values and, always, the
+ * number of partitions.
+ *
+ * RETURN VALUE
+ *	Newly allocated JSON, freed by the caller.
+ */
 char *config_render(const struct config *config);
 
+/* Notes that version came about by the change; forgets the oldest one. */
+void config_note(struct config *config, uint64_t version, const char *token,
+		 const char *text);
+
+/* Gives the value to be written its token, also in its last change. */
+void config_set_token(struct config *config, const char *token);
+
+/*
+ * Whose write made a version.
+ *
+ * RETURN VALUE
+ *	1 if the token's, 0 if another one's, ERR_NOT_FOUND when the change is
+ *	no longer kept or the version is not reached.
+ */
+int config_written_by(const struct config *config, uint64_t version,
+		      const char *token);
+
 /*
  * Replaces current by next if its version is higher.
  *
