io: add the store's client and stand-in

The store is reached through the JSON gateway of the etcd v3 protocol. The client maps each end of a call to one outcome; a write is reported as not sent only when no connection was made, the store rejected it or answered 429. A write whose answer cannot be understood is unknown, and a read that is "not found" by the gateway itself means a wrong path, not a missing key.

fakestore runs as a process or in the loop of a unit test. It refuses connections only with a control address of its own, because clients would otherwise see an accepted and closed connection, which is unknown instead of unavailable (case "down" of test_store).

loop_new() ignores SIGPIPE: libevent writes to closed connections.

--- a/packages/io/include/loop.h
+++ b/packages/io/include/loop.h
@@ -8,6 +8,9 @@
 /*
  * NAME
  *	loop - the one event loop of the process, and its timers
+ *
+ * NOTES
+ *	loop_new() makes the process ignore SIGPIPE.
  */
 struct loop;
 struct loop_timer;
--- a/packages/io/include/store.h
+++ b/packages/io/include/store.h
@@ -21,7 +21,12 @@
  *	ERR_UNAVAILABLE	 not sent
  *	ERR_UNKNOWN	 sent, no answer: a write may have taken effect
  *	ERR_NOT_FOUND	 the key (get) or the lease (keepalive) is gone
- *	ERR_MALFORMED	 the answer cannot be understood
+ *	ERR_MALFORMED	 the answer cannot be understood (not after a write)
+ *	ERR_INVALID	 rejected by the store; nothing was written
+ *	ERR_TOO_LARGE	 the value is over STORE_VALUE_MAX; not sent
+ *	A write that the store certainly did not accept because of its load is
+ *	ERR_UNAVAILABLE. A write whose answer cannot be understood is
+ *	ERR_UNKNOWN.
  */
 #define STORE_VALUE_MAX (1024 * 1024)
 
@@ -43,11 +48,22 @@
 typedef void (*store_watch_fn)(void *arg, int err,
 			       const struct store_item *item);
 
+/*
+ * store_delete() drops pending calls without a callback and must not be
+ * called in a callback of the store. Watches end without a callback and are
+ * still to be stopped.
+ *
+ * RETURN VALUE
+ *	NULL when the address is not "ip:port".
+ */
 struct store *store_new(struct loop *loop, const char *address,
 			int64_t timeout_ms);
 void store_delete(struct store *store);
 
-/* No callback follows for any call that was started with arg. */
+/*
+ * No callback follows for any call that was started with arg; whether it takes
+ * effect stays unknown. Watches are not touched. May be called in a callback.
+ */
 void store_forget(struct store *store, const void *arg);
 
 void store_get(struct store *store, const char *key, store_get_fn fn,
@@ -59,7 +75,8 @@
 
 /*
  * Writes the value if the key's modification revision is still the one
- * given; 0 means that the key must not exist. lease is 0 for none.
+ * given; 0 means that the key must not exist. lease is 0 for none;
+ * ERR_NOT_FOUND means that the lease is gone and nothing was written.
  */
 void store_put_if(struct store *store, const char *key, int64_t revision,
 		  const void *value, size_t len, int64_t lease,
@@ -77,8 +94,11 @@
 			void *arg);
 
 /*
- * Watches one key until store_watch_stop(). fn gets each new value; after
- * an error (err not 0, item NULL) the watch has ended and must be stopped.
+ * Watches one key until store_watch_stop(). fn gets each new value, but not
+ * the one that the key has at the start; after an error (err not 0, item
+ * NULL) the watch has ended and must be stopped. A connection that is cut
+ * without a word is not noticed, so a reader that must not miss a value also
+ * reads the key from time to time. store_watch_stop() may be called in fn.
  */
 struct store_watch;
 struct store_watch *store_watch_start(struct store *store, const char *key,
--- a/packages/io/src/loop.c
+++ b/packages/io/src/loop.c
@@ -1,5 +1,6 @@
 #include "loop.h"
 
+#include <signal.h>
 #include <stdlib.h>
 
 #include <event2/event.h>
@@ -29,6 +30,8 @@
 {
 	struct loop *loop = xcalloc(1, sizeof(*loop));
 
+	/* A write to a connection that the peer has closed must not kill us. */
+	signal(SIGPIPE, SIG_IGN);
 	loop->base = event_base_new();
 	if (!loop->base)
 		abort();
--- /dev/null
+++ b/packages/io/src/store.c
@@ -0,0 +1,347 @@
+#include "store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "mem.h"
+#include "storecall.h"
+#include "storejson.h"
+
+#define IDLE_CONNECTIONS 4
+
+struct store_call {
+	struct list node; /* of store->pending */
+	struct store *store;
+	const struct operation *operation;
+	struct httpc_call *http;
+	struct loop_timer *failure; /* of a call that could not be started */
+	struct answer answer;
+	int err;
+	int64_t lease;
+	union {
+		store_get_fn get;
+		store_list_fn list;
+		store_write_fn write;
+		store_lease_fn lease;
+	} fn;
+	void *arg;
+};
+
+enum effect {
+	READ,
+	RENEW, /* may be repeated */
+	WRITE
+};
+
+/* finish() passes the outcome on; answer is NULL if err is not 0. */
+struct operation {
+	const char *path;
+	enum effect effect;
+	void (*finish)(struct store_call *call, int err, const json_t *answer);
+};
+
+static void call_free(struct store_call *call)
+{
+	list_del(&call->node);
+	loop_timer_delete(call->failure);
+	answer_clear(&call->answer);
+	free(call);
+}
+
+/*
+ * A write whose answer cannot be understood may have taken effect. A range
+ * that is "not found" means that the server has no such path, not that the
+ * key is missing.
+ */
+static int refine(enum effect effect, int err)
+{
+	if (err == ERR_MALFORMED && effect == WRITE)
+		return ERR_UNKNOWN;
+	if (err == ERR_NOT_FOUND && effect == READ)
+		return ERR_MALFORMED;
+	return err;
+}
+
+static void call_end(struct store_call *call, int err, const json_t *answer)
+{
+	/* Out of the list, so that store_forget() in fn leaves it alone. */
+	list_del(&call->node);
+	err = refine(call->operation->effect, err);
+	call->operation->finish(call, err, err ? NULL : answer);
+	call_free(call);
+}
+
+static void on_data(void *arg, const void *data, size_t len)
+{
+	struct store_call *call = arg;
+
+	answer_add(&call->answer, data, len);
+}
+
+static void on_end(void *arg, int http_err, int status)
+{
+	struct store_call *call = arg;
+	json_t *answer = NULL;
+
+	call->http = NULL;
+	if (!http_err && call->answer.len)
+		answer = json_loadb(call->answer.data, call->answer.len,
+				    JSON_DISABLE_EOF_CHECK, NULL);
+	call_end(call, store_outcome(http_err, status, answer), answer);
+	json_decref(answer);
+}
+
+static void on_failure(void *arg)
+{
+	struct store_call *call = arg;
+
+	call_end(call, call->err, NULL);
+}
+
+static const struct httpc_handlers http_handlers = { NULL, on_data, on_end };
+
+static struct store_call *call_new(struct store *store,
+				   const struct operation *operation, void *arg)
+{
+	struct store_call *call = xcalloc(1, sizeof(*call));
+
+	call->store = store;
+	call->operation = operation;
+	call->arg = arg;
+	list_add_tail(&store->pending, &call->node);
+	return call;
+}
+
+static void fail_later(struct store_call *call, int err)
+{
+	call->err = err;
+	call->failure = loop_timer_new(call->store->loop, on_failure, call);
+	loop_timer_start(call->failure, 0);
+}
+
+static void call_start(struct store_call *call, char *body)
+{
+	call->http = store_post(call->store, call->operation->path, body,
+				call->store->timeout_ms, &http_handlers, call);
+	if (!call->http)
+		fail_later(call, ERR_UNAVAILABLE);
+}
+
+struct store *store_new(struct loop *loop, const char *address,
+			int64_t timeout_ms)
+{
+	struct store *store = xcalloc(1, sizeof(*store));
+
+	store->loop = loop;
+	store->timeout_ms = timeout_ms;
+	list_init(&store->pending);
+	list_init(&store->watches);
+	store->pool = httpc_pool_new(loop, address, IDLE_CONNECTIONS);
+	if (store->pool)
+		return store;
+	free(store);
+	return NULL;
+}
+
+void store_delete(struct store *store)
+{
+	if (!store)
+		return;
+	store_watches_detach(store);
+	httpc_pool_delete(store->pool);
+	while (!list_empty(&store->pending))
+		call_free(list_entry(store->pending.next, struct store_call,
+				     node));
+	free(store);
+}
+
+void store_forget(struct store *store, const void *arg)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &store->pending) {
+		struct store_call *call =
+			list_entry(pos, struct store_call, node);
+
+		if (call->arg != arg)
+			continue;
+		if (call->http)
+			httpc_cancel(call->http);
+		call_free(call);
+	}
+}
+
+int64_t store_calls(const struct store *store)
+{
+	return store->calls;
+}
+
+static int read_items(const json_t *answer, struct store_item **items,
+		      size_t *count)
+{
+	const json_t *kvs = json_object_get(answer, "kvs");
+	size_t i;
+
+	*count = 0;
+	*items = xcalloc(json_array_size(kvs), sizeof(**items));
+	if (kvs && !json_is_array(kvs))
+		return ERR_MALFORMED;
+	for (i = 0; i < json_array_size(kvs); i++) {
+		if (storejson_item(json_array_get(kvs, i), &(*items)[i]))
+			return ERR_MALFORMED;
+		(*count)++;
+	}
+	return 0;
+}
+
+static void free_items(struct store_item *items, size_t count)
+{
+	while (count)
+		storejson_item_clear(&items[--count]);
+	free(items);
+}
+
+static void finish_get(struct store_call *call, int err, const json_t *answer)
+{
+	struct store_item *items = NULL;
+	size_t count = 0;
+
+	if (!err)
+		err = read_items(answer, &items, &count);
+	if (!err && !count)
+		err = ERR_NOT_FOUND;
+	call->fn.get(call->arg, err, err ? NULL : items);
+	free_items(items, count);
+}
+
+static void finish_list(struct store_call *call, int err, const json_t *answer)
+{
+	struct store_item *items = NULL;
+	size_t count = 0;
+
+	if (!err)
+		err = read_items(answer, &items, &count);
+	call->fn.list(call->arg, err, err ? NULL : items, err ? 0 : count);
+	free_items(items, count);
+}
+
+static void finish_write(struct store_call *call, int err, const json_t *answer)
+{
+	int64_t revision = 0;
+
+	if (!err)
+		err = storejson_written(answer, &revision);
+	if (err == ERR_MALFORMED)
+		err = ERR_UNKNOWN;
+	call->fn.write(call->arg, err, err ? 0 : revision);
+}
+
+static void finish_grant(struct store_call *call, int err, const json_t *answer)
+{
+	int64_t lease = 0;
+
+	if (!err && (storejson_int(answer, "ID", &lease) || !lease))
+		err = ERR_UNKNOWN;
+	call->fn.lease(call->arg, err, err ? 0 : lease);
+}
+
+/* The answer is a stream of one; a lease that is gone has no time left. */
+static void finish_keepalive(struct store_call *call, int err,
+			     const json_t *answer)
+{
+	const json_t *result = json_object_get(answer, "result");
+	int64_t ttl = 0;
+
+	if (!err &&
+	    (!json_is_object(result) || storejson_int(result, "TTL", &ttl)))
+		err = ERR_MALFORMED;
+	if (!err && ttl <= 0)
+		err = ERR_NOT_FOUND;
+	call->fn.lease(call->arg, err, call->lease);
+}
+
+static void finish_revoke(struct store_call *call, int err,
+			  const json_t *answer)
+{
+	call->fn.lease(call->arg, err, call->lease);
+}
+
+static const struct operation op_get = { "/v3/kv/range", READ, finish_get };
+static const struct operation op_list = { "/v3/kv/range", READ, finish_list };
+static const struct operation op_write = { "/v3/kv/txn", WRITE, finish_write };
+static const struct operation op_grant = { "/v3/lease/grant", WRITE,
+					   finish_grant };
+static const struct operation op_keepalive = { "/v3/lease/keepalive", RENEW,
+					       finish_keepalive };
+static const struct operation op_revoke = { "/v3/lease/revoke", WRITE,
+					    finish_revoke };
+
+void store_get(struct store *store, const char *key, store_get_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, &op_get, arg);
+
+	call->fn.get = fn;
+	call_start(call, storejson_get(key));
+}
+
+void store_list(struct store *store, const char *prefix, int limit,
+		store_list_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, &op_list, arg);
+
+	call->fn.list = fn;
+	call_start(call, storejson_list(prefix, limit));
+}
+
+void store_put_if(struct store *store, const char *key, int64_t revision,
+		  const void *value, size_t len, int64_t lease,
+		  store_write_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, &op_write, arg);
+
+	call->fn.write = fn;
+	if (len > STORE_VALUE_MAX)
+		fail_later(call, ERR_TOO_LARGE);
+	else
+		call_start(call,
+			   storejson_put_if(key, revision, value, len, lease));
+}
+
+void store_delete_if(struct store *store, const char *key, int64_t revision,
+		     store_write_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, &op_write, arg);
+
+	call->fn.write = fn;
+	call_start(call, storejson_delete_if(key, revision));
+}
+
+static void lease_call(struct store *store, const struct operation *operation,
+		       int64_t lease, char *body, store_lease_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, operation, arg);
+
+	call->fn.lease = fn;
+	call->lease = lease;
+	call_start(call, body);
+}
+
+void store_lease_grant(struct store *store, int64_t ttl_seconds,
+		       store_lease_fn fn, void *arg)
+{
+	lease_call(store, &op_grant, 0, storejson_grant(ttl_seconds), fn, arg);
+}
+
+void store_lease_keepalive(struct store *store, int64_t lease,
+			   store_lease_fn fn, void *arg)
+{
+	lease_call(store, &op_keepalive, lease, storejson_lease(lease), fn,
+		   arg);
+}
+
+void store_lease_revoke(struct store *store, int64_t lease, store_lease_fn fn,
+			void *arg)
+{
+	lease_call(store, &op_revoke, lease, storejson_lease(lease), fn, arg);
+}
--- /dev/null
+++ b/packages/io/src/storejson.h
@@ -0,0 +1,55 @@
+#ifndef CATKINHILL_STOREJSON_H
+#define CATKINHILL_STOREJSON_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include <jansson.h>
+
+#include "store.h"
+
+/*
+ * NAME
+ *	storejson - requests and answers of the store's JSON gateway
+ *
+ * NOTES
+ *	The functions that build a request return newly allocated text. The
+ *	gateway writes 64-bit numbers as strings and leaves out fields that
+ *	are 0, "" or false.
+ */
+char *storejson_get(const char *key);
+char *storejson_list(const char *prefix, int limit);
+char *storejson_put_if(const char *key, int64_t revision, const void *value,
+		       size_t len, int64_t lease);
+char *storejson_delete_if(const char *key, int64_t revision);
+char *storejson_grant(int64_t ttl_seconds);
+char *storejson_lease(int64_t lease);
+char *storejson_watch(const char *key);
+
+/*
+ * Reads an integer field, 0 if it is missing.
+ *
+ * ERRORS
+ *	ERR_MALFORMED	there is such a field, but it is no integer
+ */
+int storejson_int(const json_t *object, const char *name, int64_t *value);
+
+/*
+ * Reads a key with its value and revision; released by store_item_clear().
+ *
+ * ERRORS
+ *	ERR_MALFORMED	not an item of the store
+ */
+int storejson_item(const json_t *kv, struct store_item *item);
+void storejson_item_clear(struct store_item *item);
+
+/*
+ * Reads the answer to a write.
+ *
+ * ERRORS
+ *	ERR_CONFLICT	the comparison failed
+ *	ERR_MALFORMED	not an answer to a write
+ */
+int storejson_written(const json_t *answer, int64_t *revision);
+
+#endif
--- /dev/null
+++ b/packages/io/src/storewatch.c
@@ -0,0 +1,192 @@
+#include "store.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "mem.h"
+#include "storecall.h"
+#include "storejson.h"
+
+/* One event with the largest value in base64, and its fields. */
+#define LINE_MAX_BYTES (STORE_VALUE_MAX * 3 / 2)
+
+struct store_watch {
+	struct list node; /* of store->watches */
+	struct httpc_call *http;
+	struct loop_timer *failure; /* of a watch that could not be started */
+	struct answer answer;	    /* the line that is not complete yet */
+	store_watch_fn fn;
+	void *arg;
+	int in_callback;
+	int is_stopped; /* by store_watch_stop() inside a callback */
+	int status;
+};
+
+static void watch_free(struct store_watch *watch)
+{
+	list_del(&watch->node);
+	loop_timer_delete(watch->failure);
+	answer_clear(&watch->answer);
+	free(watch);
+}
+
+static void pass(struct store_watch *watch, int err,
+		 const struct store_item *item)
+{
+	watch->in_callback = 1;
+	watch->fn(watch->arg, err, item);
+	watch->in_callback = 0;
+}
+
+static int pass_event(struct store_watch *watch, const json_t *event)
+{
+	const char *type = json_string_value(json_object_get(event, "type"));
+	struct store_item item, deleted;
+	int err = storejson_item(json_object_get(event, "kv"), &item);
+
+	if (err)
+		return err;
+	deleted = item;
+	deleted.value = NULL;
+	deleted.len = 0;
+	pass(watch, 0, type && !strcmp(type, "DELETE") ? &deleted : &item);
+	storejson_item_clear(&item);
+	return 0;
+}
+
+/* A line is one answer of the stream; the first has no events. */
+static int pass_line(struct store_watch *watch, const char *line, size_t len)
+{
+	json_t *answer = json_loadb(line, len, 0, NULL);
+	const json_t *result = json_object_get(answer, "result");
+	const json_t *events = json_object_get(result, "events");
+	int err = json_is_object(result) ? 0 : ERR_MALFORMED;
+	size_t i;
+
+	if (json_is_true(json_object_get(result, "canceled")))
+		err = ERR_UNAVAILABLE;
+	for (i = 0; i < json_array_size(events); i++) {
+		if (err || watch->is_stopped)
+			break;
+		err = pass_event(watch, json_array_get(events, i));
+	}
+	json_decref(answer);
+	return err;
+}
+
+/* Passes all whole lines and keeps the rest. */
+static int pass_lines(struct store_watch *watch)
+{
+	char *start = watch->answer.data;
+	char *limit = start + watch->answer.len;
+	char *end;
+	int err = 0;
+
+	while (!err && !watch->is_stopped &&
+	       (end = memchr(start, '\n', (size_t)(limit - start)))) {
+		if (end > start)
+			err = pass_line(watch, start, (size_t)(end - start));
+		start = end + 1;
+	}
+	watch->answer.len = (size_t)(limit - start);
+	memmove(watch->answer.data, start, watch->answer.len);
+	return err;
+}
+
+/* May free the watch, if fn has stopped it. */
+static void end(struct store_watch *watch, int err)
+{
+	if (!watch->is_stopped)
+		pass(watch, err, NULL);
+	if (watch->is_stopped)
+		watch_free(watch);
+}
+
+static void on_head(void *arg, int status, const struct header_list *headers)
+{
+	struct store_watch *watch = arg;
+
+	watch->status = status;
+}
+
+static void on_data(void *arg, const void *data, size_t len)
+{
+	struct store_watch *watch = arg;
+	int err = 0;
+
+	if (watch->status != 200)
+		return;
+	answer_add(&watch->answer, data, len);
+	if (memchr(data, '\n', len))
+		err = pass_lines(watch);
+	if (watch->answer.len > LINE_MAX_BYTES)
+		err = ERR_MALFORMED;
+	if (!err && !watch->is_stopped)
+		return;
+	httpc_cancel(watch->http);
+	watch->http = NULL;
+	end(watch, err);
+}
+
+static void on_end(void *arg, int err, int status)
+{
+	struct store_watch *watch = arg;
+
+	watch->http = NULL;
+	end(watch, err == ERR_UNAVAILABLE ? err : ERR_UNKNOWN);
+}
+
+static void on_failure(void *arg)
+{
+	end(arg, ERR_UNAVAILABLE);
+}
+
+static const struct httpc_handlers handlers = { on_head, on_data, on_end };
+
+struct store_watch *store_watch_start(struct store *store, const char *key,
+				      store_watch_fn fn, void *arg)
+{
+	struct store_watch *watch = xcalloc(1, sizeof(*watch));
+
+	watch->fn = fn;
+	watch->arg = arg;
+	list_add_tail(&store->watches, &watch->node);
+	watch->http = store_post(store, "/v3/watch", storejson_watch(key), 0,
+				 &handlers, watch);
+	if (!watch->http) {
+		watch->failure = loop_timer_new(store->loop, on_failure, watch);
+		loop_timer_start(watch->failure, 0);
+	}
+	return watch;
+}
+
+void store_watch_stop(struct store_watch *watch)
+{
+	if (!watch)
+		return;
+	if (watch->in_callback) {
+		watch->is_stopped = 1;
+		return;
+	}
+	if (watch->http)
+		httpc_cancel(watch->http);
+	watch_free(watch);
+}
+
+void store_watches_detach(struct store *store)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &store->watches) {
+		struct store_watch *watch =
+			list_entry(pos, struct store_watch, node);
+
+		list_del(pos);
+		loop_timer_delete(watch->failure);
+		watch->failure = NULL;
+		if (watch->http)
+			httpc_cancel(watch->http);
+		watch->http = NULL;
+	}
+}
--- /dev/null
+++ b/tests/fakes/fakestore/kvstate.c
@@ -0,0 +1,202 @@
+#include "kvstate.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "mem.h"
+
+void kv_init(struct kv *kv, kv_change_fn fn, void *arg)
+{
+	memset(kv, 0, sizeof(*kv));
+	kv->revision = 1;
+	/* Beyond 2^53, so that a reader that uses doubles is found out. */
+	kv->next_lease = INT64_C(7587800000000000001);
+	kv->fn = fn;
+	kv->arg = arg;
+	list_init(&kv->leases);
+}
+
+static void item_clear(struct kv_item *item)
+{
+	free(item->key.data);
+	free(item->value.data);
+}
+
+static void lease_free(struct kv_lease *lease)
+{
+	list_del(&lease->node);
+	free(lease);
+}
+
+void kv_clear(struct kv *kv)
+{
+	while (kv->count)
+		item_clear(&kv->items[--kv->count]);
+	free(kv->items);
+	while (!list_empty(&kv->leases))
+		lease_free(list_entry(kv->leases.next, struct kv_lease, node));
+}
+
+static int compare(const struct kv_bytes *a, const struct kv_bytes *b)
+{
+	size_t len = a->len < b->len ? a->len : b->len;
+	int order = len ? memcmp(a->data, b->data, len) : 0;
+
+	if (order)
+		return order;
+	return (a->len > b->len) - (a->len < b->len);
+}
+
+/* Index of the first item whose key is not below the given one. */
+static size_t lower_bound(const struct kv *kv, const struct kv_bytes *key)
+{
+	size_t low = 0, high = kv->count;
+
+	while (low < high) {
+		size_t middle = low + (high - low) / 2;
+
+		if (compare(&kv->items[middle].key, key) < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+struct kv_item *kv_find(struct kv *kv, const struct kv_bytes *key)
+{
+	size_t i = lower_bound(kv, key);
+
+	if (i < kv->count && !compare(&kv->items[i].key, key))
+		return &kv->items[i];
+	return NULL;
+}
+
+size_t kv_range(struct kv *kv, const struct kv_bytes *key,
+		const struct kv_bytes *end, struct kv_item **first)
+{
+	size_t from = lower_bound(kv, key);
+	size_t to;
+
+	*first = kv->items + from;
+	if (!end->len)
+		return kv_find(kv, key) ? 1 : 0;
+	to = kv->count;
+	if (end->len > 1 || *end->data)
+		to = lower_bound(kv, end);
+	return to > from ? to - from : 0;
+}
+
+void kv_write_begin(struct kv *kv)
+{
+	kv->revision++;
+}
+
+static struct kv_item *insert(struct kv *kv, const struct kv_bytes *key)
+{
+	size_t i = lower_bound(kv, key);
+	struct kv_item *item;
+
+	if (kv->count == kv->size) {
+		kv->size = kv->size ? 2 * kv->size : 64;
+		kv->items = xrealloc(kv->items, kv->size * sizeof(*kv->items));
+	}
+	item = &kv->items[i];
+	memmove(item + 1, item, (kv->count - i) * sizeof(*item));
+	kv->count++;
+	memset(item, 0, sizeof(*item));
+	item->key.data = xmemdup(key->data, key->len);
+	item->key.len = key->len;
+	item->create_revision = kv->revision;
+	return item;
+}
+
+void kv_put(struct kv *kv, const struct kv_bytes *key,
+	    const struct kv_bytes *value, int64_t lease)
+{
+	struct kv_item *item = kv_find(kv, key);
+
+	if (!item)
+		item = insert(kv, key);
+	free(item->value.data);
+	item->value.data = xmemdup(value->data, value->len);
+	item->value.len = value->len;
+	item->mod_revision = kv->revision;
+	item->version++;
+	item->lease = lease;
+	kv->fn(kv->arg, item, 0);
+}
+
+static void delete_at(struct kv *kv, size_t i)
+{
+	struct kv_item item = kv->items[i];
+
+	kv->count--;
+	memmove(&kv->items[i], &kv->items[i + 1],
+		(kv->count - i) * sizeof(item));
+	item.mod_revision = kv->revision;
+	kv->fn(kv->arg, &item, 1);
+	item_clear(&item);
+}
+
+size_t kv_delete(struct kv *kv, const struct kv_bytes *key,
+		 const struct kv_bytes *end)
+{
+	struct kv_item *first;
+	size_t count = kv_range(kv, key, end, &first);
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		delete_at(kv, (size_t)(first - kv->items));
+	return count;
+}
+
+struct kv_lease *kv_lease_grant(struct kv *kv, int64_t ttl_ms, int64_t now_ms)
+{
+	struct kv_lease *lease = xcalloc(1, sizeof(*lease));
+
+	lease->id = kv->next_lease++;
+	lease->ttl_ms = ttl_ms;
+	lease->expires_ms = now_ms + ttl_ms;
+	list_add_tail(&kv->leases, &lease->node);
+	return lease;
+}
+
+struct kv_lease *kv_lease_find(struct kv *kv, int64_t id)
+{
+	struct list *pos;
+
+	list_for_each (pos, &kv->leases) {
+		struct kv_lease *lease = list_entry(pos, struct kv_lease, node);
+
+		if (lease->id == id)
+			return lease;
+	}
+	return NULL;
+}
+
+void kv_lease_revoke(struct kv *kv, struct kv_lease *lease)
+{
+	size_t i = 0;
+
+	kv_write_begin(kv);
+	while (i < kv->count) {
+		if (kv->items[i].lease == lease->id)
+			delete_at(kv, i);
+		else
+			i++;
+	}
+	lease_free(lease);
+}
+
+void kv_lease_expire(struct kv *kv, int64_t now_ms)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &kv->leases) {
+		struct kv_lease *lease = list_entry(pos, struct kv_lease, node);
+
+		if (lease->expires_ms <= now_ms)
+			kv_lease_revoke(kv, lease);
+	}
+}
--- /dev/null
+++ b/tests/fakes/fakestore/kvstate.h
@@ -0,0 +1,71 @@
+#ifndef CATKINHILL_KVSTATE_H
+#define CATKINHILL_KVSTATE_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "list.h"
+
+/*
+ * NAME
+ *	kvstate - keys, revisions and leases of the store's stand-in
+ *
+ * NOTES
+ *	Items are kept in ascending order of their keys. kv_write_begin()
+ *	gives all writes up to the next one the same new revision.
+ */
+struct kv_bytes {
+	unsigned char *data;
+	size_t len;
+};
+
+struct kv_item {
+	struct kv_bytes key, value;
+	int64_t create_revision, mod_revision, version, lease;
+};
+
+struct kv_lease {
+	struct list node;
+	int64_t id, ttl_ms, expires_ms;
+};
+
+/* Called after each change; item has no value when it was deleted. */
+typedef void (*kv_change_fn)(void *arg, const struct kv_item *item,
+			     int is_deleted);
+
+struct kv {
+	struct kv_item *items;
+	size_t count, size;
+	int64_t revision;
+	int64_t next_lease;
+	struct list leases;
+	kv_change_fn fn;
+	void *arg;
+};
+
+void kv_init(struct kv *kv, kv_change_fn fn, void *arg);
+void kv_clear(struct kv *kv);
+
+struct kv_item *kv_find(struct kv *kv, const struct kv_bytes *key);
+
+/*
+ * Items from key up to, not including, end; an empty end stands for the one
+ * key, and a single zero byte for the end of all keys.
+ */
+size_t kv_range(struct kv *kv, const struct kv_bytes *key,
+		const struct kv_bytes *end, struct kv_item **first);
+
+void kv_write_begin(struct kv *kv);
+void kv_put(struct kv *kv, const struct kv_bytes *key,
+	    const struct kv_bytes *value, int64_t lease);
+size_t kv_delete(struct kv *kv, const struct kv_bytes *key,
+		 const struct kv_bytes *end);
+
+struct kv_lease *kv_lease_grant(struct kv *kv, int64_t ttl_ms, int64_t now_ms);
+struct kv_lease *kv_lease_find(struct kv *kv, int64_t id);
+
+/* Deletes the keys that are attached to the lease, too. */
+void kv_lease_revoke(struct kv *kv, struct kv_lease *lease);
+void kv_lease_expire(struct kv *kv, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_store.c
@@ -0,0 +1,471 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "fakestore/storeserver.h"
+#include "mem.h"
+#include "message.h"
+#include "store.h"
+#include "support.h"
+
+#define TIMEOUT_MS 300
+
+struct fixture {
+	struct loop *loop;
+	char address[ID_SIZE], control[ID_SIZE];
+	struct storeserver *server;
+	struct store *store;
+	int ends, err;
+	int64_t number; /* revision or lease of the last answer */
+	char *value;	/* of the last item */
+	size_t len, count;
+	char keys[256];
+	struct store_watch *watch;
+	int events, wanted, deletes, stop_in_callback;
+};
+
+static int setup(void **state)
+{
+	struct fixture *f = calloc(1, sizeof(*f));
+
+	f->loop = loop_new();
+	free_address(f->address, sizeof(f->address));
+	free_address(f->control, sizeof(f->control));
+	f->server = storeserver_new(f->loop, f->address, f->control);
+	assert_non_null(f->server);
+	f->store = store_new(f->loop, f->address, TIMEOUT_MS);
+	assert_non_null(f->store);
+	*state = f;
+	return 0;
+}
+
+static int teardown(void **state)
+{
+	struct fixture *f = *state;
+
+	store_delete(f->store);
+	store_watch_stop(f->watch);
+	storeserver_delete(f->server);
+	loop_delete(f->loop);
+	free(f->value);
+	free(f);
+	return 0;
+}
+
+static int has_ended(void *arg)
+{
+	struct fixture *f = arg;
+
+	return f->ends;
+}
+
+/* Every call ends once and never inside the function that started it. */
+static int end_of(struct fixture *f)
+{
+	assert_int_equal(f->ends, 0);
+	assert_true(loop_wait(f->loop, has_ended, f));
+	assert_int_equal(f->ends, 1);
+	f->ends = 0;
+	return f->err;
+}
+
+static void keep(struct fixture *f, const struct store_item *item)
+{
+	free(f->value);
+	f->value = item && item->value ? xcalloc(1, item->len + 1) : NULL;
+	f->len = item ? item->len : 0;
+	f->number = item ? item->revision : 0;
+	if (f->value)
+		memcpy(f->value, item->value, item->len);
+}
+
+static void on_get(void *arg, int err, const struct store_item *item)
+{
+	struct fixture *f = arg;
+
+	f->ends++;
+	f->err = err;
+	keep(f, item);
+}
+
+static void on_list(void *arg, int err, const struct store_item *items,
+		    size_t count)
+{
+	struct fixture *f = arg;
+	size_t i;
+
+	f->ends++;
+	f->err = err;
+	f->count = count;
+	f->keys[0] = '\0';
+	for (i = 0; i < count; i++) {
+		strcat(f->keys, items[i].key);
+		strcat(f->keys, " ");
+	}
+}
+
+static void on_number(void *arg, int err, int64_t number)
+{
+	struct fixture *f = arg;
+
+	f->ends++;
+	f->err = err;
+	f->number = number;
+}
+
+static int get(struct fixture *f, const char *key)
+{
+	store_get(f->store, key, on_get, f);
+	return end_of(f);
+}
+
+static int put(struct fixture *f, const char *key, int64_t revision,
+	       const char *value, int64_t lease)
+{
+	store_put_if(f->store, key, revision, value, strlen(value), lease,
+		     on_number, f);
+	return end_of(f);
+}
+
+static int delete_key(struct fixture *f, const char *key, int64_t revision)
+{
+	store_delete_if(f->store, key, revision, on_number, f);
+	return end_of(f);
+}
+
+static int grant(struct fixture *f)
+{
+	store_lease_grant(f->store, 60, on_number, f);
+	return end_of(f);
+}
+
+static int keepalive(struct fixture *f, int64_t lease)
+{
+	store_lease_keepalive(f->store, lease, on_number, f);
+	return end_of(f);
+}
+
+static int revoke_lease(struct fixture *f, int64_t lease)
+{
+	store_lease_revoke(f->store, lease, on_number, f);
+	return end_of(f);
+}
+
+/* Guards against a lost update: each write must compare what was read. */
+static void test_compare_and_swap(void **state)
+{
+	struct fixture *f = *state;
+	int64_t first;
+
+	assert_int_equal(get(f, "k"), ERR_NOT_FOUND);
+	assert_int_equal(put(f, "k", 5, "x", 0), ERR_CONFLICT);
+	assert_int_equal(put(f, "k", 0, "one", 0), 0);
+	first = f->number;
+	assert_int_equal(put(f, "k", 0, "two", 0), ERR_CONFLICT);
+	assert_int_equal(get(f, "k"), 0);
+	assert_string_equal(f->value, "one");
+	assert_int_equal(f->number, first);
+	assert_int_equal(put(f, "k", first, "", 0), 0);
+	assert_int_equal(put(f, "k", first, "late", 0), ERR_CONFLICT);
+	assert_int_equal(get(f, "k"), 0);
+	assert_int_equal(f->len, 0);
+	assert_int_equal(delete_key(f, "k", first), ERR_CONFLICT);
+	assert_int_equal(delete_key(f, "k", f->number + 1), ERR_CONFLICT);
+	assert_int_equal(get(f, "k"), 0);
+	assert_int_equal(delete_key(f, "k", f->number), 0);
+	assert_int_equal(get(f, "k"), ERR_NOT_FOUND);
+	assert_int_equal(store_calls(f->store), 13);
+}
+
+static void test_list(void **state)
+{
+	static const char *const keys[] = { "a/2", "b",	 "a/1",	      "a",
+					    "a/",  "a0", "a/\xc3\xbf" };
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++)
+		assert_int_equal(put(f, keys[i], 0, "v", 0), 0);
+	store_list(f->store, "a/", 100, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_string_equal(f->keys, "a/ a/1 a/2 a/\xc3\xbf ");
+	store_list(f->store, "a/", 2, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_string_equal(f->keys, "a/ a/1 ");
+	store_list(f->store, "", 100, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_int_equal(f->count, 7);
+	store_list(f->store, "none/", 100, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_int_equal(f->count, 0);
+}
+
+/* Guards against bounds and text handling that damage a value. */
+static void test_largest_value(void **state)
+{
+	struct fixture *f = *state;
+	unsigned char *value = malloc(STORE_VALUE_MAX + 1);
+	size_t i;
+
+	store_delete(f->store);
+	f->store = store_new(f->loop, f->address, WAIT_MS);
+	for (i = 0; i <= STORE_VALUE_MAX; i++)
+		value[i] = (unsigned char)(i * 7 + i / 256);
+	store_put_if(f->store, "k", 0, value, STORE_VALUE_MAX + 1, 0, on_number,
+		     f);
+	assert_int_equal(end_of(f), ERR_TOO_LARGE);
+	store_put_if(f->store, "k", 0, value, STORE_VALUE_MAX, 0, on_number, f);
+	assert_int_equal(end_of(f), 0);
+	assert_int_equal(get(f, "k"), 0);
+	assert_int_equal(f->len, STORE_VALUE_MAX);
+	assert_memory_equal(f->value, value, STORE_VALUE_MAX);
+	free(value);
+}
+
+static void test_leases(void **state)
+{
+	struct fixture *f = *state;
+	int64_t lease;
+
+	assert_int_equal(grant(f), 0);
+	lease = f->number;
+	assert_int_equal(put(f, "k", 0, "v", lease), 0);
+	assert_int_equal(keepalive(f, lease), 0);
+	storeserver_control(f->server, "{\"expire_leases\": true}");
+	assert_int_equal(get(f, "k"), ERR_NOT_FOUND);
+	assert_int_equal(keepalive(f, lease), ERR_NOT_FOUND);
+	assert_int_equal(put(f, "k", 0, "v", lease), ERR_NOT_FOUND);
+	assert_int_equal(revoke_lease(f, lease), ERR_NOT_FOUND);
+	assert_int_equal(grant(f), 0);
+	lease = f->number;
+	assert_int_equal(put(f, "k", 0, "v", lease), 0);
+	assert_int_equal(revoke_lease(f, lease), 0);
+	assert_int_equal(get(f, "k"), ERR_NOT_FOUND);
+}
+
+static int key_is_gone(void *arg)
+{
+	struct fixture *f = arg;
+
+	if (!f->wanted) {
+		f->wanted = 1;
+		store_get(f->store, "k", on_get, f);
+	} else if (f->ends) {
+		f->ends = f->wanted = 0;
+		return f->err == ERR_NOT_FOUND;
+	}
+	return 0;
+}
+
+/* Guards against leases that end by themselves never, or while kept. */
+static void test_lease_expires(void **state)
+{
+	struct fixture *f = *state;
+
+	store_lease_grant(f->store, 1, on_number, f);
+	assert_int_equal(end_of(f), 0);
+	assert_int_equal(put(f, "k", 0, "v", f->number), 0);
+	assert_true(loop_wait(f->loop, key_is_gone, f));
+}
+
+/* Guards against a wrong outcome, above all "not sent" for a write that was. */
+static void test_faults(void **state)
+{
+	static const struct {
+		const char *name;
+		const char *control;
+		int read_err, write_err;
+		int has_effect;
+	} cases[] = {
+		{ "ok", "{}", 0, 0, 1 },
+		{ "down", "{\"mode\": \"refuse\"}", ERR_UNAVAILABLE,
+		  ERR_UNAVAILABLE, 0 },
+		{ "hangs", "{\"mode\": \"hang\"}", ERR_UNKNOWN, ERR_UNKNOWN,
+		  0 },
+		{ "too slow", "{\"delay_ms\": 60000}", ERR_UNKNOWN, ERR_UNKNOWN,
+		  1 },
+		{ "answer lost", "{\"lose_answers\": 1}", 0, ERR_UNKNOWN, 1 },
+		{ "slow", "{\"delay_ms\": 20}", 0, 0, 1 },
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	assert_int_equal(put(f, "k", 0, "v", 0), 0);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char key[8] = { (char)('a' + i) };
+		int read_err, write_err;
+
+		storeserver_control(f->server, cases[i].control);
+		read_err = get(f, "k");
+		write_err = put(f, key, 0, "v", 0);
+		storeserver_control(f->server,
+				    "{\"mode\": \"ok\", \"delay_ms\": 0}");
+		assert_int_equal(get(f, key),
+				 cases[i].has_effect ? 0 : ERR_NOT_FOUND);
+		if (read_err != cases[i].read_err ||
+		    write_err != cases[i].write_err)
+			fail_msg("%s: read %s, write %s", cases[i].name,
+				 error_name(read_err), error_name(write_err));
+	}
+}
+
+/* Guards against a wrong address that looks like an empty store. */
+static void test_other_server(void **state)
+{
+	struct fixture *f = *state;
+
+	storeserver_delete(f->server);
+	f->server = storeserver_new(f->loop, f->control, NULL);
+	assert_int_equal(get(f, "k"), ERR_UNAVAILABLE);
+	assert_null(store_new(f->loop, "not an address", TIMEOUT_MS));
+}
+
+static void on_watch(void *arg, int err, const struct store_item *item)
+{
+	struct fixture *f = arg;
+
+	if (err) {
+		f->ends++;
+		f->err = err;
+	} else {
+		f->events++;
+		f->deletes += !item->value;
+		keep(f, item);
+	}
+	if (f->stop_in_callback) {
+		store_watch_stop(f->watch);
+		f->watch = NULL;
+	}
+}
+
+static int has_events(void *arg)
+{
+	struct fixture *f = arg;
+
+	return f->events >= f->wanted;
+}
+
+static int server_watches(void *arg)
+{
+	struct fixture *f = arg;
+
+	return storeserver_watches(f->server) == f->wanted;
+}
+
+static void start_watch(struct fixture *f)
+{
+	f->watch = store_watch_start(f->store, "k", on_watch, f);
+	f->wanted = 1;
+	assert_true(loop_wait(f->loop, server_watches, f));
+}
+
+static void expect_events(struct fixture *f, int count)
+{
+	f->wanted = count;
+	assert_true(loop_wait(f->loop, has_events, f));
+	assert_int_equal(f->events, count);
+}
+
+/* Guards against missed values and values of other keys. */
+static void test_watch(void **state)
+{
+	struct fixture *f = *state;
+	char *large = calloc(1, 300 * 1024 + 1);
+
+	start_watch(f);
+	memset(large, 'x', 300 * 1024);
+	assert_int_equal(put(f, "k", 0, "one", 0), 0);
+	expect_events(f, 1);
+	assert_string_equal(f->value, "one");
+	assert_int_equal(put(f, "kk", 0, "other", 0), 0);
+	assert_int_equal(get(f, "k"), 0);
+	assert_int_equal(put(f, "k", f->number, large, 0), 0);
+	expect_events(f, 2);
+	assert_int_equal(f->len, 300 * 1024);
+	assert_int_equal(delete_key(f, "k", f->number), 0);
+	expect_events(f, 3);
+	assert_int_equal(f->deletes, 1);
+	store_watch_stop(f->watch);
+	f->watch = NULL;
+	f->wanted = 0;
+	assert_true(loop_wait(f->loop, server_watches, f));
+	free(large);
+}
+
+/* Guards against a reader that waits on a watch that has ended. */
+static void test_watch_breaks(void **state)
+{
+	static const struct {
+		const char *control;
+		int err;
+		int is_restart; /* the watch is started after the control */
+	} cases[] = {
+		{ "{\"break_watches\": true}", ERR_UNKNOWN, 0 },
+		{ "{\"mode\": \"refuse\"}", ERR_UNKNOWN, 0 },
+		{ "{\"mode\": \"refuse\"}", ERR_UNAVAILABLE, 1 },
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		if (!cases[i].is_restart)
+			start_watch(f);
+		storeserver_control(f->server, cases[i].control);
+		if (cases[i].is_restart)
+			f->watch =
+				store_watch_start(f->store, "k", on_watch, f);
+		f->stop_in_callback = i == 1;
+		assert_int_equal(end_of(f), cases[i].err);
+		store_watch_stop(f->watch);
+		f->watch = NULL;
+		f->stop_in_callback = 0;
+		storeserver_control(f->server, "{\"mode\": \"ok\"}");
+	}
+}
+
+/* Guards against use after free when the first value ends the watch. */
+static void test_watch_stopped_by_event(void **state)
+{
+	struct fixture *f = *state;
+
+	start_watch(f);
+	f->stop_in_callback = 1;
+	assert_int_equal(put(f, "k", 0, "one", 0), 0);
+	expect_events(f, 1);
+	f->wanted = 0;
+	assert_true(loop_wait(f->loop, server_watches, f));
+}
+
+/* Guards against callbacks to an object that is gone. */
+static void test_forget(void **state)
+{
+	struct fixture *f = *state;
+	int other;
+
+	store_put_if(f->store, "k", 0, "v", 1, 0, on_number, &other);
+	store_get(f->store, "k", on_get, f);
+	store_forget(f->store, &other);
+	end_of(f);
+	store_get(f->store, "k", on_get, f); /* left to store_delete() */
+}
+
+#define CASE(fn) cmocka_unit_test_setup_teardown(fn, setup, teardown)
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		CASE(test_compare_and_swap), CASE(test_list),
+		CASE(test_largest_value),    CASE(test_leases),
+		CASE(test_lease_expires),    CASE(test_faults),
+		CASE(test_other_server),     CASE(test_watch),
+		CASE(test_watch_breaks),     CASE(test_watch_stopped_by_event),
+		CASE(test_forget),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
