daemon: read jobs for plans, export process cost

Cause: a plan names the tasks that would move; operators and benches need the processor time and memory of a daemon.

Error answers are kept printable, because JSON cannot express cut or foreign bytes of quoted input.

--- a/packages/daemon/src/admin.c
+++ b/packages/daemon/src/admin.c
@@ -12,6 +12,7 @@
 #include "list.h"
 #include "log.h"
 #include "mem.h"
+#include "procstat.h"
 
 #define BODY_MAX (1024 * 1024)
 #define HEADERS_MAX_BYTES (16 * 1024)
@@ -48,6 +49,8 @@
 	int ready;
 	const char *reason;
 	struct counter requests;
+	struct counter cpu;
+	struct counter memory;
 };
 
 static void request_free(struct admin_request *request)
@@ -84,6 +87,14 @@
 	free(text);
 }
 
+/* Quoted input may hold bytes that JSON cannot express. */
+static void make_printable(char *text)
+{
+	for (; *text; text++)
+		if (*text < ' ' || *text > '~')
+			*text = '?';
+}
+
 void admin_reply_error(struct admin_request *request, int status, int err,
 		       const char *fmt, ...)
 {
@@ -94,6 +105,7 @@
 	if (vasprintf(&text, fmt, args) < 0)
 		abort();
 	va_end(args);
+	make_printable(text);
 	admin_reply(request, status,
 		    json_pack("{s:s, s:s}", "error", error_name(err), "message",
 			      text));
@@ -115,8 +127,12 @@
 static void on_metrics(void *arg, struct admin_request *request)
 {
 	struct admin *admin = arg;
-	char *text = counter_set_render(&admin->daemon->counters);
+	struct procstat stat = procstat_read();
+	char *text;
 
+	admin->cpu.value = stat.cpu_ms;
+	admin->memory.value = stat.rss_bytes;
+	text = counter_set_render(&admin->daemon->counters);
 	send_text(request, HTTP_OK, "text/plain; version=0.0.4", text);
 	free(text);
 }
@@ -233,6 +249,28 @@
 		       : 0;
 }
 
+static void add_counters(struct admin *admin)
+{
+	struct counter_set *set = &admin->daemon->counters;
+
+	admin->requests = (struct counter){
+		.name = "catkinhill_admin_requests_total",
+		.help = "Requests to the admin address.",
+	};
+	admin->cpu = (struct counter){
+		.name = "catkinhill_process_cpu_ms_total",
+		.help = "Processor time of this process.",
+	};
+	admin->memory = (struct counter){
+		.kind = COUNTER_GAUGE,
+		.name = "catkinhill_process_rss_bytes",
+		.help = "Resident memory of this process.",
+	};
+	counter_add(set, &admin->requests);
+	counter_add(set, &admin->cpu);
+	counter_add(set, &admin->memory);
+}
+
 struct admin *admin_new(struct daemon *daemon)
 {
 	struct admin *admin = xcalloc(1, sizeof(*admin));
@@ -254,11 +292,7 @@
 	evhttp_set_max_headers_size(admin->http, HEADERS_MAX_BYTES);
 	evhttp_set_timeout(admin->http, IDLE_SECONDS);
 	evhttp_set_allowed_methods(admin->http, METHODS);
-	admin->requests = (struct counter){
-		.name = "catkinhill_admin_requests_total",
-		.help = "Requests to the admin address.",
-	};
-	counter_add(&daemon->counters, &admin->requests);
+	add_counters(admin);
 	admin_register(admin, "GET", "/metrics", on_metrics, admin);
 	admin_register(admin, "GET", "/health", on_health, admin);
 	admin_register(admin, "GET", "/ready", on_ready, admin);
@@ -281,6 +315,8 @@
 	}
 	evhttp_free(admin->http);
 	list_del(&admin->requests.node);
+	list_del(&admin->cpu.node);
+	list_del(&admin->memory.node);
 	free(admin);
 }
 
--- a/packages/daemon/src/opjobs.c
+++ b/packages/daemon/src/opjobs.c
@@ -4,10 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <jansson.h>
-
 #include "errors.h"
 #include "mem.h"
+#include "partition.h"
+#include "sysclock.h"
 
 struct opjobs {
 	struct daemon *daemon;
@@ -44,45 +44,31 @@
 	added = &jobs->jobs[jobs->count++];
 	memset(added, 0, sizeof(*added));
 	str_copy(added->job, job, sizeof(added->job));
-	str_copy(added->agent, agent ? agent : "", sizeof(added->agent));
+	str_copy(added->agent, agent, sizeof(added->agent));
 	added->ended = ended;
 }
 
-static int state_ended(const char *state)
-{
-	static const char *const ended[] = { "done", "failed", "cancelled",
-					     "impossible" };
-	size_t i;
-
-	for (i = 0; i < sizeof(ended) / sizeof(ended[0]); i++)
-		if (state && !strcmp(state, ended[i]))
-			return 1;
-	return 0;
-}
-
 /* RETURN VALUE: 0, or ERR_MALFORMED. */
 static int add_partition(struct opjobs *jobs, const struct store_item *item)
 {
-	json_t *root =
-		json_loadb((const char *)item->value, item->len, 0, NULL);
-	json_t *array = json_object_get(root, "jobs");
-	json_t *row;
-	size_t i;
+	struct partition *partition = partition_new(0);
+	const struct list *pos;
+	int err = partition_decode(partition, item->value, item->len,
+				   sysclock_now());
 
-	json_array_foreach(array, i, row)
-	{
-		const char *job =
-			json_string_value(json_object_get(row, "job"));
-		const char *agent =
-			json_string_value(json_object_get(row, "agent"));
-		const char *state =
-			json_string_value(json_object_get(row, "state"));
-
-		if (job)
-			add_job(jobs, job, agent, state_ended(state));
-	}
-	json_decref(root);
-	return array ? 0 : ERR_MALFORMED;
+	if (!err)
+		list_for_each (pos, &partition->jobs) {
+			const struct job *job =
+				list_entry(pos, struct job, node);
+			int placed = job->state == JOB_STARTING ||
+				     job->state == JOB_RUNNING ||
+				     job->state == JOB_STOPPING;
+
+			add_job(jobs, job->id, placed ? job->agent : "",
+				job->state >= JOB_DONE);
+		}
+	partition_delete(partition);
+	return err;
 }
 
 static void on_partitions(void *arg, int err, const struct store_item *items,
