plan: refuse any change of the number of partitions

Cause: an owner takes the number when it starts. A change while the version was still 0 would have split entries into two layouts.

--- a/packages/core/include/config.h
+++ b/packages/core/include/config.h
@@ -17,7 +17,7 @@
  *	default; see config_limits().
  */
 enum limit_key {
-	LIMIT_PARTITIONS,	   /* batch partitions; fixed once written */
+	LIMIT_PARTITIONS,	   /* batch partitions; fixed */
 	LIMIT_DEADLINE_DEFAULT_MS, /* of a request that names none */
 	LIMIT_DEADLINE_MAX_MS,
 	LIMIT_RETRY_PERCENT,	 /* retry budget, percent of requests */
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -14,8 +14,8 @@
  */
 static const struct limit_info limits[LIMIT_COUNT] = {
 	[LIMIT_PARTITIONS] = { "partitions", "partitions", 1, 4096, 4,
-			       "Batch partitions; fixed once a configuration "
-			       "is written." },
+			       "Batch partitions; fixed, because jobs are "
+			       "stored by it." },
 	[LIMIT_DEADLINE_DEFAULT_MS] = { "deadline_default_ms", "ms", 1, 3600000,
 					10000,
 					"Deadline of a request that names "
--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -313,10 +313,10 @@
 		maker->plan->in_force = 1;
 		return 0;
 	}
-	if (limit->key == LIMIT_PARTITIONS && maker->config->version)
+	if (limit->key == LIMIT_PARTITIONS)
 		return refuse(maker, ERR_INVALID,
-			      "partitions is fixed since version 1 of the "
-			      "configuration; jobs are stored by it");
+			      "partitions is fixed: owners hold partitions and "
+			      "jobs are stored by their number");
 	memcpy(limits, maker->config->limits, sizeof(limits));
 	limits[limit->key] = limit->value;
 	return check_limits(maker, limits);
