batch: test the decisions of owners

Cause: runs must end once, move only when proved stopped, and states must be committed before they are acted on.

--- a/packages/core/src/partition_codec.c
+++ b/packages/core/src/partition_codec.c
@@ -310,6 +310,7 @@
 	size_t offset = 0, prefix = strlen(writer);
 	struct head head;
 	int err = ERR_MALFORMED;
+	char *end;
 
 	memset(&head, 0, sizeof(head));
 	msgpack_unpacked_init(&unpacked);
@@ -327,6 +328,6 @@
 	*epoch = head.epoch;
 	if (strncmp(head.token, writer, prefix) || head.token[prefix] != '/')
 		return 0;
-	*version = strtoull(head.token + prefix + 1, NULL, 10);
-	return 1;
+	*version = strtoull(head.token + prefix + 1, &end, 10);
+	return *end == '\0';
 }
--- /dev/null
+++ b/tests/unit/test_partition.c
@@ -0,0 +1,354 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "hash.h"
+#include "jobspec.h"
+#include "partition.h"
+
+static const struct resources need = { 1000, 512, 0 };
+static const struct try_policy policy = { .job_tries = 3 };
+
+static struct mstime at(int64_t ms)
+{
+	return mstime_from(100000 + ms);
+}
+
+static struct job *submit(struct partition *partition, const char *id)
+{
+	struct job_spec spec = { .team = "t", .need = need, .command = "c" };
+
+	snprintf(spec.job, sizeof(spec.job), "%s", id);
+	assert_int_equal(partition_submit(partition, &spec, at(0)), 0);
+	return partition_find(partition, id);
+}
+
+static void commit(struct partition *partition)
+{
+	partition_committed(partition, partition->version);
+}
+
+static struct job *start(struct partition *partition, const char *id,
+			 const char *agent)
+{
+	struct job *job = partition_find(partition, id);
+
+	if (!job)
+		job = submit(partition, id);
+	assert_int_equal(partition_start(partition, job, agent, &need, "r",
+					 at(0)),
+			 0);
+	assert_int_equal(partition_command(partition, job, at(0)),
+			 COMMAND_NONE);
+	commit(partition);
+	assert_int_equal(partition_command(partition, job, at(0)),
+			 COMMAND_START);
+	return job;
+}
+
+static enum task_effect report(struct partition *partition, const char *agent,
+			       uint64_t run, enum task_state state,
+			       const char *checkpoint)
+{
+	const struct task_status status = { .job = "j",
+					    .run = run,
+					    .state = state,
+					    .checkpoint = checkpoint };
+
+	return partition_report(partition, agent, &status, &policy, at(1000));
+}
+
+enum command {
+	DO_NOTHING,
+	DO_EVICT,
+	DO_CANCEL
+};
+
+/* Each end of a run, by what was asked before it. */
+static const struct {
+	enum command command;
+	enum task_state end;
+	enum task_effect effect;
+	enum job_state state;
+} ends[] = {
+	{ DO_NOTHING, TASK_FINISHED, EFFECT_DONE, JOB_DONE },
+	{ DO_NOTHING, TASK_STOPPED, EFFECT_REQUEUED, JOB_QUEUED },
+	{ DO_NOTHING, TASK_FAILED, EFFECT_RETRY, JOB_QUEUED },
+	{ DO_NOTHING, TASK_LOST, EFFECT_RETRY, JOB_QUEUED },
+	{ DO_NOTHING, TASK_REFUSED, EFFECT_REFUSED, JOB_QUEUED },
+	{ DO_EVICT, TASK_STOPPED, EFFECT_REQUEUED, JOB_QUEUED },
+	{ DO_EVICT, TASK_FINISHED, EFFECT_DONE, JOB_DONE },
+	{ DO_EVICT, TASK_LOST, EFFECT_RETRY, JOB_QUEUED },
+	{ DO_CANCEL, TASK_STOPPED, EFFECT_CANCELLED, JOB_CANCELLED },
+	{ DO_CANCEL, TASK_FAILED, EFFECT_CANCELLED, JOB_CANCELLED },
+	{ DO_CANCEL, TASK_REFUSED, EFFECT_CANCELLED, JOB_CANCELLED },
+	{ DO_CANCEL, TASK_FINISHED, EFFECT_DONE, JOB_DONE },
+};
+
+/*
+ * Guards against a second end of one run, and a new run before the old one is
+ * proved stopped.
+ */
+static void test_run_ends_once(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(ends) / sizeof(ends[0]); i++) {
+		struct partition *p = partition_new(1);
+		struct job *job = start(p, "j", "a1");
+
+		assert_int_equal(report(p, "a1", 1, TASK_RUNNING, "c1"),
+				 EFFECT_RUNNING);
+		if (ends[i].command == DO_EVICT)
+			partition_evict(p, job, "r", at(1));
+		if (ends[i].command == DO_CANCEL)
+			partition_cancel(p, "j", at(1));
+		assert_int_equal(partition_start(p, job, "a2", &need, "r",
+						 at(2)),
+				 ERR_INVALID);
+		assert_int_equal(report(p, "a2", 1, TASK_FINISHED, ""),
+				 EFFECT_NONE);
+		assert_int_equal(report(p, "a2", 1, TASK_RUNNING, ""),
+				 EFFECT_STALE);
+		assert_int_equal(report(p, "a1", 1, ends[i].end, "c2"),
+				 ends[i].effect);
+		assert_int_equal(job->state, ends[i].state);
+		assert_string_equal(job->checkpoint, "c2");
+		assert_int_equal(report(p, "a1", 1, ends[i].end, "c2"),
+				 EFFECT_NONE);
+		assert_int_equal(report(p, "a1", 1, TASK_RUNNING, "c3"),
+				 EFFECT_STALE);
+		partition_delete(p);
+	}
+}
+
+/* Guards against a command, or an agent forgetting an end, before a commit. */
+static void test_commit_comes_first(void **state)
+{
+	struct partition *p = partition_new(1);
+	struct job *job = start(p, "j", "a1");
+	const struct task_status end = { .job = "j",
+					 .run = 1,
+					 .state = TASK_FINISHED };
+
+	assert_int_equal(partition_command(p, job, at(10)), COMMAND_NONE);
+	assert_int_equal(partition_command(p, job, at(1000)), COMMAND_START);
+	partition_evict(p, job, "r", at(1001));
+	assert_int_equal(partition_command(p, job, at(1001)), COMMAND_NONE);
+	partition_committed(p, p->version - 1);
+	assert_int_equal(partition_command(p, job, at(1001)), COMMAND_NONE);
+	commit(p);
+	assert_int_equal(partition_command(p, job, at(1001)), COMMAND_STOP);
+	report(p, "a1", 1, TASK_FINISHED, "");
+	assert_false(partition_settled(p, &end));
+	commit(p);
+	assert_true(partition_settled(p, &end));
+	partition_delete(p);
+}
+
+/* Guards against a cancelled job that starts, before or after its placement. */
+static void test_cancelled_never_starts(void **state)
+{
+	struct partition *p = partition_new(1);
+	struct job *queued = submit(p, "q"), *placed = submit(p, "p");
+
+	assert_int_equal(partition_start(p, placed, "a", &need, "", at(0)), 0);
+	assert_int_equal(partition_cancel(p, "q", at(1)), 0);
+	assert_int_equal(partition_cancel(p, "p", at(1)), 0);
+	assert_int_equal(partition_cancel(p, "none", at(1)), ERR_NOT_FOUND);
+	commit(p);
+	assert_int_equal(queued->state, JOB_CANCELLED);
+	assert_int_equal(placed->state, JOB_CANCELLED);
+	assert_int_equal(partition_command(p, placed, at(2)), COMMAND_NONE);
+	assert_int_equal(partition_start(p, queued, "a", &need, "", at(2)),
+			 ERR_INVALID);
+	assert_int_equal(partition_cancel(p, "q", at(3)), 0);
+	partition_delete(p);
+}
+
+/* Guards against endless retries, and against blaming jobs for a worker. */
+static void test_tries(void **state)
+{
+	static const char *const agents[] = { "a1", "a1", "a2", "bad", "a3" };
+	const uint64_t blamed[] = { hash_str("bad") };
+	const struct try_policy blaming = { 3, blamed, 1 };
+	struct partition *p = partition_new(1);
+	struct job *job = NULL;
+	size_t i;
+
+	for (i = 0; i < 5; i++) {
+		struct task_status status = { .job = "j", .run = i + 1 };
+
+		status.state = TASK_FAILED;
+		status.detail = "exit 1";
+		job = start(p, "j", agents[i]);
+		assert_int_equal(partition_report(p, agents[i], &status,
+						  &blaming, at(1)),
+				 i < 4 ? EFFECT_RETRY : EFFECT_FAILED);
+	}
+	assert_int_equal(job->state, JOB_FAILED);
+	assert_non_null(strstr(job->reason, "exit 1"));
+	partition_delete(p);
+}
+
+/* Guards against a field that a takeover loses. */
+static void test_value_round_trip(void **state)
+{
+	struct partition *p = partition_new(3), *q = partition_new(3);
+	uint64_t epoch, version;
+	struct job *job;
+	char *data;
+	size_t len, cut;
+
+	p->epoch = 7;
+	p->holdover_ms = 1234;
+	job = start(p, "j", "a1");
+	report(p, "a1", 1, TASK_STOPPED, "c9");
+	start(p, "j", "a2");
+	report(p, "a2", 2, TASK_FAILED, "");
+	start(p, "j", "a3");
+	submit(p, "k");
+	assert_int_equal(partition_encode(p, "e1/1", at(5000), &data, &len), 0);
+	assert_int_equal(partition_decode(q, data, len, at(9000)), 0);
+	assert_int_equal(q->epoch, 7);
+	assert_int_equal(q->holdover_ms, 1234);
+	job = partition_find(q, "j");
+	assert_int_equal(job->state, JOB_STARTING);
+	assert_int_equal(job->run, 3);
+	assert_int_equal(job->tries, 1);
+	assert_int_equal(job->evictions, 1);
+	assert_int_equal(job->tried[0], hash_str("a2"));
+	assert_string_equal(job->checkpoint, "c9");
+	assert_string_equal(job->agent, "a3");
+	assert_true(job->inherited);
+	assert_int_equal(mstime_diff(at(9000), job->evicted_at), 4000);
+	assert_int_equal(partition_find(q, "k")->state, JOB_QUEUED);
+	assert_int_equal(partition_value_writer(data, len, "e1/1", &epoch,
+						&version),
+			 1);
+	assert_int_equal(version, p->version);
+	assert_int_equal(partition_value_writer(data, len, "e1", &epoch,
+						&version),
+			 0);
+	for (cut = 0; cut < len; cut++) {
+		struct partition *r = partition_new(3);
+
+		assert_int_equal(partition_decode(r, data, cut, at(0)),
+				 ERR_MALFORMED);
+		partition_delete(r);
+	}
+	free(data);
+	partition_delete(p);
+	partition_delete(q);
+}
+
+/*
+ * Guards against a value that outgrows the store, and against a job that is
+ * forgotten while its inbox key could submit it again.
+ */
+static void test_bounds(void **state)
+{
+	struct partition *p = partition_new(1);
+	char id[ID_SIZE], *data;
+	struct list *pos;
+	uint32_t i;
+	size_t len;
+
+	for (i = 0;; i++) {
+		struct job_spec spec = { .team = "team", .need = need };
+
+		snprintf(spec.job, sizeof(spec.job), "job-%u", i);
+		memset(spec.command, 'x', i % 100 + 1);
+		if (partition_submit(p, &spec, at(i)) == ERR_FULL)
+			break;
+	}
+	assert_true(i > 2000);
+	list_for_each (pos, &p->jobs) {
+		struct job *job = list_entry(pos, struct job, node);
+
+		if (partition_start(p, job, "agent", &need, "reason", at(0)))
+			break;
+	}
+	assert_int_equal(partition_encode(p, "w", at(0), &data, &len), 0);
+	assert_true(len <= p->bytes + 200);
+	free(data);
+	for (i = 0; i < 1000; i++) {
+		snprintf(id, sizeof(id), "job-%u", i);
+		partition_cancel(p, id, at(0));
+	}
+	commit(p);
+	partition_expire(p, 10, 0, at(1000));
+	assert_non_null(partition_find(p, "job-999"));
+	p->inbox_listings += 2;
+	partition_expire(p, 10, 0, at(1000));
+	assert_null(partition_find(p, "job-999"));
+	partition_delete(p);
+}
+
+static const struct {
+	const char *json;
+	int err;
+} specs[] = {
+	{ "{\"job\":\"j-1.a\",\"team\":\"t\",\"cpu_milli\":1,\"mem_mb\":1,"
+	  "\"command\":\"c\"}",
+	  0 },
+	{ "{\"job\":\"j.cancel\",\"team\":\"t\",\"cpu_milli\":1,\"mem_mb\":1,"
+	  "\"command\":\"c\"}",
+	  ERR_INVALID },
+	{ "{\"job\":\"a/b\",\"team\":\"t\",\"cpu_milli\":1,\"mem_mb\":1,"
+	  "\"command\":\"c\"}",
+	  ERR_INVALID },
+	{ "{\"job\":\"j\",\"team\":\"t\",\"cpu_milli\":0,\"mem_mb\":1,"
+	  "\"command\":\"c\"}",
+	  ERR_INVALID },
+	{ "{\"job\":\"j\",\"team\":\"t\",\"cpu_milli\":1,\"mem_mb\":1}",
+	  ERR_INVALID },
+	{ "{\"job\":\"j\",\"size\":1}", ERR_INVALID },
+	{ "{\"job\":3}", ERR_MALFORMED },
+	{ "[]", ERR_MALFORMED },
+	{ "{", ERR_MALFORMED },
+};
+
+/* Guards against a job whose inbox key reads as a cancellation. */
+static void test_job_spec(void **state)
+{
+	struct job_spec spec, again;
+	char message[160], *json;
+	size_t i;
+
+	for (i = 0; i < sizeof(specs) / sizeof(specs[0]); i++) {
+		assert_int_equal(job_spec_parse(&spec, specs[i].json,
+						strlen(specs[i].json), message,
+						sizeof(message)),
+				 specs[i].err);
+		if (specs[i].err)
+			continue;
+		json = job_spec_render(&spec);
+		assert_int_equal(job_spec_parse(&again, json, strlen(json),
+						message, sizeof(message)),
+				 0);
+		assert_memory_equal(&spec, &again, sizeof(spec));
+		free(json);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_run_ends_once),
+		cmocka_unit_test(test_commit_comes_first),
+		cmocka_unit_test(test_cancelled_never_starts),
+		cmocka_unit_test(test_tries),
+		cmocka_unit_test(test_value_round_trip),
+		cmocka_unit_test(test_bounds),
+		cmocka_unit_test(test_job_spec),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_placement.c
@@ -0,0 +1,265 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "estimate.h"
+#include "evict.h"
+#include "placement.h"
+#include "taskhealth.h"
+
+#define WORKERS 3
+
+static const struct resources capacity = { 8000, 8000, 1 };
+
+static void fill(struct worker_view *workers, size_t count)
+{
+	size_t i;
+
+	memset(workers, 0, count * sizeof(*workers));
+	for (i = 0; i < count; i++) {
+		workers[i].agent = "a";
+		workers[i].hash = i + 1;
+		workers[i].domain = (uint32_t)(i % 3);
+		workers[i].capacity = capacity;
+		workers[i].slots = 8;
+		workers[i].usable = 1;
+	}
+}
+
+/* The one change to three equal workers, and the worker that must be chosen. */
+static const struct {
+	const char *what;
+	struct worker_view changed[WORKERS]; /* capacity 0: not ready */
+	struct placement_request request;
+	int chosen;
+	enum placement_verdict verdict; /* of a worker that was not */
+} cases[] = {
+	{ "full",
+	  { { .used = { 7500 } }, { .used = { 0, 7500 } }, { .agent = "a" } },
+	  { .need = { 1000, 1000, 0 } },
+	  2,
+	  PLACEMENT_MEMORY },
+	{ "drained",
+	  { { .drained = 1 }, { .agent = "a" }, { .ejected = 1 } },
+	  { .need = { 1, 1, 0 } },
+	  1,
+	  PLACEMENT_EJECTED },
+	{ "accelerator in use",
+	  { { .used = { 0, 0, 1 } }, { .used = { 0, 0, 1 } }, { .agent = "a" } },
+	  { .need = { 1, 1, 1 } },
+	  2,
+	  PLACEMENT_ACCEL },
+	{ "refused it",
+	  { { .agent = "a" }, { .agent = "a" }, { .agent = "a" } },
+	  { .need = { 1, 1, 0 }, .avoid = { 1, 3 } },
+	  1,
+	  PLACEMENT_AVOIDED },
+	{ "busy with requests",
+	  { { .requests = 8, .used = { 4000, 4000 } },
+	    { .used = { 4000, 4000 } },
+	    { .requests = 8, .used = { 4000, 4000 } } },
+	  { .need = { 1000, 1000, 0 }, .weight_latency = 100 },
+	  1,
+	  PLACEMENT_FITS },
+	{ "none", { { .ejected = 1 }, { .drained = 1 }, { .used = { 8000 } } },
+	  { .need = { 1, 1, 0 } },
+	  -1,
+	  PLACEMENT_CPU },
+};
+
+/* Guards against a filter that lets a worker through. */
+static void test_filters(void **state)
+{
+	struct rng rng;
+	size_t i, n;
+
+	rng_seed(&rng, 1);
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct worker_view workers[WORKERS];
+		struct placement result;
+		char text[160];
+
+		fill(workers, WORKERS);
+		for (n = 0; n < WORKERS; n++) {
+			workers[n].used = cases[i].changed[n].used;
+			workers[n].requests = cases[i].changed[n].requests;
+			workers[n].drained = cases[i].changed[n].drained;
+			workers[n].ejected = cases[i].changed[n].ejected;
+		}
+		placement_choose(&result, &cases[i].request, workers, WORKERS,
+				 &rng);
+		assert_int_equal(result.worker, cases[i].chosen);
+		assert_true(result.verdicts[cases[i].verdict] > 0);
+		placement_explain(&result, workers, text, sizeof(text));
+		assert_true(strlen(text) > 10);
+	}
+}
+
+/* Guards against a team that ends up in one failure domain. */
+static void test_spread(void **state)
+{
+	const uint32_t tasks[] = { 2, 0, 2 };
+	const struct placement_request request = { .need = { 1, 1, 0 },
+						   .domain_tasks = tasks,
+						   .domain_count = 3 };
+	struct worker_view workers[WORKERS];
+	struct placement result;
+	struct rng rng;
+
+	rng_seed(&rng, 1);
+	fill(workers, WORKERS);
+	placement_choose(&result, &request, workers, WORKERS, &rng);
+	assert_int_equal(result.worker, 1);
+	assert_int_equal(result.other_count, 2);
+}
+
+/* Guards against a cost that grows with the number of workers. */
+static void test_sample_is_bounded(void **state)
+{
+	const struct placement_request request = { .need = { 9000, 1, 0 } };
+	struct worker_view *workers = calloc(20000, sizeof(*workers));
+	struct placement result;
+	struct rng rng;
+
+	rng_seed(&rng, 1);
+	fill(workers, 20000);
+	placement_choose(&result, &request, workers, 20000, &rng);
+	assert_int_equal(result.worker, -1);
+	assert_int_equal(result.looked_at,
+			 PLACEMENT_SAMPLE * PLACEMENT_ROUNDS);
+	assert_int_equal(placement_possible(&request.need, workers, 20000), 0);
+	assert_int_equal(placement_possible(&request.need, workers, 0), -1);
+	free(workers);
+}
+
+static const struct {
+	struct placement_order first, second;
+} orders[] = {
+	{ { 1, 0, 9 }, { 0, 1, 1 } },
+	{ { 0, 1, 9 }, { 0, 0, 1 } },
+	{ { 0, 1, 1 }, { 0, 1, 2 } },
+};
+
+static void test_order(void **state)
+{
+	size_t i;
+
+	for (i = 0; i < 3; i++)
+		assert_true(placement_compare(&orders[i].first,
+					      &orders[i].second) < 0);
+}
+
+/* Guards against victims that lose more work than others would. */
+static void test_victims(void **state)
+{
+	const struct mstime now = mstime_from(100000);
+	const struct evict_candidate candidates[] = {
+		{ 0, { 4000, 1, 0 }, .saved_at = { 90000 } },
+		{ 0, { 4000, 1, 0 }, .saved_at = { 10000 } },
+		{ 1, { 4000, 1, 0 }, .saved_at = { 99000 }, .evicted = 1,
+		  .evicted_at = { 99000 } },
+		{ 1, { 4000, 1, 0 }, .saved_at = { 99000 }, .urgent = 1 },
+		{ 2, { 1000, 1, 0 }, .saved_at = { 99000 } },
+	};
+	const struct evict_worker workers[] = {
+		{ capacity, { 8000, 2, 0 }, 1 },
+		{ capacity, { 8000, 2, 0 }, 1 },
+		{ capacity, { 8000, 2, 0 }, 1 },
+	};
+	const struct resources need = { 3000, 1, 0 };
+	struct evict_window window = { 0 };
+	struct evict_choice choice;
+	uint32_t i;
+
+	evict_choose(&choice, &need, candidates, 5, workers, 3, 60000,
+		     evict_window_left(&window, now), now);
+	assert_int_equal(choice.count, 1);
+	assert_int_equal(choice.victims[0], 0);
+	for (i = 0; i < EVICT_WINDOW_MAX; i++)
+		evict_window_add(&window, now);
+	evict_choose(&choice, &need, candidates, 5, workers, 3, 60000,
+		     evict_window_left(&window, now), now);
+	assert_int_equal(choice.count, 0);
+	assert_int_equal(evict_window_left(&window,
+					   mstime_add(now, EVICT_WINDOW_MS)),
+			 EVICT_WINDOW_MAX);
+}
+
+/* Guards against trust in declared sizes, and in a few early samples. */
+static void test_estimate(void **state)
+{
+	const struct resources declared = { 1000, 1000, 1 };
+	const struct resources bound = { 64000, 3000, 8 };
+	const struct resources small = { 200, 200, 1 }, large = { 9000, 1, 0 };
+	struct estimate *estimate = estimate_new();
+	struct mstime now = mstime_from(0);
+	struct resources got;
+	int i;
+
+	estimate_need(estimate, "t", "c 1", &declared, &bound, now, &got);
+	assert_int_equal(got.cpu_milli, 4000);
+	assert_int_equal(got.mem_mb, 3000);
+	assert_int_equal(got.accel, 1);
+	for (i = 0; i < 10; i++)
+		estimate_observe(estimate, "t", "c 2", &small, now);
+	estimate_need(estimate, "t", "c 1", &declared, &bound, now, &got);
+	assert_in_range(got.cpu_milli, 200, 300);
+	estimate_observe(estimate, "t", "c 3", &large, now);
+	estimate_need(estimate, "t", "c 1", &declared, &bound, now, &got);
+	assert_in_range(got.cpu_milli, 9000, 13000);
+	now = mstime_add(now, 20LL * ESTIMATE_HALF_LIFE_MS);
+	estimate_need(estimate, "t", "c 1", &declared, &bound, now, &got);
+	assert_in_range(got.cpu_milli, 4000, 13000);
+	for (i = 0; i < 2 * ESTIMATE_CLASSES_MAX; i++) {
+		char team[16];
+
+		snprintf(team, sizeof(team), "t%d", i);
+		estimate_observe(estimate, team, "c", &small, now);
+	}
+	estimate_delete(estimate);
+}
+
+/* Guards against a broken worker, and jobs that make all workers look so. */
+static void test_worker_health(void **state)
+{
+	struct taskhealth *health = taskhealth_new();
+	struct mstime now = mstime_from(1000);
+	size_t count;
+	uint64_t i;
+
+	for (i = 0; i < 10; i++)
+		assert_false(taskhealth_failed(health, 1, 7, 4, now));
+	assert_false(taskhealth_failed(health, 1, 8, 4, now));
+	assert_true(taskhealth_failed(health, 1, 9, 4, now));
+	assert_true(taskhealth_ejected(health, 1, now));
+	for (i = 0; i < 30; i++)
+		taskhealth_failed(health, 2 + i % 3, i, 4, now);
+	taskhealth_blamed(health, &count);
+	assert_int_equal(count, 2);
+	now = mstime_add(now, HEALTH_PAUSE_MS + 1);
+	assert_false(taskhealth_ejected(health, 1, now));
+	assert_true(taskhealth_failed(health, 1, 9, 4, now));
+	taskhealth_finished(health, 1);
+	assert_false(taskhealth_ejected(health, 1, now));
+	taskhealth_delete(health);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_filters),
+		cmocka_unit_test(test_spread),
+		cmocka_unit_test(test_sample_is_bounded),
+		cmocka_unit_test(test_order),
+		cmocka_unit_test(test_victims),
+		cmocka_unit_test(test_estimate),
+		cmocka_unit_test(test_worker_health),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
