--- a/packages/daemon/src/entry.c
+++ b/packages/daemon/src/entry.c
@@ -248,9 +248,8 @@
 {
 	const struct settings *settings = entry->daemon->settings;
 
-	entry->transport =
-		transport_server_new(entry->daemon->loop, settings->peers,
-				     entry_on_message, entry);
+	entry->transport = transport_server_new(
+		entry->daemon->loop, settings->peers, entry_on_message, entry);
 	if (!entry->transport) {
 		log_event(EV_LISTEN_FAILED, "key=listen.peers address=%s",
 			  settings->peers);
@@ -302,8 +301,8 @@
 static void delete_requests(struct entry *entry)
 {
 	while (!list_empty(&entry->requests)) {
-		struct request *request = list_entry(entry->requests.next,
-						     struct request, node);
+		struct request *request =
+			list_entry(entry->requests.next, struct request, node);
 
 		request_finish(request, OUTCOME_UNKNOWN, 1);
 	}
@@ -352,9 +351,9 @@
 		return;
 	if (!nothing_left(entry) &&
 	    mstime_before(sysclock_now(), entry->stop_until)) {
-		loop_timer_start(entry->stop_timer,
-				 mstime_diff(entry->stop_until,
-					     sysclock_now()));
+		loop_timer_start(
+			entry->stop_timer,
+			mstime_diff(entry->stop_until, sysclock_now()));
 		return;
 	}
 	log_event(EV_ENTRY_STOPPED, "left=%lld",
--- a/packages/daemon/src/entry_claim.c
+++ b/packages/daemon/src/entry_claim.c
@@ -245,8 +245,8 @@
 	struct claims *claims = run->claims;
 	struct store *store = claims->entry->daemon->store;
 
-	if (claims->lease && mstime_diff(sysclock_now(), claims->lease_at) <
-				     LEASE_SHARED_MS) {
+	if (claims->lease &&
+	    mstime_diff(sysclock_now(), claims->lease_at) < LEASE_SHARED_MS) {
 		put_claim(run);
 		return;
 	}
@@ -286,8 +286,8 @@
 	gsize len = 0;
 	guchar *body = g_base64_decode(text ? text : "", &len);
 
-	request->status = (int)json_integer_value(
-		json_object_get(record, "status"));
+	request->status =
+		(int)json_integer_value(json_object_get(record, "status"));
 	trail_step(request->trail, "replayed the stored outcome");
 	exchange_head(exchange, request->status, &headers, OUTCOME_DONE,
 		      request->trace);
--- a/packages/daemon/src/entry_headers.c
+++ b/packages/daemon/src/entry_headers.c
@@ -120,4 +120,3 @@
 	}
 	free(list->items);
 }
-
--- a/packages/daemon/src/entry_move.c
+++ b/packages/daemon/src/entry_move.c
@@ -141,8 +141,8 @@
 	choose_next(watch, &choice);
 	route_explain(&choice, text, sizeof(text));
 	log_event(choice.member ? EV_ROUTE_CHOSEN : EV_ROUTE_NONE,
-		  "trace=%s move=1 service=%s %s", watch->trace,
-		  watch->service, text);
+		  "trace=%s move=1 service=%s %s", watch->trace, watch->service,
+		  text);
 	if (!choice.member)
 		return 0;
 	note_left(watch, choice.member->agent);
--- a/packages/daemon/src/entry_registry.c
+++ b/packages/daemon/src/entry_registry.c
@@ -55,9 +55,9 @@
 static void update_hash(struct registry *registry)
 {
 	/* Arrays of the list are zeroed, so that equal lists hash equally. */
-	registry->hash = hash_bytes(registry->items,
-				    registry->entries.count *
-					    sizeof(registry->items[0]));
+	registry->hash =
+		hash_bytes(registry->items, registry->entries.count *
+						    sizeof(registry->items[0]));
 }
 
 static int by_id(const void *a, const void *b)
@@ -83,13 +83,12 @@
 static void add_item(struct registry *registry, const struct store_item *item)
 {
 	const char *id = item->key + strlen(PREFIX);
-	json_t *value = json_loadb((const char *)item->value, item->len, 0,
-				   NULL);
+	json_t *value =
+		json_loadb((const char *)item->value, item->len, 0, NULL);
 	const char *address =
 		json_string_value(json_object_get(value, "address"));
 
-	if (address &&
-	    strcmp(id, registry->entry->daemon->settings->id) != 0)
+	if (address && strcmp(id, registry->entry->daemon->settings->id) != 0)
 		add_entry(registry, id, address);
 	json_decref(value);
 }
--- a/packages/daemon/src/entry_watch.c
+++ b/packages/daemon/src/entry_watch.c
@@ -38,9 +38,9 @@
 static int is_irrelevant(const char *name)
 {
 	static const char *const names[] = {
-		"Host",		 "User-Agent",	     "Cache-Control",
-		"Pragma",	 "Catkinhill-Caller", "Last-Event-ID",
-		"Traceparent",	 "Accept-Encoding",
+		"Host",	       "User-Agent",	    "Cache-Control",
+		"Pragma",      "Catkinhill-Caller", "Last-Event-ID",
+		"Traceparent", "Accept-Encoding",
 	};
 	size_t i;
 
@@ -53,7 +53,8 @@
 static char *key_of(const struct request *request)
 {
 	const struct header_list *headers = &request->exchange->headers;
-	char *key = xstrfmt("%s\n%s", request->service, request->exchange->path);
+	char *key =
+		xstrfmt("%s\n%s", request->service, request->exchange->path);
 	char *longer;
 	size_t i;
 
--- a/packages/daemon/src/entry_watch.h
+++ b/packages/daemon/src/entry_watch.h
@@ -15,8 +15,8 @@
 	struct list node; /* entry->watches */
 	struct entry *entry;
 	struct stream *stream;
-	struct list callers;	/* requests by watch_node */
-	struct request *leader; /* whose attempt asks for the head */
+	struct list callers;	 /* requests by watch_node */
+	struct request *leader;	 /* whose attempt asks for the head */
 	struct attempt *attempt; /* current upstream, NULL when it has ended */
 	struct attempt *next;	 /* upstream that the stream moves to */
 	char trace[ID_SIZE];
@@ -24,7 +24,7 @@
 	char *path;
 	struct header_list asked;  /* headers of the request, copied */
 	struct header_list answer; /* headers of the answer, copied */
-	int moving_on; /* the current upstream is leaving */
+	int moving_on;		   /* the current upstream is leaving */
 	char left[ROUTE_TRIED_MAX][ID_SIZE]; /* agents not to move to */
 	size_t left_count;
 	struct mstime move_at;
--- /dev/null
+++ b/tests/unit/test_eject.c
@@ -0,0 +1,78 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "eject.h"
+
+/* x fails, o succeeds; the last result must be the first that ejects. */
+static void test_when(void **state)
+{
+	static const struct {
+		const char *results;
+		int gap_ms;
+		int ejects;
+	} cases[] = {
+		{ "xxxxx", 10, 1 },
+		{ "xxxxoxxxx", 10, 0 },
+		{ "xxxxoxxxxx", 10, 1 },
+		/* 11 of 20 failed, never 5 in a row. */
+		{ "oxoxoxoxoxoxoxoxoxxx", 10, 1 },
+		/* Half is not over half. */
+		{ "oxoxoxoxoxoxoxoxoxox", 10, 0 },
+		/* 20 results, but older than the window. */
+		{ "oxoxoxoxoxoxoxoxoxxx", 1000, 0 },
+	};
+	size_t i, j;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct mstime now = mstime_from(5);
+		struct eject eject;
+		int verdict = 0;
+
+		eject_init(&eject);
+		for (j = 0; cases[i].results[j]; j++) {
+			assert_int_equal(verdict, 0);
+			verdict = eject_result(&eject,
+					       cases[i].results[j] == 'x', now);
+			now = mstime_add(now, cases[i].gap_ms);
+		}
+		assert_int_equal(verdict, cases[i].ejects);
+	}
+}
+
+/* Guards against a flapping upstream that is tried too often, or never. */
+static void test_how_long(void **state)
+{
+	static const int64_t lengths[] = { 5000,  10000, 20000,
+					   40000, 60000, 60000 };
+	struct mstime now = mstime_from(0);
+	struct eject eject;
+	size_t i;
+
+	eject_init(&eject);
+	for (i = 0; i < sizeof(lengths) / sizeof(lengths[0]); i++) {
+		eject_start(&eject, now);
+		now = mstime_add(now, lengths[i] - 1);
+		assert_false(eject_probe_due(&eject, now));
+		now = mstime_add(now, 1);
+		assert_true(eject_probe_due(&eject, now));
+		eject_probe_start(&eject, now);
+		assert_int_equal(eject_probe_result(&eject, 0, now), 1);
+	}
+	now = mstime_add(now, EJECT_LONGEST_MS + 1);
+	eject_start(&eject, now);
+	assert_true(eject_probe_due(&eject, mstime_add(now, EJECT_FIRST_MS)));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_when),
+		cmocka_unit_test(test_how_long),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_route.c
@@ -0,0 +1,312 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "mem.h"
+#include "route.h"
+
+#define SEED 7
+#define DRAWS 1000
+
+struct fixture {
+	struct membership membership;
+	struct route *route;
+	struct config config;
+	struct mstime now;
+	uint64_t seq;
+};
+
+static void on_remove(void *arg, struct member *member)
+{
+	route_remove(arg, member);
+}
+
+static void setup(struct fixture *f)
+{
+	membership_init(&f->membership);
+	f->route = route_new(&f->membership, SEED);
+	f->membership.on_remove = on_remove;
+	f->membership.on_remove_arg = f->route;
+	config_init(&f->config);
+	f->now = mstime_from(100000);
+	f->seq = 1;
+}
+
+static void teardown(struct fixture *f)
+{
+	membership_clear(&f->membership);
+	route_delete(f->route);
+}
+
+static struct member *announce(struct fixture *f, const char *agent,
+			       const char *region, enum agent_state state,
+			       uint32_t in_flight)
+{
+	struct msg_announce msg = {
+		.incarnation = 1,
+		.service = "stock",
+		.domain = "d1",
+		.slots = 8,
+		.connections = 64,
+		.state = state,
+		.load = { .in_flight = in_flight },
+	};
+	struct member *member;
+
+	msg.seq = f->seq++;
+	str_copy(msg.agent, agent, sizeof(msg.agent));
+	str_copy(msg.region, region, sizeof(msg.region));
+	membership_announce(&f->membership, &msg, agent, f->now);
+	member = membership_find(&f->membership, agent);
+	route_update(f->route, member, &f->config);
+	return member;
+}
+
+static struct route_choice choose(struct fixture *f, const char *tried)
+{
+	struct route_query query = {
+		.service = "stock",
+		.region = "a",
+		.tried = { tried },
+		.tried_count = tried ? 1 : 0,
+		.may_probe = 1,
+		.limit = 100,
+		.now = f->now,
+	};
+	struct route_choice choice;
+
+	route_choose(f->route, &query, &choice);
+	return choice;
+}
+
+/* Of DRAWS choices, how many fall on the agent. */
+static int share(struct fixture *f, const char *agent)
+{
+	int i, count = 0;
+
+	for (i = 0; i < DRAWS; i++) {
+		struct route_choice choice = choose(f, NULL);
+
+		count += choice.member &&
+			 !strcmp(choice.member->agent, agent);
+	}
+	return count;
+}
+
+/* Guards against work for members that must not get any. */
+static void test_who_is_never_chosen(void **state)
+{
+	static const struct {
+		const char *label;
+		enum agent_state agent_state;
+		int age_ms;
+		uint32_t in_flight;
+		const char *drained;
+		const char *tried;
+		enum route_reason reason;
+	} cases[] = {
+		{ "ready", AGENT_READY, 0, 0, "", NULL, ROUTE_LOCAL_ONE },
+		{ "leaving", AGENT_LEAVING, 0, 0, "", NULL, ROUTE_NO_MEMBER },
+		{ "not ready", AGENT_NOT_READY, 0, 0, "", NULL,
+		  ROUTE_NO_MEMBER },
+		{ "silent", AGENT_READY, 3001, 0, "", NULL, ROUTE_NO_ROOM },
+		{ "full", AGENT_READY, 0, 8 + ROUTE_QUEUE, "", NULL,
+		  ROUTE_NO_ROOM },
+		{ "drained", AGENT_READY, 0, 0, "d1", NULL, ROUTE_NO_MEMBER },
+		{ "tried", AGENT_READY, 0, 0, "", "a1", ROUTE_NO_ROOM },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture f;
+		struct route_choice choice;
+
+		setup(&f);
+		if (cases[i].drained[0])
+			str_copy(f.config.drained[f.config.drained_count++],
+				 cases[i].drained, NAME_SIZE);
+		announce(&f, "a1", "a", cases[i].agent_state,
+			 cases[i].in_flight);
+		f.now = mstime_add(f.now, cases[i].age_ms);
+		choice = choose(&f, cases[i].tried);
+		if (choice.reason != cases[i].reason)
+			fail_msg("%s: %s", cases[i].label,
+				 route_reason_name(choice.reason));
+		teardown(&f);
+	}
+}
+
+/* Guards against bodies that cross the link without need. */
+static void test_own_region_first(void **state)
+{
+	struct fixture f;
+	struct member *local;
+
+	setup(&f);
+	local = announce(&f, "near", "a", AGENT_READY, 7);
+	announce(&f, "far", "b", AGENT_READY, 0);
+	assert_int_equal(share(&f, "near"), DRAWS);
+	local->own_in_flight = 8 + ROUTE_QUEUE;
+	assert_int_equal(share(&f, "far"), DRAWS);
+	assert_int_equal(choose(&f, NULL).reason, ROUTE_REMOTE);
+	teardown(&f);
+}
+
+/*
+ * Guards against a herd: a report that says idle must not hide what this
+ * entry has itself in flight, and a busy report must not be ignored.
+ */
+static void test_larger_of_own_and_reported(void **state)
+{
+	struct fixture f;
+	struct member *first, *second;
+
+	setup(&f);
+	first = announce(&f, "a1", "a", AGENT_READY, 0);
+	second = announce(&f, "a2", "a", AGENT_READY, 2);
+	first->own_in_flight = 5;
+	assert_int_equal(share(&f, "a2"), DRAWS);
+	second->load.queued = 7;
+	assert_int_equal(share(&f, "a1"), DRAWS);
+	/* A stale report no longer counts, only what is known here. */
+	f.membership.silent_ms = 10 * ROUTE_STALE_MS;
+	f.now = mstime_add(f.now, ROUTE_STALE_MS + 1);
+	assert_int_equal(share(&f, "a2"), DRAWS);
+	assert_true(choose(&f, NULL).stale);
+	teardown(&f);
+}
+
+/* Guards against slow upstreams that look idle. */
+static void test_latency_is_weighed(void **state)
+{
+	struct fixture f;
+	struct member *slow, *quick;
+	struct route_choice choice;
+	char text[256];
+	int i;
+
+	setup(&f);
+	slow = announce(&f, "slow", "a", AGENT_READY, 0);
+	quick = announce(&f, "quick", "a", AGENT_READY, 1);
+	for (i = 0; i < 20; i++) {
+		route_result(f.route, slow, 0, 0, 100, f.now);
+		route_result(f.route, quick, 0, 0, 10, f.now);
+	}
+	assert_int_equal(share(&f, "quick"), DRAWS);
+	choice = choose(&f, NULL);
+	assert_string_equal(choice.over, "slow");
+	route_explain(&choice, text, sizeof(text));
+	assert_non_null(strstr(text, "reason=local agent=quick"));
+	assert_non_null(strstr(text, "over=slow"));
+	teardown(&f);
+}
+
+static void fail_times(struct fixture *f, struct member *member, int times)
+{
+	while (times--)
+		route_result(f->route, member, 1, 0, 1000, f->now);
+}
+
+/* Guards against an entry that ejects all upstreams of a service. */
+static void test_half_stays(void **state)
+{
+	struct fixture f;
+	struct member *members[11];
+	uint32_t active, ejected;
+	char agent[16];
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 11; i++) {
+		snprintf(agent, sizeof(agent), "a%d", i);
+		members[i] = announce(&f, agent, "a", AGENT_READY, 0);
+	}
+	for (i = 0; i < 11; i++)
+		fail_times(&f, members[i], 30);
+	route_count(f.route, "stock", &active, &ejected);
+	assert_int_equal(ejected, 5);
+	assert_int_equal(active, 6);
+	teardown(&f);
+}
+
+/* Guards against an ejected upstream that is flooded, or never returns. */
+static void test_probe_brings_back(void **state)
+{
+	struct fixture f;
+	struct member *bad;
+	struct route_choice choice;
+
+	setup(&f);
+	bad = announce(&f, "bad", "a", AGENT_READY, 0);
+	announce(&f, "good", "a", AGENT_READY, 0);
+	fail_times(&f, bad, 5);
+	assert_int_equal(share(&f, "bad"), 0);
+	f.membership.silent_ms = 60000;
+	f.now = mstime_add(f.now, 5000);
+	choice = choose(&f, NULL);
+	assert_int_equal(choice.reason, ROUTE_PROBE);
+	route_sent(f.route, bad, 1, f.now);
+	assert_int_equal(share(&f, "bad"), 0);
+	assert_int_equal(route_result(f.route, bad, 1, 1, 1000, f.now),
+			 ROUTE_EVENT_NONE);
+	route_released(f.route, bad, 1);
+	f.now = mstime_add(f.now, 999);
+	assert_int_equal(share(&f, "bad"), 0);
+	f.now = mstime_add(f.now, 1);
+	assert_int_equal(choose(&f, NULL).reason, ROUTE_PROBE);
+	route_sent(f.route, bad, 1, f.now);
+	assert_int_equal(route_result(f.route, bad, 0, 1, 5, f.now),
+			 ROUTE_EVENT_RETURNED);
+	route_released(f.route, bad, 1);
+	assert_true(share(&f, "bad") > 0);
+	teardown(&f);
+}
+
+/* Guards against places of the index that outlive their members. */
+static void test_filing(void **state)
+{
+	struct fixture f;
+	struct member *member;
+	char agent[16];
+	int i;
+
+	setup(&f);
+	for (i = 0; i < 100; i++) {
+		snprintf(agent, sizeof(agent), "a%d", i);
+		announce(&f, agent, i % 2 ? "a" : "b", AGENT_READY, 0);
+	}
+	for (i = 0; i < 100; i += 3) {
+		snprintf(agent, sizeof(agent), "a%d", i);
+		announce(&f, agent, "a", AGENT_LEAVING, 0);
+	}
+	for (i = 0; i < DRAWS; i++) {
+		member = choose(&f, NULL).member;
+		assert_int_equal(member->state, AGENT_READY);
+		assert_string_equal(member->region, "a");
+	}
+	f.now = mstime_add(f.now, MEMBER_EXPIRE_MS + 1);
+	announce(&f, "new", "a", AGENT_READY, 0);
+	membership_expire(&f.membership, f.now);
+	assert_int_equal(share(&f, "new"), DRAWS);
+	teardown(&f);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_who_is_never_chosen),
+		cmocka_unit_test(test_own_region_first),
+		cmocka_unit_test(test_larger_of_own_and_reported),
+		cmocka_unit_test(test_latency_is_weighed),
+		cmocka_unit_test(test_half_stays),
+		cmocka_unit_test(test_probe_brings_back),
+		cmocka_unit_test(test_filing),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
