entry: test against stand-in agents

A cut dropped the head that evhttp still held; it is now written before the connection is closed. The configuration now comes from configsync, also when an agent brings it.

--- a/packages/daemon/src/entry.c
+++ b/packages/daemon/src/entry.c
@@ -152,6 +152,23 @@
 	}
 }
 
+int entry_config_known(const struct entry *entry)
+{
+	return !entry->daemon->store || configsync_known(entry->sync);
+}
+
+static void update_ready(struct entry *entry)
+{
+	int ready = entry_config_known(entry);
+
+	if (!entry->daemon->admin || entry->stopping ||
+	    ready == entry->was_ready)
+		return;
+	entry->was_ready = ready;
+	admin_set_ready(entry->daemon->admin, ready,
+			ready ? "" : "config-unknown");
+}
+
 static void drop_expired(struct entry *entry, struct mstime now)
 {
 	struct admission_item *item;
@@ -177,6 +194,7 @@
 	struct mstime now = sysclock_now();
 
 	loop_timer_start(entry->tick, TICK_MS);
+	update_ready(entry);
 	drop_expired(entry, now);
 	entry_tick_attempts(entry, now);
 	watches_tick(entry, now);
@@ -187,16 +205,6 @@
 	entry_drain_soon(entry);
 }
 
-void entry_update_ready(struct entry *entry)
-{
-	if (!entry->daemon->admin || entry->stopping)
-		return;
-	if (registry_config_known(entry->registry))
-		admin_set_ready(entry->daemon->admin, 1, "");
-	else
-		admin_set_ready(entry->daemon->admin, 0, "config-not-known");
-}
-
 void entry_on_config(void *arg)
 {
 	struct entry *entry = arg;
@@ -211,7 +219,6 @@
 			    (uint32_t)config->limits[LIMIT_ENTRY_QUEUE]);
 	route_config(entry->route, config);
 	owner_on_change(entry->owner);
-	entry_update_ready(entry);
 	entry_drain_soon(entry);
 }
 
@@ -275,8 +282,9 @@
 	entry->registry = registry_new(entry);
 	entry->sync = configsync_new(daemon, entry_on_config, entry);
 	entry->opapi = opapi_new(daemon, entry->sync, &entry->membership);
-	loop_timer_start(entry->tick, TICK_MS);
-	entry_update_ready(entry);
+	if (daemon->admin)
+		admin_set_ready(daemon->admin, 0, "config-unknown");
+	on_tick(entry);
 }
 
 struct entry *entry_new(struct daemon *daemon)
--- a/packages/daemon/src/entry_agents.c
+++ b/packages/daemon/src/entry_agents.c
@@ -133,18 +133,11 @@
 /* An agent that has seen a newer configuration passes it on. */
 static void on_config(struct entry *entry, const struct msg_config *msg)
 {
-	struct config config;
+	int err = configsync_offer(entry->sync, msg->json, strlen(msg->json));
 
-	if (config_parse(&config, msg->json, strlen(msg->json)) ||
-	    config.version != msg->version) {
+	/* An older version than the own one is no fault. */
+	if (err < 0 && err != ERR_FENCED)
 		entry_count(entry, COUNT_STRAY_FRAMES);
-		return;
-	}
-	if (config_advance(&entry->daemon->config, &config) != 1)
-		return;
-	log_event(EV_CONFIG_APPLIED, "version=%llu source=agent",
-		  (unsigned long long)config.version);
-	entry_on_config(entry);
 }
 
 static uint64_t number_of(const struct message *msg)
--- a/packages/daemon/src/entry_claim.c
+++ b/packages/daemon/src/entry_claim.c
@@ -130,6 +130,7 @@
 
 static void free_run(struct claim_run *run)
 {
+	store_forget(run->claims->entry->daemon->store, run);
 	list_del(&run->node);
 	loop_timer_delete(run->timer);
 	json_decref(run->headers);
@@ -481,5 +482,7 @@
 		return;
 	list_for_each_safe (pos, tmp, &claims->runs)
 		free_run(list_entry(pos, struct claim_run, node));
+	if (claims->entry->daemon->store)
+		store_forget(claims->entry->daemon->store, claims);
 	free(claims);
 }
--- a/packages/daemon/src/entry_http.c
+++ b/packages/daemon/src/entry_http.c
@@ -263,6 +263,19 @@
 	evhttp_send_reply_end(exchange->http);
 }
 
+/*
+ * Closing drops what the bufferevent holds; a caller should at least see
+ * the head that was already given to it.
+ */
+static void write_at_once(struct evhttp_connection *conn)
+{
+	struct bufferevent *bev = evhttp_connection_get_bufferevent(conn);
+	struct evbuffer *output = bufferevent_get_output(bev);
+
+	evbuffer_unfreeze(output, 1);
+	evbuffer_write(output, bufferevent_getfd(bev));
+}
+
 void exchange_cut(struct exchange *exchange)
 {
 	exchange->ended = 1;
@@ -272,6 +285,7 @@
 		return;
 	}
 	evhttp_connection_set_closecb(exchange->conn, NULL, NULL);
+	write_at_once(exchange->conn);
 	evhttp_connection_free(exchange->conn);
 	exchange_free(exchange);
 }
--- a/packages/daemon/src/entry_impl.h
+++ b/packages/daemon/src/entry_impl.h
@@ -92,6 +92,7 @@
 	struct histogram latency;
 	/* Graceful stop. */
 	int stopping;
+	int was_ready; /* as told to the admin server */
 	int owner_stopped;
 	int registry_stopped;
 	struct loop_timer *stop_timer;
@@ -168,8 +169,11 @@
 /* The configuration has changed. */
 void entry_on_config(void *arg);
 
-/* Tells the admin server whether this entry may serve callers. */
-void entry_update_ready(struct entry *entry);
+/*
+ * Whether the store or an agent has told the configuration, or that there
+ * is none; an entry does not serve with defaults before.
+ */
+int entry_config_known(const struct entry *entry);
 
 /* entry_agents.c */
 void entry_on_message(void *arg, const char *peer, const struct message *msg);
@@ -265,12 +269,6 @@
 const struct entry_list *registry_entries(const struct registry *registry);
 uint64_t registry_hash(const struct registry *registry);
 
-/*
- * Whether the store or an agent has told the configuration, or that there
- * is none. An entry never serves with defaults while one exists.
- */
-int registry_config_known(const struct registry *registry);
-
 /* entry_claim.c */
 struct claims *claims_new(struct entry *entry);
 void claims_delete(struct claims *claims);
--- a/packages/daemon/src/entry_registry.c
+++ b/packages/daemon/src/entry_registry.c
@@ -5,7 +5,6 @@
 
 #include <jansson.h>
 
-#include "admin.h"
 #include "entry_impl.h"
 #include "errors.h"
 #include "hash.h"
@@ -26,7 +25,6 @@
 	int registered;
 	int busy;    /* a chain of calls for the own key is in progress */
 	int listing; /* a read of all entries is in progress */
-	int config_known;
 	struct entry_address items[ENTRIES_MAX];
 	struct entry_list entries;
 	uint64_t hash;
@@ -46,12 +44,6 @@
 	return registry->hash;
 }
 
-int registry_config_known(const struct registry *registry)
-{
-	return registry->config_known ||
-	       registry->entry->daemon->config.version > 0;
-}
-
 static void update_hash(struct registry *registry)
 {
 	/* Arrays of the list are zeroed, so that equal lists hash equally. */
@@ -122,21 +114,6 @@
 		fill(registry, items, count);
 }
 
-static void set_known(struct registry *registry)
-{
-	registry->config_known = 1;
-	entry_update_ready(registry->entry);
-}
-
-/* Only whether a configuration exists; configsync reads and follows it. */
-static void on_config_read(void *arg, int err, const struct store_item *item)
-{
-	struct registry *registry = arg;
-
-	if (err == ERR_NOT_FOUND)
-		set_known(registry);
-}
-
 static void on_put(void *arg, int err, int64_t revision)
 {
 	struct registry *registry = arg;
@@ -249,10 +226,6 @@
 		registry->listing = 1;
 		store_list(store, PREFIX, ENTRIES_MAX, on_list, registry);
 	}
-	if (!registry_config_known(registry)) {
-		store_get(store, "cfg", on_config_read, registry);
-		loop_timer_start(registry->timer, AGAIN_MS);
-	}
 }
 
 struct registry *registry_new(struct entry *entry)
@@ -268,8 +241,6 @@
 		loop_timer_new(entry->daemon->loop, on_timer, registry);
 	if (entry->daemon->store)
 		loop_timer_start(registry->timer, 0);
-	else
-		registry->config_known = 1;
 	return registry;
 }
 
@@ -277,6 +248,8 @@
 {
 	if (!registry)
 		return;
+	if (registry->entry->daemon->store)
+		store_forget(registry->entry->daemon->store, registry);
 	loop_timer_delete(registry->timer);
 	free(registry);
 }
--- a/packages/daemon/src/entry_request.c
+++ b/packages/daemon/src/entry_request.c
@@ -165,7 +165,7 @@
 			       "no buffer for the body");
 		return 1;
 	}
-	if (!registry_config_known(entry->registry)) {
+	if (!entry_config_known(entry)) {
 		request_answer(request, 503, OUTCOME_NOT_RUN,
 			       "configuration not known yet");
 		return 1;
--- a/packages/daemon/src/owner_agents.c
+++ b/packages/daemon/src/owner_agents.c
@@ -386,9 +386,9 @@
 	/* A run that was never sent can be nowhere. */
 	if (!job->start_sent)
 		return;
-	silent_at = owner_lease_stopped_at(&slot->lease, &owner->bounds,
-					   &link->contact, job->inherited,
-					   heard);
+	silent_at =
+		owner_lease_stopped_at(&slot->lease, &owner->bounds,
+				       &link->contact, job->inherited, heard);
 	if (!mstime_before(now, silent_at)) {
 		declare_lost(slot, job, "the agent is silent", now);
 		return;
--- a/packages/daemon/src/owner_call.c
+++ b/packages/daemon/src/owner_call.c
@@ -30,8 +30,8 @@
 void owner_calls_drop(struct owner *owner)
 {
 	while (!list_empty(&owner->calls)) {
-		struct owner_call *call = list_entry(owner->calls.next,
-						     struct owner_call, node);
+		struct owner_call *call =
+			list_entry(owner->calls.next, struct owner_call, node);
 
 		call->owner = NULL;
 		list_del(&call->node);
--- a/packages/daemon/src/owner_counters.c
+++ b/packages/daemon/src/owner_counters.c
@@ -53,8 +53,8 @@
 };
 
 static const char *const job_labels[JOB_STATE_COUNT] = {
-	"state=\"queued\"",    "state=\"starting\"", "state=\"running\"",
-	"state=\"stopping\"",  "state=\"done\"",     "state=\"failed\"",
+	"state=\"queued\"",    "state=\"starting\"",   "state=\"running\"",
+	"state=\"stopping\"",  "state=\"done\"",       "state=\"failed\"",
 	"state=\"cancelled\"", "state=\"impossible\"",
 };
 
--- a/packages/daemon/src/owner_inbox.c
+++ b/packages/daemon/src/owner_inbox.c
@@ -113,9 +113,8 @@
 		err = ERR_INVALID;
 	}
 	if (err) {
-		log_event(EV_INBOX_INVALID,
-			  "partition=%u job=%s reason=\"%s\"", slot->number,
-			  item->job, message);
+		log_event(EV_INBOX_INVALID, "partition=%u job=%s reason=\"%s\"",
+			  slot->number, item->job, message);
 		return 1;
 	}
 	err = partition_submit(slot->partition, &spec, owner_now());
@@ -160,8 +159,8 @@
 {
 	struct job *job;
 
-	item->taken = item->cancel ? take_cancel(slot, item)
-				   : take_job(slot, item);
+	item->taken =
+		item->cancel ? take_cancel(slot, item) : take_job(slot, item);
 	item->version = slot->partition->version;
 	job = partition_find(slot->partition, item->job);
 	if (job)
--- a/packages/daemon/src/owner_internal.h
+++ b/packages/daemon/src/owner_internal.h
@@ -40,13 +40,13 @@
 	int unrecorded;	      /* since unrecorded_at some ends are not */
 	struct mstime unrecorded_at;
 	char extended_peer[2 * ID_SIZE]; /* incarnation last extended */
-	struct mstime announced_at; /* last OWNER sent unasked */
+	struct mstime announced_at;	 /* last OWNER sent unasked */
 };
 
 struct inbox_item {
 	char job[ID_SIZE];
 	int cancel;
-	int taken;	  /* its effect is in the partition */
+	int taken; /* its effect is in the partition */
 	int64_t revision;
 	uint64_t version; /* that must be committed before it is deleted */
 	char *json;
@@ -75,9 +75,9 @@
 
 	int absent; /* own/N did not exist at absent_at */
 	struct mstime absent_at;
-	char holder[ID_SIZE]; /* owner by the last scan */
-	int claimed;	      /* own/N is this process's */
-	int64_t claim_lease;  /* to which own/N is attached */
+	char holder[ID_SIZE];	/* owner by the last scan */
+	int claimed;		/* own/N is this process's */
+	int64_t claim_lease;	/* to which own/N is attached */
 	struct mstime claim_at; /* answer to the last claim; scans before it
 				   are out of date */
 	struct mstime retry_at; /* earliest next attempt to take over */
--- a/packages/daemon/src/owner_schedule.c
+++ b/packages/daemon/src/owner_schedule.c
@@ -59,8 +59,8 @@
 	for (i = 0; i < round->view_count; i++) {
 		const struct resources *capacity = &round->views[i].capacity;
 
-		round->largest.cpu_milli = max_u32(round->largest.cpu_milli,
-						   capacity->cpu_milli);
+		round->largest.cpu_milli =
+			max_u32(round->largest.cpu_milli, capacity->cpu_milli);
 		round->largest.mem_mb =
 			max_u32(round->largest.mem_mb, capacity->mem_mb);
 		round->largest.accel =
@@ -177,9 +177,9 @@
 		candidates->items = xrealloc(
 			candidates->items,
 			candidates->capacity * sizeof(*candidates->items));
-		candidates->jobs = xrealloc(
-			candidates->jobs,
-			candidates->capacity * sizeof(*candidates->jobs));
+		candidates->jobs = xrealloc(candidates->jobs,
+					    candidates->capacity *
+						    sizeof(*candidates->jobs));
 	}
 	item = &candidates->items[candidates->count];
 	item->worker = (uint32_t)worker;
@@ -245,11 +245,10 @@
 	uint32_t i;
 
 	find_candidates(round, &candidates);
-	evict_choose(&choice, need, candidates.items, candidates.count, workers,
-		     round->view_count,
-		     owner_limit(owner, LIMIT_EVICT_PAUSE_MS),
-		     evict_window_left(&owner->evictions, round->now),
-		     round->now);
+	evict_choose(
+		&choice, need, candidates.items, candidates.count, workers,
+		round->view_count, owner_limit(owner, LIMIT_EVICT_PAUSE_MS),
+		evict_window_left(&owner->evictions, round->now), round->now);
 	snprintf(reason, sizeof(reason), "makes room for urgent job %.64s",
 		 job->id);
 	for (i = 0; i < choice.count; i++) {
@@ -271,7 +270,8 @@
 	memset(request, 0, sizeof(*request));
 	estimate_need(owner->estimate, job->team, job->command, &job->declared,
 		      &round->largest, round->now, &request->need);
-	/* Bounded by each resource's largest VM, which may be different ones. */
+	/* Bounded by each resource's largest VM, which may be different ones.
+	 */
 	if (!placement_possible(&request->need, round->views,
 				round->view_count))
 		request->need = job->declared;
@@ -325,8 +325,7 @@
 	/* A new process does not know all agents yet. */
 	if (mstime_diff(round->now, round->owner->started_at) <
 		    OWNER_SETTLE_MS ||
-	    placement_possible(&job->declared, round->views,
-			       round->view_count))
+	    placement_possible(&job->declared, round->views, round->view_count))
 		return 0;
 	snprintf(reason, sizeof(reason),
 		 "needs %u milli-cpu, %u MB, %u accelerators; the largest VMs "
--- a/packages/daemon/src/owner_store.c
+++ b/packages/daemon/src/owner_store.c
@@ -195,8 +195,8 @@
 static void see_holder(struct slot *slot, const struct store_item *item)
 {
 	const struct owner *owner = slot->owner;
-	json_t *root = json_loadb((const char *)item->value, item->len, 0,
-				  NULL);
+	json_t *root =
+		json_loadb((const char *)item->value, item->len, 0, NULL);
 	const char *entry = "", *incarnation = "";
 	char own[24];
 
--- a/packages/daemon/src/owner_workers.c
+++ b/packages/daemon/src/owner_workers.c
@@ -48,14 +48,15 @@
 {
 	if (count > index->capacity) {
 		index->capacity = count * 2;
-		index->views = xrealloc(index->views, index->capacity *
-							      sizeof(*index->views));
+		index->views = xrealloc(
+			index->views, index->capacity * sizeof(*index->views));
 		index->members =
 			xrealloc(index->members,
 				 index->capacity * sizeof(*index->members));
 		index->table_size = index->capacity * 2 + 1;
-		index->table = xrealloc(index->table, index->table_size *
-							      sizeof(*index->table));
+		index->table =
+			xrealloc(index->table,
+				 index->table_size * sizeof(*index->table));
 	}
 	if (index->table)
 		memset(index->table, 0,
@@ -99,9 +100,9 @@
 	view->requests = member->load.in_flight;
 	view->slots = member->slots;
 	view->usable = member_usable(owner->membership, member, now) != 0;
-	view->drained = member->state == AGENT_LEAVING ||
-			config_domain_drained(&owner->daemon->config,
-					      member->domain);
+	view->drained =
+		member->state == AGENT_LEAVING ||
+		config_domain_drained(&owner->daemon->config, member->domain);
 	view->ejected = taskhealth_ejected(owner->health, view->hash, now);
 	index->members[i] = member;
 	insert(index, view->hash, i);
@@ -205,9 +206,9 @@
 	if (!row && index->team_count < TEAMS_MAX) {
 		if (index->team_count == index->team_capacity) {
 			index->team_capacity = index->team_capacity * 2 + 8;
-			index->teams = xrealloc(
-				index->teams,
-				index->team_capacity * sizeof(*index->teams));
+			index->teams = xrealloc(index->teams,
+						index->team_capacity *
+							sizeof(*index->teams));
 		}
 		row = &index->teams[index->team_count++];
 		memset(row, 0, sizeof(*row));
--- /dev/null
+++ b/tests/e2e/test_entry.py
@@ -0,0 +1,323 @@
+#!/usr/bin/env python3
+"""The entry with stand-in agents: what callers see.
+
+Usage: test_entry.py BUILD_DIRECTORY
+"""
+import http.client
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+BUILD = os.path.abspath(sys.argv.pop(1))
+WAIT_S = 30
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(what, condition):
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError("no " + what)
+
+
+class Entry:
+    def __init__(self, folder):
+        self.callers, self.peers, self.admin = (free_port() for _ in "abc")
+        path = os.path.join(folder, "entry.ini")
+        with open(path, "w") as file:
+            file.write(f"""[daemon]
+role = entry
+id = e1
+region = a
+domain = d1
+stop_ms = 20000
+[listen]
+callers = 127.0.0.1:{self.callers}
+peers = 127.0.0.1:{self.peers}
+admin = 127.0.0.1:{self.admin}
+[entry]
+default_service = stock
+""")
+        self.log = open(os.path.join(folder, "entry.log"), "w+")
+        self.process = subprocess.Popen(
+            [os.path.join(BUILD, "catkinhilld"), "--config", path],
+            stderr=self.log)
+        wait_for("entry", self.ready)
+
+    def ready(self):
+        try:
+            return self.get_admin("/ready")[0] == 200
+        except OSError:
+            return False
+
+    def get_admin(self, path):
+        conn = http.client.HTTPConnection("127.0.0.1", self.admin, timeout=9)
+        conn.request("GET", path)
+        answer = conn.getresponse()
+        text = answer.read().decode()
+        conn.close()
+        return answer.status, text
+
+    def metric(self, name):
+        text = self.get_admin("/metrics")[1]
+        found = re.search("^" + re.escape(name) + " (.*)$", text, re.M)
+        return int(found.group(1))
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.callers,
+                                          timeout=WAIT_S)
+
+    def ask(self, path, method="GET", body=None, **headers):
+        conn = self.connect()
+        headers = {k.replace("_", "-"): v for k, v in headers.items()}
+        conn.request(method, path, body, headers)
+        answer = conn.getresponse()
+        answer.text = answer.read()
+        conn.close()
+        answer.outcome = answer.getheader("Catkinhill-Outcome")
+        return answer
+
+
+class Agent:
+    def __init__(self, entry, folder, name, region="a", service="stock",
+                 load=0):
+        self.path = os.path.join(folder, name + ".out")
+        with open(self.path, "w") as out:
+            self.process = subprocess.Popen(
+                [os.path.join(BUILD, "fakeagent"),
+                 f"127.0.0.1:{entry.peers}", name, region, service,
+                 str(load)], stdout=out)
+
+    def lines(self, start):
+        with open(self.path) as file:
+            return [line for line in file if line.startswith(start)]
+
+
+class Processes(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.folder = tempfile.TemporaryDirectory()
+        cls.entry = Entry(cls.folder.name)
+        cls.agents = {}
+        for name, region, service in (("a1", "a", "stock"),
+                                      ("a2", "a", "stock"),
+                                      ("far", "b", "stock"),
+                                      ("f1", "a", "fragile"),
+                                      ("w1", "a", "watch"),
+                                      ("w2", "a", "watch")):
+            cls.agents[name] = Agent(cls.entry, cls.folder.name, name, region,
+                                     service)
+        for host in ("stock", "fragile", "watch"):
+            wait_for(host, lambda: cls.entry.ask("/", Host=host).status == 200)
+        wait_for("agents", cls.all_known)
+
+    @classmethod
+    def all_known(cls):
+        with open(cls.entry.log.name) as log:
+            return len(set(re.findall(r"agent=(\w+) state=ready",
+                                      log.read()))) == len(cls.agents)
+
+    @classmethod
+    def tearDownClass(cls):
+        for agent in cls.agents.values():
+            agent.process.terminate()
+            agent.process.wait()
+        # Sanitizers report leaks and faults by the exit code.
+        cls.entry.process.terminate()
+        code = cls.entry.process.wait(WAIT_S)
+        cls.entry.log.close()
+        cls.folder.cleanup()
+        assert code == 0, f"the entry ended with {code}"
+
+    def runs(self, path):
+        return sum(len([1 for line in agent.lines("run")
+                        if line.split()[3] == path])
+                   for agent in self.agents.values())
+
+    def explain(self, answer):
+        trace = answer.getheader("Catkinhill-Trace")
+        status, text = self.entry.get_admin("/v1/explain/request/" + trace)
+        self.assertEqual(status, 200)
+        return json.loads(text)
+
+
+class AnswerTest(Processes):
+    def test_answer_and_explanation(self):
+        body = bytes(i % 256 for i in range(300001))
+        answer = self.entry.ask("/sum", "POST", body)
+        self.assertEqual(answer.status, 200)
+        self.assertEqual(answer.outcome, "done")
+        self.assertEqual(answer.text.decode(), f"POST /sum {sum(body)}")
+        self.assertIsNone(answer.getheader("X-Hop"))
+        self.assertRegex(answer.getheader("X-Agent"), "^a[12]$")
+        steps = self.explain(answer)["steps"]
+        self.assertRegex(steps[0], "reason=local agent=a[12].* over=a[12]")
+        self.assertEqual(self.entry.get_admin("/v1/explain/request/x")[0], 404)
+
+    def test_head_has_no_body(self):
+        conn = self.entry.connect()
+        for _ in range(2):
+            conn.request("HEAD", "/h")
+            answer = conn.getresponse()
+            self.assertEqual(answer.read(), b"")
+            self.assertEqual(answer.status, 200)
+        conn.close()
+
+    def test_flow_control_keeps_every_byte(self):
+        conn = self.entry.connect()
+        for size in (0, 1, 262144, 1000003):
+            conn.request("GET", f"/bytes/{size}")
+            answer = conn.getresponse()
+            self.assertEqual(answer.read(),
+                             bytes(i % 251 for i in range(size)))
+        conn.close()
+
+    def test_outcomes(self):
+        cases = (
+            # path, method, headers, status, outcome, runs
+            ("/refuse", "POST", {}, 503, "not-run", None),
+            ("/status/404", "GET", {}, 404, "done", 1),
+            ("/status/500", "POST", {}, 500, "done", 1),
+            ("/status/503", "GET", {}, 503, "done", 2),
+            ("/silent", "GET", {"Catkinhill_Deadline_Ms": "200"}, 504,
+             "unknown", None),
+            ("/zero", "GET", {"Catkinhill_Deadline_Ms": "0"}, 504,
+             "not-run", 0),
+            ("/bad", "GET", {"Catkinhill_Deadline_Ms": "1s"}, 400,
+             "not-run", 0),
+            ("/nobody", "GET", {"Host": "nobody"}, 503, "not-run", 0),
+            ("/keyed", "POST", {"Idempotency_Key": "k"}, 503, "unknown", 0),
+        )
+        for path, method, headers, status, outcome, runs in cases:
+            with self.subTest(path):
+                answer = self.entry.ask(path, method, **headers)
+                self.assertEqual((answer.status, answer.outcome),
+                                 (status, outcome))
+                if runs is not None:
+                    self.assertEqual(min(self.runs(path), 2), runs)
+
+    def test_refused_attempt_goes_elsewhere(self):
+        answer = self.entry.ask("/refuse-once", "POST", b"x")
+        self.assertEqual((answer.status, answer.outcome), (200, "done"))
+
+    def test_cut_is_visible(self):
+        for path in ("/gap", "/cut", "/long"):
+            with self.subTest(path):
+                conn = self.entry.connect()
+                conn.request("GET", path)
+                answer = conn.getresponse()
+                with self.assertRaises((http.client.IncompleteRead,
+                                        ConnectionError)):
+                    answer.read()
+                conn.close()
+
+    def test_too_large(self):
+        with socket.create_connection(("127.0.0.1", self.entry.callers)) as s:
+            s.settimeout(WAIT_S)
+            size = 16 * 1024 * 1024 + 1
+            s.sendall(b"POST /big HTTP/1.1\r\nHost: x\r\n"
+                      b"Content-Length: %d\r\n\r\n" % size)
+            try:
+                s.sendall(b"x" * size)
+            except OSError:
+                pass
+            self.assertIn(b" 413 ", s.recv(100))
+
+    def test_pipelined_requests(self):
+        """evhttp ends the process on input in the wrong state."""
+        with socket.create_connection(("127.0.0.1", self.entry.callers)) as s:
+            s.settimeout(WAIT_S)
+            one = b"GET /p HTTP/1.1\r\nHost: localhost\r\n\r\n"
+            s.sendall(one)
+            s.sendall(one * 9)
+            got = b""
+            while got.count(b"GET /p 0") < 10:
+                part = s.recv(65536)
+                self.assertTrue(part)
+                got += part
+
+    def test_caller_that_leaves(self):
+        before = sum(len(a.lines("cancel")) for a in self.agents.values())
+        sock = socket.create_connection(("127.0.0.1", self.entry.callers))
+        sock.sendall(b"GET /silent HTTP/1.1\r\nHost: localhost\r\n\r\n")
+        runs = self.runs("/silent")
+        wait_for("run", lambda: self.runs("/silent") >= max(runs, 1))
+        sock.close()
+        wait_for("cancel", lambda: sum(len(a.lines("cancel")) for a in
+                                       self.agents.values()) > before)
+
+    def test_dead_agent_is_unknown(self):
+        answer = self.entry.ask("/die", "POST", Host="fragile")
+        self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
+
+
+class StreamTest(Processes):
+    def open_events(self):
+        sock = socket.create_connection(("127.0.0.1", self.entry.callers))
+        sock.settimeout(WAIT_S)
+        sock.sendall(b"GET /events HTTP/1.1\r\nHost: watch\r\n"
+                     b"Accept: text/event-stream\r\n\r\n")
+        return sock, bytearray()
+
+    def read_ids(self, sock, got, count):
+        while len(re.findall(rb"id: \d+\n", got)) < count:
+            part = sock.recv(4096)
+            self.assertTrue(part)
+            got += part
+        return [int(i) for i in re.findall(rb"id: (\d+)\n", got)]
+
+    def test_streams_join_move_and_end(self):
+        callers = [self.open_events()]
+        self.read_ids(*callers[0], 3)
+        callers += [self.open_events() for _ in range(5)]
+        for caller in callers:
+            self.read_ids(*caller, 10)
+        self.assertEqual(self.runs("/events"), 1)
+        old = [a for a in ("w1", "w2")
+               if self.agents[a].lines("run " + a + " GET /events")][0]
+        self.agents[old].process.send_signal(signal.SIGUSR1)
+        wait_for("move", lambda: self.runs("/events") == 2)
+        for caller in callers:
+            ids = self.read_ids(*caller, 60)
+            self.assertEqual(ids, list(range(ids[0], ids[0] + len(ids))))
+        self.assertEqual(
+            self.entry.metric("catkinhill_streams_moved_total"), 1)
+        self.stop_gracefully(callers)
+
+    def stop_gracefully(self, watchers):
+        late = self.entry.connect()
+        late.request("GET", "/silent",
+                     headers={"Catkinhill-Deadline-Ms": "1500"})
+        time.sleep(0.2)
+        self.entry.process.terminate()
+        for sock, got in watchers:
+            while not got.endswith(b"\r\n0\r\n\r\n"):
+                part = sock.recv(4096)
+                self.assertTrue(part)
+                got += part
+            self.assertIn(b"event: catkinhill-end", got)
+            sock.close()
+        answer = self.entry.ask("/new")
+        self.assertEqual((answer.status, answer.outcome), (503, "not-run"))
+        self.assertEqual(answer.getheader("Connection"), "close")
+        self.assertEqual(late.getresponse().status, 504)
+        self.assertEqual(self.entry.process.wait(WAIT_S), 0)
+
+
+if __name__ == "__main__":
+    unittest.main(verbosity=2)
--- a/tests/unit/test_admission.c
+++ b/tests/unit/test_admission.c
@@ -41,7 +41,8 @@
 	int i;
 
 	for (i = 0; i < 3; i++) {
-		assert_int_equal(enter(admission, i, "c", 20 * i), ADMISSION_OK);
+		assert_int_equal(enter(admission, i, "c", 20 * i),
+				 ADMISSION_OK);
 		wait_in(admission, i, 20 * i, &why);
 	}
 	item = admission_next(admission, NULL, at(60));
@@ -70,17 +71,16 @@
 	struct admission *admission = admission_new(ITEMS);
 	enum admission_verdict why;
 
-	assert_int_equal(admission_enter(admission, &items[0], "c", at(0),
-					 at(0)),
-			 ADMISSION_DEADLINE);
+	assert_int_equal(
+		admission_enter(admission, &items[0], "c", at(0), at(0)),
+		ADMISSION_DEADLINE);
 	admission_leave(admission, &items[0]);
-	assert_int_equal(admission_enter(admission, &items[1], "c", at(30),
-					 at(0)),
-			 ADMISSION_OK);
+	assert_int_equal(
+		admission_enter(admission, &items[1], "c", at(30), at(0)),
+		ADMISSION_OK);
 	wait_in(admission, 1, 0, &why);
 	assert_null(admission_expired(admission, at(29), &why));
-	assert_ptr_equal(admission_expired(admission, at(30), &why),
-			 &items[1]);
+	assert_ptr_equal(admission_expired(admission, at(30), &why), &items[1]);
 	assert_int_equal(why, ADMISSION_DEADLINE);
 	assert_int_equal(admission_waiting(admission), 0);
 	admission_leave(admission, &items[1]);
--- a/tests/unit/test_claim.c
+++ b/tests/unit/test_claim.c
@@ -267,9 +267,8 @@
 
 		start_world(&world, seed);
 		while (busy(&world) && steps++ < STEPS_MAX) {
-			struct claimant *self =
-				&world.claimants[rng_below(&world.rng,
-							   CLAIMANTS)];
+			struct claimant *self = &world.claimants[rng_below(
+				&world.rng, CLAIMANTS)];
 
 			deliver_late(&world);
 			if (chance(&world, world.death))
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -92,8 +92,7 @@
 	for (i = 0; i < DRAWS; i++) {
 		struct route_choice choice = choose(f, NULL);
 
-		count += choice.member &&
-			 !strcmp(choice.member->agent, agent);
+		count += choice.member && !strcmp(choice.member->agent, agent);
 	}
 	return count;
 }
--- a/tests/unit/test_streams.c
+++ b/tests/unit/test_streams.c
@@ -31,9 +31,8 @@
 {
 	struct span ready;
 
-	assert_int_equal(stream_feed(stream, source, text, strlen(text),
-				     &ready),
-			 0);
+	assert_int_equal(
+		stream_feed(stream, source, text, strlen(text), &ready), 0);
 	if (ready.len)
 		memcpy(out, ready.data, ready.len);
 	out[ready.len] = '\0';
