grants: keep reporting ends that are not recorded

Cause: owners extend grants while the store is down, without permission to forget the ends.

Change: an ack carries whether the ends are in the store.

Conclusion: test_grants covers it.

--- a/packages/core/include/grants.h
+++ b/packages/core/include/grants.h
@@ -132,14 +132,15 @@
 void grants_listed(struct grant_task *task, uint64_t seq, struct mstime now);
 
 /*
- * Takes the ack of a report.
+ * Takes the ack of a report. recorded is 0 when the owner could not write the
+ * ends in it to the store; they are reported on then.
  *
  * RETURN VALUE
  *	Number of runs that the report had listed; ERR_FENCED for a lower
  *	epoch.
  */
 int grants_ack(struct grants *grants, uint32_t partition, uint64_t epoch,
-	       uint64_t seq, struct mstime now);
+	       uint64_t seq, int recorded, struct mstime now);
 
 /* RETURN VALUE: 1 when the run may be started or renewed at now. */
 int grants_valid(const struct grant_task *task, struct mstime now);
--- a/packages/core/src/grants.c
+++ b/packages/core/src/grants.c
@@ -162,12 +162,13 @@
 }
 
 static void apply_ack(const struct grants *grants, struct grant_task *task,
-		      const struct grant_report *report, struct mstime now)
+		      const struct grant_report *report, int recorded,
+		      struct mstime now)
 {
 	struct mstime until = mstime_add(report->sent_at, grants->grant_ms);
 
 	if (task->phase == GRANT_ENDED) {
-		if (!report->ended || task->end_acked)
+		if (!report->ended || !recorded || task->end_acked)
 			return;
 		task->end_acked = 1;
 		task->ended_at = now;
@@ -181,7 +182,7 @@
 }
 
 int grants_ack(struct grants *grants, uint32_t partition, uint64_t epoch,
-	       uint64_t seq, struct mstime now)
+	       uint64_t seq, int recorded, struct mstime now)
 {
 	struct list *pos;
 	int count = 0;
@@ -194,7 +195,7 @@
 
 		if (t->partition != partition || !report)
 			continue;
-		apply_ack(grants, t, report, now);
+		apply_ack(grants, t, report, recorded, now);
 		count++;
 	}
 	return count;
--- a/packages/daemon/src/agent_links.c
+++ b/packages/daemon/src/agent_links.c
@@ -346,6 +346,8 @@
 	struct list *pos, *tmp;
 
 	loop_timer_delete(agent->announce_timer);
+	if (agent->daemon->store)
+		store_forget(agent->daemon->store, agent);
 	list_for_each_safe (pos, tmp, &agent->links)
 		remove_link(list_entry(pos, struct agent_link, node));
 }
--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -188,7 +188,7 @@
 	struct agent *agent = link->agent;
 
 	if (grants_ack(&agent->grants, msg->partition, msg->epoch, msg->seq,
-		       sysclock_now()) < 0) {
+		       (int)msg->recorded, sysclock_now()) < 0) {
 		fenced(link, "ack", msg->epoch, "", 0);
 		return;
 	}
--- a/tests/unit/test_grants.c
+++ b/tests/unit/test_grants.c
@@ -68,19 +68,20 @@
 	grants_listed(&a, 1, mstime_from(100));
 	grants_add(&g, &b, 1, "b", 1, mstime_from(200));
 	assert_false(grants_valid(&a, mstime_from(200)));
-	assert_int_equal(grants_ack(&g, 1, 4, 1, mstime_from(300)), ERR_FENCED);
-	assert_int_equal(grants_ack(&g, 2, 5, 1, mstime_from(300)), 0);
-	assert_int_equal(grants_ack(&g, 1, 5, 9, mstime_from(300)), 0);
+	assert_int_equal(grants_ack(&g, 1, 4, 1, 1, mstime_from(300)),
+			 ERR_FENCED);
+	assert_int_equal(grants_ack(&g, 2, 5, 1, 1, mstime_from(300)), 0);
+	assert_int_equal(grants_ack(&g, 1, 5, 9, 1, mstime_from(300)), 0);
 	assert_false(grants_valid(&a, mstime_from(300)));
-	assert_int_equal(grants_ack(&g, 1, 5, 1, mstime_from(9000)), 1);
+	assert_int_equal(grants_ack(&g, 1, 5, 1, 1, mstime_from(9000)), 1);
 	assert_false(grants_valid(&b, mstime_from(9000)));
 	assert_true(grants_valid(&a, mstime_from(100 + T_MS - 1)));
 	assert_false(grants_valid(&a, mstime_from(100 + T_MS)));
 	assert_true(grants_expired(&a, mstime_from(100 + T_MS)));
 	/* An ack that comes late or twice never shortens a grant. */
 	grants_listed(&a, 2, mstime_from(5000));
-	grants_ack(&g, 1, 5, 2, mstime_from(9000));
-	grants_ack(&g, 1, 5, 1, mstime_from(9100));
+	grants_ack(&g, 1, 5, 2, 1, mstime_from(9000));
+	grants_ack(&g, 1, 5, 1, 1, mstime_from(9100));
 	assert_true(grants_valid(&a, mstime_from(5000 + T_MS - 1)));
 	grants_clear(&g);
 }
@@ -98,11 +99,14 @@
 	grants_add(&g, t, 1, "a", 1, now);
 	grants_listed(t, 1, now);
 	grants_end(t, now);
-	grants_ack(&g, 1, 5, 1, now);
+	grants_ack(&g, 1, 5, 1, 1, now);
 	/* That report still showed it as alive. */
 	assert_true(grants_reportable(t));
 	grants_listed(t, 2, now);
-	grants_ack(&g, 1, 5, 2, now);
+	grants_ack(&g, 1, 5, 2, 0, now);
+	/* The owner could not write it to the store. */
+	assert_true(grants_reportable(t));
+	grants_ack(&g, 1, 5, 2, 1, now);
 	assert_false(grants_reportable(t));
 	assert_null(grants_forgettable(&g, mstime_from(GRANT_KEEP_MS - 1)));
 	assert_ptr_equal(grants_forgettable(&g, mstime_from(GRANT_KEEP_MS)), t);
@@ -427,7 +431,7 @@
 	if (p->incarnation != agent->incarnation)
 		return;
 	if (p->kind == ACK) {
-		grants_ack(&agent->grants, 0, p->epoch, p->seq, now_of(w));
+		grants_ack(&agent->grants, 0, p->epoch, p->seq, 1, now_of(w));
 		return;
 	}
 	err = grants_command(&agent->grants, 0, p->epoch, job_names[p->job],
