agent: add end-to-end tests and the stand-in of an entry

Cause: the agent must be judged against an entry that can be told what to send, and a worker that records what it did.

--- /dev/null
+++ b/tests/e2e/agent_rig.py
@@ -0,0 +1,239 @@
+"""One agent between a stand-in of an entry and a stand-in of a worker."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.request
+
+WAIT_S = 30
+
+SETTINGS = """[daemon]
+role = agent
+id = a1
+region = A
+domain = d1
+log_level = debug
+stop_ms = 20000
+
+[listen]
+admin = {admin}
+
+[agent]
+seeds = {entry}
+service = stock
+upstream = {service}
+tasks = {tasks}
+cpu_milli = 4000
+mem_mb = 1000
+"""
+
+
+def free_address():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return "127.0.0.1:%d" % sock.getsockname()[1]
+
+
+def http(address, path, body=None):
+    data = None if body is None else json.dumps(body).encode()
+    request = urllib.request.Request("http://%s%s" % (address, path), data)
+    with urllib.request.urlopen(request, timeout=WAIT_S) as answer:
+        return answer.read().decode()
+
+
+class Entry:
+    """The stand-in of an entry; keeps all messages that it received."""
+
+    def __init__(self, build, address):
+        self.process = subprocess.Popen(
+            [build + "/fakeentry", address], stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE, text=True, encoding="latin-1")
+        assert self.process.stdout.readline() == "ready\n"
+        self.messages = []
+        self.changed = threading.Condition()
+        threading.Thread(target=self.read, daemon=True).start()
+
+    def read(self):
+        for line in self.process.stdout:
+            message = json.loads(line)
+            message["at"] = time.monotonic()
+            with self.changed:
+                self.messages.append(message)
+                self.changed.notify_all()
+
+    def send(self, kind, **fields):
+        fields["send"] = kind
+        self.write(fields)
+
+    def set(self, **fields):
+        self.write({"set": fields})
+
+    def write(self, fields):
+        self.process.stdin.write(json.dumps(fields) + "\n")
+        self.process.stdin.flush()
+
+    def find(self, kind, since=0, **fields):
+        return [m for m in self.messages[since:] if m["type"] == kind and
+                all(m.get(k) == v for k, v in fields.items())]
+
+    def wait(self, kind, since=0, count=1, **fields):
+        """The first count messages of a kind with these fields."""
+        return self.wait_for(
+            lambda: (lambda found: found[:count] if len(found) >= count
+                     else None)(self.find(kind, since, **fields)),
+            "%d %s %s" % (count, kind, fields))
+
+    def wait_for(self, condition, what):
+        end = time.monotonic() + WAIT_S
+        with self.changed:
+            while True:
+                found = condition()
+                if found:
+                    return found
+                left = end - time.monotonic()
+                if left <= 0:
+                    raise AssertionError("no " + what + "; last: " +
+                                         str(self.messages[-5:]))
+                self.changed.wait(min(left, 0.2))
+
+    def mark(self):
+        return len(self.messages)
+
+    def wait_state(self, state, since=0):
+        return self.wait("announce", since, state=state)[0]
+
+    def wait_task(self, job, run, state, since=0):
+        def found():
+            for message in self.messages[since:]:
+                for task in message.get("tasks", []):
+                    if (task["job"], task["run"], task["state"]) == \
+                            (job, run, state):
+                        return dict(task, peer=message["peer"])
+            return None
+        return self.wait_for(found, "%s/%d %s" % (job, run, state))
+
+    def request(self, number, path, method="GET", remaining_ms=20000,
+                **fields):
+        self.send("request", request=number, trace="t%d" % number,
+                  method=method, path=path, remaining_ms=remaining_ms,
+                  **fields)
+
+    def end(self, number):
+        return self.wait("response-end", request=number)[0]
+
+    def body(self, number):
+        parts = self.find("response-body", request=number)
+        at = 0
+        for part in parts:
+            assert part["offset"] == at, part["offset"]
+            at += len(part["data"])
+        return "".join(part["data"] for part in parts)
+
+    def start_task(self, job, run, command, epoch=1, mem_mb=100,
+                   checkpoint=""):
+        self.send("task-start", partition=0, epoch=epoch, job=job, run=run,
+                  cpu_milli=500, mem_mb=mem_mb, accel=0,
+                  checkpoint=checkpoint, command=command)
+
+    def stop_task(self, job, run, epoch=1, mode="evict"):
+        self.send("task-stop", partition=0, epoch=epoch, job=job, run=run,
+                  mode=mode)
+
+    def config(self, version, drained=(), **limits):
+        limits["partitions"] = 1
+        value = {"version": version, "token": "test", "limits": limits,
+                 "drained": list(drained), "quotas": {}, "changes": []}
+        self.set(config_version=version)
+        self.send("config", version=version, json=json.dumps(value))
+        self.wait("announce", config_version=version)
+
+
+class Rig:
+    def __init__(self, build, worker=True):
+        self.build = build
+        self.folder = tempfile.mkdtemp()
+        self.addresses = {name: free_address() for name in
+                          ("admin", "entry", "service", "tasks")}
+        self.history = self.folder + "/history"
+        self.processes = []
+        self.entry = Entry(build, self.addresses["entry"])
+        self.processes.append(self.entry.process)
+        if worker:
+            self.start_worker()
+        with open(self.folder + "/agent.ini", "w") as settings:
+            settings.write(SETTINGS.format(**self.addresses))
+        self.start_agent()
+
+    def start_worker(self):
+        self.worker = subprocess.Popen(
+            [self.build + "/fakeworker", "--service",
+             self.addresses["service"], "--tasks", self.addresses["tasks"],
+             "--id", "w1", "--limits", "8,64,4000,1000,0", "--history",
+             self.history], stdout=subprocess.PIPE, text=True)
+        self.processes.append(self.worker)
+        assert self.worker.stdout.readline() == "ready\n"
+
+    def start_agent(self):
+        with open(self.folder + "/agent.log", "a") as log:
+            self.agent = subprocess.Popen(
+                [self.build + "/catkinhilld", "--config",
+                 self.folder + "/agent.ini"], stderr=log)
+        self.processes.append(self.agent)
+
+    def record(self):
+        return json.loads(http(self.addresses["service"], "/record"))
+
+    def control(self, **faults):
+        http(self.addresses["service"], "/control", faults)
+
+    def effects(self, job):
+        return [r["step"] for r in self.record()["history"]
+                if r["kind"] == "task-effect" and r["id"] == job]
+
+    def wait_until(self, condition, what):
+        end = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < end, "no " + what
+            time.sleep(0.05)
+
+    def metric(self, name):
+        for line in http(self.addresses["admin"], "/metrics").splitlines():
+            if line.startswith(name + " "):
+                return int(line.split()[-1])
+        raise AssertionError("no metric " + name)
+
+    def check_history(self):
+        if os.path.exists(self.history):
+            subprocess.run([self.build + "/check_history", self.history],
+                           check=True, stdout=subprocess.DEVNULL)
+
+    def close(self):
+        for process in reversed(self.processes):
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+
+
+def run_all(scenarios, build):
+    for scenario in scenarios:
+        started = time.monotonic()
+        rig = Rig(build, worker=not getattr(scenario, "no_worker", False))
+        try:
+            scenario(rig)
+            rig.check_history()
+        except BaseException:
+            with open(rig.folder + "/agent.log") as log:
+                sys.stderr.write(log.read()[-6000:])
+            sys.stderr.write("failed: %s\n" % scenario.__name__)
+            raise
+        finally:
+            rig.close()
+        print("%-40s %5.1f s" % (scenario.__name__,
+                                 time.monotonic() - started), flush=True)
--- /dev/null
+++ b/tests/e2e/test_agent.py
@@ -0,0 +1,165 @@
+#!/usr/bin/env python3
+"""Requests, streams and leaving at one agent."""
+
+import signal
+import sys
+import time
+
+import agent_rig
+
+
+def ready_only_with_worker(rig):
+    """Guards against an agent that takes work before it knows its worker."""
+    rig.entry.wait("announce", count=3, state="not-ready")
+    assert not rig.entry.find("announce", state="ready")
+    rig.entry.request(1, "/echo")
+    assert rig.entry.wait("refused", request=1)[0]["reason"] == "not-ready"
+    rig.start_worker()
+    rig.entry.wait_state("ready")
+    mark = rig.entry.mark()
+    rig.worker.kill()
+    rig.entry.wait_state("not-ready", mark)
+
+
+ready_only_with_worker.no_worker = True
+
+
+def bodies_and_window(rig):
+    """Guards against lost or mixed bytes, and an answer beyond the window."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    body = "".join("%07d" % i for i in range(30000))
+    entry.request(1, "/echo", method="POST", body=body)
+    entry.end(1)
+    assert entry.body(1) == body
+    entry.set(credit=False)
+    entry.request(2, "/bytes?n=1000000")
+    entry.request(3, "/echo")
+    entry.end(3)
+    entry.wait_for(lambda: len(entry.body(2)) >= 256 * 1024, "window")
+    time.sleep(0.3)
+    assert len(entry.body(2)) == 256 * 1024
+    entry.set(credit=True)
+    entry.send("credit", request=2, bytes=256 * 1024)
+    end = entry.end(2)
+    assert (end["outcome"], end["total"]) == ("done", 1000000)
+    assert len(entry.body(2)) == 1000000
+    # A number may be used again once its request has ended.
+    entry.request(1, "/bytes?n=5")
+    entry.wait("response-end", request=1, total=5)
+
+
+def limits(rig):
+    """Guards against more than 8 requests at the worker, also of those that
+    were cancelled or whose deadline has passed."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    for i in range(30):
+        entry.request(i, "/work?ms=400")
+    entry.wait("response-end", count=16, outcome="done")
+    refused = entry.wait("refused", count=14)
+    assert {m["reason"] for m in refused} == {"full"}
+    for i in range(100, 108):
+        entry.request(i, "/work?ms=800")
+    entry.wait("announce", in_flight=8)
+    for i in range(100, 108):
+        entry.send("cancel", request=i)
+    for i in range(110, 114):
+        entry.request(i, "/work?ms=100")
+    entry.request(114, "/echo", remaining_ms=100)
+    assert entry.wait("refused", request=114)[0]["reason"] == "deadline"
+    for i in range(110, 114):
+        assert entry.end(i)["outcome"] == "done"
+    entry.request(120, "/work?ms=1500", remaining_ms=200)
+    assert entry.end(120)["outcome"] == "unknown"
+    assert rig.record()["max"]["slots"] == 8
+    assert not entry.find("response", request=100)
+
+
+def broken_answers(rig):
+    """Guards against a cut answer that looks whole, and against a proof of
+    not run that is none."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.request(1, "/cut")
+    end = entry.end(1)
+    assert (end["outcome"], end["total"]) == ("unknown", 500)
+    rig.control(lose=1)
+    entry.request(2, "/publish", method="POST", body="x")
+    assert entry.end(2)["outcome"] == "unknown"
+    assert rig.record()["published"] == 1
+    entry.request(3, "/publish", method="POST", body="x", with_body=False)
+    entry.send("cancel", request=3)
+    assert entry.wait("refused", request=3)[0]["reason"] == "cancelled"
+    assert rig.record()["published"] == 1
+    rig.worker.kill()
+    rig.worker.wait()
+    entry.request(4, "/publish", method="POST", body="x")
+    assert entry.wait("refused", request=4)[0]["reason"] == "not-ready"
+
+
+def silent_entry(rig):
+    """Guards against work that goes on for an entry that has died."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.request(1, "/watch")
+    entry.wait("response", request=1, stream=1)
+    assert rig.record()["now"]["slots"] == 0
+    entry.process.send_signal(signal.SIGSTOP)
+    rig.wait_until(lambda: rig.record()["now"]["connections"] == 0,
+                   "end of the stream")
+    mark = entry.mark()
+    entry.process.send_signal(signal.SIGCONT)
+    entry.wait_state("ready", mark)
+
+
+def stop(rig):
+    """Guards against a planned stop that interrupts a request, keeps a
+    stream, loses a task's work or takes new work late."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.request(1, "/watch")
+    entry.wait("response", request=1, stream=1)
+    entry.request(2, "/work?ms=3500")
+    entry.start_task("j", 1, "steps=100000 step_ms=10")
+    entry.wait_task("j", 1, "running")
+    rig.agent.send_signal(signal.SIGTERM)
+    leaving = entry.wait_state("leaving")
+    stopped = entry.wait_task("j", 1, "stopped")
+    assert stopped["checkpoint"] == "step-%d" % len(rig.effects("j"))
+    moved = entry.end(1)
+    assert moved["moved"] == 1 and moved["at"] - leaving["at"] < 2
+    entry.request(3, "/echo")
+    assert entry.wait("refused", request=3)[0]["reason"] == "leaving"
+    assert entry.end(2)["outcome"] == "done"
+    assert rig.agent.wait(agent_rig.WAIT_S) == 0
+
+
+def drain(rig):
+    """Guards against a drained domain that keeps work, or never returns."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.request(1, "/watch")
+    entry.wait("response", request=1, stream=1)
+    entry.start_task("j", 1, "steps=100000 step_ms=10")
+    entry.wait_task("j", 1, "running")
+    mark = entry.mark()
+    entry.config(1, drained=["d1"])
+    entry.wait_state("not-ready", mark)
+    entry.wait_task("j", 1, "stopped")
+    assert entry.end(1)["moved"] == 1
+    entry.start_task("k", 1, "steps=1")
+    assert entry.wait_task("k", 1, "refused")["detail"] == "drained"
+    mark = entry.mark()
+    entry.config(2)
+    entry.wait_state("ready", mark)
+    entry.request(2, "/echo")
+    assert entry.end(2)["outcome"] == "done"
+    # An entry that has started since takes the configuration over.
+    mark = entry.mark()
+    entry.set(config_version=0)
+    assert entry.wait("config", mark)[0]["version"] == 2
+
+
+agent_rig.run_all([ready_only_with_worker, bodies_and_window, limits,
+                   broken_answers, silent_entry, stop, drain], sys.argv[1])
--- /dev/null
+++ b/tests/e2e/test_agent_tasks.py
@@ -0,0 +1,175 @@
+#!/usr/bin/env python3
+"""Batch runs at one agent: grants, fencing, ends, restarts."""
+
+import sys
+import time
+
+import agent_rig
+
+LONG = "steps=100000 step_ms=10"
+
+
+def resume_once(rig):
+    """Guards against steps that an evicted job repeats or skips."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.start_task("j", 1, "steps=150 step_ms=5")
+    entry.wait_task("j", 1, "running")
+    rig.wait_until(lambda: len(rig.effects("j")) > 5, "steps")
+    entry.stop_task("j", 1)
+    checkpoint = entry.wait_task("j", 1, "stopped")["checkpoint"]
+    # A start that comes again must not start the run again.
+    entry.start_task("j", 1, "steps=150 step_ms=5")
+    entry.start_task("j", 2, "steps=150 step_ms=5", checkpoint=checkpoint)
+    entry.wait_task("j", 2, "finished")
+    assert rig.effects("j") == list(range(150))
+    entry.start_task("k", 1, "fail")
+    entry.wait_task("k", 1, "failed")
+    entry.start_task("l", 1, LONG)
+    entry.wait_task("l", 1, "running")
+    entry.stop_task("l", 1, mode="cancel")
+    entry.wait_task("l", 1, "stopped")
+
+
+def no_start_without_ack(rig):
+    """Guards against a start command that was late: only its owner's answer
+    to a report shows that the run still counts."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, grant_ms=2000, task_lease_ms=1000)
+    entry.set(ack_reports=False)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "starting")
+    refused = entry.wait_task("j", 1, "refused")
+    assert refused["detail"] == "no-grant"
+    assert not rig.effects("j")
+    entry.set(ack_reports=True)
+    mark = entry.mark()
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "refused", mark)
+    entry.start_task("j", 2, LONG)
+    entry.wait_task("j", 2, "running")
+
+
+def grant_expires(rig):
+    """Guards against a run that outlives its grant."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, grant_ms=2000, task_lease_ms=1000)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    time.sleep(3)
+    assert rig.record()["now"]["mem_mb"] == 100
+    entry.set(ack_reports=False)
+    stopped = entry.wait_task("j", 1, "stopped")
+    assert stopped["detail"] == "grant-expired"
+    assert stopped["checkpoint"] == "step-%d" % len(rig.effects("j"))
+
+
+def fencing(rig):
+    """Guards against an old owner, and against commands for old runs."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.set(epoch=5)
+    entry.start_task("j", 3, LONG, epoch=5)
+    entry.wait_task("j", 3, "running")
+    entry.stop_task("j", 3, epoch=4)
+    entry.start_task("j", 4, LONG, epoch=4)
+    entry.stop_task("j", 2, epoch=5)
+    entry.start_task("j", 2, LONG, epoch=5)
+    rig.wait_until(lambda: rig.metric("catkinhill_agent_fenced_total") == 4,
+                   "fenced commands")
+    assert rig.record()["now"]["mem_mb"] == 100
+    # A stop of a run that is not known is answered, and refuses its start.
+    entry.stop_task("k", 1, epoch=5)
+    entry.wait_task("k", 1, "lost")
+    mark = entry.mark()
+    entry.start_task("k", 1, LONG, epoch=5)
+    entry.wait_task("k", 1, "lost", mark)
+    # A new owner is told the ends that the old one may not have kept.
+    mark = entry.mark()
+    entry.set(epoch=6)
+    entry.send("owner", partition=0, epoch=6)
+    entry.wait_task("k", 1, "lost", mark)
+
+
+def room(rig):
+    """Guards against tasks beyond the memory, declared or observed."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.start_task("a", 1, LONG + " usage_mem_mb=700", mem_mb=400)
+    entry.wait_task("a", 1, "running")
+    entry.start_task("b", 1, LONG, mem_mb=1001)
+    assert entry.wait_task("b", 1, "refused")["detail"] == \
+        "larger-than-worker"
+    entry.wait("announce", mem_mb=700)
+    entry.start_task("c", 1, LONG, mem_mb=400)
+    assert entry.wait_task("c", 1, "refused")["detail"] == "no-room"
+    entry.start_task("d", 1, LONG, mem_mb=300)
+    entry.wait_task("d", 1, "running")
+    assert rig.record()["max"]["mem_mb"] == 700
+
+
+def lost_answers(rig):
+    """Guards against an unknown answer that is taken for an end."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    rig.control(lose_tasks=2)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    rig.control(lose_tasks=3)
+    mark = entry.mark()
+    entry.stop_task("j", 1)
+    entry.wait_task("j", 1, "stopping", mark)
+    stopped = entry.wait_task("j", 1, "stopped", mark)
+    assert stopped["checkpoint"] == "step-%d" % len(rig.effects("j"))
+    starts = [r for r in rig.record()["history"] if r["kind"] == "task-start"]
+    assert len(starts) == 1
+
+
+def agent_restarts(rig):
+    """Guards against a restart that loses, repeats or keeps a run."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, grant_ms=20000, task_lease_ms=4000)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    rig.agent.kill()
+    rig.agent.wait()
+    mark = entry.mark()
+    rig.start_agent()
+    ready = entry.wait_state("ready", mark)
+    assert ready["mem_mb"] == 100
+    adopted = entry.wait_task("j", 1, "running", mark)
+    steps = len(rig.effects("j"))
+    # Longer than the lease: the owner's answer must have renewed it.
+    time.sleep(5)
+    assert len(rig.effects("j")) > steps
+    rig.agent.kill()
+    rig.agent.wait()
+    entry.set(ack_reports=False)
+    mark = entry.mark()
+    rig.start_agent()
+    stopped = entry.wait_task("j", 1, "stopped", mark)
+    assert stopped["peer"] != adopted["peer"]
+    assert stopped["detail"] == "lease-expired"
+    assert rig.effects("j") == list(range(len(rig.effects("j"))))
+
+
+def worker_restarts(rig):
+    """Guards against a run that is reported as running at a new worker."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    rig.worker.kill()
+    rig.worker.wait()
+    rig.history += "2"
+    rig.start_worker()
+    assert entry.wait_task("j", 1, "lost")["detail"] in (
+        "not-listed", "unknown-to-worker")
+
+
+agent_rig.run_all([resume_once, no_start_without_ack, grant_expires, fencing,
+                   room, lost_answers, agent_restarts, worker_restarts],
+                  sys.argv[1])
--- /dev/null
+++ b/tests/fakes/fakeentry.c
@@ -0,0 +1,380 @@
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+#include <glib.h>
+#include <jansson.h>
+
+#include "loop.h"
+#include "mem.h"
+#include "transport.h"
+
+/*
+ * NAME
+ *	fakeentry - stand-in of an entry, driven by lines on standard input
+ *
+ * NOTES
+ *	Each line on standard input is a JSON object: {"send": TYPE, fields}
+ *	sends a message to the agent that announced itself last; {"set":
+ *	{...}} changes the automatic answers. Each message received is one
+ *	JSON line on standard output. Ends at the end of its input.
+ */
+struct fakeentry {
+	struct loop *loop;
+	struct transport *transport;
+	struct event *input;
+	char line[512 * 1024];
+	size_t line_len;
+	char peer[2 * ID_SIZE];
+	int ack_announces;
+	int ack_reports; /* with OWNER, under epoch */
+	int credit;	 /* for each part of a body */
+	int64_t epoch;
+	int64_t config_version;
+};
+
+static const char *text(const json_t *root, const char *key)
+{
+	const char *value = json_string_value(json_object_get(root, key));
+
+	return value ? value : "";
+}
+
+static int64_t number(const json_t *root, const char *key)
+{
+	return json_integer_value(json_object_get(root, key));
+}
+
+static void send_message(struct fakeentry *entry, struct message *msg)
+{
+	int err = transport_send(entry->transport, entry->peer, msg);
+
+	if (err)
+		fprintf(stderr, "fakeentry: send %s: %d\n",
+			message_type_name(msg->type), err);
+}
+
+static void send_body(struct fakeentry *entry, const json_t *root)
+{
+	const char *body = text(root, "body");
+	size_t len = strlen(body), at;
+
+	for (at = 0; at < len; at += BODY_CHUNK_MAX) {
+		struct message msg = { .type = MSG_REQUEST_BODY };
+		size_t part = len - at;
+
+		if (part > BODY_CHUNK_MAX)
+			part = BODY_CHUNK_MAX;
+		msg.u.request_body.request = (uint64_t)number(root, "request");
+		msg.u.request_body.offset = at;
+		msg.u.request_body.data.data = (const unsigned char *)body + at;
+		msg.u.request_body.data.len = part;
+		msg.u.request_body.last = at + part == len;
+		send_message(entry, &msg);
+	}
+}
+
+static void send_request(struct fakeentry *entry, const json_t *root)
+{
+	struct http_header items[HEADERS_MAX];
+	struct message msg = { .type = MSG_REQUEST };
+	struct msg_request *m = &msg.u.request;
+	json_t *headers = json_object_get(root, "headers");
+	const char *key;
+	json_t *value;
+
+	m->request = (uint64_t)number(root, "request");
+	str_copy(m->trace, text(root, "trace"), sizeof(m->trace));
+	m->attempt = 1;
+	m->remaining_ms = (uint32_t)number(root, "remaining_ms");
+	m->method = text(root, "method");
+	m->path = text(root, "path");
+	m->body_length = strlen(text(root, "body"));
+	m->headers.items = items;
+	json_object_foreach(headers, key, value)
+	{
+		items[m->headers.count].name = key;
+		items[m->headers.count++].value = json_string_value(value);
+	}
+	send_message(entry, &msg);
+	if (!json_is_false(json_object_get(root, "with_body")))
+		send_body(entry, root);
+}
+
+static void send_cancel(struct fakeentry *entry, const json_t *root)
+{
+	struct message msg = { .type = MSG_CANCEL };
+
+	msg.u.cancel.request = (uint64_t)number(root, "request");
+	send_message(entry, &msg);
+}
+
+static void send_credit(struct fakeentry *entry, const json_t *root)
+{
+	struct message msg = { .type = MSG_CREDIT };
+
+	msg.u.credit.request = (uint64_t)number(root, "request");
+	msg.u.credit.bytes = (uint32_t)number(root, "bytes");
+	send_message(entry, &msg);
+}
+
+static void send_config(struct fakeentry *entry, const json_t *root)
+{
+	struct message msg = { .type = MSG_CONFIG };
+
+	msg.u.config.version = (uint64_t)number(root, "version");
+	msg.u.config.json = text(root, "json");
+	send_message(entry, &msg);
+}
+
+static void send_start(struct fakeentry *entry, const json_t *root)
+{
+	struct message msg = { .type = MSG_TASK_START };
+	struct msg_task_start *m = &msg.u.task_start;
+
+	m->partition = (uint32_t)number(root, "partition");
+	m->epoch = (uint64_t)number(root, "epoch");
+	str_copy(m->job, text(root, "job"), sizeof(m->job));
+	m->run = (uint64_t)number(root, "run");
+	m->need.cpu_milli = (uint32_t)number(root, "cpu_milli");
+	m->need.mem_mb = (uint32_t)number(root, "mem_mb");
+	m->need.accel = (uint32_t)number(root, "accel");
+	m->checkpoint = text(root, "checkpoint");
+	m->command = text(root, "command");
+	send_message(entry, &msg);
+}
+
+static void send_stop(struct fakeentry *entry, const json_t *root)
+{
+	struct message msg = { .type = MSG_TASK_STOP };
+	struct msg_task_stop *m = &msg.u.task_stop;
+
+	m->partition = (uint32_t)number(root, "partition");
+	m->epoch = (uint64_t)number(root, "epoch");
+	str_copy(m->job, text(root, "job"), sizeof(m->job));
+	m->run = (uint64_t)number(root, "run");
+	m->mode =
+		strcmp(text(root, "mode"), "cancel") ? STOP_EVICT : STOP_CANCEL;
+	send_message(entry, &msg);
+}
+
+static void send_owner(struct fakeentry *entry, const json_t *root)
+{
+	struct message msg = { .type = MSG_OWNER };
+
+	msg.u.owner.partition = (uint32_t)number(root, "partition");
+	msg.u.owner.epoch = (uint64_t)number(root, "epoch");
+	str_copy(msg.u.owner.entry, "fakeentry", ID_SIZE);
+	send_message(entry, &msg);
+}
+
+static const struct {
+	const char *type;
+	void (*send)(struct fakeentry *entry, const json_t *root);
+} senders[] = {
+	{ "request", send_request },  { "cancel", send_cancel },
+	{ "credit", send_credit },    { "config", send_config },
+	{ "task-start", send_start }, { "task-stop", send_stop },
+	{ "owner", send_owner },
+};
+
+static void set_flag(const json_t *set, const char *key, int *flag)
+{
+	const json_t *value = json_object_get(set, key);
+
+	if (value)
+		*flag = json_is_true(value);
+}
+
+static void take_line(struct fakeentry *entry, const char *line, size_t len)
+{
+	json_t *root = json_loadb(line, len, 0, NULL);
+	const json_t *set = json_object_get(root, "set");
+	size_t i;
+
+	set_flag(set, "ack_announces", &entry->ack_announces);
+	set_flag(set, "ack_reports", &entry->ack_reports);
+	set_flag(set, "credit", &entry->credit);
+	if (json_object_get(set, "epoch"))
+		entry->epoch = number(set, "epoch");
+	if (json_object_get(set, "config_version"))
+		entry->config_version = number(set, "config_version");
+	for (i = 0; i < sizeof(senders) / sizeof(senders[0]); i++)
+		if (!strcmp(senders[i].type, text(root, "send")))
+			senders[i].send(entry, root);
+	json_decref(root);
+}
+
+static void on_input(evutil_socket_t fd, short what, void *arg)
+{
+	struct fakeentry *entry = arg;
+	ssize_t got = read(fd, entry->line + entry->line_len,
+			   sizeof(entry->line) - entry->line_len);
+	char *end;
+
+	if (got <= 0) {
+		if (got == 0 || errno != EINTR)
+			loop_break(entry->loop);
+		return;
+	}
+	entry->line_len += (size_t)got;
+	while ((end = memchr(entry->line, '\n', entry->line_len))) {
+		size_t len = (size_t)(end - entry->line) + 1;
+
+		take_line(entry, entry->line, len);
+		entry->line_len -= len;
+		memmove(entry->line, entry->line + len, entry->line_len);
+	}
+}
+
+static void print(json_t *root, const char *peer, enum message_type type)
+{
+	json_object_set_new(root, "type", json_string(message_type_name(type)));
+	json_object_set_new(root, "peer", json_string(peer));
+	json_dumpf(root, stdout, JSON_COMPACT);
+	fputc('\n', stdout);
+	fflush(stdout);
+	json_decref(root);
+}
+
+static json_t *on_announce(struct fakeentry *entry,
+			   const struct msg_announce *m)
+{
+	struct message ack = { .type = MSG_ANNOUNCE_ACK };
+
+	ack.u.announce_ack.seq = m->seq;
+	ack.u.announce_ack.config_version = (uint64_t)entry->config_version;
+	if (entry->ack_announces)
+		send_message(entry, &ack);
+	return json_pack("{s:s, s:I, s:s, s:i, s:i, s:i}", "agent", m->agent,
+			 "config_version", (json_int_t)m->config_version,
+			 "state", agent_state_name(m->state), "in_flight",
+			 (int)m->load.in_flight, "connections",
+			 (int)m->load.connections, "mem_mb",
+			 (int)m->load.used.mem_mb);
+}
+
+static json_t *on_report(struct fakeentry *entry,
+			 const struct msg_task_report *m)
+{
+	struct message owner = { .type = MSG_OWNER };
+	struct message ack = { .type = MSG_TASK_REPORT_ACK };
+	json_t *tasks = json_array();
+	size_t i;
+
+	owner.u.owner.partition = m->partition;
+	owner.u.owner.epoch = (uint64_t)entry->epoch;
+	ack.u.task_report_ack.seq = m->seq;
+	ack.u.task_report_ack.partition = m->partition;
+	ack.u.task_report_ack.epoch = (uint64_t)entry->epoch;
+	ack.u.task_report_ack.recorded = 1;
+	if (entry->ack_reports) {
+		send_message(entry, &owner);
+		send_message(entry, &ack);
+	}
+	for (i = 0; i < m->tasks.count; i++) {
+		const struct task_status *t = &m->tasks.items[i];
+
+		json_array_append_new(
+			tasks,
+			json_pack("{s:s, s:I, s:s, s:s, s:s}", "job", t->job,
+				  "run", (json_int_t)t->run, "state",
+				  task_state_name(t->state), "checkpoint",
+				  t->checkpoint, "detail", t->detail));
+	}
+	return json_pack("{s:I, s:i, s:I, s:o}", "seq", (json_int_t)m->seq,
+			 "partition", (int)m->partition, "epoch",
+			 (json_int_t)m->epoch, "tasks", tasks);
+}
+
+static json_t *on_body(struct fakeentry *entry,
+		       const struct msg_response_body *m)
+{
+	struct message credit = { .type = MSG_CREDIT };
+
+	credit.u.credit.request = m->request;
+	credit.u.credit.bytes = (uint32_t)m->data.len;
+	if (entry->credit)
+		send_message(entry, &credit);
+	return json_pack("{s:I, s:I, s:s%}", "request", (json_int_t)m->request,
+			 "offset", (json_int_t)m->offset, "data",
+			 (const char *)m->data.data, m->data.len);
+}
+
+static void on_message(void *arg, const char *peer, const struct message *msg)
+{
+	struct fakeentry *entry = arg;
+	json_t *root = NULL;
+
+	str_copy(entry->peer, peer, sizeof(entry->peer));
+	switch (msg->type) {
+	case MSG_ANNOUNCE:
+		root = on_announce(entry, &msg->u.announce);
+		break;
+	case MSG_TASK_REPORT:
+		root = on_report(entry, &msg->u.task_report);
+		break;
+	case MSG_RESPONSE_BODY:
+		root = on_body(entry, &msg->u.response_body);
+		break;
+	case MSG_REFUSED:
+		root = json_pack("{s:I, s:s}", "request",
+				 (json_int_t)msg->u.refused.request, "reason",
+				 refusal_name(msg->u.refused.reason));
+		break;
+	case MSG_RESPONSE:
+		root = json_pack("{s:I, s:i, s:i}", "request",
+				 (json_int_t)msg->u.response.request, "status",
+				 (int)msg->u.response.status, "stream",
+				 (int)msg->u.response.stream);
+		break;
+	case MSG_RESPONSE_END:
+		root = json_pack(
+			"{s:I, s:s, s:i, s:I}", "request",
+			(json_int_t)msg->u.response_end.request, "outcome",
+			outcome_name(msg->u.response_end.outcome), "moved",
+			(int)msg->u.response_end.moved, "total",
+			(json_int_t)msg->u.response_end.total);
+		break;
+	case MSG_CONFIG:
+		root = json_pack("{s:I}", "version",
+				 (json_int_t)msg->u.config.version);
+		break;
+	default:
+		root = json_object();
+	}
+	print(root, peer, msg->type);
+}
+
+int main(int argc, char **argv)
+{
+	struct fakeentry *entry = xcalloc(1, sizeof(*entry));
+
+	if (argc != 2) {
+		fprintf(stderr, "usage: fakeentry IP:PORT\n");
+		return 2;
+	}
+	entry->loop = loop_new();
+	entry->ack_announces = 1;
+	entry->ack_reports = 1;
+	entry->credit = 1;
+	entry->epoch = 1;
+	entry->transport =
+		transport_server_new(entry->loop, argv[1], on_message, entry);
+	if (!entry->transport)
+		return 1;
+	entry->input = event_new(loop_base(entry->loop), STDIN_FILENO,
+				 EV_READ | EV_PERSIST, on_input, entry);
+	event_add(entry->input, NULL);
+	printf("ready\n");
+	fflush(stdout);
+	loop_run(entry->loop);
+	transport_delete(entry->transport);
+	event_free(entry->input);
+	loop_delete(entry->loop);
+	free(entry);
+	return 0;
+}
