--- a/packages/daemon/src/entry.c
+++ b/packages/daemon/src/entry.c
@@ -152,6 +152,23 @@
 	}
 }
 
+int entry_config_known(const struct entry *entry)
+{
+	return !entry->daemon->store || configsync_known(entry->sync);
+}
+
+static void update_ready(struct entry *entry)
+{
+	int ready = entry_config_known(entry);
+
+	if (!entry->daemon->admin || entry->stopping ||
+	    ready == entry->was_ready)
+		return;
+	entry->was_ready = ready;
+	admin_set_ready(entry->daemon->admin, ready,
+			ready ? "" : "config-unknown");
+}
+
 static void drop_expired(struct entry *entry, struct mstime now)
 {
 	struct admission_item *item;
@@ -177,6 +194,7 @@
 	struct mstime now = sysclock_now();
 
 	loop_timer_start(entry->tick, TICK_MS);
+	update_ready(entry);
 	drop_expired(entry, now);
 	entry_tick_attempts(entry, now);
 	watches_tick(entry, now);
@@ -187,16 +205,6 @@
 	entry_drain_soon(entry);
 }
 
-void entry_update_ready(struct entry *entry)
-{
-	if (!entry->daemon->admin || entry->stopping)
-		return;
-	if (registry_config_known(entry->registry))
-		admin_set_ready(entry->daemon->admin, 1, "");
-	else
-		admin_set_ready(entry->daemon->admin, 0, "config-not-known");
-}
-
 void entry_on_config(void *arg)
 {
 	struct entry *entry = arg;
@@ -211,7 +219,6 @@
 			    (uint32_t)config->limits[LIMIT_ENTRY_QUEUE]);
 	route_config(entry->route, config);
 	owner_on_change(entry->owner);
-	entry_update_ready(entry);
 	entry_drain_soon(entry);
 }
 
@@ -248,9 +255,8 @@
 {
 	const struct settings *settings = entry->daemon->settings;
 
-	entry->transport =
-		transport_server_new(entry->daemon->loop, settings->peers,
-				     entry_on_message, entry);
+	entry->transport = transport_server_new(
+		entry->daemon->loop, settings->peers, entry_on_message, entry);
 	if (!entry->transport) {
 		log_event(EV_LISTEN_FAILED, "key=listen.peers address=%s",
 			  settings->peers);
@@ -276,8 +282,9 @@
 	entry->registry = registry_new(entry);
 	entry->sync = configsync_new(daemon, entry_on_config, entry);
 	entry->opapi = opapi_new(daemon, entry->sync, &entry->membership);
-	loop_timer_start(entry->tick, TICK_MS);
-	entry_update_ready(entry);
+	if (daemon->admin)
+		admin_set_ready(daemon->admin, 0, "config-unknown");
+	on_tick(entry);
 }
 
 struct entry *entry_new(struct daemon *daemon)
@@ -302,8 +309,8 @@
 static void delete_requests(struct entry *entry)
 {
 	while (!list_empty(&entry->requests)) {
-		struct request *request = list_entry(entry->requests.next,
-						     struct request, node);
+		struct request *request =
+			list_entry(entry->requests.next, struct request, node);
 
 		request_finish(request, OUTCOME_UNKNOWN, 1);
 	}
@@ -352,9 +359,9 @@
 		return;
 	if (!nothing_left(entry) &&
 	    mstime_before(sysclock_now(), entry->stop_until)) {
-		loop_timer_start(entry->stop_timer,
-				 mstime_diff(entry->stop_until,
-					     sysclock_now()));
+		loop_timer_start(
+			entry->stop_timer,
+			mstime_diff(entry->stop_until, sysclock_now()));
 		return;
 	}
 	log_event(EV_ENTRY_STOPPED, "left=%lld",
