wire: decode an empty text before any other

The first fuzz run of message_decode() stopped in the undefined-behaviour sanitizer after a few inputs: msgpack-c gives a NULL pointer for a string or binary value of length 0 when no other came before, and memchr() and memcpy() may not be given NULL. test_message has the smallest frame of this kind.

"make fuzz" runs the targets in tests/fuzz with sanitizers for FUZZ_SECONDS with a fixed seed. Each frame must be refused, or decode to a message whose encoding decodes to the same one.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,17 @@
 	cmake --build $(BUILD)-sanitize -j $(JOBS)
 	ctest --test-dir $(BUILD)-sanitize --output-on-failure -j 4
 
+# Runs each fuzz target with sanitizers; SEED repeats a run.
+FUZZ_SECONDS ?= 20
+SEED ?= 1
+fuzz: deps
+	cmake -S . -B $(BUILD)-sanitize -DWERROR=ON -DSANITIZE=ON >/dev/null
+	cmake --build $(BUILD)-sanitize -j $(JOBS)
+	for target in $(BUILD)-sanitize/fuzz_*; do \
+		[ -x "$$target" ] && [ -f "$$target" ] || continue; \
+		echo "$$target"; "$$target" $(FUZZ_SECONDS) $(SEED) || exit 1; \
+	done
+
 format-check: lint-deps
 	git ls-files '*.c' '*.h' | xargs clang-format --dry-run -Werror
 
@@ -49,5 +60,5 @@
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize
 
-.PHONY: all deps lint-deps build check check-sanitize format-check format lint \
+.PHONY: all deps lint-deps build check check-sanitize fuzz format-check format lint \
 	demo bench capacity clean
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -167,6 +167,8 @@
 		  ERR_MALFORMED },
 		{ "huge array", "\xdd\xff\xff\xff\xff", 5, ERR_MALFORMED },
 		{ "good cancel", "\x93\x01\x06\x91\x01", 5, 0 },
+		/* msgpack-c passes NULL for an empty text before any other. */
+		{ "empty text first", "\x93\x01\x03\x92\x01\xa0", 6, 0 },
 	};
 	size_t i;
 
