--- a/tests/sim/sim.h
+++ b/tests/sim/sim.h
@@ -62,7 +62,7 @@
 
 struct sim_grant {
 	uint64_t epoch;
-	int owner;	/* index, or -1 */
+	int owner; /* index, or -1 */
 	int64_t until;
 };
 
@@ -88,14 +88,16 @@
 	int total; /* units of work */
 	int fails;
 	int submitted, cancelled;
-	uint64_t run;	/* last run that a worker started */
-	int worker;	/* of that run */
-	int saved;	/* units of the last checkpoint at a worker */
-	int recorded;	/* units of the checkpoint in the store */
+	uint64_t run;	    /* last run that a worker started */
+	int worker;	    /* of that run */
+	int saved;	    /* units of the last checkpoint at a worker */
+	int recorded;	    /* units of the checkpoint in the store */
 	uint32_t evictions; /* in the store */
-	int finished;	/* the last run finished at its worker */
-	int ended;	/* its state in the store is final */
-	uint32_t final; /* that state */
+	uint64_t stored_run;
+	int stored_active; /* that run has not ended in the store */
+	int finished;	   /* the last run finished at its worker */
+	int ended;	   /* its state in the store is final */
+	uint32_t final;	   /* that state */
 };
 
 struct sim_world {
--- a/tests/sim/sim_agent.c
+++ b/tests/sim/sim_agent.c
@@ -175,8 +175,8 @@
 	memset(status, 0, sizeof(*status));
 	memcpy(status->job, task->job, ID_SIZE);
 	status->run = task->run;
-	status->state = task->state == SIM_ENDED ? task->end
-						 : states[task->state];
+	status->state =
+		task->state == SIM_ENDED ? task->end : states[task->state];
 	status->used = task->need;
 	status->detail = "";
 	status->checkpoint = checkpoint;
@@ -342,6 +342,16 @@
 	send_report(agent, stop->partition);
 }
 
+static void forget(struct sim_agent *agent, struct sim_task *task)
+{
+	const struct sim_job *job = sim_job_find(task->job);
+
+	if (job->stored_active && job->stored_run == task->run)
+		sim_fail("the end of %s run %llu is forgotten, not recorded",
+			 task->job, (unsigned long long)task->run);
+	*task = agent->tasks[--agent->count];
+}
+
 /*
  * A run starts only after the answer to a report that listed it, so a start
  * that was delayed cannot outlive its owner's interest in it.
@@ -367,7 +377,7 @@
 		if (task->state == SIM_PENDING && until > sim.now)
 			worker_start(agent, task);
 		else if (task->state == SIM_ENDED && ack->recorded)
-			*task = agent->tasks[--agent->count];
+			forget(agent, task);
 	}
 }
 
@@ -429,8 +439,8 @@
 	start_process(agent);
 	for (i = agent->count; i-- > 0;) {
 		struct sim_task *task = &agent->tasks[i];
-		uint64_t *seen = &agent->seen[sim_job_find(task->job) -
-					      sim.jobs];
+		uint64_t *seen =
+			&agent->seen[sim_job_find(task->job) - sim.jobs];
 
 		if (task->state == SIM_PENDING) {
 			*task = agent->tasks[--agent->count];
--- a/tests/sim/sim_owner.c
+++ b/tests/sim/sim_owner.c
@@ -47,8 +47,7 @@
 	if (!owner->owner || owner->proc.life != frame->life)
 		return;
 	if (msg->type == MSG_TASK_REPORT) {
-		owner_on_report(owner->owner, frame->peer,
-				&msg->u.task_report);
+		owner_on_report(owner->owner, frame->peer, &msg->u.task_report);
 		return;
 	}
 	change = membership_announce(&owner->membership, &msg->u.announce,
@@ -114,8 +113,7 @@
 	int i;
 
 	for (i = 0; i < SIM_AGENTS; i++)
-		if (!strncmp(peer, sim.agents[i].id,
-			     strlen(sim.agents[i].id)))
+		if (!strncmp(peer, sim.agents[i].id, strlen(sim.agents[i].id)))
 			frame.agent = &sim.agents[i];
 	if (!frame.agent)
 		return ERR_UNAVAILABLE;
--- a/tests/sim/sim_store.c
+++ b/tests/sim/sim_store.c
@@ -47,8 +47,8 @@
 		store_lease_fn lease;
 	} fn;
 	void *arg;
-	int answered;	 /* the callback was called */
-	int references;	 /* answer and timeout */
+	int answered;	/* the callback was called */
+	int references; /* answer and timeout */
 	int err;
 	int64_t result;
 	struct key *found;
@@ -68,8 +68,7 @@
 static void remove_key(size_t i)
 {
 	free(keys[i].value);
-	memmove(&keys[i], &keys[i + 1],
-		(key_count - i - 1) * sizeof(keys[0]));
+	memmove(&keys[i], &keys[i + 1], (key_count - i - 1) * sizeof(keys[0]));
 	key_count--;
 }
 
@@ -152,6 +151,8 @@
 			 job->id, (unsigned long long)now->run, job->saved,
 			 job->recorded);
 	job->evictions = now->evictions;
+	job->stored_run = now->run;
+	job->stored_active = job_active(now);
 	job->ended = job_ended(now);
 	job->final = now->state;
 }
@@ -210,10 +211,9 @@
 
 	call->found = xcalloc(KEYS_MAX, sizeof(*call->found));
 	for (i = 0; i < key_count; i++)
-		if (call->kind == CALL_GET
-			    ? !strcmp(keys[i].name, call->name)
-			    : !strncmp(keys[i].name, call->name,
-				       strlen(call->name)))
+		if (call->kind == CALL_GET ? !strcmp(keys[i].name, call->name)
+					   : !strncmp(keys[i].name, call->name,
+						      strlen(call->name)))
 			copy_found(call, &keys[i]);
 	return call->kind == CALL_GET && !call->found_count ? ERR_NOT_FOUND : 0;
 }
@@ -255,9 +255,8 @@
 	call->result = call->lease;
 	if (!lease)
 		return ERR_NOT_FOUND;
-	lease->expires_at = call->kind == CALL_REVOKE
-				    ? sim.now
-				    : sim.now + lease->ttl_ms;
+	lease->expires_at =
+		call->kind == CALL_REVOKE ? sim.now : sim.now + lease->ttl_ms;
 	expire_leases();
 	return 0;
 }
--- a/tests/unit/test_batch_schedule.c
+++ b/tests/unit/test_batch_schedule.c
@@ -16,9 +16,12 @@
 #else
 #define SCHEDULES 2000
 #endif
-#define FAULTS_MS 240000
+#define FAULTS_MS 300000
 #define SETTLE_MS 900000
 #define STEP_MS 1000
+/* Longer than H + T + 2 L + margin of the simulated configuration. */
+#define CUT_MAX_S 180
+#define FREEZE_MAX_S 100
 
 static void submit(struct sim_job *job)
 {
@@ -84,6 +87,23 @@
 	owner_stop(owner->owner, on_stopped, owner);
 }
 
+/*
+ * The owner loses the store and its rival loses some agents, so that two
+ * owners extend grants at the same time.
+ */
+static void split(struct sim_owner *owner)
+{
+	struct sim_owner *rival = &sim.owners[owner == sim.owners];
+	int i;
+
+	owner->store_cut_until = until(CUT_MAX_S);
+	sim_trace("%s is cut from the store until %.3f, %s from agents",
+		  owner->id, (double)owner->store_cut_until / 1000, rival->id);
+	for (i = 0; i < SIM_AGENTS; i++)
+		if (sim_chance(50))
+			rival->agent_cut_until[i] = until(CUT_MAX_S);
+}
+
 static void fault_of_owner(struct sim_owner *owner)
 {
 	switch (rng_below(&sim.rng, 7)) {
@@ -91,17 +111,17 @@
 		sim_owner_crash(owner);
 		break;
 	case 1:
-		owner->proc.frozen_until = until(60);
+		owner->proc.frozen_until = until(FREEZE_MAX_S);
 		sim_trace("%s is frozen until %.3f", owner->id,
 			  (double)owner->proc.frozen_until / 1000);
 		break;
 	case 2:
-		owner->store_cut_until = until(90);
-		sim_trace("%s is cut from the store", owner->id);
+		owner->store_cut_until = until(CUT_MAX_S);
+		sim_trace("%s is cut from the store until %.3f", owner->id,
+			  (double)owner->store_cut_until / 1000);
 		break;
 	case 3:
-		owner->agent_cut_until[rng_below(&sim.rng, SIM_AGENTS)] =
-			until(90);
+		split(owner);
 		break;
 	case 4:
 		drain(owner);
@@ -123,7 +143,7 @@
 		sim_agent_restart(agent);
 		break;
 	case 1:
-		agent->proc.frozen_until = until(60);
+		agent->proc.frozen_until = until(FREEZE_MAX_S);
 		sim_trace("%s is frozen until %.3f", agent->id,
 			  (double)agent->proc.frozen_until / 1000);
 		break;
@@ -201,13 +221,14 @@
 	sim.loss = rng_below(&sim.rng, 20);
 	sim.duplicate = rng_below(&sim.rng, 20);
 	sim.store_loss = rng_below(&sim.rng, 10);
-	sim.max_delay = 1 + rng_below(&sim.rng, 30000);
+	sim.max_delay = 1 + rng_below(&sim.rng, sim_chance(50) ? 500 : 90000);
 	sim_store_reset();
 	sim_store_put("entry/o1", "{}");
 	sim_store_put("entry/o2", "{}");
 	for (i = 0; i < SIM_JOBS; i++) {
 		snprintf(sim.jobs[i].id, ID_SIZE, "j%d", i);
-		sim.jobs[i].total = 3 + (int)rng_below(&sim.rng, 60);
+		sim.jobs[i].total =
+			3 + (int)rng_below(&sim.rng, sim_chance(30) ? 250 : 60);
 		sim.jobs[i].fails = sim_chance(10);
 	}
 	for (i = 0; i < SIM_AGENTS; i++) {
@@ -258,7 +279,7 @@
 	start_world(seed);
 	faults_end = sim.now + FAULTS_MS;
 	while (sim.now < faults_end && !sim.failure[0]) {
-		sim_run_until(sim.now + STEP_MS);
+		sim_run_until(sim.now + 100 + rng_below(&sim.rng, 2 * STEP_MS));
 		step();
 		revive();
 	}
@@ -288,8 +309,9 @@
 {
 	const char *only = getenv("SIM_SEED"), *count = getenv("SIM_COUNT");
 	uint64_t seed = only ? strtoull(only, NULL, 10) : 1;
-	uint64_t last = only ? seed : count ? strtoull(count, NULL, 10)
-					    : SCHEDULES;
+	uint64_t last = only	? seed
+			: count ? strtoull(count, NULL, 10)
+				: SCHEDULES;
 	int failed = 0;
 
 	for (; seed <= last && failed < 3; seed++) {
