message: copy nothing from an empty text's pointer

Cause: MessagePack gives a NULL pointer for an empty text at the end of a frame; memcpy() and memchr() must not get one.

Change: the codec skips empty texts; a test decodes such a frame.

Before: test_message, extended, stops at message.c:443 under the undefined-behaviour sanitizer. After: it passes.

Conclusion: behaviour is unchanged.

--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -421,13 +421,21 @@
 	return 0;
 }
 
+/* MessagePack gives no pointer for an empty text at the end of a frame. */
+static void copy_bytes(void *to, const char *from, size_t size)
+{
+	if (size)
+		memcpy(to, from, size);
+}
+
 static int check_text(const msgpack_object *object, size_t bound)
 {
 	if (object->type != MSGPACK_OBJECT_STR)
 		return ERR_MALFORMED;
 	if (object->via.str.size > bound)
 		return ERR_TOO_LARGE;
-	if (memchr(object->via.str.ptr, '\0', object->via.str.size))
+	if (object->via.str.size &&
+	    memchr(object->via.str.ptr, '\0', object->via.str.size))
 		return ERR_MALFORMED;
 	return 0;
 }
@@ -438,7 +446,7 @@
 
 	if (err)
 		return err;
-	memcpy(value, object->via.str.ptr, object->via.str.size);
+	copy_bytes(value, object->via.str.ptr, object->via.str.size);
 	value[object->via.str.size] = '\0';
 	return 0;
 }
@@ -452,7 +460,7 @@
 	if (err)
 		return err;
 	copy = zone_alloc(zone, object->via.str.size + 1);
-	memcpy(copy, object->via.str.ptr, object->via.str.size);
+	copy_bytes(copy, object->via.str.ptr, object->via.str.size);
 	copy[object->via.str.size] = '\0';
 	*value = copy;
 	return 0;
@@ -468,7 +476,7 @@
 	if (object->via.bin.size > bound)
 		return ERR_TOO_LARGE;
 	copy = zone_alloc(zone, object->via.bin.size);
-	memcpy(copy, object->via.bin.ptr, object->via.bin.size);
+	copy_bytes(copy, object->via.bin.ptr, object->via.bin.size);
 	span->data = copy;
 	span->len = object->via.bin.size;
 	return 0;
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -129,6 +129,21 @@
 	}
 }
 
+/* Guards against a copy from no pointer; seen under the sanitizers. */
+static void test_empty_text_at_end(void **state)
+{
+	struct message msg = { MSG_OWNER, { .owner = { 1, 2, "" } } };
+	struct message decoded;
+	unsigned char *data;
+	size_t len;
+
+	assert_int_equal(message_encode(&msg, &data, &len), 0);
+	assert_int_equal(message_decode(&decoded, data, len), 0);
+	assert_string_equal(decoded.u.owner.entry, "");
+	message_clear(&decoded);
+	free(data);
+}
+
 static void test_bounds(void **state)
 {
 	static char big[16 * 1024];
@@ -187,6 +202,7 @@
 		cmocka_unit_test(test_round_trip),
 		cmocka_unit_test(test_truncated),
 		cmocka_unit_test(test_corrupted),
+		cmocka_unit_test(test_empty_text_at_end),
 		cmocka_unit_test(test_bounds),
 		cmocka_unit_test(test_hand_made_frames),
 	};
