--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -211,8 +212,9 @@
     def check_history(self):
         """Judges the record of the worker, if it has any."""
         if os.path.exists(self.history) and os.path.getsize(self.history):
-            subprocess.run([self.build + "/check_history", self.history],
-                           check=True, stdout=subprocess.DEVNULL)
+            with open(self.history) as history:
+                subprocess.run([self.build + "/check_history"], check=True,
+                               stdin=history, stdout=sys.stderr)
 
     def close(self):
         for process in reversed(self.processes):
@@ -220,6 +222,7 @@
                 process.send_signal(signal.SIGCONT)
                 process.kill()
             process.wait()
+        shutil.rmtree(self.folder)
 
 
 def run_all(scenarios, build):
