--- a/packages/daemon/src/entry_claim.c
+++ b/packages/daemon/src/entry_claim.c
@@ -130,6 +130,7 @@
 
 static void free_run(struct claim_run *run)
 {
+	store_forget(run->claims->entry->daemon->store, run);
 	list_del(&run->node);
 	loop_timer_delete(run->timer);
 	json_decref(run->headers);
@@ -245,8 +246,8 @@
 	struct claims *claims = run->claims;
 	struct store *store = claims->entry->daemon->store;
 
-	if (claims->lease && mstime_diff(sysclock_now(), claims->lease_at) <
-				     LEASE_SHARED_MS) {
+	if (claims->lease &&
+	    mstime_diff(sysclock_now(), claims->lease_at) < LEASE_SHARED_MS) {
 		put_claim(run);
 		return;
 	}
@@ -286,8 +287,8 @@
 	gsize len = 0;
 	guchar *body = g_base64_decode(text ? text : "", &len);
 
-	request->status = (int)json_integer_value(
-		json_object_get(record, "status"));
+	request->status =
+		(int)json_integer_value(json_object_get(record, "status"));
 	trail_step(request->trail, "replayed the stored outcome");
 	exchange_head(exchange, request->status, &headers, OUTCOME_DONE,
 		      request->trace);
@@ -481,5 +482,7 @@
 		return;
 	list_for_each_safe (pos, tmp, &claims->runs)
 		free_run(list_entry(pos, struct claim_run, node));
+	if (claims->entry->daemon->store)
+		store_forget(claims->entry->daemon->store, claims);
 	free(claims);
 }
