agent: take the metrics out of their set at the end

Cause: the admin server, deleted after the agent, walks the set; the sanitizer stopped the scenario 'stop' in admin_delete().

Change: agent_counters_clear() in agent_delete().

Before: 'stop' fails.

--- a/packages/daemon/src/agent.c
+++ b/packages/daemon/src/agent.c
@@ -233,5 +233,6 @@
 	agent_requests_stop(agent);
 	loop_timer_delete(agent->leave_timer);
 	loop_timer_delete(agent->upstream_timer);
+	agent_counters_clear(&agent->counters);
 	free(agent);
 }
--- a/packages/daemon/src/agent_counters.c
+++ b/packages/daemon/src/agent_counters.c
@@ -74,6 +74,24 @@
 	    "Entries that answer the announcements.");
 }
 
+static void remove_all(struct counter *counters, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		list_del(&counters[i].node);
+}
+
+void agent_counters_clear(struct agent_counters *counters)
+{
+	remove_all(counters->requests, OUTCOME_UNKNOWN + 1);
+	remove_all(counters->refusals, REFUSAL_COUNT);
+	remove_all(counters->tasks, TASK_STATE_COUNT);
+	remove_all(&counters->fenced, 1);
+	remove_all(counters->gauges, GAUGE_COUNT);
+	remove_all(&counters->links, 1);
+}
+
 void agent_counters_gate(struct agent_counters *counters,
 			 const struct gate *gate)
 {
