agent: stop a replaced run that the worker still lists

Cause: a list row of an earlier run marked the present run as listed, which could hide its loss for a second.

Conclusion: found by review; no schedule that showed it was seen.

--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -233,25 +233,32 @@
 {
 }
 
+/* The worker still runs something that a later run has replaced. */
+static void stop_replaced(struct agent *agent, const struct task_status *status)
+{
+	if (status->state != TASK_RUNNING)
+		return;
+	log_event(EV_TASK_STOPPING,
+		  "job=%s run=%llu reason=superseded checkpoint=1", status->job,
+		  (unsigned long long)status->run);
+	taskapi_stop(agent->taskapi, status->job, status->run, 1, ignore_stop,
+		     agent);
+}
+
 static void take_row(struct agent *agent, const struct taskapi_task *row)
 {
 	const struct task_status *status = &row->status;
 	struct agent_task *t = agent_task_find(agent, status->job);
 
-	if (!t || status->run > t->grant.run) {
-		adopt(agent, row);
-		t = agent_task_find(agent, status->job);
-	} else if (status->run == t->grant.run) {
-		agent_task_observe(t, status);
-	} else if (status->state == TASK_RUNNING) {
-		log_event(EV_TASK_STOPPING,
-			  "job=%s run=%llu reason=superseded checkpoint=1",
-			  status->job, (unsigned long long)status->run);
-		taskapi_stop(agent->taskapi, status->job, status->run, 1,
-			     ignore_stop, agent);
+	if (t && status->run < t->grant.run) {
+		stop_replaced(agent, status);
 		return;
 	}
-	t->list_round = agent->list_round;
+	if (!t || status->run > t->grant.run)
+		adopt(agent, row);
+	else
+		agent_task_observe(t, status);
+	agent_task_find(agent, status->job)->list_round = agent->list_round;
 }
 
 /* Runs that the worker had and does not list any more. */
--- a/tests/fakes/fakeagent.c
+++ b/tests/fakes/fakeagent.c
@@ -132,8 +132,7 @@
 
 static void on_echo(struct open_request *r)
 {
-	char *text = xstrfmt("%s %s %" PRIu64, r->method, r->path,
-			     r->body_sum);
+	char *text = xstrfmt("%s %s %" PRIu64, r->method, r->path, r->body_sum);
 
 	send_whole(r->number, 200, text);
 	/* A late second answer must reach nobody. */
--- a/tests/fakes/fakeworker.c
+++ b/tests/fakes/fakeworker.c
@@ -123,13 +123,14 @@
 		tasks_serve(arg, request);
 }
 
-static int listen_at(struct worker *worker, const char *address,
+static int listen_at(struct worker *worker, int index, const char *address,
 		     void (*fn)(struct evhttp_request *, void *))
 {
 	struct evhttp *http = evhttp_new(worker->base);
 	char host[ID_SIZE];
 	char *colon;
 
+	worker->http[index] = http;
 	str_copy(host, address, sizeof(host));
 	colon = strrchr(host, ':');
 	if (!colon)
@@ -161,8 +162,8 @@
 {
 	struct event *term;
 
-	if (listen_at(worker, service, on_service) ||
-	    listen_at(worker, tasks, on_tasks)) {
+	if (listen_at(worker, 0, service, on_service) ||
+	    listen_at(worker, 1, tasks, on_tasks)) {
 		fprintf(stderr, "fakeworker: cannot listen\n");
 		return 1;
 	}
@@ -173,6 +174,11 @@
 	fflush(stdout);
 	event_base_dispatch(worker->base);
 	event_free(term);
+	evhttp_free(worker->http[0]);
+	evhttp_free(worker->http[1]);
+	tasks_clear(worker);
+	json_decref(worker->history);
+	event_base_free(worker->base);
 	return 0;
 }
 
@@ -199,7 +205,7 @@
 	};
 	GOptionContext *context =
 		g_option_context_new("- stand-in of a worker");
-	int ok;
+	int ok, code;
 
 	g_option_context_add_main_entries(context, options, NULL);
 	ok = g_option_context_parse(context, &argc, &argv, NULL);
@@ -211,5 +217,11 @@
 	worker.who = id ? id : service;
 	worker.history_file = history ? fopen(history, "a") : NULL;
 	list_init(&worker.tasks);
-	return run(&worker, service, tasks);
+	code = run(&worker, service, tasks);
+	g_free(service);
+	g_free(tasks);
+	g_free(id);
+	g_free(limits);
+	g_free(history);
+	return code;
 }
--- a/tests/fakes/fakeworker/fakeworker.h
+++ b/tests/fakes/fakeworker/fakeworker.h
@@ -40,6 +40,7 @@
 
 struct worker {
 	struct event_base *base;
+	struct evhttp *http[2];
 	const char *who;
 	struct faults faults;
 	int64_t limits[USAGE_COUNT];
@@ -63,6 +64,7 @@
 
 /* tasks.c */
 void tasks_serve(struct worker *worker, struct evhttp_request *request);
+void tasks_clear(struct worker *worker);
 
 /* Answers with JSON; takes over the reference. */
 void reply_json(struct evhttp_request *request, int status, json_t *body);
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -183,6 +183,14 @@
 	free(task);
 }
 
+void tasks_clear(struct worker *worker)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &worker->tasks)
+		task_delete(list_entry(pos, struct task, node));
+}
+
 static int fail(json_t **answer, int status, const char *name)
 {
 	*answer = json_pack("{s:s}", "error", name);
