--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -421,11 +421,11 @@
 	return 0;
 }
 
-/* MessagePack gives no pointer for an empty text at the end of a frame. */
-static void copy_bytes(void *to, const char *from, size_t size)
+/* msgpack-c gives NULL for a string or binary value of length 0. */
+static void copy_bytes(void *to, const void *from, size_t len)
 {
-	if (size)
-		memcpy(to, from, size);
+	if (len)
+		memcpy(to, from, len);
 }
 
 static int check_text(const msgpack_object *object, size_t bound)
