--- a/Makefile
+++ b/Makefile
@@ -60,5 +60,5 @@
 clean:
 	rm -rf $(BUILD) $(BUILD)-sanitize
 
-.PHONY: all deps lint-deps build check check-sanitize fuzz format-check format lint \
-	demo bench capacity clean
+.PHONY: all deps lint-deps build check check-sanitize fuzz format-check \
+	format lint demo bench capacity clean
