opapi: read the store before a plan, decode partitions by number

Cause: tests and demo against the store's stand-in showed three faults. A plan of an entry that lagged behind was stale at once; partition values were refused because their number was not given; an undrain showed no VM coming back, since agents of a drained domain announce that they leave.

--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -211,6 +211,26 @@
 	return err;
 }
 
+/* Agents of a drained domain announce that they leave, but are alive. */
+static void count_returning(struct maker *maker, const char *domain)
+{
+	const struct membership *membership = maker->view->membership;
+	struct plan_effect *effect = &maker->plan->effect;
+	const struct list *pos;
+
+	list_for_each (pos, &membership->members) {
+		const struct member *member =
+			list_entry(pos, struct member, node);
+
+		if (strcmp(member->domain, domain) ||
+		    mstime_diff(maker->view->now, member->reported_at) >
+			    membership->silent_ms)
+			continue;
+		effect->upstreams++;
+		effect->upstreams_left++;
+	}
+}
+
 static int make_undrain(struct maker *maker)
 {
 	const char *domain = maker->plan->intent.u.domain;
@@ -220,9 +240,9 @@
 		maker->plan->in_force = 1;
 		return 0;
 	}
-	survey_members(maker, &survey, domain);
+	survey_members(maker, &survey, "");
 	free(survey.sums);
-	maker->plan->effect.upstreams_left += maker->plan->effect.upstreams;
+	count_returning(maker, domain);
 	return 0;
 }
 
@@ -429,71 +449,3 @@
 	}
 	return 0;
 }
-
-static void apply_undrain(struct config *next, const char *domain)
-{
-	size_t i;
-
-	for (i = 0; i < next->drained_count; i++) {
-		if (strcmp(next->drained[i], domain))
-			continue;
-		next->drained_count--;
-		memmove(next->drained[i], next->drained[i + 1],
-			(next->drained_count - i) * sizeof(next->drained[0]));
-		return;
-	}
-}
-
-static void apply_unset_quota(struct config *next, const char *team)
-{
-	size_t i;
-
-	for (i = 0; i < next->quota_count; i++) {
-		if (strcmp(next->quotas[i].team, team))
-			continue;
-		next->quota_count--;
-		memmove(&next->quotas[i], &next->quotas[i + 1],
-			(next->quota_count - i) * sizeof(next->quotas[0]));
-		return;
-	}
-}
-
-static void apply_set_quota(struct config *next, const struct team_quota *quota)
-{
-	apply_unset_quota(next, quota->team);
-	next->quotas[next->quota_count++] = *quota;
-}
-
-void plan_apply(const struct plan *plan, const struct config *config,
-		struct config *next)
-{
-	const struct intent *intent = &plan->intent;
-	char text[CHANGE_SIZE];
-
-	*next = *config;
-	switch (intent->kind) {
-	case INTENT_DRAIN:
-		str_copy(next->drained[next->drained_count++], intent->u.domain,
-			 NAME_SIZE);
-		break;
-	case INTENT_UNDRAIN:
-		apply_undrain(next, intent->u.domain);
-		break;
-	case INTENT_SET_LIMIT:
-	case INTENT_UNSET_LIMIT:
-		next->limits[intent->u.limit.key] = intent->u.limit.value;
-		break;
-	case INTENT_SET_QUOTA:
-		apply_set_quota(next, &intent->u.quota);
-		break;
-	case INTENT_UNSET_QUOTA:
-		apply_unset_quota(next, intent->u.quota.team);
-		break;
-	case INTENT_SUBMIT:
-	case INTENT_CANCEL:
-	case INTENT_KIND_COUNT:
-		abort();
-	}
-	config_note(next, config->version + 1, "",
-		    intent_describe(intent, text, sizeof(text)));
-}
--- a/packages/daemon/src/opapi.c
+++ b/packages/daemon/src/opapi.c
@@ -292,7 +292,7 @@
 {
 	struct opcall *call = arg;
 
-	if (err)
+	if (err && call->confirm)
 		finish_refused(
 			call, ERR_UNAVAILABLE,
 			"the store cannot be read, so it is not known "
@@ -317,7 +317,8 @@
 		opcall_free(call);
 		return;
 	}
-	load_jobs(call);
+	/* An entry that lags behind would make a plan that is stale at once. */
+	configsync_refresh(opapi->sync, on_refreshed, call);
 }
 
 static void on_confirm(void *arg, struct admin_request *request)
--- a/packages/daemon/src/opjobs.c
+++ b/packages/daemon/src/opjobs.c
@@ -9,6 +9,8 @@
 #include "partition.h"
 #include "sysclock.h"
 
+#define PREFIX "part/"
+
 struct opjobs {
 	struct daemon *daemon;
 	opjobs_fn fn;
@@ -51,7 +53,9 @@
 /* RETURN VALUE: 0, or ERR_MALFORMED. */
 static int add_partition(struct opjobs *jobs, const struct store_item *item)
 {
-	struct partition *partition = partition_new(0);
+	const char *number = item->key + strlen(PREFIX);
+	struct partition *partition =
+		partition_new((uint32_t)strtoul(number, NULL, 10));
 	const struct list *pos;
 	int err = partition_decode(partition, item->value, item->len,
 				   sysclock_now());
@@ -119,7 +123,7 @@
 		return;
 	}
 	jobs->partition = job_partition(job, partitions);
-	key = xstrfmt("part/%" PRIu32, jobs->partition);
+	key = xstrfmt(PREFIX "%" PRIu32, jobs->partition);
 	store_get(jobs->daemon->store, key, on_partition, jobs);
 	free(key);
 }
@@ -129,7 +133,7 @@
 	const struct config *config = &jobs->daemon->config;
 
 	if (jobs->daemon->store)
-		store_list(jobs->daemon->store, "part/",
+		store_list(jobs->daemon->store, PREFIX,
 			   (int)config->limits[LIMIT_PARTITIONS], on_partitions,
 			   jobs);
 	else
--- /dev/null
+++ b/tests/e2e/test_operators.py
@@ -0,0 +1,237 @@
+#!/usr/bin/env python3
+"""Operators' side: bad intents, stale plans, races, a lost answer.
+
+Guards against intents that are taken for others, plans that take effect on
+another state than shown, and writes that are lost or applied twice.
+"""
+
+import json
+import os
+import sys
+import threading
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools/pylib"))
+
+from cluster import Cluster, http_call, wait_for  # noqa: E402
+
+BAD_REQUESTS = [
+    # method, path, body, status, part of the message
+    ("POST", "/v1/plan", "", 400, "not JSON"),
+    ("POST", "/v1/plan", "[]", 400, "object"),
+    ("POST", "/v1/plan", '{"intent": "place"}', 400, "allowed: drain"),
+    ("POST", "/v1/plan", '{"intent": "drain"}', 400, "domain"),
+    ("POST", "/v1/plan", '{"intent": "drain", "domain": "zz"}', 404, "zz"),
+    ("POST", "/v1/plan", '{"intent": "cancel", "job": "zz"}', 404, "zz"),
+    ("POST", "/v1/plan", '{"intent": "set-limit", "limit": "attempts",'
+     ' "value": 99}', 400, "1 to 10"),
+    ("POST", "/v1/confirm", "{}", 400, "missing"),
+    ("POST", "/v1/confirm", "\0\1\2", 400, "not JSON"),
+    ("GET", "/v1/plan", None, 405, "does not allow"),
+    ("PUT", "/v1/confirm", "{}", 405, "does not allow"),
+    ("GET", "/v1/nothing", None, 404, "no such path"),
+    ("GET", "/v1/explain/job/zz", None, 404, ""),
+]
+
+
+def check(condition, what):
+    if not condition:
+        raise AssertionError(what)
+
+
+def post(entry, path, body):
+    status, _, answer = http_call(entry.admin, "POST", path, json.dumps(body))
+    return status, json.loads(answer)
+
+
+def plan(entry, **intent):
+    status, answer = post(entry, "/v1/plan", intent)
+    check(status == 200, "plan %s: %s" % (intent, answer))
+    return answer
+
+
+def version(entry):
+    return json.loads(http_call(entry.admin, "GET", "/v1/status")[2])["version"]
+
+
+def limit(entry, name):
+    config = json.loads(http_call(entry.admin, "GET", "/v1/config")[2])
+    return [row["value"] for row in config["limits"] if row["name"] == name][0]
+
+
+def test_bad_requests(cluster):
+    entry = cluster.entries[0]
+    wait_for("the owners to know the configuration", lambda: http_call(
+        entry.admin, "GET", "/v1/explain/job/zz")[0] == 404)
+    for method, path, body, expected, part in BAD_REQUESTS:
+        status, _, answer = http_call(entry.admin, method, path, body)
+        what = "%s %s %r: %d %r" % (method, path, body, status, answer)
+        check(status == expected, what)
+        error = json.loads(answer)
+        check(set(error) == {"error", "message"}, what)
+        check(part in error["message"], what)
+    check(version(entry) == 0, "bad requests changed the configuration")
+
+
+def test_plan_changes_nothing(cluster):
+    first, second = cluster.entries
+    made = plan(first, intent="set-limit", limit="attempts", value=2)
+    check(version(first) == 0, "a plan changed the configuration")
+    check(limit(first, "attempts") == 3, "a plan changed a limit")
+    status, answer = post(second, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "applied", answer)
+    for entry in cluster.entries:
+        wait_for("the limit at every entry",
+                 lambda e=entry: limit(e, "attempts") == 2)
+    status, answer = post(first, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "in-force", answer)
+    check(version(first) == 1, "a second confirmation wrote a version")
+
+
+def test_edited_plan(cluster):
+    entry = cluster.entries[0]
+    made = plan(entry, intent="set-limit", limit="attempts", value=4)
+    made["intent"]["value"] = 5
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 400 and "digest" in answer["message"], answer)
+
+
+def test_stale_plan(cluster):
+    first, second = cluster.entries
+    old = plan(first, intent="set-limit", limit="retry_floor", value=20)
+    new = plan(second, intent="set-limit", limit="retry_floor", value=30)
+    check(post(second, "/v1/confirm", new)[0] == 200, "confirm")
+    status, answer = post(first, "/v1/confirm", old)
+    check(status == 409 and answer["error"] == "conflict", answer)
+    check("set-limit retry_floor 30" in answer["message"], answer)
+    check(limit(first, "retry_floor") == 30, "the stale plan took effect")
+
+
+def test_racing_operators(cluster):
+    """Of plans with one basis exactly one is confirmed."""
+    before = version(cluster.entries[0])
+    wait_for("both entries at one version",
+             lambda: version(cluster.entries[1]) == before)
+    plans = [plan(cluster.entries[i % 2], intent="set-limit",
+                  limit="entry_queue", value=100 + i) for i in range(6)]
+    answers = [None] * len(plans)
+
+    def confirm(i):
+        answers[i] = post(cluster.entries[i % 2], "/v1/confirm", plans[i])
+
+    threads = [threading.Thread(target=confirm, args=(i,))
+               for i in range(len(plans))]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    won = [i for i, answer in enumerate(answers) if answer[0] == 200]
+    lost = [answer for answer in answers if answer[0] == 409]
+    check(len(won) == 1 and len(lost) == len(plans) - 1, answers)
+    for entry in cluster.entries:
+        wait_for("the winner's value", lambda e=entry:
+                 limit(e, "entry_queue") == 100 + won[0])
+        check(version(entry) == before + 1, "more than one version")
+
+
+def test_lost_answer(cluster):
+    """A write whose answer is lost is settled, not applied twice."""
+    entry = cluster.entries[0]
+    before = version(entry)
+    made = plan(entry, intent="set-quota", team="returns", cpu_milli=8000,
+                mem_mb=4096, accel=0)
+    # Others write as well, so that one lost answer might not be this one.
+    cluster.control_store(lose_answers=3, lose_kind="txn")
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "applied", answer)
+    check(version(entry) == before + 1, "applied twice")
+
+
+def test_store_down(cluster):
+    entry = cluster.entries[0]
+    made = plan(entry, intent="set-limit", limit="job_tries", value=2)
+    cluster.control_store(mode="refuse")
+    try:
+        status, answer = post(entry, "/v1/confirm", made)
+        check(status == 503 and answer["error"] == "unavailable", answer)
+        check("nothing was changed" in answer["message"], answer)
+    finally:
+        cluster.control_store(mode="ok")
+    wait_for("the confirmation after the outage",
+             lambda: post(entry, "/v1/confirm", made)[0] == 200)
+
+
+def test_submit_twice(cluster):
+    entry = cluster.entries[0]
+    job = {"job": "j1", "team": "returns", "urgent": False, "cpu_milli": 100,
+           "mem_mb": 10, "accel": 0, "command": "sleep 1"}
+    made = plan(entry, intent="submit", job=job)
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "submitted", answer)
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 409 and answer["error"] == "exists", answer)
+    status, answer = post(entry, "/v1/plan", {"intent": "submit", "job": job})
+    check(status == 409 and answer["error"] == "exists", answer)
+    wait_for("the owner to take the job", lambda: "partition" in json.loads(
+        http_call(entry.admin, "GET", "/v1/explain/job/j1")[2]))
+    status, answer = post(entry, "/v1/plan", {"intent": "submit", "job": job})
+    check(status == 409 and answer["error"] == "exists", answer)
+
+
+def test_cancel_twice(cluster):
+    entry = cluster.entries[1]
+    made = plan(entry, intent="cancel", job="j1")
+    check(not made["warnings"] and not made["in_force"], made)
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "cancelling", answer)
+    wait_for("the job to be cancelled", lambda: plan(
+        entry, intent="cancel", job="j1")["in_force"])
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "in-force", answer)
+
+
+def test_command_line(cluster):
+    path = os.path.join(cluster.directory, "plan.json")
+    cases = [
+        # arguments, exit code, part of the output
+        (["--help"], 0, "EXIT CODES"),
+        (["drain", "--help"], 0, "catkinhillctl drain DOMAIN"),
+        ([], 2, "command is missing"),
+        (["place"], 2, "unknown command place"),
+        (["drain"], 2, "usage: catkinhillctl drain DOMAIN"),
+        (["set-limit", "attempts", "x"], 2, "not a whole number"),
+        (["set-limit", "attempts", "99"], 2, "1 to 10"),
+        (["drain", "zz"], 3, "'zz'"),
+        (["confirm", path], 2, "cannot be read"),
+        (["set-limit", "attempts", "5", "--out", path], 0,
+         "Nothing has been changed"),
+        (["confirm", path], 0, "applied"),
+        (["confirm", path], 0, "in-force"),
+        (["unset-limit", "attempts", "--out", path], 0, "confirm " + path),
+        (["config"], 0, "attempts"),
+        (["status"], 0, "DOMAIN"),
+        (["watch", "--count", "1"], 0, "configuration version"),
+        (["explain", "nothing", "x"], 2, "request ID or job ID"),
+    ]
+    for args, expected, part in cases:
+        code, out, err = cluster.ctl(*args)
+        check(code == expected and part in out + err,
+              "%s: %d %s %s" % (args, code, out, err))
+    nobody = type("Nobody", (), {"admin": cluster.address()})
+    code, _, err = cluster.ctl("status", entry=nobody)
+    check(code == 4 and "cannot reach the entry" in err, err)
+
+
+def main(build):
+    with Cluster(build) as cluster:
+        cluster.start_store()
+        cluster.start_entry("e1", "a", "a1")
+        cluster.start_entry("e2", "b", "b1")
+        for name, test in list(globals().items()):
+            if name.startswith("test_"):
+                print(name, flush=True)
+                test(cluster)
+        for entry in cluster.entries:
+            check(entry.stop() == 0, entry.name + " did not stop cleanly")
+
+
+main(sys.argv[1])
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -162,6 +162,24 @@
 	membership_clear(&world.membership);
 }
 
+/* Guards against an undrain that looks as if no VM came back. */
+static void test_undrain_effect(void **state)
+{
+	struct world world;
+	struct plan plan;
+
+	world_init(&world);
+	make(&world, &plan, "{\"intent\":\"drain\",\"domain\":\"a1\"}");
+	apply(&world, &plan);
+	membership_find(&world.membership, "w1")->state = AGENT_LEAVING;
+	assert_int_equal(make(&world, &plan,
+			      "{\"intent\":\"undrain\",\"domain\":\"a1\"}"),
+			 0);
+	assert_int_equal(plan.effect.upstreams, 1);
+	assert_int_equal(plan.effect.upstreams_left, 4);
+	membership_clear(&world.membership);
+}
+
 /* Guards against intents that would break the system when confirmed. */
 static void test_refusals(void **state)
 {
@@ -346,6 +364,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_bad_intents),
 		cmocka_unit_test(test_drain_effect),
+		cmocka_unit_test(test_undrain_effect),
 		cmocka_unit_test(test_refusals),
 		cmocka_unit_test(test_warnings),
 		cmocka_unit_test(test_plan_files),
--- a/tools/pylib/cluster.py
+++ b/tools/pylib/cluster.py
@@ -181,15 +181,23 @@
         return process
 
     def start_store(self, *options):
-        address = self.store_address or self.address()
-        self.store_address = address
-        self.release(address)
+        self.store_address = self.address()
+        self.store_control = self.address()
+        self.release(self.store_address, self.store_control)
         self.store_process = self.start(
             Process, "store",
-            [self.binary("fakestore"), "--listen", address, *options])
+            [self.binary("fakestore"), "--listen", self.store_address,
+             "--control", self.store_control, *options])
         self.store_process.wait_text("ready")
         return self.store_process
 
+    def control_store(self, **faults):
+        """Sets faults of the store; see tests/fakes/fakestore."""
+        status = http_call(self.store_control, "POST", "/control",
+                           json.dumps(faults))[0]
+        if status != 200:
+            raise Failed("the store refused %s" % faults)
+
     def write_settings(self, name, sections):
         path = os.path.join(self.directory, name + ".ini")
         with open(path, "w") as out:
