--- /dev/null
+++ b/bench/bench_scale.c
@@ -0,0 +1,401 @@
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "config.h"
+#include "gate.h"
+#include "grants.h"
+#include "hash.h"
+#include "mem.h"
+#include "membership.h"
+#include "partition.h"
+#include "placement.h"
+#include "rng.h"
+#include "route.h"
+
+/*
+ * Processor time and memory of the decisions of the core by the number of
+ * members, tasks and jobs. Each figure is the median of REPEATS runs of at
+ * least RUN_NS; least and most show the spread. One JSON object a line.
+ */
+#define REPEATS 5
+#define RUN_NS 10000000
+#define SEED 1
+
+typedef void (*step_fn)(void *arg, uint64_t i);
+
+static int64_t cpu_ns(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return (int64_t)ts.tv_sec * 1000000000 + ts.tv_nsec;
+}
+
+static size_t heap_bytes(void)
+{
+	struct mallinfo2 info = mallinfo2();
+
+	return info.uordblks + info.hblkhd;
+}
+
+static double run_once(step_fn step, void *arg, uint64_t *next)
+{
+	int64_t start = cpu_ns(), spent;
+	uint64_t count = 0, batch = 1;
+
+	do {
+		uint64_t end = *next + batch;
+
+		for (; *next < end; (*next)++)
+			step(arg, *next);
+		count += batch;
+		batch *= 2;
+		spent = cpu_ns() - start;
+	} while (spent < RUN_NS);
+	return (double)spent / (double)count;
+}
+
+static int compare(const void *a, const void *b)
+{
+	const double *x = a, *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static void measure(const char *what, const char *by, size_t size, step_fn step,
+		    void *arg)
+{
+	double ns[REPEATS];
+	uint64_t next = 0;
+	int i;
+
+	run_once(step, arg, &next);
+	for (i = 0; i < REPEATS; i++)
+		ns[i] = run_once(step, arg, &next);
+	qsort(ns, REPEATS, sizeof(ns[0]), compare);
+	printf("{\"bench\": \"scale\", \"what\": \"%s\", \"%s\": %zu, "
+	       "\"ns\": %.0f, \"least\": %.0f, \"most\": %.0f}\n",
+	       what, by, size, ns[REPEATS / 2], ns[0], ns[REPEATS - 1]);
+	fflush(stdout);
+}
+
+static void print_bytes(const char *what, const char *by, size_t size,
+			double bytes)
+{
+	printf("{\"bench\": \"scale\", \"what\": \"%s\", \"%s\": %zu, "
+	       "\"bytes_each\": %.0f}\n",
+	       what, by, size, bytes);
+}
+
+struct members {
+	struct membership membership;
+	struct route *route;
+	struct config config;
+	struct rng rng;
+	size_t count;
+	uint64_t seq;
+	struct mstime now;
+	struct worker_view *views;
+};
+
+static void fill_announce(struct msg_announce *a, size_t i, uint64_t seq)
+{
+	memset(a, 0, sizeof(*a));
+	snprintf(a->agent, sizeof(a->agent), "vm-%05zu", i);
+	str_copy(a->service, "stock", sizeof(a->service));
+	snprintf(a->region, sizeof(a->region), "r%zu", i % 4);
+	snprintf(a->domain, sizeof(a->domain), "d%zu", i % 9);
+	a->incarnation = 1;
+	a->seq = seq;
+	a->slots = 8;
+	a->connections = 64;
+	a->capacity = (struct resources){ 64000, 250000, 1 };
+	a->state = AGENT_READY;
+	a->load.in_flight = (uint32_t)(i % 4);
+	a->load.latency_ms = 10 + (uint32_t)(i % 17);
+}
+
+static void announce(void *arg, uint64_t i)
+{
+	struct members *m = arg;
+	struct msg_announce a;
+	char peer[2 * ID_SIZE];
+
+	fill_announce(&a, (size_t)((i * 7919) % m->count), ++m->seq);
+	snprintf(peer, sizeof(peer), "%s/1", a.agent);
+	membership_announce(&m->membership, &a, peer, m->now);
+}
+
+static void choose(void *arg, uint64_t i)
+{
+	struct members *m = arg;
+	struct route_query query = { .service = "stock",
+				     .region = "r0",
+				     .limit = 64,
+				     .now = m->now };
+	struct route_choice choice;
+
+	route_choose(m->route, &query, &choice);
+	if (!choice.member)
+		abort();
+	route_sent(m->route, choice.member, 0, m->now);
+	route_released(m->route, choice.member, 1);
+	route_result(m->route, choice.member, 0, 0, 12, m->now);
+}
+
+static void place(void *arg, uint64_t i)
+{
+	struct members *m = arg;
+	struct placement_request request = {
+		.need = { 2000, 8000, i % 10 ? 0 : 1 },
+		.weight_latency = 50,
+	};
+	struct placement result;
+
+	placement_choose(&result, &request, m->views, m->count, &m->rng);
+}
+
+static void place_impossible(void *arg, uint64_t i)
+{
+	struct members *m = arg;
+	struct resources need = { 65000, 1000, 0 };
+
+	if (placement_possible(&need, m->views, m->count))
+		abort();
+}
+
+static void fill_views(struct members *m)
+{
+	const struct list *pos;
+	size_t i = 0;
+
+	m->views = xcalloc(m->count, sizeof(*m->views));
+	list_for_each (pos, &m->membership.members) {
+		const struct member *member =
+			list_entry(pos, struct member, node);
+		struct worker_view *view = &m->views[i++];
+
+		view->agent = member->agent;
+		view->hash = hash_str(member->agent);
+		view->domain = (uint32_t)(i % 9);
+		view->capacity = member->capacity;
+		view->used = (struct resources){
+			rng_below(&m->rng, 64000), rng_below(&m->rng, 250000), 0
+		};
+		view->slots = 8;
+		view->usable = 1;
+	}
+}
+
+static void bench_members(size_t count)
+{
+	struct members m = { .count = count, .now = { 1000000 } };
+	size_t before = heap_bytes();
+	struct msg_announce a;
+	struct list *pos;
+	size_t i;
+
+	rng_seed(&m.rng, SEED);
+	config_init(&m.config);
+	membership_init(&m.membership);
+	m.route = route_new(&m.membership, SEED);
+	for (i = 0; i < count; i++) {
+		fill_announce(&a, i, ++m.seq);
+		membership_announce(&m.membership, &a, "peer/1", m.now);
+	}
+	list_for_each (pos, &m.membership.members)
+		route_update(m.route, list_entry(pos, struct member, node),
+			     &m.config);
+	print_bytes("member and route state", "members", count,
+		    (double)(heap_bytes() - before) / (double)count);
+	fill_views(&m);
+	measure("announcement taken", "members", count, announce, &m);
+	measure("routing decision", "members", count, choose, &m);
+	measure("placement decision", "members", count, place, &m);
+	measure("impossible job", "members", count, place_impossible, &m);
+	membership_clear(&m.membership);
+	route_delete(m.route);
+	free(m.views);
+}
+
+struct worker {
+	struct gate gate;
+	struct grants grants;
+	struct task {
+		struct gate_task gate;
+		struct grant_task grant;
+	} *tasks;
+	size_t count;
+	struct gate_task extra;
+};
+
+static void admit(void *arg, uint64_t i)
+{
+	struct worker *w = arg;
+	struct gate_request request = { 0 };
+	enum refusal reason;
+
+	gate_admit(&w->gate, &request, (struct mstime){ 1000 },
+		   (struct mstime){ 1 }, &reason);
+	gate_release(&w->gate, &request);
+}
+
+static void reserve(void *arg, uint64_t i)
+{
+	static const struct resources need = { 1, 1, 0 };
+	struct worker *w = arg;
+
+	if (gate_task_reserve(&w->gate, &w->extra, &need))
+		abort();
+	gate_task_release(&w->gate, &w->extra);
+}
+
+static void find_grant(void *arg, uint64_t i)
+{
+	struct worker *w = arg;
+	char job[ID_SIZE];
+
+	snprintf(job, sizeof(job), "job-%06zu", (size_t)(i * 7919 % w->count));
+	if (!grants_find(&w->grants, job))
+		abort();
+}
+
+static void bench_worker(size_t count)
+{
+	static const struct resources need = { 10, 10, 0 };
+	const struct gate_limits limits = { 8, 64, 8, { 64000, 250000, 2 } };
+	struct worker w = { .count = count };
+	char job[ID_SIZE];
+	size_t i;
+
+	gate_init(&w.gate, &limits);
+	grants_init(&w.grants, 20000);
+	w.tasks = xcalloc(count, sizeof(*w.tasks));
+	for (i = 0; i < count; i++) {
+		snprintf(job, sizeof(job), "job-%06zu", i);
+		gate_task_reserve(&w.gate, &w.tasks[i].gate, &need);
+		grants_add(&w.grants, &w.tasks[i].grant, (uint32_t)(i % 4), job,
+			   1, (struct mstime){ 1 });
+	}
+	measure("gate: request", "tasks", count, admit, &w);
+	measure("gate: task", "tasks", count, reserve, &w);
+	measure("grant found", "tasks", count, find_grant, &w);
+	grants_clear(&w.grants);
+	free(w.tasks);
+}
+
+struct jobs {
+	struct partition *partition;
+	char *value;
+	size_t len, count;
+};
+
+static void encode(void *arg, uint64_t i)
+{
+	struct jobs *jobs = arg;
+	char *data;
+	size_t len;
+
+	if (partition_encode(jobs->partition, "entry-a1/6b1266c4482e8e34",
+			     (struct mstime){ 5000 }, &data, &len))
+		abort();
+	free(data);
+}
+
+static void decode(void *arg, uint64_t i)
+{
+	struct jobs *jobs = arg;
+	struct partition *partition = partition_new(3);
+
+	if (partition_decode(partition, jobs->value, jobs->len,
+			     (struct mstime){ 5000 }))
+		abort();
+	partition_delete(partition);
+}
+
+static void report(void *arg, uint64_t i)
+{
+	struct jobs *jobs = arg;
+	struct task_status status = { .run = 1,
+				      .state = TASK_RUNNING,
+				      .used = { 1500, 3000, 0 },
+				      .checkpoint = "step-000150",
+				      .detail = "" };
+	const struct try_policy policy = { .job_tries = 3 };
+
+	snprintf(status.job, sizeof(status.job), "reconcile-2026-49-%05zu",
+		 (size_t)(i * 7919 % jobs->count));
+	partition_report(jobs->partition, "vm-00001", &status, &policy,
+			 (struct mstime){ 5000 });
+}
+
+/* Jobs as an owner has them: most are running, at some VM, with a reason. */
+static int add_job(struct jobs *jobs)
+{
+	static const struct resources need = { 2000, 4000, 0 };
+	const char *reason = "vm-00001: score 0.31 (spread 0.00, interference "
+			     "0.12, leftover 0.50) over vm-00007 0.40";
+	struct mstime now = { 1000 };
+	struct job_spec spec = { .team = "returns",
+				 .need = { 2000, 4000, 0 },
+				 .command = "reconcile week=2026-49 shard=7" };
+	struct job *job;
+	int err;
+
+	snprintf(spec.job, sizeof(spec.job), "reconcile-2026-49-%05zu",
+		 jobs->count);
+	err = partition_submit(jobs->partition, &spec, now);
+	if (err)
+		return err;
+	job = partition_find(jobs->partition, spec.job);
+	err = partition_start(jobs->partition, job, "vm-00001", &need, reason,
+			      now);
+	if (!err)
+		jobs->count++;
+	return err;
+}
+
+/* count 0 fills the partition up to its bound. */
+static void bench_partition(size_t count)
+{
+	struct jobs jobs = { partition_new(3) };
+	size_t before = heap_bytes();
+
+	while ((!count || jobs.count < count) && !add_job(&jobs))
+		;
+	print_bytes("job in memory", "jobs", jobs.count,
+		    (double)(heap_bytes() - before) / (double)jobs.count);
+	if (partition_encode(jobs.partition, "entry-a1/6b1266c4482e8e34",
+			     (struct mstime){ 5000 }, &jobs.value, &jobs.len))
+		abort();
+	print_bytes("job in the value", "jobs", jobs.count,
+		    (double)jobs.len / (double)jobs.count);
+	print_bytes("value", "jobs", jobs.count, (double)jobs.len);
+	measure("partition encoded", "jobs", jobs.count, encode, &jobs);
+	measure("partition decoded", "jobs", jobs.count, decode, &jobs);
+	measure("task of a report taken", "jobs", jobs.count, report, &jobs);
+	free(jobs.value);
+	partition_delete(jobs.partition);
+}
+
+int main(void)
+{
+	static const size_t members[] = { 11, 200, 2000, 20000 };
+	static const size_t tasks[] = { 13, 100, 1000 };
+	static const size_t jobs[] = { 10, 100, 1000, 0 };
+	size_t i;
+
+	for (i = 0; i < sizeof(members) / sizeof(members[0]); i++)
+		bench_members(members[i]);
+	for (i = 0; i < sizeof(tasks) / sizeof(tasks[0]); i++)
+		bench_worker(tasks[i]);
+	for (i = 0; i < sizeof(jobs) / sizeof(jobs[0]); i++)
+		bench_partition(jobs[i]);
+	print_bytes("struct partition alone", "jobs", 0,
+		    (double)sizeof(struct partition));
+	return 0;
+}
