core: find members by hash, expire by age

An entry searched its list of members twice for each announcement and walked all members every 20 ms for those to forget, so its processor time grew with the square of the number of agents.

Members are found in a hash table and kept in the order of their last announcement as well, so that the expiry looks only at those it removes. The order of membership.members stays as it was, because operators see it.

--- a/packages/core/include/membership.h
+++ b/packages/core/include/membership.h
@@ -14,10 +14,15 @@
  * NOTES
  *	A member is one agent, that is one upstream and one worker. A higher
  *	incarnation replaces a lower one; within an incarnation a lower
- *	sequence number is ignored, and leaving is never taken back.
+ *	sequence number is ignored, and leaving is never taken back. The time
+ *	of an announcement and of membership_expire() does not grow with the
+ *	number of members. Calls are made with times that do not decrease.
  */
 struct member {
-	struct list node;
+	struct list node;     /* of membership.members */
+	struct list age_node; /* of membership.by_age */
+	struct member *hash_next;
+	uint64_t hash; /* of agent */
 	char agent[ID_SIZE];
 	char peer[2 * ID_SIZE]; /* routing id for transport_send() */
 	uint64_t incarnation;
@@ -37,7 +42,10 @@
 };
 
 struct membership {
-	struct list members;
+	struct list members; /* in the order of their first announcement */
+	struct list by_age;  /* the longest silent one first */
+	struct member **buckets;
+	size_t bucket_count; /* a power of two, or 0 */
 	uint32_t count;
 	int64_t silent_ms; /* not chosen after this silence */
 	int64_t expire_ms; /* forgotten after this silence */
--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -3,22 +3,67 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "hash.h"
 #include "mem.h"
 
+#define BUCKETS_MIN 64
+
 void membership_init(struct membership *membership)
 {
 	memset(membership, 0, sizeof(*membership));
 	list_init(&membership->members);
+	list_init(&membership->by_age);
 	membership->silent_ms = MEMBER_SILENT_MS;
 	membership->expire_ms = MEMBER_EXPIRE_MS;
 }
 
+static struct member **bucket_of(const struct membership *membership,
+				 uint64_t hash)
+{
+	return &membership->buckets[hash & (membership->bucket_count - 1)];
+}
+
+static void insert(struct membership *membership, struct member *member)
+{
+	struct member **bucket = bucket_of(membership, member->hash);
+
+	member->hash_next = *bucket;
+	*bucket = member;
+}
+
+static void grow(struct membership *membership)
+{
+	struct list *pos;
+
+	if (membership->count < membership->bucket_count)
+		return;
+	membership->bucket_count = membership->bucket_count
+					   ? membership->bucket_count * 2
+					   : BUCKETS_MIN;
+	free(membership->buckets);
+	membership->buckets =
+		xcalloc(membership->bucket_count, sizeof(*membership->buckets));
+	list_for_each (pos, &membership->members)
+		insert(membership, list_entry(pos, struct member, node));
+}
+
+static void unlink_member(struct membership *membership, struct member *member)
+{
+	struct member **link = bucket_of(membership, member->hash);
+
+	while (*link != member)
+		link = &(*link)->hash_next;
+	*link = member->hash_next;
+	list_del(&member->age_node);
+	list_del(&member->node);
+	membership->count--;
+}
+
 static void remove_member(struct membership *membership, struct member *member)
 {
 	if (membership->on_remove)
 		membership->on_remove(membership->on_remove_arg, member);
-	list_del(&member->node);
-	membership->count--;
+	unlink_member(membership, member);
 	free(member);
 }
 
@@ -28,19 +73,23 @@
 
 	list_for_each_safe (pos, tmp, &membership->members)
 		remove_member(membership, list_entry(pos, struct member, node));
+	free(membership->buckets);
+	membership->buckets = NULL;
+	membership->bucket_count = 0;
 }
 
 struct member *membership_find(const struct membership *membership,
 			       const char *agent)
 {
-	struct list *pos;
-
-	list_for_each (pos, &membership->members) {
-		struct member *member = list_entry(pos, struct member, node);
-
-		if (!strcmp(member->agent, agent))
+	uint64_t hash = hash_str(agent);
+	struct member *member;
+
+	if (!membership->bucket_count)
+		return NULL;
+	for (member = *bucket_of(membership, hash); member;
+	     member = member->hash_next)
+		if (member->hash == hash && !strcmp(member->agent, agent))
 			return member;
-	}
 	return NULL;
 }
 
@@ -50,12 +99,16 @@
 	struct member *member = xcalloc(1, sizeof(*member));
 
 	str_copy(member->agent, agent, sizeof(member->agent));
+	member->hash = hash_str(member->agent);
+	grow(membership);
 	list_add_tail(&membership->members, &member->node);
+	list_init(&member->age_node);
+	insert(membership, member);
 	membership->count++;
 	return member;
 }
 
-static void take_report(struct member *member,
+static void take_report(struct membership *membership, struct member *member,
 			const struct msg_announce *announce, const char *peer,
 			struct mstime now)
 {
@@ -72,6 +125,8 @@
 	member->state = (enum agent_state)announce->state;
 	member->load = announce->load;
 	member->reported_at = now;
+	list_del(&member->age_node);
+	list_add_tail(&membership->by_age, &member->age_node);
 }
 
 static int is_stale(const struct member *member,
@@ -95,14 +150,14 @@
 
 	if (!member) {
 		member = add_member(membership, announce->agent);
-		take_report(member, announce, peer, now);
+		take_report(membership, member, announce, peer, now);
 		return MEMBER_JOINED;
 	}
 	if (is_stale(member, announce))
 		return MEMBER_STALE;
 	incarnation = member->incarnation;
 	state = member->state;
-	take_report(member, announce, peer, now);
+	take_report(membership, member, announce, peer, now);
 	if (incarnation != member->incarnation) {
 		member->own_in_flight = 0;
 		return MEMBER_JOINED;
@@ -121,11 +176,13 @@
 {
 	struct list *pos, *tmp;
 
-	list_for_each_safe (pos, tmp, &membership->members) {
-		struct member *member = list_entry(pos, struct member, node);
+	list_for_each_safe (pos, tmp, &membership->by_age) {
+		struct member *member =
+			list_entry(pos, struct member, age_node);
 
-		if (mstime_diff(now, member->reported_at) >
+		if (mstime_diff(now, member->reported_at) <=
 		    membership->expire_ms)
-			remove_member(membership, member);
+			break;
+		remove_member(membership, member);
 	}
 }
