agent: check the grant again when a start is answered

Cause: an agent can be paused between its check of a grant and the start call; a lease of the worker bounds renewals, but nothing bounds a start.

Conclusion: a pause longer than 2 L + margin at that one place still starts a run for the length of a call; only the worker could refuse it.

--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -165,6 +165,8 @@
 	switch (err) {
 	case 0:
 		confirm(t);
+		/* Stops at once a run whose grant expired during the call. */
+		agent_task_step(t, sysclock_now());
 		return;
 	case ERR_FULL:
 		agent_task_end(t, TASK_REFUSED, "worker-full");
--- a/tests/e2e/test_agent_tasks.py
+++ b/tests/e2e/test_agent_tasks.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Batch runs at one agent: grants, fencing, ends, restarts."""
 
+import signal
 import sys
 import time
 
@@ -66,6 +67,24 @@
     assert stopped["checkpoint"] == "step-%d" % len(rig.effects("j"))
 
 
+def agent_paused(rig):
+    """Guards against an agent that renews after a pause longer than its
+    grant, when the owner may have moved the run."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, grant_ms=2000, task_lease_ms=1000)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    rig.agent.send_signal(signal.SIGSTOP)
+    rig.wait_until(lambda: rig.record()["now"]["mem_mb"] == 0, "expiry")
+    time.sleep(2)
+    steps = len(rig.effects("j"))
+    rig.agent.send_signal(signal.SIGCONT)
+    stopped = entry.wait_task("j", 1, "stopped")
+    assert stopped["checkpoint"] == "step-%d" % steps
+    assert len(rig.effects("j")) == steps
+
+
 def fencing(rig):
     """Guards against an old owner, and against commands for old runs."""
     entry = rig.entry
@@ -170,6 +189,21 @@
         "not-listed", "unknown-to-worker")
 
 
-agent_rig.run_all([resume_once, no_start_without_ack, grant_expires, fencing,
-                   room, lost_answers, agent_restarts, worker_restarts],
-                  sys.argv[1])
+def worker_dies(rig):
+    """Guards against a run that stays stopping for ever at a dead worker."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, task_lease_ms=500)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    rig.worker.kill()
+    killed = time.monotonic()
+    lost = entry.wait_task("j", 1, "lost")
+    assert lost["detail"] == "worker-down"
+    # Two leases and the margin since a renewal before the death.
+    assert time.monotonic() - killed > 2
+
+
+agent_rig.run_all([resume_once, no_start_without_ack, grant_expires,
+                   agent_paused, fencing, room, lost_answers, agent_restarts,
+                   worker_restarts, worker_dies], sys.argv[1])
