agent: give up a worker that answers no renewal

Cause: retried renewals that were never sent moved the time at which every lease has expired, so a run at a dead worker stayed 'running'.

Change: a renewal that was not sent does not count; a run without an answered renewal for 30 s is stopped. The stand-in expires leases before it serves a call, also after a pause of its own.

--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -83,6 +83,7 @@
 		return;
 	t->confirmed = 1;
 	t->confirmed_at = sysclock_now();
+	t->answered_at = t->confirmed_at;
 	t->grant.phase = GRANT_LIVE;
 	if (t->state == TASK_STARTING)
 		t->state = TASK_RUNNING;
@@ -211,8 +212,11 @@
 {
 	struct agent_task *t = arg;
 
+	if (err == ERR_UNAVAILABLE)
+		t->lease_sent_at = t->lease_before;
 	if (settle(t, "renew", err))
 		return;
+	t->answered_at = sysclock_now();
 	t->renew_at = mstime_add(t->lease_sent_at, lease_ms(t) / 3);
 }
 
@@ -263,6 +267,7 @@
 	uint64_t run = t->grant.run;
 
 	if (!mstime_before(now, t->renew_at)) {
+		t->lease_before = t->lease_sent_at;
 		t->lease_sent_at = now;
 		t->call_active = 1;
 		taskapi_renew(api, job, run, lease_ms(t), on_renewed, t);
@@ -295,6 +300,9 @@
 		agent_task_want_stop(t, STOP_CHECKPOINT,
 				     t->grant.granted ? "grant-expired"
 						      : "no-grant");
+	if (t->confirmed && t->grant.granted &&
+	    mstime_diff(now, t->answered_at) >= AGENT_UNANSWERED_MS)
+		agent_task_want_stop(t, STOP_CHECKPOINT, "worker-unreachable");
 	if (t->call_active || mstime_before(now, t->retry_at))
 		return;
 	if (t->stop)
--- a/packages/daemon/src/agent_task.h
+++ b/packages/daemon/src/agent_task.h
@@ -15,6 +15,12 @@
 /* A start that the worker does not answer is given up after this time. */
 #define AGENT_START_MS 10000
 
+/*
+ * A worker that answers no renewal for so long is not renewed any more, so
+ * that the run ends, at the latest when its lease expires.
+ */
+#define AGENT_UNANSWERED_MS 30000
+
 enum stop_wanted {
 	STOP_NOT_WANTED,
 	STOP_CHECKPOINT, /* checkpoint and stop in one step */
@@ -37,6 +43,8 @@
 	struct mstime confirmed_at; /* the worker has shown that it runs */
 	struct mstime accepted_at;
 	struct mstime lease_sent_at; /* last start or renewal */
+	struct mstime lease_before;  /* the one before it */
+	struct mstime answered_at;   /* last start or renewal answered */
 	enum stop_wanted stop;
 	const char *stop_reason;
 	int stop_commanded; /* by the owner */
--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -217,6 +217,7 @@
 	t->sent = 1;
 	t->confirmed = 1;
 	t->confirmed_at = agent->list_sent_at;
+	t->answered_at = sysclock_now();
 	t->need = row->need;
 	t->state = TASK_RUNNING;
 	t->grant.phase = GRANT_LIVE;
--- a/tests/e2e/test_agent_tasks.py
+++ b/tests/e2e/test_agent_tasks.py
@@ -204,6 +204,25 @@
     assert time.monotonic() - killed > 2
 
 
+def worker_hangs(rig):
+    """Guards against readiness, or a resumed run, at a worker that hangs."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, task_lease_ms=2000)
+    entry.start_task("j", 1, LONG)
+    entry.wait_task("j", 1, "running")
+    mark = entry.mark()
+    rig.worker.send_signal(signal.SIGSTOP)
+    entry.wait_state("not-ready", mark)
+    rig.worker.send_signal(signal.SIGCONT)
+    entry.wait_state("ready", mark)
+    stopped = entry.wait_task("j", 1, "stopped")
+    assert stopped["detail"] == "lease-expired"
+    steps = len(rig.effects("j"))
+    assert stopped["checkpoint"] == "step-%d" % steps
+    assert rig.effects("j") == list(range(steps))
+
+
 agent_rig.run_all([resume_once, no_start_without_ack, grant_expires,
                    agent_paused, fencing, room, lost_answers, agent_restarts,
-                   worker_restarts, worker_dies], sys.argv[1])
+                   worker_restarts, worker_dies, worker_hangs], sys.argv[1])
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -28,6 +28,7 @@
 	int64_t need[USAGE_COUNT]; /* as declared */
 	int64_t used[USAGE_COUNT];
 	int64_t started_at;
+	int64_t lease_until;
 	int64_t step, steps, step_ms, fail_at;
 	int64_t percent;
 	char checkpoint[64];
@@ -35,6 +36,18 @@
 	struct event *step_timer, *lease_timer;
 };
 
+static int64_t number(const json_t *root, const char *key)
+{
+	return json_integer_value(json_object_get(root, key));
+}
+
+static const char *text(const json_t *root, const char *key)
+{
+	const char *value = json_string_value(json_object_get(root, key));
+
+	return value ? value : "";
+}
+
 static struct task *find(struct worker *worker, const char *job)
 {
 	struct list *pos;
@@ -90,6 +103,21 @@
 	end(task, STOPPED, "lease-expired");
 }
 
+static void set_lease(struct task *task, const json_t *body)
+{
+	int64_t lease_ms = number(body, "lease_ms");
+
+	task->lease_until = worker_now_ms() + lease_ms;
+	set_timer(task->lease_timer, lease_ms);
+}
+
+/* After a pause of this process, a call may come before the lease's timer. */
+static void expire(struct task *task)
+{
+	if (task->state == RUNNING && worker_now_ms() >= task->lease_until)
+		on_lease(-1, 0, task);
+}
+
 static void next_step(struct task *task)
 {
 	/* At 0 percent the task stands still but looks for a change. */
@@ -102,6 +130,9 @@
 {
 	struct task *task = arg;
 
+	expire(task);
+	if (task->state != RUNNING)
+		return;
 	if (task->percent == 0) {
 		next_step(task);
 		return;
@@ -144,18 +175,6 @@
 	task->used[USAGE_ACCEL] = task->need[USAGE_ACCEL];
 }
 
-static int64_t number(const json_t *root, const char *key)
-{
-	return json_integer_value(json_object_get(root, key));
-}
-
-static const char *text(const json_t *root, const char *key)
-{
-	const char *value = json_string_value(json_object_get(root, key));
-
-	return value ? value : "";
-}
-
 static struct task *task_new(struct worker *worker, const char *job,
 			     int64_t run)
 {
@@ -220,7 +239,7 @@
 	for (i = USAGE_CPU; i < USAGE_COUNT; i++)
 		record_usage(worker, i, task->need[i]);
 	record(task, "task-start");
-	set_timer(task->lease_timer, number(body, "lease_ms"));
+	set_lease(task, body);
 	next_step(task);
 	return 200;
 }
@@ -230,7 +249,7 @@
 {
 	if (task->state != RUNNING)
 		return fail(answer, 409, "ended");
-	set_timer(task->lease_timer, number(body, "lease_ms"));
+	set_lease(task, body);
 	return 200;
 }
 
@@ -293,6 +312,8 @@
 		return fail(answer, 400, "invalid");
 	if (task && run < task->run)
 		return fail(answer, 409, "fenced");
+	if (task)
+		expire(task);
 	for (i = 0; i < sizeof(verbs) / sizeof(verbs[0]); i++) {
 		if (strcmp(verbs[i].verb, verb))
 			continue;
