--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -146,6 +146,64 @@
     check(version(entry) == before + 1, "applied twice")
 
 
+def confirm_in_background(entry, made):
+    """Returns a function that waits for the answer."""
+    answers = []
+    thread = threading.Thread(
+        target=lambda: answers.append(post(entry, "/v1/confirm", made)))
+    thread.start()
+
+    def join():
+        thread.join()
+        return answers[0]
+    return join
+
+
+def test_lost_answer_overtaken(cluster):
+    """A lost write is recognized although another one followed it."""
+    first, second = cluster.entries
+    before = version(first)
+    made = plan(first, intent="set-limit", limit="job_tries", value=5)
+    cluster.control_store(lose_answers=1, lose_kind="txn")
+    join = confirm_in_background(first, made)
+    wait_for("the lost write", lambda: cluster.store_state()[
+        "lose_answers"] == 0)
+    while True:
+        next_plan = plan(second, intent="set-limit", limit="entry_queue",
+                         value=77)
+        if post(second, "/v1/confirm", next_plan)[0] == 200:
+            break
+    status, answer = join()
+    check(status == 200 and answer["result"] == "applied", answer)
+    check(limit(second, "job_tries") == 5, "the first write is gone")
+    wait_for("two versions", lambda: version(first) == before + 2)
+
+
+def test_unknown_outcome(cluster):
+    """An outcome that cannot be settled is said to be unknown."""
+    entry = cluster.entries[0]
+    before = version(entry)
+    made = plan(entry, intent="set-limit", limit="attempts", value=6)
+    cluster.control_store(lose_answers=1, lose_kind="txn")
+    join = confirm_in_background(entry, made)
+    try:
+        wait_for("the lost write", lambda: cluster.store_state()[
+            "lose_answers"] == 0)
+        cluster.control_store(mode="refuse")
+        status, answer = join()
+    finally:
+        cluster.control_store(mode="ok")
+    # Settled when the outage began too late, which a slow machine may cause.
+    check((status, answer.get("result")) == (200, "applied") or
+          (status, answer.get("error")) == (504, "unknown"), answer)
+    if status == 504:
+        check("catkinhillctl confirm" in answer["message"], answer)
+    wait_for("the entry to follow", lambda: version(entry) == before + 1)
+    status, answer = post(entry, "/v1/confirm", made)
+    check(status == 200 and answer["result"] == "in-force", answer)
+    check(version(entry) == before + 1, "applied twice")
+
+
 def test_store_down(cluster):
     entry = cluster.entries[0]
     made = plan(entry, intent="set-limit", limit="job_tries", value=2)
--- a/tools/pylib/cluster.py
+++ b/tools/pylib/cluster.py
@@ -57,6 +57,7 @@
 class Process:
     def __init__(self, name, argv, directory, env=None):
         self.name = name
+        self.stopping = False  # a second signal would not be graceful
         self.log = os.path.join(directory, name + ".log")
         self.output = open(self.log, "wb")
         self.popen = subprocess.Popen(
@@ -90,10 +91,15 @@
         if self.popen.poll() is None:
             self.popen.send_signal(number)
 
-    def stop(self, seconds=WAIT_SECONDS):
-        """Ends gracefully; returns the exit code."""
+    def begin_stop(self):
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGTERM)
+        self.stopping = True
+
+    def stop(self, seconds=WAIT_SECONDS):
+        """Ends gracefully; returns the exit code."""
+        if not self.stopping:
+            self.begin_stop()
         try:
             return self.popen.wait(seconds)
         except subprocess.TimeoutExpired:
@@ -198,6 +204,9 @@
         if status != 200:
             raise Failed("the store refused %s" % faults)
 
+    def store_state(self):
+        return json.loads(http_call(self.store_control, "GET", "/control")[2])
+
     def write_settings(self, name, sections):
         path = os.path.join(self.directory, name + ".ini")
         with open(path, "w") as out:
