opapi: show which agents follow the configuration

Cause: an operator could not see whether a confirmed change is in force at every agent; a status of all VMs and a plan that looks up each task's agent in a list would hold up the loop at the target scale.

Change: members carry the version that their agent announces; status has it per agent and counts those behind per domain, with at most 1000 agents listed; tasks of a domain are counted by binary search.

--- a/packages/core/include/membership.h
+++ b/packages/core/include/membership.h
@@ -30,7 +30,8 @@
 	uint32_t connections;
 	struct resources capacity;
 	enum agent_state state;
-	struct load load; /* as last reported */
+	uint64_t config_version; /* in force at the agent */
+	struct load load;	 /* as last reported */
 	struct mstime reported_at;
 	uint32_t own_in_flight; /* requests that this entry has sent */
 	void *route_state;	/* owned by route.h; NULL at first */
--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -70,6 +70,7 @@
 	member->connections = announce->connections;
 	member->capacity = announce->capacity;
 	member->state = (enum agent_state)announce->state;
+	member->config_version = announce->config_version;
 	member->load = announce->load;
 	member->reported_at = now;
 }
--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -116,26 +116,49 @@
 			      list_entry(pos, struct member, node), domain);
 }
 
-static int domain_of_agent(const struct maker *maker, const char *agent,
-			   const char *domain)
+static int compare_names(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* RETURN VALUE: newly allocated, sorted; *count receives its length. */
+static const char **agents_of(const struct membership *membership,
+			      const char *domain, size_t *count)
 {
-	const struct member *member =
-		membership_find(maker->view->membership, agent);
+	const char **names =
+		xcalloc(membership->count + 1, sizeof(const char *));
+	const struct list *pos;
+
+	*count = 0;
+	list_for_each (pos, &membership->members) {
+		const struct member *member =
+			list_entry(pos, struct member, node);
 
-	return member && !strcmp(member->domain, domain);
+		if (!strcmp(member->domain, domain))
+			names[(*count)++] = member->agent;
+	}
+	qsort(names, *count, sizeof(names[0]), compare_names);
+	return names;
 }
 
 static void count_tasks(struct maker *maker, const char *domain)
 {
 	const struct plan_view *view = maker->view;
-	size_t i;
+	const char **names;
+	size_t count, i;
 
 	if (!view->jobs_known)
 		warn(maker, WARN_JOBS_UNKNOWN);
-	for (i = 0; i < view->job_count; i++)
-		if (!view->jobs[i].ended && view->jobs[i].agent[0] &&
-		    domain_of_agent(maker, view->jobs[i].agent, domain))
+	names = agents_of(view->membership, domain, &count);
+	for (i = 0; i < view->job_count; i++) {
+		const char *agent = view->jobs[i].agent;
+
+		if (!view->jobs[i].ended && agent[0] &&
+		    bsearch(&agent, names, count, sizeof(names[0]),
+			    compare_names))
 			maker->plan->effect.tasks++;
+	}
+	free(names);
 }
 
 /* Upstreams of a service that are left in all regions together. */
--- a/packages/ctl/src/print.c
+++ b/packages/ctl/src/print.c
@@ -121,25 +121,42 @@
 	putchar('\n');
 }
 
+static const struct {
+	const char *key;
+	const char *text;
+} effect_lines[] = {
+	{ "upstreams", "affected" },
+	{ "requests", "in flight there, which are finished" },
+	{ "streams", "open there, which are moved" },
+	{ "tasks", "running, which are checkpointed or stopped" },
+	{ "upstreams_left", "usable afterwards" },
+};
+
+static void print_effect(const json_t *effect)
+{
+	size_t i;
+
+	for (i = 0; i < sizeof(effect_lines) / sizeof(effect_lines[0]); i++) {
+		const char *key = effect_lines[i].key;
+
+		if (number_of(effect, key))
+			printf("  %-16s %lld %s\n", key, number_of(effect, key),
+			       effect_lines[i].text);
+	}
+}
+
 void print_plan(const json_t *plan, const char *file)
 {
-	const json_t *effect = json_object_get(plan, "effect");
 	const json_t *warning;
 	size_t i;
 
 	print_intent(json_object_get(plan, "intent"));
-	printf("  basis:     version %lld of the configuration\n",
+	printf("  %-16s version %lld of the configuration\n", "basis",
 	       number_of(plan, "basis"));
-	printf("  upstreams: %lld affected, %lld usable afterwards\n",
-	       number_of(effect, "upstreams"),
-	       number_of(effect, "upstreams_left"));
-	printf("  in flight: %lld requests, which are finished; %lld streams "
-	       "and %lld tasks, which are moved or stopped\n",
-	       number_of(effect, "requests"), number_of(effect, "streams"),
-	       number_of(effect, "tasks"));
+	print_effect(json_object_get(plan, "effect"));
 	json_array_foreach(json_object_get(plan, "warnings"), i, warning)
 	{
-		printf("  warning:   %s\n", text_of(warning, "text"));
+		printf("  %-16s %s\n", "warning", text_of(warning, "text"));
 	}
 	if (is_true(plan, "in_force"))
 		puts("This is in force already.");
@@ -157,13 +174,13 @@
 	const char *name;
 	json_t *domain;
 
-	printf("%-16s %-10s %5s %7s %9s %8s  %s\n", "DOMAIN", "REGION", "VMS",
-	       "USABLE", "REQUESTS", "STREAMS", "STATE");
+	printf("%-16s %-10s %5s %7s %7s %9s %8s  %s\n", "DOMAIN", "REGION",
+	       "VMS", "USABLE", "BEHIND", "REQUESTS", "STREAMS", "STATE");
 	json_object_foreach((json_t *)domains, name, domain)
 	{
-		printf("%-16s %-10s %5lld %7lld %9lld %8lld  %s\n", name,
+		printf("%-16s %-10s %5lld %7lld %7lld %9lld %8lld  %s\n", name,
 		       text_of(domain, "region"), number_of(domain, "vms"),
-		       number_of(domain, "usable"),
+		       number_of(domain, "usable"), number_of(domain, "behind"),
 		       number_of(domain, "requests"),
 		       number_of(domain, "streams"),
 		       is_true(domain, "drained") ? "drained" : "in use");
@@ -175,14 +192,16 @@
 	const json_t *member;
 	size_t i;
 
-	printf("\n%-16s %-16s %-12s %-10s %8s %9s %8s %6s\n", "AGENT",
-	       "SERVICE", "DOMAIN", "STATE", "SILENT", "REQUESTS", "STREAMS",
-	       "MS");
+	printf("\n%-16s %-16s %-12s %-10s %7s %8s %9s %8s %6s\n", "AGENT",
+	       "SERVICE", "DOMAIN", "STATE", "VERSION", "SILENT", "REQUESTS",
+	       "STREAMS", "MS");
 	json_array_foreach(members, i, member)
 	{
-		printf("%-16s %-16s %-12s %-10s %6lldms %9lld %8lld %6lld\n",
+		printf("%-16s %-16s %-12s %-10s %7lld %6lldms %9lld %8lld "
+		       "%6lld\n",
 		       text_of(member, "agent"), text_of(member, "service"),
 		       text_of(member, "domain"), text_of(member, "state"),
+		       number_of(member, "version"),
 		       number_of(member, "silent_ms"),
 		       number_of(member, "requests"),
 		       number_of(member, "streams"),
@@ -197,6 +216,8 @@
 	       text_of(status, "domain"), number_of(status, "version"));
 	print_domains(json_object_get(status, "domains"));
 	print_members(json_object_get(status, "members"));
+	if (is_true(status, "incomplete"))
+		puts("... and more agents, which are counted above");
 }
 
 void print_config(const json_t *config)
--- a/packages/daemon/src/opstatus.c
+++ b/packages/daemon/src/opstatus.c
@@ -5,6 +5,9 @@
 
 #include "sysclock.h"
 
+/* Bounds the time for which an answer holds up the event loop. */
+#define MEMBERS_MAX 1000
+
 static json_t *render_resources(const struct resources *resources)
 {
 	return json_pack("{s:I, s:I, s:I}", "cpu_milli",
@@ -33,6 +36,8 @@
 		"state", agent_state_name(member->state), "usable", usable,
 		"silent_ms", (json_int_t)mstime_diff(now, member->reported_at));
 
+	json_object_set_new(object, "version",
+			    json_integer((json_int_t)member->config_version));
 	json_object_set_new(object, "slots", json_integer(member->slots));
 	json_object_set_new(object, "requests", json_integer(load->in_flight));
 	json_object_set_new(object, "queued", json_integer(load->queued));
@@ -66,6 +71,7 @@
 	}
 	add_to(domain, "vms", 1);
 	add_to(domain, "usable", usable);
+	add_to(domain, "behind", member->config_version < config->version);
 	add_to(domain, "requests", member->load.in_flight);
 	add_to(domain, "streams", member_streams(member));
 }
@@ -95,15 +101,17 @@
 		int usable = member_usable(membership, member, now);
 
 		add_to_domain(domains, &daemon->config, member, usable);
-		json_array_append_new(members,
-				      render_member(member, usable, now));
+		if (json_array_size(members) < MEMBERS_MAX)
+			json_array_append_new(
+				members, render_member(member, usable, now));
 	}
-	return json_pack("{s:s, s:s, s:s, s:I, s:o, s:o, s:o}", "entry",
+	return json_pack("{s:s, s:s, s:s, s:I, s:o, s:o, s:o, s:b}", "entry",
 			 settings->id, "region", settings->region, "domain",
 			 settings->domain, "version",
 			 (json_int_t)daemon->config.version, "drained",
 			 render_drained(&daemon->config), "domains", domains,
-			 "members", members);
+			 "members", members, "incomplete",
+			 membership->count > MEMBERS_MAX);
 }
 
 json_t *opstatus_config(const struct config *config)
--- a/tests/e2e/test_operators.py
+++ b/tests/e2e/test_operators.py
@@ -277,6 +277,9 @@
     nobody = type("Nobody", (), {"admin": cluster.address()})
     code, _, err = cluster.ctl("status", entry=nobody)
     check(code == 4 and "cannot reach the entry" in err, err)
+    code, out, err = cluster.ctl("status", "--entry",
+                                 cluster.entries[1].admin, entry=nobody)
+    check(code == 0 and "entry e2" in out, err)
 
 
 def main(build):
--- a/tests/e2e/test_process.py
+++ b/tests/e2e/test_process.py
@@ -129,7 +129,22 @@
 
 
 def test_graceful(cluster):
+    """Also while the store does not answer an operator's call."""
     entry = cluster.entries[0]
+    cluster.control_store(mode="hang")
+    thread = threading.Thread(
+        target=lambda: raw(entry.admin, b"POST /v1/plan HTTP/1.1\r\n"
+                           b"Content-Length: 34\r\n\r\n"
+                           b'{"intent":"undrain","domain":"zz"}'),
+        daemon=True)
+    polls = [entry.metric("catkinhill_admin_requests_total")]
+    thread.start()
+
+    def arrived():
+        # Each poll counts itself.
+        polls.append(entry.metric("catkinhill_admin_requests_total"))
+        return polls[-1] - polls[0] > len(polls) - 1
+    wait_for("the call", arrived)
     check(entry.stop() == 0, "exit code")
     check(entry.lines(6002) and entry.lines(6003), entry.text()[-500:])
 
@@ -137,7 +152,7 @@
 def main(build):
     with Cluster(build) as cluster:
         cluster.start_store()
-        cluster.start_entry("e1", "a", "a1")
+        cluster.start_entry("e1", "a", "a1", stop_ms=1000)
         cluster.start_entry("e2", "a", "a1")
         worker = cluster.start_worker("worker")
         cluster.start_agent("w1", worker, "a", "a1")
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -10,6 +10,7 @@
 #include "errors.h"
 #include "mem.h"
 #include "plan.h"
+#include "rng.h"
 
 struct world {
 	struct membership membership;
@@ -284,6 +285,33 @@
 	membership_clear(&world.membership);
 }
 
+/* Guards against a crash on a plan file with arbitrary bytes changed. */
+static void test_corrupted_files(void **state)
+{
+	struct world world;
+	struct plan plan, parsed;
+	struct rng rng;
+	char *text;
+	int round;
+
+	world_init(&world);
+	make(&world, &plan, "{\"intent\":\"drain\",\"domain\":\"a2\"}");
+	text = plan_render(&plan);
+	rng_seed(&rng, 1);
+	for (round = 0; round < 5000; round++) {
+		char *copy = xstrdup(text);
+		uint32_t at = rng_below(&rng, (uint32_t)strlen(text));
+
+		copy[at] = (char)rng_below(&rng, 256);
+		if (!plan_parse(&parsed, copy, strlen(text), world.reason,
+				REASON_SIZE))
+			assert_string_equal(parsed.intent.u.domain, "a2");
+		free(copy);
+	}
+	free(text);
+	membership_clear(&world.membership);
+}
+
 /* Guards against a plan that takes effect on another state than shown. */
 static void test_stale_plan(void **state)
 {
@@ -368,6 +396,7 @@
 		cmocka_unit_test(test_refusals),
 		cmocka_unit_test(test_warnings),
 		cmocka_unit_test(test_plan_files),
+		cmocka_unit_test(test_corrupted_files),
 		cmocka_unit_test(test_stale_plan),
 		cmocka_unit_test(test_view_changed),
 		cmocka_unit_test(test_apply_and_undo),
