--- a/packages/core/include/plan.h
+++ b/packages/core/include/plan.h
@@ -56,6 +56,7 @@
 	uint32_t streams;	 /* open there; they are moved */
 	uint32_t tasks;		 /* running there; they are evicted */
 	uint32_t upstreams_left; /* usable and not drained, afterwards */
+	uint32_t vms_fit;	 /* usable ones that could hold the job */
 };
 
 #define REASON_SIZE 512
--- a/packages/core/src/plan.c
+++ b/packages/core/src/plan.c
@@ -286,14 +286,25 @@
 	return NULL;
 }
 
-static int some_vm_fits(const struct maker *maker, const struct resources *need)
+/* Declared sizes only: what is in use now may be gone when the job starts. */
+static int some_vm_fits(struct maker *maker, const struct resources *need)
 {
+	const struct membership *membership = maker->view->membership;
 	const struct list *pos;
+	int known = 0;
 
-	list_for_each (pos, &maker->view->membership->members)
-		if (fits(need, &list_entry(pos, struct member, node)->capacity))
-			return 1;
-	return 0;
+	list_for_each (pos, &membership->members) {
+		const struct member *member =
+			list_entry(pos, struct member, node);
+
+		if (!fits(need, &member->capacity))
+			continue;
+		known = 1;
+		maker->plan->effect.vms_fit +=
+			member_usable(membership, member, maker->view->now) &&
+			!config_domain_drained(maker->config, member->domain);
+	}
+	return known;
 }
 
 static int make_submit(struct maker *maker)
--- a/packages/core/src/planjson.c
+++ b/packages/core/src/planjson.c
@@ -50,6 +50,7 @@
 	{ "streams", offsetof(struct plan_effect, streams) },
 	{ "tasks", offsetof(struct plan_effect, tasks) },
 	{ "upstreams_left", offsetof(struct plan_effect, upstreams_left) },
+	{ "vms_fit", offsetof(struct plan_effect, vms_fit) },
 };
 
 #define EFFECT_KEYS (sizeof(effect_keys) / sizeof(effect_keys[0]))
--- a/packages/ctl/src/print.c
+++ b/packages/ctl/src/print.c
@@ -130,6 +130,7 @@
 	{ "streams", "open there, which are moved" },
 	{ "tasks", "running, which are checkpointed or stopped" },
 	{ "upstreams_left", "usable afterwards" },
+	{ "vms_fit", "usable VMs could hold the job" },
 };
 
 static void print_effect(const json_t *effect)
--- a/packages/daemon/src/opapi.c
+++ b/packages/daemon/src/opapi.c
@@ -173,7 +173,9 @@
 {
 	struct plan_view view = view_of(call);
 	char reason[REASON_SIZE] =
-		"another configuration came first; make a new plan";
+		"the store holds another configuration than this entry; "
+		"compare 'catkinhillctl config' of several entries, then make "
+		"a new plan";
 	int checked = plan_check(&call->plan, &call->opapi->daemon->config,
 				 &view, reason, sizeof(reason));
 
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -249,7 +249,14 @@
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
 		assert_int_equal(make(&world, &plan, cases[i].json), 0);
 		assert_int_equal(plan.warnings, 1u << cases[i].warning);
+		assert_int_equal(plan.effect.vms_fit, 0);
 	}
+	assert_int_equal(make(&world, &plan,
+			      "{\"intent\":\"submit\",\"job\":{\"job\":\"fit\","
+			      "\"team\":\"t\",\"cpu_milli\":4000,\"mem_mb\":1,"
+			      "\"command\":\"c\"}}"),
+			 0);
+	assert_int_equal(plan.effect.vms_fit, 4);
 	membership_clear(&world.membership);
 }
 
