tests: keep the caller's connection whole in test_process

Cause: the caller of test_second_signal closed its sending side, which an entry takes as leaving; the cancelled request let the graceful stop end before the check.

--- a/tests/e2e/test_process.py
+++ b/tests/e2e/test_process.py
@@ -113,12 +113,10 @@
 def test_second_signal(cluster):
     """The first signal waits for requests, the second one does not."""
     entry, agent = cluster.entries[1], cluster.agents["w1"]
-    thread = threading.Thread(
-        target=lambda: raw(entry.callers,
-                           b"GET /work?ms=60000 HTTP/1.1\r\nHost: stock\r\n"
-                           b"Catkinhill-Deadline-Ms: 60000\r\n\r\n"),
-        daemon=True)
-    thread.start()
+    host, port = entry.callers.split(":")
+    caller = socket.create_connection((host, int(port)))
+    caller.sendall(b"GET /work?ms=60000 HTTP/1.1\r\nHost: stock\r\n"
+                   b"Catkinhill-Deadline-Ms: 60000\r\n\r\n")
     wait_for("a request in progress",
              lambda: agent.metric("catkinhill_agent_slots_used") == 1)
     entry.signal(signal.SIGTERM)
@@ -126,6 +124,7 @@
     check(entry.popen.poll() is None, "did not wait for the request")
     check(entry.stop(seconds=20) == 1, "exit code after two signals")
     check("reason=second-signal" in entry.text(), entry.text()[-500:])
+    caller.close()
 
 
 def test_graceful(cluster):
