--- a/packages/daemon/src/entry.c
+++ b/packages/daemon/src/entry.c
@@ -130,7 +130,7 @@
 static void on_drain(void *arg)
 {
 	struct entry *entry = arg;
-	const char *full[FULL_SERVICES_MAX];
+	const char *full[FULL_SERVICES_MAX] = { NULL };
 	struct admission_item *item = NULL;
 	size_t full_count = 0, looked;
 
