--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -43,10 +43,10 @@
 		job = submit(partition, id);
 	assert_int_equal(
 		partition_start(partition, job, agent, &need, "r", at(0)), 0);
-	assert_int_equal(partition_command(partition, job, at(0)),
+	assert_int_equal(partition_command(partition, job, 1, at(0)),
 			 COMMAND_NONE);
 	commit(partition);
-	assert_int_equal(partition_command(partition, job, at(0)),
+	assert_int_equal(partition_command(partition, job, 1, at(0)),
 			 COMMAND_START);
 	return job;
 }
@@ -135,14 +135,15 @@
 					 .run = 1,
 					 .state = TASK_FINISHED };
 
-	assert_int_equal(partition_command(p, job, at(10)), COMMAND_NONE);
-	assert_int_equal(partition_command(p, job, at(1000)), COMMAND_START);
+	assert_int_equal(partition_command(p, job, 1, at(10)), COMMAND_NONE);
+	assert_int_equal(partition_command(p, job, 1, at(1000)), COMMAND_START);
+	assert_int_equal(partition_command(p, job, 2, at(5000)), COMMAND_NONE);
 	partition_evict(p, job, "r", at(1001));
-	assert_int_equal(partition_command(p, job, at(1001)), COMMAND_NONE);
+	assert_int_equal(partition_command(p, job, 1, at(1001)), COMMAND_NONE);
 	partition_committed(p, p->version - 1);
-	assert_int_equal(partition_command(p, job, at(1001)), COMMAND_NONE);
+	assert_int_equal(partition_command(p, job, 1, at(1001)), COMMAND_NONE);
 	commit(p);
-	assert_int_equal(partition_command(p, job, at(1001)), COMMAND_STOP);
+	assert_int_equal(partition_command(p, job, 1, at(1001)), COMMAND_STOP);
 	report(p, "a1", 1, TASK_FINISHED, "");
 	assert_false(partition_settled(p, &end));
 	commit(p);
@@ -163,7 +164,7 @@
 	commit(p);
 	assert_int_equal(queued->state, JOB_CANCELLED);
 	assert_int_equal(placed->state, JOB_CANCELLED);
-	assert_int_equal(partition_command(p, placed, at(2)), COMMAND_NONE);
+	assert_int_equal(partition_command(p, placed, 1, at(2)), COMMAND_NONE);
 	assert_int_equal(partition_start(p, queued, "a", &need, "", at(2)),
 			 ERR_INVALID);
 	assert_int_equal(partition_cancel(p, "q", at(3)), 0);
