--- /dev/null
+++ b/tests/e2e/entry_rig.py
@@ -0,0 +1,139 @@
+"""Entries with stand-in agents and a stand-in store."""
+import http.client
+import json
+import os
+import re
+import socket
+import subprocess
+import sys
+import time
+
+BUILD = os.path.abspath(sys.argv.pop(1))
+WAIT_S = 30
+
+
+def free_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_for(what, condition):
+    end = time.monotonic() + WAIT_S
+    while time.monotonic() < end:
+        value = condition()
+        if value:
+            return value
+        time.sleep(0.02)
+    raise AssertionError("no " + what)
+
+
+class Entry:
+    def __init__(self, folder, name="e1", store=None):
+        self.callers, self.peers, self.admin = (free_port() for _ in "abc")
+        path = os.path.join(folder, name + ".ini")
+        with open(path, "w") as file:
+            file.write(f"""[daemon]
+role = entry
+id = {name}
+region = a
+domain = d1
+stop_ms = 20000
+[listen]
+callers = 127.0.0.1:{self.callers}
+peers = 127.0.0.1:{self.peers}
+admin = 127.0.0.1:{self.admin}
+[entry]
+default_service = stock
+""")
+            if store:
+                file.write(f"""[store]
+address = 127.0.0.1:{store}
+timeout_ms = 500
+lease_s = 5
+""")
+        self.log = open(os.path.join(folder, name + ".log"), "w+")
+        self.process = subprocess.Popen(
+            [os.path.join(BUILD, "catkinhilld"), "--config", path],
+            stderr=self.log)
+        wait_for("entry", self.ready)
+
+    def stop(self):
+        """Sanitizers report leaks and faults by the exit code."""
+        self.process.terminate()
+        code = self.process.wait(WAIT_S)
+        self.log.close()
+        assert code == 0, f"an entry ended with {code}"
+
+    def ready(self):
+        try:
+            return self.get_admin("/ready")[0] == 200
+        except OSError:
+            return False
+
+    def get_admin(self, path):
+        conn = http.client.HTTPConnection("127.0.0.1", self.admin, timeout=9)
+        conn.request("GET", path)
+        answer = conn.getresponse()
+        text = answer.read().decode()
+        conn.close()
+        return answer.status, text
+
+    def metric(self, name):
+        text = self.get_admin("/metrics")[1]
+        found = re.search("^" + re.escape(name) + " (.*)$", text, re.M)
+        return int(found.group(1))
+
+    def connect(self):
+        return http.client.HTTPConnection("127.0.0.1", self.callers,
+                                          timeout=WAIT_S)
+
+    def ask(self, path, method="GET", body=None, **headers):
+        conn = self.connect()
+        headers = {k.replace("_", "-"): v for k, v in headers.items()}
+        conn.request(method, path, body, headers)
+        answer = conn.getresponse()
+        answer.text = answer.read()
+        conn.close()
+        answer.outcome = answer.getheader("Catkinhill-Outcome")
+        return answer
+
+
+class Agent:
+    def __init__(self, entry, folder, name, region="a", service="stock",
+                 load=0):
+        self.path = os.path.join(folder, name + ".out")
+        with open(self.path, "w") as out:
+            self.process = subprocess.Popen(
+                [os.path.join(BUILD, "fakeagent"),
+                 f"127.0.0.1:{entry.peers}", name, region, service,
+                 str(load)], stdout=out)
+
+    def lines(self, start):
+        with open(self.path) as file:
+            return [line for line in file if line.startswith(start)]
+
+
+class Store:
+    def __init__(self):
+        self.port, self.control = free_port(), free_port()
+        self.process = subprocess.Popen(
+            [os.path.join(BUILD, "fakestore"), "--listen",
+             f"127.0.0.1:{self.port}", "--control",
+             f"127.0.0.1:{self.control}"], stdout=subprocess.PIPE)
+        assert self.process.stdout.readline() == b"ready\n"
+
+    def set(self, **faults):
+        conn = http.client.HTTPConnection("127.0.0.1", self.control,
+                                          timeout=WAIT_S)
+        conn.request("POST", "/control", json.dumps(faults))
+        answer = conn.getresponse()
+        state = json.loads(answer.read())
+        conn.close()
+        assert answer.status == 200, state
+        return state
+
+    def stop(self):
+        self.process.terminate()
+        self.process.wait()
+        self.process.stdout.close()
--- a/tests/e2e/test_entry.py
+++ b/tests/e2e/test_entry.py
@@ -5,108 +5,14 @@
 """
 import http.client
 import json
-import os
 import re
 import signal
 import socket
-import subprocess
-import sys
 import tempfile
 import time
 import unittest
 
-BUILD = os.path.abspath(sys.argv.pop(1))
-WAIT_S = 30
-
-
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
-def wait_for(what, condition):
-    end = time.monotonic() + WAIT_S
-    while time.monotonic() < end:
-        value = condition()
-        if value:
-            return value
-        time.sleep(0.02)
-    raise AssertionError("no " + what)
-
-
-class Entry:
-    def __init__(self, folder):
-        self.callers, self.peers, self.admin = (free_port() for _ in "abc")
-        path = os.path.join(folder, "entry.ini")
-        with open(path, "w") as file:
-            file.write(f"""[daemon]
-role = entry
-id = e1
-region = a
-domain = d1
-stop_ms = 20000
-[listen]
-callers = 127.0.0.1:{self.callers}
-peers = 127.0.0.1:{self.peers}
-admin = 127.0.0.1:{self.admin}
-[entry]
-default_service = stock
-""")
-        self.log = open(os.path.join(folder, "entry.log"), "w+")
-        self.process = subprocess.Popen(
-            [os.path.join(BUILD, "catkinhilld"), "--config", path],
-            stderr=self.log)
-        wait_for("entry", self.ready)
-
-    def ready(self):
-        try:
-            return self.get_admin("/ready")[0] == 200
-        except OSError:
-            return False
-
-    def get_admin(self, path):
-        conn = http.client.HTTPConnection("127.0.0.1", self.admin, timeout=9)
-        conn.request("GET", path)
-        answer = conn.getresponse()
-        text = answer.read().decode()
-        conn.close()
-        return answer.status, text
-
-    def metric(self, name):
-        text = self.get_admin("/metrics")[1]
-        found = re.search("^" + re.escape(name) + " (.*)$", text, re.M)
-        return int(found.group(1))
-
-    def connect(self):
-        return http.client.HTTPConnection("127.0.0.1", self.callers,
-                                          timeout=WAIT_S)
-
-    def ask(self, path, method="GET", body=None, **headers):
-        conn = self.connect()
-        headers = {k.replace("_", "-"): v for k, v in headers.items()}
-        conn.request(method, path, body, headers)
-        answer = conn.getresponse()
-        answer.text = answer.read()
-        conn.close()
-        answer.outcome = answer.getheader("Catkinhill-Outcome")
-        return answer
-
-
-class Agent:
-    def __init__(self, entry, folder, name, region="a", service="stock",
-                 load=0):
-        self.path = os.path.join(folder, name + ".out")
-        with open(self.path, "w") as out:
-            self.process = subprocess.Popen(
-                [os.path.join(BUILD, "fakeagent"),
-                 f"127.0.0.1:{entry.peers}", name, region, service,
-                 str(load)], stdout=out)
-
-    def lines(self, start):
-        with open(self.path) as file:
-            return [line for line in file if line.startswith(start)]
-
+from entry_rig import WAIT_S, Agent, Entry, wait_for
 
 class Processes(unittest.TestCase):
     @classmethod
@@ -137,12 +43,8 @@
         for agent in cls.agents.values():
             agent.process.terminate()
             agent.process.wait()
-        # Sanitizers report leaks and faults by the exit code.
-        cls.entry.process.terminate()
-        code = cls.entry.process.wait(WAIT_S)
-        cls.entry.log.close()
+        cls.entry.stop()
         cls.folder.cleanup()
-        assert code == 0, f"the entry ended with {code}"
 
     def runs(self, path):
         return sum(len([1 for line in agent.lines("run")
--- a/tests/fakes/fakeagent.c
+++ b/tests/fakes/fakeagent.c
@@ -19,6 +19,7 @@
  */
 #define ANNOUNCE_MS 100
 #define EVENT_MS 20
+#define SLOW_TICKS 25
 #define WINDOW (256 * 1024)
 #define OPEN_MAX 256
 #define SIZE_MAX_SENT (4 * 1024 * 1024)
@@ -31,6 +32,7 @@
 	uint64_t body_left;
 	uint64_t body_sum;
 	int stream;
+	int slow_ticks; /* until the answer */
 	uint64_t next_event;
 	uint64_t sent, total, window;
 };
@@ -191,6 +193,11 @@
 	_exit(0);
 }
 
+static void on_slow(struct open_request *r)
+{
+	r->slow_ticks = SLOW_TICKS;
+}
+
 static void on_silent(struct open_request *r)
 {
 }
@@ -247,6 +254,7 @@
 	{ "/long", on_long },
 	{ "/die", on_die },
 	{ "/silent", on_silent },
+	{ "/slow", on_slow },
 	{ "/bytes/", on_bytes },
 	{ "/events", on_events },
 	{ "/", on_echo },
@@ -345,6 +353,8 @@
 	for (i = 0; i < OPEN_MAX; i++) {
 		struct open_request *r = &table[i];
 
+		if (r->used && r->slow_ticks && !--r->slow_ticks)
+			on_echo(r);
 		if (!r->used || !r->stream)
 			continue;
 		len = snprintf(text, sizeof(text),
