core: let latency averages of idle members fade

One answer counted as a deadline of 10 s raised an average so far that the member got no request that could have lowered it again. The excess now halves every 2 s without answers. The average of the service takes successes only, as failures would raise the bound above which an answer is late and so hide a member that hangs.

Open streams no longer count against the share of their caller, and a full service no longer hides the requests of another one that wait behind 64 of its own.

--- a/packages/core/src/route.c
+++ b/packages/core/src/route.c
@@ -227,7 +227,10 @@
 	if (!place)
 		return ROUTE_EVENT_NONE;
 	average(&place->latency_ms, sample_ms);
-	average(&place->service->latency_ms, sample_ms);
+	place->answered_at = now;
+	/* Failures would raise the bound above which an answer is late. */
+	if (!failed)
+		average(&place->service->latency_ms, sample_ms);
 	if (probe && place->eject.ejected) {
 		if (!eject_probe_result(&place->eject, failed, now))
 			return ROUTE_EVENT_NONE;
--- a/packages/core/src/route_choose.c
+++ b/packages/core/src/route_choose.c
@@ -1,5 +1,6 @@
 #include "route.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -8,6 +9,11 @@
 
 /* Members looked at before a region counts as full. */
 #define LOOK_MAX 32
+/*
+ * After this time without answers a latency average begins to lose its
+ * excess, and it loses half of it in each further such time.
+ */
+#define FADE_MS 2000
 
 struct candidates {
 	struct member *items[2];
@@ -29,17 +35,30 @@
 	return reported;
 }
 
-static double weight(const struct member *member, struct mstime now)
+/*
+ * A member whose average is high gets no requests that could lower it, so
+ * the average fades towards that of the service. One without answers is
+ * neither preferred nor avoided.
+ */
+static double latency(const struct member *member, struct mstime now)
 {
 	const struct place *place = member->route_state;
-	double latency = place->latency_ms;
-
-	/* A member without answers is neither preferred nor avoided. */
-	if (latency <= 0)
-		latency = place->service->latency_ms;
-	if (latency <= 0)
-		latency = 1;
-	return (in_flight(member, now) + 1) * latency;
+	double usual = place->service->latency_ms;
+	int64_t age_ms = mstime_diff(now, place->answered_at);
+
+	if (usual <= 0)
+		usual = 1;
+	if (place->latency_ms <= 0)
+		return usual;
+	if (age_ms < FADE_MS)
+		return place->latency_ms;
+	return usual +
+	       (place->latency_ms - usual) * exp2(1 - (double)age_ms / FADE_MS);
+}
+
+static double weight(const struct member *member, struct mstime now)
+{
+	return (in_flight(member, now) + 1) * latency(member, now);
 }
 
 static int was_tried(const struct route_query *query,
--- a/packages/core/src/route_impl.h
+++ b/packages/core/src/route_impl.h
@@ -27,7 +27,7 @@
 	struct group ejected;  /* of all regions */
 	uint32_t active;       /* members in the groups */
 	uint32_t probe_cursor; /* next ejected member to look at */
-	double latency_ms;     /* average of all members */
+	double latency_ms;     /* average of all successes */
 };
 
 /* What member->route_state points to. */
@@ -37,6 +37,7 @@
 	uint32_t index;
 	uint64_t incarnation;
 	double latency_ms; /* 0 before the first answer */
+	struct mstime answered_at;
 	struct eject eject;
 };
 
--- a/packages/daemon/src/entry.c
+++ b/packages/daemon/src/entry.c
@@ -14,7 +14,7 @@
 #define SHED "catkinhill_shed_total"
 #define LINK "catkinhill_link_bytes_total"
 
-/* Items looked at when the queue is served, and services without room. */
+/* Items looked at after an event; each tick looks at the whole queue. */
 #define DRAIN_MAX 64
 #define FULL_SERVICES_MAX 4
 /* A pause between ticks that is longer, and the time to read what waits. */
@@ -127,14 +127,14 @@
  * Serves waiting requests until no service has room. A request that is
  * tried leaves the queue, so the search starts anew after each.
  */
-static void on_drain(void *arg)
+static void serve_queue(struct entry *entry, uint32_t look_max)
 {
-	struct entry *entry = arg;
 	const char *full[FULL_SERVICES_MAX] = { NULL };
 	struct admission_item *item = NULL;
-	size_t full_count = 0, looked;
+	size_t full_count = 0;
+	uint32_t looked = 0;
 
-	for (looked = 0; looked < DRAIN_MAX; looked++) {
+	while (looked++ < look_max) {
 		struct request *request;
 
 		item = admission_next(entry->admission, item, sysclock_now());
@@ -154,6 +154,11 @@
 	}
 }
 
+static void on_drain(void *arg)
+{
+	serve_queue(arg, DRAIN_MAX);
+}
+
 int entry_config_known(const struct entry *entry)
 {
 	return !entry->daemon->store || configsync_known(entry->sync);
@@ -218,7 +223,8 @@
 	entry->counters[COUNT_QUEUE].value =
 		admission_waiting(entry->admission);
 	entry->counters[COUNT_IN_FLIGHT].value = count_list(&entry->requests);
-	entry_drain_soon(entry);
+	/* Every place once, so that a full service hides no other one. */
+	serve_queue(entry, admission_waiting(entry->admission));
 }
 
 void entry_on_config(void *arg)
--- a/packages/daemon/src/entry_answer.c
+++ b/packages/daemon/src/entry_answer.c
@@ -156,6 +156,8 @@
 		return;
 	attempt_release(attempt);
 	loop_timer_stop(request->timer);
+	/* Open streams do not count against the share of their caller. */
+	admission_leave(request->entry->admission, &request->item);
 }
 
 static int has_no_body(const struct request *request)
--- a/packages/daemon/src/entry_request.c
+++ b/packages/daemon/src/entry_request.c
@@ -243,9 +243,12 @@
 void request_dispatch(struct request *request)
 {
 	/* A request must not overtake those that wait already. */
-	if (admission_waiting(request->entry->admission) ||
-	    !request_try(request))
-		enqueue(request);
+	if (!admission_waiting(request->entry->admission) &&
+	    request_try(request))
+		return;
+	/* Those that wait may be for another service, which is full. */
+	entry_drain_soon(request->entry);
+	enqueue(request);
 }
 
 static void choose(struct request *request, struct route_choice *choice)
--- a/packages/daemon/src/entry_watch.c
+++ b/packages/daemon/src/entry_watch.c
@@ -107,7 +107,7 @@
 static void open_caller(struct watch *watch, struct request *request)
 {
 	loop_timer_stop(request->timer);
-	admission_take(request->entry->admission, &request->item);
+	admission_leave(request->entry->admission, &request->item);
 	request->head_sent = 1;
 	request->status = 200;
 	request->stream = 1;
--- a/tests/e2e/test_entry.py
+++ b/tests/e2e/test_entry.py
@@ -24,11 +24,13 @@
                                       ("a2", "a", "stock"),
                                       ("far", "b", "stock"),
                                       ("f1", "a", "fragile"),
+                                      ("g1", "a", "pair"),
+                                      ("g2", "a", "pair"),
                                       ("w1", "a", "watch"),
                                       ("w2", "a", "watch")):
             cls.agents[name] = Agent(cls.entry, cls.folder.name, name, region,
                                      service)
-        for host in ("stock", "fragile", "watch"):
+        for host in ("stock", "fragile", "pair", "watch"):
             wait_for(host, lambda: cls.entry.ask("/", Host=host).status == 200)
         wait_for("agents", cls.all_known)
 
@@ -163,6 +165,15 @@
         wait_for("cancel", lambda: sum(len(a.lines("cancel")) for a in
                                        self.agents.values()) > before)
 
+    def test_dead_agent_is_retried_elsewhere(self):
+        """Only what can be repeated, and before the default deadline."""
+        for _ in range(100):
+            answer = self.entry.ask("/die/g1", Host="pair")
+            self.assertEqual((answer.status, answer.outcome), (200, "done"))
+            if self.agents["g1"].process.poll() is not None:
+                break
+        self.assertEqual(len(self.explain(answer)["steps"]), 3)
+
     def test_dead_agent_is_unknown(self):
         answer = self.entry.ask("/die", "POST", Host="fragile")
         self.assertEqual((answer.status, answer.outcome), (502, "unknown"))
--- a/tests/fakes/fakeagent.c
+++ b/tests/fakes/fakeagent.c
@@ -188,9 +188,13 @@
 	r->used = 0;
 }
 
+/* /die/NAME ends only the agent of that name. */
 static void on_die(struct open_request *r)
 {
-	_exit(0);
+	if (r->path[4] == '/' && strcmp(r->path + 5, self.agent) != 0)
+		on_echo(r);
+	else
+		_exit(0);
 }
 
 static void on_slow(struct open_request *r)
--- a/tests/unit/test_route.c
+++ b/tests/unit/test_route.c
@@ -205,6 +205,28 @@
 	teardown(&f);
 }
 
+/* Guards against an upstream that is avoided for ever after one bad time. */
+static void test_latency_fades(void **state)
+{
+	struct fixture f;
+	struct member *bad, *good;
+	int i;
+
+	setup(&f);
+	bad = announce(&f, "bad", "a", AGENT_READY, 0);
+	good = announce(&f, "good", "a", AGENT_READY, 4);
+	for (i = 0; i < 20; i++)
+		route_result(f.route, good, 0, 0, 20, f.now);
+	route_result(f.route, bad, 1, 0, 10000, f.now);
+	assert_int_equal(share(&f, "good"), DRAWS);
+	f.membership.silent_ms = 60000;
+	f.now = mstime_add(f.now, 20000);
+	route_result(f.route, good, 0, 0, 20, f.now);
+	good->own_in_flight = 4;
+	assert_int_equal(share(&f, "bad"), DRAWS);
+	teardown(&f);
+}
+
 static void fail_times(struct fixture *f, struct member *member, int times)
 {
 	while (times--)
@@ -302,6 +324,7 @@
 		cmocka_unit_test(test_own_region_first),
 		cmocka_unit_test(test_larger_of_own_and_reported),
 		cmocka_unit_test(test_latency_is_weighed),
+		cmocka_unit_test(test_latency_fades),
 		cmocka_unit_test(test_half_stays),
 		cmocka_unit_test(test_probe_brings_back),
 		cmocka_unit_test(test_filing),
