agent: cover the directory of entries end to end

Cause: links learned from an acknowledgement or from the store had no run.

Change: scenario 'directory': one entry named by another, then one found in the store after both have died.

--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -1,5 +1,6 @@
 """One agent between a stand-in of an entry and a stand-in of a worker."""
 
+import base64
 import json
 import os
 import shutil
@@ -10,6 +11,7 @@
 import tempfile
 import threading
 import time
+import urllib.error
 import urllib.request
 
 WAIT_S = 30
@@ -25,6 +27,9 @@
 [listen]
 admin = {admin}
 
+[store]
+address = {store}
+
 [agent]
 seeds = {entry}
 service = stock
@@ -160,7 +165,7 @@
         self.build = build
         self.folder = tempfile.mkdtemp()
         self.addresses = {name: free_address() for name in
-                          ("admin", "entry", "service", "tasks")}
+                          ("admin", "entry", "service", "tasks", "store")}
         self.history = self.folder + "/history"
         self.processes = []
         self.entry = Entry(build, self.addresses["entry"])
@@ -180,6 +185,29 @@
         self.processes.append(self.worker)
         assert self.worker.stdout.readline() == "ready\n"
 
+    def start_store(self, key, value):
+        """The stand-in of the store, with one key."""
+        self.processes.append(subprocess.Popen(
+            [self.build + "/fakestore", "--listen", self.addresses["store"]],
+            stdout=subprocess.DEVNULL))
+        put = {"key": base64.b64encode(key.encode()).decode(),
+               "value": base64.b64encode(value.encode()).decode()}
+        body = {"success": [{"request_put": put}]}
+
+        def written():
+            try:
+                return http(self.addresses["store"], "/v3/kv/txn", body)
+            except urllib.error.URLError:
+                return None
+        self.wait_until(written, "store")
+
+    def add_entry(self):
+        """Another entry, which the agent does not know so far."""
+        address = free_address()
+        entry = Entry(self.build, address)
+        self.processes.append(entry.process)
+        return entry, address
+
     def start_agent(self):
         with open(self.folder + "/agent.log", "a") as log:
             self.agent = subprocess.Popen(
--- a/tests/e2e/test_agent.py
+++ b/tests/e2e/test_agent.py
@@ -161,5 +161,22 @@
     assert entry.wait("config", mark)[0]["version"] == 2
 
 
+def directory(rig):
+    """Guards against an agent that knows only its seeds, or none at all once
+    they are gone."""
+    rig.entry.wait_state("ready")
+    second, address = rig.add_entry()
+    rig.entry.set(other=address)
+    second.wait_state("ready")
+    rig.entry.process.kill()
+    second.process.kill()
+    third, address = rig.add_entry()
+    rig.start_store("entry/e3", '{"address": "%s"}' % address)
+    third.wait_state("ready")
+    third.request(1, "/echo")
+    assert third.end(1)["outcome"] == "done"
+
+
 agent_rig.run_all([ready_only_with_worker, bodies_and_window, limits,
-                   broken_answers, silent_entry, stop, drain], sys.argv[1])
+                   broken_answers, silent_entry, stop, drain,
+                   directory], sys.argv[1])
--- a/tests/fakes/fakeentry.c
+++ b/tests/fakes/fakeentry.c
@@ -34,6 +34,9 @@
 	int credit;	 /* for each part of a body */
 	int64_t epoch;
 	int64_t config_version;
+	/* Of the directory: one other entry. */
+	int64_t directory_hash;
+	struct entry_address other;
 };
 
 static const char *text(const json_t *root, const char *key)
@@ -202,6 +205,11 @@
 		entry->epoch = number(set, "epoch");
 	if (json_object_get(set, "config_version"))
 		entry->config_version = number(set, "config_version");
+	if (json_object_get(set, "other")) {
+		entry->directory_hash++;
+		str_copy(entry->other.id, "other", ID_SIZE);
+		str_copy(entry->other.address, text(set, "other"), ID_SIZE);
+	}
 	for (i = 0; i < sizeof(senders) / sizeof(senders[0]); i++)
 		if (!strcmp(senders[i].type, text(root, "send")))
 			senders[i].send(entry, root);
@@ -247,6 +255,11 @@
 
 	ack.u.announce_ack.seq = m->seq;
 	ack.u.announce_ack.config_version = (uint64_t)entry->config_version;
+	ack.u.announce_ack.directory_hash = (uint64_t)entry->directory_hash;
+	if (m->directory_hash != (uint64_t)entry->directory_hash) {
+		ack.u.announce_ack.entries.items = &entry->other;
+		ack.u.announce_ack.entries.count = 1;
+	}
 	if (entry->ack_announces)
 		send_message(entry, &ack);
 	return json_pack("{s:s, s:I, s:s, s:i, s:i, s:i}", "agent", m->agent,
