--- a/packages/core/include/partition.h
+++ b/packages/core/include/partition.h
@@ -35,11 +35,11 @@
 
 const char *job_state_name(enum job_state state);
 
-#define JOB_TRIED_MAX 8
+#define JOB_TRIED_MAX 10
 #define JOB_REASON_SIZE 160
 #define JOB_CHECKPOINT_SIZE 257
 /* A job that fails wherever it runs ends even if workers are ejected. */
-#define JOB_TRIES_TOTAL_MAX 12
+#define JOB_TRIES_TOTAL_MAX 20
 
 struct job {
 	struct list node; /* of partition.jobs, in order of arrival */
@@ -255,12 +255,15 @@
 				  struct mstime now);
 
 /*
+ * When the agent may forget the end of a run that a report gave.
+ *
  * RETURN VALUE
- *	1 if the end of a run that a report gave is in the store, so that the
- *	agent may forget it.
+ *	The version whose commit records it; 0 for a run that has not ended or
+ *	is over anyway. UINT64_MAX for a run that a later owner must have
+ *	created, which this copy cannot record.
  */
-int partition_settled(const struct partition *partition,
-		      const struct task_status *status);
+uint64_t partition_end_version(const struct partition *partition,
+			       const struct task_status *status);
 
 /* The job's run is proved stopped without a report of its end. */
 enum task_effect partition_lost(struct partition *partition, struct job *job,
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -47,7 +47,8 @@
 	/* Tasks of the job's team by domain; NULL for no spreading. */
 	const uint32_t *domain_tasks;
 	uint32_t domain_count;
-	int64_t weight_latency; /* LIMIT_WEIGHT_LATENCY, percent */
+	int64_t weight_latency;	 /* LIMIT_WEIGHT_LATENCY, percent */
+	int64_t weight_eviction; /* LIMIT_WEIGHT_EVICTION, percent */
 };
 
 enum placement_verdict {
--- a/packages/core/src/partition.c
+++ b/packages/core/src/partition.c
@@ -122,7 +122,8 @@
 	partition->counts[job->state]--;
 	partition->counts[state]++;
 	job->state = state;
-	snprintf(job->reason, sizeof(job->reason), "%s", reason);
+	if (reason != job->reason)
+		snprintf(job->reason, sizeof(job->reason), "%s", reason);
 	job_touch(partition, job);
 }
 
--- a/packages/core/src/partition_report.c
+++ b/packages/core/src/partition_report.c
@@ -193,13 +193,14 @@
 	return EFFECT_RUNNING;
 }
 
-int partition_settled(const struct partition *partition,
-		      const struct task_status *status)
+uint64_t partition_end_version(const struct partition *partition,
+			       const struct task_status *status)
 {
 	const struct job *job = partition_find(partition, status->job);
 
-	return !is_terminal(status->state) || !job ||
-	       job->version <= partition->committed;
+	if (!is_terminal(status->state) || !job)
+		return 0;
+	return status->run > job->run ? UINT64_MAX : job->version;
 }
 
 enum task_effect partition_lost(struct partition *partition, struct job *job,
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -102,7 +102,7 @@
 /*
  * Interference grows with the processor load next to requests in flight. The
  * leftover term prefers a worker that the job fills up evenly, so that large
- * jobs find room elsewhere and no resource is stranded.
+ * and urgent jobs find room elsewhere without an eviction.
  */
 static struct score score_of(const struct placement_request *request,
 			     const struct worker_view *worker)
@@ -115,6 +115,7 @@
 	double busy =
 		worker->slots ? (double)worker->requests / worker->slots : 0;
 	double latency = (double)request->weight_latency / 100;
+	double eviction = (double)request->weight_eviction / 100;
 	double skew = cpu > mem ? cpu - mem : mem - cpu;
 	struct score score;
 
@@ -122,8 +123,7 @@
 	score.interference = cpu * (0.2 + 0.8 * (busy < 1 ? busy : 1));
 	score.leftover = (skew + 1 - (cpu > mem ? cpu : mem)) / 2;
 	score.total = WEIGHT_SPREAD * score.spread +
-		      latency * score.interference +
-		      (1 - latency) * score.leftover;
+		      latency * score.interference + eviction * score.leftover;
 	return score;
 }
 
--- a/packages/daemon/src/owner_agents.c
+++ b/packages/daemon/src/owner_agents.c
@@ -245,6 +245,7 @@
 		      const struct msg_task_report *report)
 {
 	int stale = 0, changed = 0;
+	uint64_t version;
 	size_t i;
 
 	link->ack_version = 0;
@@ -258,8 +259,9 @@
 			stale = 1;
 		}
 		changed |= effect >= EFFECT_DONE;
-		if (!partition_settled(slot->partition, status))
-			link->ack_version = slot->partition->version;
+		version = partition_end_version(slot->partition, status);
+		if (version > link->ack_version)
+			link->ack_version = version;
 	}
 	if (changed)
 		owner_tick_soon(slot->owner);
--- a/packages/daemon/src/owner_schedule.c
+++ b/packages/daemon/src/owner_schedule.c
@@ -282,6 +282,7 @@
 	request->domain_tasks = worker_index_team(owner->workers, job->team,
 						  &request->domain_count);
 	request->weight_latency = owner_limit(owner, LIMIT_WEIGHT_LATENCY);
+	request->weight_eviction = owner_limit(owner, LIMIT_WEIGHT_EVICTION);
 }
 
 static void placed(struct round *round, struct waiting *waiting,
@@ -407,6 +408,14 @@
 	worker_index_reserve(round->owner->workers, i, need);
 }
 
+/* What every VM is too small for in one resource alone is found at once. */
+static int exceeds_largest(const struct round *round, const struct job *job)
+{
+	const struct resources none = { 0, 0, 0 };
+
+	return !placement_fits(&job->declared, &none, &round->largest);
+}
+
 /*
  * Where it failed before is avoided, but if only those workers are left it
  * may run there again.
@@ -418,6 +427,11 @@
 	char reason[JOB_REASON_SIZE];
 	struct job *job = waiting->job;
 
+	if (exceeds_largest(round, job)) {
+		if (!is_impossible(round, waiting))
+			partition_waits(job, "no VM known so far is as large");
+		return;
+	}
 	fill_request(round, job, &request);
 	placement_choose(&result, &request, round->views, round->view_count,
 			 &round->owner->rng);
--- /dev/null
+++ b/tests/e2e/test_batch.py
@@ -0,0 +1,108 @@
+#!/usr/bin/env python3
+"""Batch jobs through real entries, agents, stand-in workers and store.
+
+Usage: test_batch.py BUILD_DIRECTORY
+"""
+import json
+import time
+import unittest
+
+from batch_rig import ENDED, VMS, BatchTest, http_call, wait_for
+
+
+class JobsTest(BatchTest):
+    def test_life_of_jobs(self):
+        """Guards against jobs that end wrongly, or whose end is unknown."""
+        self.submit("good", "run steps=5 step_ms=20")
+        self.submit("bad", "fail")
+        self.submit("huge", "run", cpu=9000)
+        self.submit("stopped", "run steps=1000 step_ms=50")
+        self.wait_state("stopped", "running")
+        self.intend(intent="cancel", job="stopped")
+        self.assertEqual(self.wait_state("good", *ENDED)["state"], "done")
+        row = self.wait_state("bad", *ENDED)
+        self.assertEqual((row["state"], row["tries"]), ("failed", 3))
+        row = self.wait_state("huge", *ENDED)
+        self.assertEqual(row["state"], "impossible")
+        self.assertIn("9000 milli-cpu", row["reason"])
+        row = self.wait_state("stopped", *ENDED)
+        self.assertEqual(row["state"], "cancelled")
+        self.check_steps("good", 5)
+        self.assertEqual(http_call(self.entry().admin, "GET",
+                                   "/v1/jobs/none")[0], 404)
+
+    def test_drain_and_urgent(self):
+        """Guards against steps that a move skips or repeats."""
+        self.submit("moved", "run steps=150 step_ms=50")
+        agent = self.wait_state("moved", "running")["agent"]
+        domain = dict(VMS)[agent]
+        self.intend(intent="drain", domain=domain)
+
+        def moved():
+            row = self.explain("moved")
+            return row.get("state") == "running" and row["agent"] != agent
+        wait_for("the job to move", moved)
+        self.intend(intent="undrain", domain=domain)
+        for i in range(3):
+            self.submit("big%d" % i, "run steps=100 step_ms=50", cpu=2000)
+        for i in range(3):
+            self.wait_state("big%d" % i, "running", "done")
+        self.submit("now", "run steps=2", urgent=True, cpu=2000)
+        self.assertEqual(self.wait_state("now", *ENDED)["state"], "done")
+        for job, steps in (("moved", 150), ("big0", 100), ("big1", 100),
+                           ("big2", 100)):
+            self.assertEqual(self.wait_state(job, *ENDED)["state"], "done")
+            self.check_steps(job, steps)
+
+    def test_store_outage(self):
+        """Guards against running work that an outage stops or repeats."""
+        self.submit("short", "run steps=60 step_ms=50")
+        self.submit("long", "run steps=400 step_ms=50")
+        self.wait_state("short", "running")
+        self.wait_state("long", "running")
+        store = self.cluster.store_address
+        http_call(store, "POST", "/control", json.dumps({"mode": "hang"}))
+        wait_for("the short job to end at its worker", lambda: len(
+            self.records("short", "task-effect")) == 60)
+        # Longer than T + 2 L + margin: only holdover keeps the job alive.
+        time.sleep(8)
+        http_call(store, "POST", "/control", json.dumps({"mode": "ok"}))
+        for job, steps in (("short", 60), ("long", 400)):
+            row = self.wait_state(job, *ENDED)
+            self.assertEqual((row["state"], row["run"]), ("done", 1))
+            self.check_steps(job, steps)
+
+    def test_broken_worker_and_lost_vm(self):
+        """Guards against jobs that a broken worker or a lost VM fails."""
+        broken = self.workers["vm1"]
+        http_call(broken.tasks, "POST", "/control", json.dumps({"fail": True}))
+        for i in range(12):
+            self.submit("j%d" % i, "run steps=20 step_ms=50")
+        for i in range(12):
+            self.assertEqual(self.wait_state("j%d" % i, *ENDED)["state"],
+                             "done")
+        self.submit("lost", "run steps=100 step_ms=50")
+        agent = self.wait_state("lost", "running")["agent"]
+        self.cluster.agents[agent].kill()
+        self.workers[agent].kill()
+        row = self.wait_state("lost", *ENDED)
+        self.assertEqual((row["state"], row["run"]), ("done", 2))
+
+    def test_wave_of_cancellations(self):
+        """Guards against a cancelled job that starts."""
+        jobs = ["c%d" % i for i in range(120)]
+        for job in jobs:
+            self.submit(job, "run steps=100000 step_ms=50", cpu=3000)
+        for job in jobs:
+            self.intend(intent="cancel", job=job)
+        for job in jobs:
+            self.assertEqual(self.wait_state(job, *ENDED)["state"],
+                             "cancelled")
+        counts = [len(self.records(job, "task-start")) for job in jobs]
+        time.sleep(2)
+        self.assertEqual(counts, [len(self.records(job, "task-start"))
+                                  for job in jobs])
+
+
+if __name__ == "__main__":
+    unittest.main()
