history: end the leaving of a process at its start

Cause: the rule counted work of an upstream that was restarted after a planned stop as work after it left. Change: a process-start of the same name ends its leaving. The new case of test_history fails without it.

--- a/packages/history/src/history.c
+++ b/packages/history/src/history.c
@@ -296,7 +296,10 @@
 	}
 }
 
-/* Sorted by process: no execution or task start long after leaving. */
+/*
+ * Sorted by process: no execution or task start long after leaving, until the
+ * process starts again.
+ */
 static void check_leaving(struct check *check)
 {
 	const struct record *leaving = NULL;
@@ -307,6 +310,8 @@
 
 		if (leaving && strcmp(leaving->who, record->who))
 			leaving = NULL;
+		if (record->kind == RECORD_PROCESS_START)
+			leaving = NULL;
 		if (record->kind == RECORD_LEAVING && !leaving)
 			leaving = record;
 		if (!leaving || (record->kind != RECORD_EXECUTE &&
--- a/tests/unit/test_history.c
+++ b/tests/unit/test_history.c
@@ -100,6 +100,10 @@
 	{ "work soon after leaving", 0,
 	  "{'kind':'leaving','t':1000,'who':'u'}\n"
 	  "{'kind':'execute','t':3000,'id':'r','who':'u'}" },
+	{ "work after a new start", 0,
+	  "{'kind':'leaving','t':1000,'who':'u'}\n"
+	  "{'kind':'process-start','t':4000,'who':'u'}\n"
+	  "{'kind':'execute','t':5000,'id':'r','who':'u'}\n" },
 	{ "work long after leaving", RULE_LEAVING,
 	  "{'kind':'leaving','t':1000,'who':'u'}\n"
 	  "{'kind':'execute','t':3001,'id':'r','who':'u'}" },
