fakeworker: record effects at receipt, keep a ledger

Cause: a request was recorded when it was answered, so a worker that was killed half way had run requests that were not on its record, and work that began before an upstream left was counted as begun later.

--- a/tests/fakes/fakeworker.c
+++ b/tests/fakes/fakeworker.c
@@ -187,7 +187,7 @@
 	struct worker worker = { .base = event_base_new(),
 				 .history = json_array() };
 	gchar *service = NULL, *tasks = NULL, *id = NULL, *limits = NULL;
-	gchar *history = NULL;
+	gchar *history = NULL, *effects = NULL;
 	const GOptionEntry options[] = {
 		{ "service", 0, 0, G_OPTION_ARG_STRING, &service,
 		  "Address of the service", "IP:PORT" },
@@ -198,6 +198,9 @@
 		  "NAME" },
 		{ "history", 0, 0, G_OPTION_ARG_STRING, &history,
 		  "Appends the records to a file, one line each", "FILE" },
+		{ "effects", 0, 0, G_OPTION_ARG_STRING, &effects,
+		  "Ledger of the effects of tasks, shared by workers",
+		  "FOLDER" },
 		{ "limits", 0, 0, G_OPTION_ARG_STRING, &limits,
 		  "Limits shown in the records of usage",
 		  "SLOTS,CONNECTIONS,CPU_MILLI,MEM_MB,ACCEL" },
@@ -216,6 +219,7 @@
 	}
 	worker.who = id ? id : service;
 	worker.history_file = history ? fopen(history, "a") : NULL;
+	worker.effects = effects;
 	list_init(&worker.tasks);
 	code = run(&worker, service, tasks);
 	g_free(service);
@@ -223,5 +227,6 @@
 	g_free(id);
 	g_free(limits);
 	g_free(history);
+	g_free(effects);
 	return code;
 }
--- a/tests/fakes/fakeworker/fakeworker.h
+++ b/tests/fakes/fakeworker/fakeworker.h
@@ -48,17 +48,29 @@
 	int64_t max[USAGE_COUNT];
 	json_t *history; /* records as in history.h */
 	FILE *history_file;
+	const char *effects; /* folder of the ledger, or NULL */
+	int64_t skipped;     /* steps that the ledger had already */
 	struct list tasks;
 	int64_t published;
 };
 
 int64_t worker_now_ms(void);
 
-/* record.c: takes over the reference; adds "t" and "who". */
+/* record.c: adds "t" and "who"; record_add() takes over the reference. */
+void record_stamp(struct worker *worker, json_t *record);
 void record_add(struct worker *worker, json_t *record);
 void record_usage(struct worker *worker, enum usage_kind kind, int64_t delta);
 void record_serve(struct worker *worker, struct evhttp_request *request);
 
+/*
+ * ledger.c: the system in which tasks take effect, shared by all workers that
+ * name the same folder. Applies a step unless the job's file has it already.
+ *
+ * RETURN VALUE: whether the step took effect.
+ */
+int ledger_apply(struct worker *worker, const char *job, int64_t step,
+		 json_t *record);
+
 /* service.c */
 void service_serve(struct worker *worker, struct evhttp_request *request);
 
--- a/tests/fakes/fakeworker/record.c
+++ b/tests/fakes/fakeworker/record.c
@@ -9,10 +9,15 @@
 	[USAGE_ACCEL] = "accel",
 };
 
-void record_add(struct worker *worker, json_t *record)
+void record_stamp(struct worker *worker, json_t *record)
 {
 	json_object_set_new(record, "t", json_integer(worker_now_ms()));
 	json_object_set_new(record, "who", json_string(worker->who));
+}
+
+void record_add(struct worker *worker, json_t *record)
+{
+	record_stamp(worker, record);
 	if (worker->history_file) {
 		json_dumpf(record, worker->history_file, JSON_COMPACT);
 		fputc('\n', worker->history_file);
@@ -56,9 +61,10 @@
 void record_serve(struct worker *worker, struct evhttp_request *request)
 {
 	reply_json(request, 200,
-		   json_pack("{s:o, s:o, s:I, s:O}", "max",
+		   json_pack("{s:o, s:o, s:I, s:I, s:O}", "max",
 			     object_of(worker->max), "now",
 			     object_of(worker->usage), "published",
-			     (json_int_t)worker->published, "history",
+			     (json_int_t)worker->published, "skipped",
+			     (json_int_t)worker->skipped, "history",
 			     worker->history));
 }
--- a/tests/fakes/fakeworker/service.c
+++ b/tests/fakes/fakeworker/service.c
@@ -20,6 +20,10 @@
 	char watch[64];
 	int64_t event_id;
 	int64_t interval_ms;
+	int status;
+	char *data;
+	size_t len;
+	void (*finish)(struct work *work);
 };
 
 static int64_t query_number(struct evhttp_request *request, const char *key,
@@ -67,6 +71,7 @@
 	record_usage(work->worker, USAGE_CONNECTIONS, -1);
 	if (work->timer)
 		event_free(work->timer);
+	free(work->data);
 	free(work);
 }
 
@@ -78,25 +83,31 @@
 	return 1;
 }
 
-/* Takes over data. */
-static void answer(struct work *work, int status, char *data, size_t len)
+static void answer(struct work *work)
 {
 	struct evbuffer *body = evbuffer_new();
 
-	record_execute(work->worker, work->request, data, len);
 	record_usage(work->worker, USAGE_SLOTS, -1);
 	if (lose(work->worker)) {
 		reply_lost(work->worker, work->request);
 	} else {
-		evbuffer_add(body, data, len);
-		evhttp_send_reply(work->request, status, NULL, body);
+		evbuffer_add(body, work->data, work->len);
+		evhttp_send_reply(work->request, work->status, NULL, body);
 	}
 	evbuffer_free(body);
-	free(data);
 	work_end(work);
 }
 
-static void serve_echo(struct work *work)
+/* Takes over data. */
+static void set_answer(struct work *work, int status, char *data, size_t len)
+{
+	work->status = status;
+	work->data = data;
+	work->len = len;
+	work->finish = answer;
+}
+
+static void begin_echo(struct work *work)
 {
 	struct evbuffer *input = evhttp_request_get_input_buffer(work->request);
 	size_t len = evbuffer_get_length(input);
@@ -105,23 +116,23 @@
 	if (evhttp_request_get_command(work->request) == EVHTTP_REQ_GET) {
 		data = xstrfmt("echo %s",
 			       header(work->request, "X-Request-Id"));
-		answer(work, 200, data, strlen(data));
+		set_answer(work, 200, data, strlen(data));
 		return;
 	}
 	data = xmalloc(len + 1);
 	evbuffer_remove(input, data, len);
-	answer(work, 200, data, len);
+	set_answer(work, 200, data, len);
 }
 
-static void serve_work(struct work *work)
+static void begin_work(struct work *work)
 {
 	char *data =
 		xstrfmt("worked %s", header(work->request, "X-Request-Id"));
 
-	answer(work, 200, data, strlen(data));
+	set_answer(work, 200, data, strlen(data));
 }
 
-static void serve_bytes(struct work *work)
+static void begin_bytes(struct work *work)
 {
 	int64_t i, n = query_number(work->request, "n", 0);
 	char *data;
@@ -131,15 +142,15 @@
 	data = xmalloc((size_t)n + 1);
 	for (i = 0; i < n; i++)
 		data[i] = (char)('a' + i % 26);
-	answer(work, 200, data, (size_t)n);
+	set_answer(work, 200, data, (size_t)n);
 }
 
-static void serve_publish(struct work *work)
+static void begin_publish(struct work *work)
 {
 	char *data;
 
 	data = xstrfmt("published %lld", (long long)++work->worker->published);
-	answer(work, 200, data, strlen(data));
+	set_answer(work, 200, data, strlen(data));
 }
 
 static void on_cut(evutil_socket_t fd, short what, void *arg)
@@ -230,42 +241,55 @@
 	on_watch_event(-1, 0, work);
 }
 
+static void begin_cut(struct work *work)
+{
+	work->finish = serve_cut;
+}
+
+static void begin_watch(struct work *work)
+{
+	work->finish = serve_watch;
+}
+
 static const struct {
 	const char *path;
-	void (*serve)(struct work *work);
+	void (*begin)(struct work *work);
 } paths[] = {
-	{ "/echo", serve_echo },   { "/work", serve_work },
-	{ "/bytes", serve_bytes }, { "/publish", serve_publish },
-	{ "/cut", serve_cut },	   { "/watch", serve_watch },
+	{ "/echo", begin_echo },   { "/work", begin_work },
+	{ "/bytes", begin_bytes }, { "/publish", begin_publish },
+	{ "/cut", begin_cut },	   { "/watch", begin_watch },
 };
 
-static void dispatch(struct work *work)
+static void begin(struct work *work)
 {
 	const char *path = evhttp_uri_get_path(
 		evhttp_request_get_evhttp_uri(work->request));
 	size_t i;
 
 	if (work->worker->faults.fail) {
-		answer(work, 500, xstrdup("failed"), 6);
+		set_answer(work, 500, xstrdup("failed"), 6);
 		return;
 	}
 	for (i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
 		if (strcmp(paths[i].path, path))
 			continue;
-		paths[i].serve(work);
+		paths[i].begin(work);
 		return;
 	}
-	answer(work, 404, xstrdup("no such path"), 12);
+	set_answer(work, 404, xstrdup("no such path"), 12);
 }
 
 static void on_delay(evutil_socket_t fd, short what, void *arg)
 {
-	dispatch(arg);
+	struct work *work = arg;
+
+	work->finish(work);
 }
 
 /*
- * The request stays in progress until its time is over, also when the client
- * has gone: it uses the slot as a real service would.
+ * The effect is recorded at the receipt, so that a worker that is killed half
+ * way has it on record. The request stays in progress until its time is over,
+ * also when the client has gone: it uses the slot as a real service would.
  */
 void service_serve(struct worker *worker, struct evhttp_request *request)
 {
@@ -277,8 +301,11 @@
 	record_usage(worker, USAGE_CONNECTIONS, 1);
 	record_usage(worker, USAGE_SLOTS, 1);
 	delay_ms += query_number(request, "ms", 0);
+	begin(work);
+	record_execute(worker, request, work->data ? work->data : "",
+		       work->len);
 	if (delay_ms <= 0) {
-		dispatch(work);
+		work->finish(work);
 		return;
 	}
 	run_later(worker, delay_ms, on_delay, work);
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -55,12 +55,32 @@
 	event_add(timer, &tv);
 }
 
+static json_t *record_of(const struct task *task, const char *kind)
+{
+	return json_pack("{s:s, s:s, s:I, s:I}", "kind", kind, "id", task->job,
+			 "run", (json_int_t)task->run, "step",
+			 (json_int_t)task->step);
+}
+
 static void record(struct task *task, const char *kind)
 {
-	record_add(task->worker,
-		   json_pack("{s:s, s:s, s:I, s:I}", "kind", kind, "id",
-			     task->job, "run", (json_int_t)task->run, "step",
-			     (json_int_t)task->step));
+	record_add(task->worker, record_of(task, kind));
+}
+
+/* Without a ledger, a step that is repeated takes effect again. */
+static void take_effect(struct task *task)
+{
+	struct worker *worker = task->worker;
+	json_t *effect;
+
+	if (!worker->effects) {
+		record(task, "task-effect");
+		return;
+	}
+	effect = record_of(task, "task-effect");
+	record_stamp(worker, effect);
+	worker->skipped += !ledger_apply(worker, task->job, task->step, effect);
+	json_decref(effect);
 }
 
 static void end(struct task *task, enum state state, const char *detail)
@@ -111,7 +131,7 @@
 		return;
 	}
 	if (task->step < task->steps) {
-		record(task, "task-effect");
+		take_effect(task);
 		task->step++;
 	}
 	if (task->step < task->steps) {
