e2e: prove requests and planned stops under faults

Real processes on loopback are killed, frozen and cut off; callers, workers and logs give one history for check_history.

--- /dev/null
+++ b/tests/e2e/test_faults_stops.py
@@ -0,0 +1,163 @@
+#!/usr/bin/env python3
+"""Planned stops under load: nothing is cut, watches move, and an upstream
+that leaves gets nothing new after 2 s."""
+
+import signal
+import threading
+
+from faults import (Load, Watch, expect, http_call, run_all, wait_for,
+                    with_options)
+
+LOAD = Load.PATHS + [("POST", "/work?ms=700", 5)]
+
+
+def check_load(load, *more):
+    outcomes = load.stop()
+    expect(set(outcomes) <= {(200, "done"), (503, "not-run")} | set(more),
+           "no request cut: %s" % outcomes)
+    expect(outcomes[200, "done"] > 200, "service goes on: %s" % outcomes)
+
+
+def agent_stopped(system):
+    """Guards against requests and watches cut by the planned stop of their
+    agent, and against late work for it."""
+    load = Load(system, paths=LOAD)
+    watches = [Watch(system, entry, "w%d" % (i % 3))
+               for i in range(3) for entry in system.entries]
+    load.wait_count(100)
+    for name in ("vm1", "vm2"):
+        system.stop_planned(system.agents[name])
+        load.wait_count(60)
+        system.restart(system.agents[name])
+        system.wait_usable(len(system.vms))
+    for watch in watches:
+        watch.wait_more(20)
+    check_load(load)
+    expect(sum(e.metric("catkinhill_streams_moved_total")
+               for e in system.entries) > 0, "watches to be moved")
+    for watch in watches:
+        watch.close()
+
+
+def entry_stopped(system):
+    """Guards against requests cut by the planned stop of their entry, and
+    events lost between the two entries of a watch."""
+    load = Load(system, paths=LOAD)
+    leaving, staying = system.entries
+    watches = [Watch(system, entry, "w%d" % i)
+               for i in range(3) for entry in system.entries]
+    load.wait_count(100)
+    system.stop_planned(leaving)
+    load.wait_count(60)
+    system.restart(leaving)
+    system.wait_usable(len(system.vms))
+    load.wait_count(60)
+    for watch in watches:
+        watch.wait_more(20)
+    check_load(load)
+    expect(sum(w.ends for w in watches) >= 3, "watches to be ended by notice")
+    for watch in watches:
+        watch.close()
+
+
+def domain_drained(system):
+    """Guards against requests, watches and runs cut by a drain, and against
+    work for the drained domain later than 2 s after it is in force."""
+    load = Load(system, paths=LOAD)
+    watches = [Watch(system, entry, "w%d" % i)
+               for i in range(4) for entry in system.entries]
+    for i in range(4):
+        system.submit("job%d" % i, 400, 10)
+    for i in range(4):
+        system.wait_steps("job%d" % i, 10)
+    load.wait_count(100)
+    for domain, names in (("a1", ("vm1", "vm2")), ("a2", ("vm3",))):
+        answer = system.change(system.entries[0], intent="drain",
+                               domain=domain)
+        agents = [system.agents[name] for name in names]
+        system.wait_in_force(answer["version"])
+        for name in names:
+            system.record("leaving", who=name)
+        load.wait_count(100)
+        wait_for("the domain to be empty", lambda: all(
+            agent.metric("catkinhill_agent_connections_used") == 0 and
+            agent.metric("catkinhill_agent_tasks") == 0 or
+            not running(agent) for agent in agents))
+        load.wait_count(150)
+        if domain == "a1":
+            # The history has one leaving for each upstream: it is judged
+            # before it takes work again.
+            system.judge()
+            system.records = [r for r in system.records
+                              if r["kind"] != "leaving"]
+            system.change(system.entries[1], intent="undrain", domain=domain)
+            system.wait_usable(len(system.vms))
+    check_load(load)
+    for i in range(4):
+        system.wait_job("job%d" % i, "done")
+    for watch in watches:
+        watch.wait_more(20)
+        watch.close()
+
+
+def running(agent):
+    text = http_call(agent.admin, "GET", "/metrics")[2].decode()
+    return any(line.startswith("catkinhill_agent_tasks{") and
+               "running" in line and not line.endswith(" 0")
+               for line in text.splitlines()) or \
+        agent.metric("catkinhill_agent_connections_used")
+
+
+def stop_with_frozen_entry(system):
+    """Guards against an entry that wakes up and sends work to an agent that
+    left while it was frozen."""
+    frozen, awake = system.entries
+    load = Load(system, entries=[awake], paths=LOAD)
+    late = Load(system, entries=[frozen], paths=LOAD, seed=7)
+    late.wait_count(50)
+    load.wait_count(50)
+    system.freeze(frozen)
+    agent = system.agents["vm1"]
+    # A request that runs on keeps the agent in its stop for seconds.
+    long = [threading.Thread(target=system.ask, args=(
+        awake, "/work?ms=6000"), kwargs={"seconds": 40}) for _ in range(8)]
+    for thread in long:
+        thread.start()
+    wait_for("long requests at vm1", lambda: sum(
+        r["kind"] == "execute" for r in system.worker_records("vm1")) and
+        agent.metric("catkinhill_agent_slots_used") > 0)
+    agent.signal(signal.SIGTERM)
+    wait_for("the gate to close", lambda: agent.lines(2004))
+    system.thaw(frozen)
+    late.wait_count(80)
+    expect(agent.popen.wait(40) == 0, "an agent that stops")
+    system.record("process-end", who="vm1")
+    for thread in long:
+        thread.join(40)
+    load.wait_count(50)
+    load.stop()
+    late.stop()
+
+
+@with_options(links=True)
+def stop_with_lost_announcement(system):
+    """Guards against an entry that has not heard that an upstream leaves."""
+    cut, other = system.entries
+    load = Load(system, paths=LOAD)
+    load.wait_count(100)
+    system.fault("vm1")
+    system.relays[cut.who].set_cut("vm1")
+    agent = system.agents["vm1"]
+    agent.signal(signal.SIGTERM)
+    wait_for("vm1 to leave", lambda: agent.lines(2003))
+    load.wait_count(100)
+    wait_for("the gate to close", lambda: agent.lines(2004))
+    system.relays[cut.who].set_cut()
+    load.wait_count(100)
+    expect(agent.popen.wait(40) == 0, "an agent that stops")
+    load.wait_count(50)
+    load.stop()
+
+
+run_all([agent_stopped, entry_stopped, domain_drained,
+         stop_with_frozen_entry, stop_with_lost_announcement])
