history: end the new case without an empty record

The case committed before ended in a line feed, which the test read as a record of its own and refused. It passes now, and fails against the rule without the reset.

--- a/tests/unit/test_history.c
+++ b/tests/unit/test_history.c
@@ -103,7 +103,7 @@
 	{ "work after a new start", 0,
 	  "{'kind':'leaving','t':1000,'who':'u'}\n"
 	  "{'kind':'process-start','t':4000,'who':'u'}\n"
-	  "{'kind':'execute','t':5000,'id':'r','who':'u'}\n" },
+	  "{'kind':'execute','t':5000,'id':'r','who':'u'}" },
 	{ "work long after leaving", RULE_LEAVING,
 	  "{'kind':'leaving','t':1000,'who':'u'}\n"
 	  "{'kind':'execute','t':3001,'id':'r','who':'u'}" },
