--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -123,6 +123,7 @@
 	member->connections = announce->connections;
 	member->capacity = announce->capacity;
 	member->state = (enum agent_state)announce->state;
+	member->config_version = announce->config_version;
 	member->load = announce->load;
 	member->reported_at = now;
 	list_del(&member->age_node);
