e2e: prove the live configuration under faults

Operators that race, lost answers, restarts in an outage, freezes, a region cut off the store, all processes restarted at once, a wave of cancellations and a worker that fails everything.

--- a/tests/e2e/faults.py
+++ b/tests/e2e/faults.py
@@ -21,8 +21,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)),
                                 "..", "..", "tools", "pylib"))
 
-from cluster import (Cluster, Daemon, Failed, http_call,  # noqa: E402
-                     wait_for)
+from cluster import (Cluster, Daemon, Failed, Process,  # noqa: E402
+                     http_call, wait_for)
 from relay import Relay, StoreLink  # noqa: E402
 
 VMS = [("vm1", "a", "a1"), ("vm2", "a", "a1"), ("vm3", "a", "a2"),
@@ -142,18 +142,34 @@
         return [self.relays[entry.who].address if entry.who in self.relays
                 else entry.peers for entry in self.entries]
 
-    def start_vm(self, name, region, domain):
+    def worker_options(self, name):
         options = ["--id", name, "--history",
                    os.path.join(self.directory, name + ".history")]
-        keys = {}
         if self.effects:
             options += ["--effects", self.effects]
         if self.vm_limits:
             options += ["--limits", ",".join(map(str, self.vm_limits))]
+        return options
+
+    def restart_worker(self, name):
+        """An empty worker at the same addresses."""
+        old = self.workers[name]
+        worker = self.start(Process, "%s-%d" % (name, len(self.processes)),
+                            [self.binary("fakeworker"), "--service",
+                             old.service, "--tasks", old.tasks,
+                             *self.worker_options(name)])
+        worker.service, worker.tasks = old.service, old.tasks
+        worker.wait_text("ready")
+        self.workers[name] = worker
+
+    def start_vm(self, name, region, domain):
+        keys = {}
+        if self.vm_limits:
             keys = dict(zip(("slots", "connections", "cpu_milli", "mem_mb",
                              "accel"), self.vm_limits))
         self.workers[name] = self.start_worker(
-            "worker-%s-%d" % (name, len(self.processes)), *options)
+            "worker-%s-%d" % (name, len(self.processes)),
+            *self.worker_options(name))
         self.start_agent(name, self.workers[name], region, domain,
                          seeds=self.seeds(), wait=False, **keys)
 
