e2e: give failing jobs the ledger of effects

A failed run without a checkpoint is lost work like that of a crash; the scenario now uses the ledger that docs/worker-interface.md asks for.

--- a/tests/e2e/test_faults_config.py
+++ b/tests/e2e/test_faults_config.py
@@ -218,6 +218,7 @@
     wait_for("all tasks to end", idle)
 
 
+@with_options(ledger=True)
 def worker_fails_everything(system):
     """Guards against a worker that fails everything at once and so draws all
     work to it: requests and jobs must end well elsewhere."""
