--- a/bench/bench_fleet.c
+++ b/bench/bench_fleet.c
@@ -467,8 +467,7 @@
 static void on_tick(void *arg)
 {
 	struct fleet *fleet = arg;
-	struct totals t = { fleet->closed.bytes_in,
-			    fleet->closed.bytes_out,
+	struct totals t = { fleet->closed.bytes_in, fleet->closed.bytes_out,
 			    fleet->closed.refused_out,
 			    .least_version = UINT64_MAX };
 	int64_t in = 0, out = 0;
--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -133,10 +133,9 @@
 static void choose(void *arg, uint64_t i)
 {
 	struct members *m = arg;
-	struct route_query query = { .service = "stock",
-				     .region = "r0",
-				     .limit = 64,
-				     .now = m->now };
+	struct route_query query = {
+		.service = "stock", .region = "r0", .limit = 64, .now = m->now
+	};
 	struct route_choice choice;
 
 	route_choose(m->route, &query, &choice);
@@ -183,9 +182,9 @@
 		view->hash = hash_str(member->agent);
 		view->domain = (uint32_t)(i % 9);
 		view->capacity = member->capacity;
-		view->used = (struct resources){
-			rng_below(&m->rng, 64000), rng_below(&m->rng, 250000), 0
-		};
+		view->used =
+			(struct resources){ rng_below(&m->rng, 64000),
+					    rng_below(&m->rng, 250000), 0 };
 		view->slots = 8;
 		view->usable = 1;
 	}
@@ -228,7 +227,7 @@
 	struct task {
 		struct gate_task gate;
 		struct grant_task grant;
-	} *tasks;
+	} * tasks;
 	size_t count;
 	struct gate_task extra;
 };
--- a/packages/core/include/estimate.h
+++ b/packages/core/include/estimate.h
@@ -12,12 +12,12 @@
  *
  * NOTES
  *	Declared sizes are far off. A class is a team and the first word of a
- *	command. For each class the peaks of ended runs go into a histogram of
+ *	command. For each class the peaks of runs go into a histogram of
  *	exponential buckets whose weights halve every ESTIMATE_HALF_LIFE_MS;
- *	the estimate is a high percentile plus a margin. A class with few
- *	samples is charged for its uncertainty: its declared size times a
- *	factor that falls with each sample. The table is bounded; the class
- *	unused for longest is dropped.
+ *	the estimate is a high percentile of what the runs of a VM use
+ *	together, plus a margin. A class with few samples is charged for its
+ *	uncertainty: its declared size times a factor that falls with each
+ *	sample. The table is bounded; the class unused for longest is dropped.
  *
  * SOURCE
  *	Rzadca et al., Autopilot: workload autoscaling at Google, EuroSys 2020.
@@ -30,7 +30,12 @@
 struct estimate *estimate_new(void);
 void estimate_delete(struct estimate *estimate);
 
-/* Adds the peak of a run that ended. */
+/*
+ * Adds the peak of a run: once ESTIMATE_SAMPLE_MS after its start, so that a
+ * new class is known before its first runs end, and once more at its end if
+ * the peak has grown by then.
+ */
+#define ESTIMATE_SAMPLE_MS 30000
 void estimate_observe(struct estimate *estimate, const char *team,
 		      const char *command, const struct resources *peak,
 		      struct mstime now);
--- a/packages/core/include/partition.h
+++ b/packages/core/include/partition.h
@@ -80,10 +80,11 @@
 	struct mstime room_until; /* runs are being evicted for it */
 	struct mstime listed_at;  /* last report that listed the run */
 	int listed;
-	struct mstime saved_at; /* last new checkpoint, or the start */
-	struct resources used;	/* as last reported */
-	struct resources peak;	/* of the current run */
-	uint64_t avoid;		/* hash of an agent that refused it */
+	struct mstime saved_at;	  /* last new checkpoint, or the start */
+	struct resources used;	  /* as last reported */
+	struct resources peak;	  /* of the current run */
+	struct resources sampled; /* peak that the estimates know */
+	uint64_t avoid;		  /* hash of an agent that refused it */
 	struct mstime avoid_until;
 	uint64_t hold; /* hash of an agent whose room is kept for it, or 0 */
 	uint64_t inbox_listing; /* last listing with its inbox key */
--- a/packages/core/src/estimate.c
+++ b/packages/core/src/estimate.c
@@ -7,11 +7,13 @@
 #include "hash.h"
 #include "mem.h"
 
-/* Bucket i ends at 2^(i / 4): steps of 19% from 1 to 2^20 units. */
-#define BUCKETS 80
-#define STEPS_PER_OCTAVE 4
-#define PERCENTILE 0.95
-#define MARGIN 1.10
+/* Bucket i ends at 2^(i / 8): steps of 9% from 1 to 2^21 units. */
+#define BUCKETS 168
+#define STEPS_PER_OCTAVE 8
+#define PERCENTILE 0.98
+#define MARGIN 1.0
+/* Standard deviations of the sum of the runs that a VM holds. */
+#define DEVIATIONS 3.0
 /* Sizes are declared up to 4 times too low. */
 #define UNKNOWN_FACTOR 4.0
 /* From this weight on the histogram alone decides. */
@@ -116,12 +118,17 @@
 	histo->total *= factor;
 }
 
+/* Decay is slow; weights a minute old are as good as new. */
+#define DECAY_STEP_MS 60000
+
 static void decay(struct class *class, struct mstime now)
 {
 	double halves = (double)mstime_diff(now, class->scaled_at) /
 			ESTIMATE_HALF_LIFE_MS;
 	float factor = (float)exp2(-halves);
 
+	if (mstime_diff(now, class->scaled_at) < DECAY_STEP_MS)
+		return;
 	scale(&class->cpu, factor);
 	scale(&class->mem, factor);
 	class->scaled_at = now;
@@ -169,11 +176,42 @@
 	return exp2((double)i / STEPS_PER_OCTAVE);
 }
 
+/* The middle of a bucket, as its samples are spread over it. */
+static double value_of(size_t bucket)
+{
+	return exp2(((double)bucket - 0.5) / STEPS_PER_OCTAVE);
+}
+
+/*
+ * A VM must hold the sum of its runs, and the deviations of n runs add up to
+ * sqrt(n) times that of one. So each run is charged for a share of the margin
+ * that falls with the number of such runs that fit into a VM, and for the
+ * high percentile of a single run where that is less or only one fits.
+ */
+static double pooled(const struct histo *histo, uint32_t bound)
+{
+	double sum = 0, squares = 0, mean, deviation, runs;
+	double high = percentile(histo);
+	size_t i;
+
+	for (i = 0; i < BUCKETS; i++) {
+		if (!histo->weight[i])
+			continue;
+		sum += histo->weight[i] * value_of(i);
+		squares += histo->weight[i] * value_of(i) * value_of(i);
+	}
+	mean = sum / histo->total;
+	deviation = sqrt(fmax(squares / histo->total - mean * mean, 0));
+	runs = fmax(bound / mean, 1);
+	if (runs < 2)
+		return high * MARGIN;
+	return fmin(high, mean + DEVIATIONS * deviation / sqrt(runs)) * MARGIN;
+}
+
 static uint32_t need_of(const struct histo *histo, uint32_t declared,
 			uint32_t bound)
 {
-	double known =
-		histo && histo->total > 0 ? percentile(histo) * MARGIN : 0;
+	double known = histo && histo->total > 0 ? pooled(histo, bound) : 0;
 	double trust = histo ? histo->total / TRUSTED_WEIGHT : 0;
 	double unknown = UNKNOWN_FACTOR * (double)declared;
 	double need;
--- a/packages/core/src/partition.c
+++ b/packages/core/src/partition.c
@@ -216,6 +216,7 @@
 	job->hold = 0;
 	memset(&job->used, 0, sizeof(job->used));
 	memset(&job->peak, 0, sizeof(job->peak));
+	memset(&job->sampled, 0, sizeof(job->sampled));
 	job_enter(partition, job, JOB_STARTING, reason);
 	return 0;
 }
--- a/packages/daemon/src/owner_agents.c
+++ b/packages/daemon/src/owner_agents.c
@@ -169,17 +169,34 @@
 			  job->agent);
 }
 
-static void note_end(struct slot *slot, const struct job *job)
+static void sample_usage(struct slot *slot, struct job *job)
 {
-	struct owner *owner = slot->owner;
+	const struct resources *peak = &job->peak, *known = &job->sampled;
+
+	if (peak->cpu_milli <= known->cpu_milli &&
+	    peak->mem_mb <= known->mem_mb)
+		return;
+	job->sampled = *peak;
+	estimate_observe(slot->owner->estimate, job->team, job->command, peak,
+			 owner_now());
+}
+
+static void note_end(struct slot *slot, struct job *job)
+{
+	taskhealth_finished(slot->owner->health, hash_str(job->agent));
+	sample_usage(slot, job);
+}
+
+static void note_running(struct slot *slot, struct job *job)
+{
+	const struct resources *known = &job->sampled;
 
-	taskhealth_finished(owner->health, hash_str(job->agent));
-	if (job->peak.cpu_milli || job->peak.mem_mb)
-		estimate_observe(owner->estimate, job->team, job->command,
-				 &job->peak, owner_now());
+	if (job->state == JOB_RUNNING && !known->cpu_milli && !known->mem_mb &&
+	    mstime_diff(owner_now(), job->started_at) >= ESTIMATE_SAMPLE_MS)
+		sample_usage(slot, job);
 }
 
-static void note_effect(struct slot *slot, const struct job *job,
+static void note_effect(struct slot *slot, struct job *job,
 			enum task_effect effect)
 {
 	switch (effect) {
@@ -216,7 +233,7 @@
 	struct owner *owner = slot->owner;
 	struct try_policy policy;
 	enum task_effect effect;
-	const struct job *job;
+	struct job *job;
 
 	owner_try_policy(owner, &policy);
 	effect = partition_report(slot->partition, agent, status, &policy,
@@ -224,6 +241,7 @@
 	job = partition_find(slot->partition, status->job);
 	if (!job)
 		return effect;
+	note_running(slot, job);
 	if (effect == EFFECT_RETRY || effect == EFFECT_FAILED)
 		note_failure(slot, job);
 	note_effect(slot, job, effect);
