entry: send a configuration to an agent once

An agent announces itself to all entries at the same moment, so after a change every entry saw it behind and sent the whole value: with E entries, E copies for each agent and change.

Only the entry that ranks first for the agent sends at once; any entry sends when the agent is still behind one report later, so a dead, frozen or late first entry costs one second. An agent that asks for a version was ruled out: it would add a round trip to every change.

--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -381,6 +381,31 @@
 	partition_delete(jobs.partition);
 }
 
+/* As the operators of many teams would have it: each with a quota. */
+static void bench_config(size_t teams)
+{
+	struct config config;
+	char *json, text[CHANGE_SIZE];
+	size_t i;
+
+	config_init(&config);
+	for (i = 0; i < teams; i++) {
+		struct team_quota *row = &config.quotas[config.quota_count++];
+
+		snprintf(row->team, sizeof(row->team), "team-%03zu", i);
+		row->quota = (struct resources){ 640000, 2500000, 16 };
+	}
+	for (i = 0; i < CHANGES_KEPT; i++) {
+		snprintf(text, sizeof(text), "set-quota team-%03zu", i);
+		config_note(&config, 18000 + i, "entry-a1/6b1266c4482e8e34/12",
+			    text);
+	}
+	json = config_render(&config);
+	print_bytes("configuration value", "teams", teams,
+		    (double)strlen(json));
+	free(json);
+}
+
 int main(void)
 {
 	static const size_t members[] = { 11, 200, 2000, 20000 };
@@ -394,6 +419,8 @@
 		bench_worker(tasks[i]);
 	for (i = 0; i < sizeof(jobs) / sizeof(jobs[0]); i++)
 		bench_partition(jobs[i]);
+	bench_config(2);
+	bench_config(170);
 	print_bytes("struct partition alone", "jobs", 0,
 		    (double)sizeof(struct partition));
 	return 0;
--- a/packages/daemon/src/entry_agents.c
+++ b/packages/daemon/src/entry_agents.c
@@ -4,6 +4,7 @@
 #include "config.h"
 #include "entry_impl.h"
 #include "errors.h"
+#include "hash.h"
 #include "log.h"
 #include "mem.h"
 #include "sysclock.h"
@@ -48,7 +49,37 @@
 	entry_send(entry, member->peer, remote, &msg);
 }
 
-static void acknowledge(struct entry *entry, const struct member *member,
+/* Whether this entry ranks first of all entries for the agent. */
+static int is_first_for(const struct entry *entry, const struct member *member)
+{
+	const struct entry_list *entries = registry_entries(entry->registry);
+	uint64_t key = hash_str(member->agent);
+	uint64_t own = hash_rendezvous(key, entry->daemon->settings->id);
+	size_t i;
+
+	for (i = 0; i < entries->count; i++)
+		if (hash_rendezvous(key, entries->items[i].id) > own)
+			return 0;
+	return 1;
+}
+
+/*
+ * An agent announces itself to all entries at once, and each of them sees
+ * that it is behind. Only the first in rank sends the configuration; the
+ * others do when the agent is still behind a report later.
+ */
+static void bring_up(struct entry *entry, struct member *member, int remote,
+		     uint64_t announced)
+{
+	int behind = announced < entry->daemon->config.version;
+	int again = member->config_behind;
+
+	member->config_behind = behind;
+	if (behind && (again || is_first_for(entry, member)))
+		send_config(entry, member, remote);
+}
+
+static void acknowledge(struct entry *entry, struct member *member,
 			const struct msg_announce *announce)
 {
 	const struct entry_list *entries = registry_entries(entry->registry);
@@ -64,8 +95,7 @@
 	if (announce->directory_hash != hash)
 		msg.u.announce_ack.entries = *entries;
 	entry_send(entry, member->peer, remote, &msg);
-	if (announce->config_version < version)
-		send_config(entry, member, remote);
+	bring_up(entry, member, remote, announce->config_version);
 }
 
 /* Attempts at an earlier incarnation of the agent cannot be answered. */
--- /dev/null
+++ b/tests/e2e/test_config_spread.py
@@ -0,0 +1,54 @@
+#!/usr/bin/env python3
+"""Each agent gets a configuration once, and also when an entry is frozen.
+
+usage: tests/e2e/test_config_spread.py BUILD_DIRECTORY
+"""
+
+import os
+import signal
+import sys
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
+                                "tools", "pylib"))
+
+from capacity_series import confirm  # noqa: E402
+from cluster import Cluster, Failed, wait_for  # noqa: E402
+from measure import start_fleet, wait_known  # noqa: E402
+
+AGENTS = 20
+
+
+def wait_version(fleet, version):
+    wait_for("version %d at all agents" % version,
+             lambda: fleet.sample()["least_version"] >= version)
+
+
+def main():
+    with Cluster(sys.argv[1]) as cluster:
+        cluster.start_store()
+        for i in range(3):
+            cluster.start_entry("entry-%d" % i, "a", "a1", wait=False)
+        for entry in cluster.entries:
+            entry.wait_ready()
+        fleet = start_fleet(cluster, AGENTS, 0)
+        wait_known(cluster.entries, AGENTS)
+        wait_for("the entries to know each other", lambda: all(
+            entry.lines(1011)[-1:] and
+            "entries=3" in entry.lines(1011)[-1] for entry in cluster.entries))
+
+        # Guards against a copy from every entry; a report that crosses the
+        # configuration may cost a second copy.
+        version = confirm(cluster, cluster.entries[0], 20)
+        wait_version(fleet, version)
+        copies = fleet.sample()["configs"]
+        if copies >= 3 * AGENTS:
+            raise Failed("%d copies for %d agents" % (copies, AGENTS))
+
+        # Guards against agents that wait for a frozen entry's copy.
+        cluster.entries[2].signal(signal.SIGSTOP)
+        wait_version(fleet, confirm(cluster, cluster.entries[0], 21))
+        cluster.entries[2].signal(signal.SIGCONT)
+    print("ok: %d copies for %d agents" % (copies, AGENTS))
+
+
+main()
