e2e: sharpen the proofs that trials did not break

Now: a POST that is run twice is a violation, with or without a key; a burst fills all slots; a stop meets requests of 5 s; late work meets an agent that has left 2.3 s ago; runs end while their stop is on its way; answers of the store are lost before and after their effect; an entry's messages reach an agent after later ones of another entry.

--- a/tests/e2e/faults.py
+++ b/tests/e2e/faults.py
@@ -77,6 +77,7 @@
         self.lease_s = lease_s
         self.vm_limits = vm_limits
         self.records = []
+        self.posts = set()
         self.lock = threading.Lock()
         self.serial = 0
         self.workers = {}
@@ -287,9 +288,9 @@
             return "%s%d" % (prefix, self.serial)
 
     def ask(self, entry, path, method="GET", body=None, key=None,
-            headers=None, seconds=40):
+            headers=None, seconds=40, prefix="r"):
         """One request; what it saw goes into the history."""
-        name = self.name()
+        name = self.name(prefix)
         head = dict(headers or {}, **{"X-Request-Id": name})
         if key:
             head["Idempotency-Key"] = key
@@ -300,6 +301,8 @@
             connection.connect()
         except ConnectionRefusedError:
             raise NotSent from None
+        if method == "POST":
+            self.posts.add(name)
         self.record("invoke", id=name, key=key or "")
         answer = Answer()
         try:
@@ -462,12 +465,22 @@
                                  version=int(fields(text)["version"])))
         return rows
 
+    def check_posts(self, workers):
+        """Guards against a retry whose proof of "not run" was none."""
+        seen = set()
+        for row in workers:
+            if row["kind"] == "execute" and row["id"] in self.posts:
+                expect(row["id"] not in seen, "one run of POST %s without a "
+                       "proof that the first did not run" % row["id"])
+                seen.add(row["id"])
+
     def history(self):
         workers = self.all_worker_records()
         rows = workers + list(self.records)
         for daemon in self.lives:
             rows += self.log_records(daemon)
         ran = {r["id"] for r in workers if r["kind"] == "execute"}
+        self.check_posts(workers)
         by_key, first = {}, {}
         for r in workers:
             if r["kind"] == "execute" and r["key"]:
--- a/tests/e2e/relay.py
+++ b/tests/e2e/relay.py
@@ -28,6 +28,7 @@
         self.target = target
         self.moved = moved
         self.cut = set()
+        self.cut_to_agents = set()
         self.changed = threading.Condition()
         self.closed = False
         self.sockets = []
@@ -66,7 +67,8 @@
                     data, head = self.replace(head + data)
                 with self.changed:
                     self.changed.wait_for(
-                        lambda: self.closed or not self.is_cut(link["peer"]))
+                        lambda: self.closed or not self.is_cut(
+                            link["peer"], is_agent))
                 sink.sendall(data)
         except OSError:
             pass
@@ -99,13 +101,15 @@
                     keep = size
         return (data[:-keep], data[-keep:]) if keep else (data, b"")
 
-    def is_cut(self, peer):
-        return any(peer is None or peer.startswith(name) for name in self.cut)
+    def is_cut(self, peer, is_agent):
+        names = self.cut if is_agent else self.cut | self.cut_to_agents
+        return any(peer is None or peer.startswith(name) for name in names)
 
-    def set_cut(self, *names):
-        """Cuts the agents with these names off; "" stands for all."""
+    def set_cut(self, *names, to_agents=False):
+        """Cuts agents with these names off, or only what is sent to them."""
         with self.changed:
-            self.cut = set(names)
+            self.cut = set(() if to_agents else names)
+            self.cut_to_agents = set(names if to_agents else ())
             self.changed.notify_all()
 
     def close(self):
@@ -123,9 +127,9 @@
 class StoreLink:
     """One entry's way to the store.
 
-    down: no connection passes. lose: so many answers to writes are lost after
-    their effect. lose_next: a predicate on the key and value of a write whose
-    answer is lost; it stays until it is met. moved: addresses that are
+    down: no connection passes. lose: so many answers to writes are lost, in
+    turn after and before their effect. lose_next: a predicate on the key and
+    value of a write whose answer is lost; it stays until it is met. moved: addresses that are
     replaced in the registrations of entries, so that agents come through
     relays.
     """
@@ -199,13 +203,16 @@
         if handler.path == "/v3/watch":
             self.stream(handler, data)
             return
+        lost = self.is_lost(handler.path, body)
+        if lost and len(self.lost) % 2 == 0:
+            return
         far = http.client.HTTPConnection(self.target, timeout=60)
         try:
             far.request("POST", handler.path, self.rewrite(body),
                         {"Content-Type": "application/json"})
             answer = far.getresponse()
             text = answer.read()
-            if self.down or self.is_lost(handler.path, body):
+            if self.down or lost:
                 return
             handler.send_response(answer.status)
             handler.send_header("Content-Type", "application/json")
--- a/tests/e2e/test_faults_batch.py
+++ b/tests/e2e/test_faults_batch.py
@@ -186,6 +186,9 @@
     """Guards against a job that ends twice, or starts again after its end,
     when its eviction meets its end."""
     jobs = []
+    # Stops take effect late, so that many meet a run that has ended.
+    for name in system.workers:
+        system.control_worker(name, slow_tasks_ms=250)
     for i in range(12):
         job = "race%d" % i
         jobs.append(job)
--- a/tests/e2e/test_faults_config.py
+++ b/tests/e2e/test_faults_config.py
@@ -122,6 +122,22 @@
     expect(drained["version"] == version + 1, "no other change")
 
 
+@with_options(links=True)
+def late_messages(system):
+    """Guards against an agent that goes back when an entry's messages of
+    earlier versions arrive after a later version from another entry."""
+    held, other = system.entries
+    system.fault("vm1")
+    system.relays[held.who].set_cut("vm1", to_agents=True)
+    for value in (2, 3, 4, 5):
+        version = set_limit(other, system, "attempts", value)["version"]
+        system.wait_in_force(version)
+    system.relays[held.who].set_cut()
+    # A new round of announcements shows that what was held has arrived.
+    version = set_limit(held, system, "attempts", 6)["version"]
+    system.wait_in_force(version)
+
+
 @with_options(links=True)
 def region_cut_from_store(system):
     """Guards against a region that misses changes while its way to the store
@@ -129,6 +145,8 @@
     far = system.entries[1]
     system.fault("store")
     system.store_links[far.who].down = True
+    # An open watch ends within its poll of 0.2 s.
+    time.sleep(1)
     version = set_limit(system.entries[0], system, "attempts", 5)["version"]
     system.wait_in_force(version)
     plan = system.plan(far, {"intent": "set-limit", "limit": "attempts",
@@ -247,5 +265,5 @@
 
 
 run_all([operators_race, accepted_answer_lost, restart_in_outage,
-         frozen_meanwhile, region_cut_from_store, all_restarted,
+         frozen_meanwhile, late_messages, region_cut_from_store, all_restarted,
          wave_of_cancellations, worker_fails_everything])
--- a/tests/e2e/test_faults_requests.py
+++ b/tests/e2e/test_faults_requests.py
@@ -148,6 +148,31 @@
     system.fault("caller")
 
 
+def burst(system):
+    """Guards against more requests at a worker than it has slots, when the
+    entries' views of its load are too old to help."""
+    answers = []
+
+    def one(entry):
+        answers.append(system.ask(entry, "/work?ms=400"))
+
+    threads = [threading.Thread(target=one, args=(system.entries[i % 2],))
+               for i in range(160)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(60)
+    outcomes = {}
+    for a in answers:
+        outcomes[a.status, a.outcome] = outcomes.get((a.status, a.outcome),
+                                                     0) + 1
+    answered(outcomes, (200, "done"), (503, "not-run"), (429, "not-run"))
+    expect(outcomes[200, "done"] >= 32, "all slots in use: %s" % outcomes)
+    most = max(r["used"][0] for r in system.all_worker_records()
+               if r["kind"] == "usage")
+    expect(most == 8, "full workers, not %d slots" % most)
+
+
 def caller_leaves(system):
     """Guards against slots and connections that stay taken for callers that
     have left, and against a keyed request that is lost with its caller."""
@@ -190,4 +215,5 @@
 
 
 run_all([agent_killed, upstream_fails_half_way, entry_killed,
-         keyed_and_agent_killed, store_outage, bodies, caller_leaves])
+         keyed_and_agent_killed, store_outage, bodies, burst,
+         caller_leaves])
--- a/tests/e2e/test_faults_stops.py
+++ b/tests/e2e/test_faults_stops.py
@@ -4,6 +4,7 @@
 
 import signal
 import threading
+import time
 
 from faults import (Load, Watch, expect, http_call, run_all, wait_for,
                     with_options)
@@ -18,6 +19,36 @@
     expect(outcomes[200, "done"] > 200, "service goes on: %s" % outcomes)
 
 
+class Long:
+    """Requests of 5 s in progress; all must be answered as done."""
+
+    def __init__(self, system, entries, count):
+        self.system = system
+        self.answers = []
+        self.threads = [threading.Thread(target=self.one, args=(
+            entries[i % len(entries)],)) for i in range(count)]
+        for thread in self.threads:
+            thread.start()
+
+    def one(self, entry):
+        # Some wait in the queue of a gate until others are done.
+        self.answers.append(self.system.ask(
+            entry, "/work?ms=5000", prefix="long",
+            headers={"Catkinhill-Deadline-Ms": "30000"}))
+
+    def run_at(self, name):
+        return any(r["kind"] == "execute" and r["id"].startswith("long") and
+                   not any(a.id == r["id"] for a in self.answers)
+                   for r in self.system.worker_records(name))
+
+    def join(self):
+        for thread in self.threads:
+            thread.join(60)
+        expect(all(a.status == 200 for a in self.answers),
+               "long requests to be finished: %s" %
+               [(a.status, a.outcome) for a in self.answers])
+
+
 def agent_stopped(system):
     """Guards against requests and watches cut by the planned stop of their
     agent, and against late work for it."""
@@ -26,8 +57,12 @@
                for i in range(3) for entry in system.entries]
     load.wait_count(100)
     for name in ("vm1", "vm2"):
+        # Longer than the time after which an idle agent would be gone.
+        long = Long(system, system.entries, 10)
+        wait_for("a long request at " + name, lambda: long.run_at(name))
         system.stop_planned(system.agents[name])
         load.wait_count(60)
+        long.join()
         system.restart(system.agents[name])
         system.wait_usable(len(system.vms))
     for watch in watches:
@@ -111,32 +146,37 @@
         agent.metric("catkinhill_agent_connections_used")
 
 
+def leave_slowly(system, agent, long, meanwhile):
+    """Stops an agent that long requests keep for seconds; meanwhile() is
+    called when nothing new may come any more."""
+    wait_for("a long request at vm1", lambda: long.run_at(agent.who))
+    agent.signal(signal.SIGTERM)
+    wait_for("the agent to leave", lambda: agent.lines(2003))
+    time.sleep(2.3)
+    expect(agent.popen.poll() is None, "an agent that is not gone yet")
+    meanwhile()
+    expect(agent.popen.wait(40) == 0, "an agent that stops")
+    system.record("process-end", who=agent.who)
+    long.join()
+
+
 def stop_with_frozen_entry(system):
     """Guards against an entry that wakes up and sends work to an agent that
     left while it was frozen."""
     frozen, awake = system.entries
     load = Load(system, entries=[awake], paths=LOAD)
-    late = Load(system, entries=[frozen], paths=LOAD, seed=7)
-    late.wait_count(50)
-    load.wait_count(50)
+    late = Load(system, entries=[frozen], callers=24, seed=7,
+                paths=[("GET", "/work?ms=100", 0)])
+    late.wait_count(100)
+    long = Long(system, [awake], 16)
+    wait_for("a long request at vm1", lambda: long.run_at("vm1"))
     system.freeze(frozen)
-    agent = system.agents["vm1"]
-    # A request that runs on keeps the agent in its stop for seconds.
-    long = [threading.Thread(target=system.ask, args=(
-        awake, "/work?ms=6000"), kwargs={"seconds": 40}) for _ in range(8)]
-    for thread in long:
-        thread.start()
-    wait_for("long requests at vm1", lambda: sum(
-        r["kind"] == "execute" for r in system.worker_records("vm1")) and
-        agent.metric("catkinhill_agent_slots_used") > 0)
-    agent.signal(signal.SIGTERM)
-    wait_for("the gate to close", lambda: agent.lines(2004))
-    system.thaw(frozen)
-    late.wait_count(80)
-    expect(agent.popen.wait(40) == 0, "an agent that stops")
-    system.record("process-end", who="vm1")
-    for thread in long:
-        thread.join(40)
+
+    def wake():
+        system.thaw(frozen)
+        late.wait_count(100)
+
+    leave_slowly(system, system.agents["vm1"], long, wake)
     load.wait_count(50)
     load.stop()
     late.stop()
@@ -144,20 +184,22 @@
 
 @with_options(links=True)
 def stop_with_lost_announcement(system):
-    """Guards against an entry that has not heard that an upstream leaves."""
+    """Guards against work for an upstream that leaves from an entry that has
+    not heard of it; what was on its way arrives late."""
     cut, other = system.entries
-    load = Load(system, paths=LOAD)
+    load = Load(system, entries=[cut], callers=24, seed=8,
+                paths=[("GET", "/work?ms=100", 0)])
     load.wait_count(100)
+    long = Long(system, [other], 16)
+    wait_for("a long request at vm1", lambda: long.run_at("vm1"))
     system.fault("vm1")
     system.relays[cut.who].set_cut("vm1")
-    agent = system.agents["vm1"]
-    agent.signal(signal.SIGTERM)
-    wait_for("vm1 to leave", lambda: agent.lines(2003))
-    load.wait_count(100)
-    wait_for("the gate to close", lambda: agent.lines(2004))
-    system.relays[cut.who].set_cut()
-    load.wait_count(100)
-    expect(agent.popen.wait(40) == 0, "an agent that stops")
+
+    def rejoin():
+        system.relays[cut.who].set_cut()
+        load.wait_count(100)
+
+    leave_slowly(system, system.agents["vm1"], long, rejoin)
     load.wait_count(50)
     load.stop()
 
