--- a/tests/e2e/test_faults_requests.py
+++ b/tests/e2e/test_faults_requests.py
@@ -17,7 +17,8 @@
 def agent_killed(system):
     """Guards against a request that is lost, run twice or answered with
     another one's answer when an agent dies."""
-    load = Load(system)
+    load = Load(system, callers=8,
+                paths=Load.PATHS + [("POST", "/work?ms=200", 9)] * 4)
     load.wait_count(150)
     system.die(system.agents["vm1"])
     load.wait_count(300)
--- a/tests/e2e/test_faults_stops.py
+++ b/tests/e2e/test_faults_stops.py
@@ -22,18 +22,28 @@
 class Long:
     """Requests of 5 s in progress; all must be answered as done."""
 
-    def __init__(self, system, entries, count):
+    def __init__(self, system, entries, name):
+        """Sends more until one runs at the named upstream."""
         self.system = system
         self.answers = []
-        self.threads = [threading.Thread(target=self.one, args=(
-            entries[i % len(entries)],)) for i in range(count)]
-        for thread in self.threads:
-            thread.start()
+        self.threads = []
+        for i in range(15):
+            for k in range(4):
+                self.threads.append(threading.Thread(target=self.one, args=(
+                    entries[k % len(entries)],)))
+                self.threads[-1].start()
+            end = time.monotonic() + 0.2
+            while time.monotonic() < end:
+                if self.run_at(name):
+                    return
+                time.sleep(0.02)
+        wait_for("a long request at " + name, lambda: self.run_at(name))
 
     def one(self, entry):
-        # Some wait in the queue of a gate until others are done.
+        # Some wait in the queue of a gate until others are done. A GET
+        # would be repeated after a cut, and hide it.
         self.answers.append(self.system.ask(
-            entry, "/work?ms=5000", prefix="long",
+            entry, "/work?ms=5000", "POST", b"x", prefix="long",
             headers={"Catkinhill-Deadline-Ms": "30000"}))
 
     def run_at(self, name):
@@ -58,8 +68,7 @@
     load.wait_count(100)
     for name in ("vm1", "vm2"):
         # Longer than the time after which an idle agent would be gone.
-        long = Long(system, system.entries, 10)
-        wait_for("a long request at " + name, lambda: long.run_at(name))
+        long = Long(system, system.entries, name)
         system.stop_planned(system.agents[name])
         load.wait_count(60)
         long.join()
@@ -149,7 +158,6 @@
 def leave_slowly(system, agent, long, meanwhile):
     """Stops an agent that long requests keep for seconds; meanwhile() is
     called when nothing new may come any more."""
-    wait_for("a long request at vm1", lambda: long.run_at(agent.who))
     agent.signal(signal.SIGTERM)
     wait_for("the agent to leave", lambda: agent.lines(2003))
     time.sleep(2.3)
@@ -168,8 +176,7 @@
     late = Load(system, entries=[frozen], callers=24, seed=7,
                 paths=[("GET", "/work?ms=100", 0)])
     late.wait_count(100)
-    long = Long(system, [awake], 16)
-    wait_for("a long request at vm1", lambda: long.run_at("vm1"))
+    long = Long(system, [awake], "vm1")
     system.freeze(frozen)
 
     def wake():
@@ -190,8 +197,7 @@
     load = Load(system, entries=[cut], callers=24, seed=8,
                 paths=[("GET", "/work?ms=100", 0)])
     load.wait_count(100)
-    long = Long(system, [other], 16)
-    wait_for("a long request at vm1", lambda: long.run_at("vm1"))
+    long = Long(system, [other], "vm1")
     system.fault("vm1")
     system.relays[cut.who].set_cut("vm1")
 
