e2e: let stops meet the end of their runs

Drains at fixed times never met a run that was just ending. The drain is now made when a run has 30 steps of 20 ms left, while stops take 0.9 s to arrive, and the test fails unless one met an end.

--- a/tests/e2e/test_faults_batch.py
+++ b/tests/e2e/test_faults_batch.py
@@ -7,9 +7,10 @@
 Everywhere else a repeated step counts as a violation.
 """
 
+import threading
 import time
 
-from faults import (FAST, expect, run_all, wait_for, with_options)
+from faults import (FAST, expect, fields, run_all, wait_for, with_options)
 
 JOBS = 4
 
@@ -182,24 +183,59 @@
     finish(system, jobs + ["after"])
 
 
+@with_options(limits=dict(FAST, task_lease_ms=4000))
 def eviction_races_completion(system):
     """Guards against a job that ends twice, or starts again after its end,
     when its eviction meets its end."""
-    jobs = []
-    # Stops take effect late, so that many meet a run that has ended.
+    places = {name: domain for name, _, domain in system.vms}
+    # A stop takes effect late, when the run has ended by itself.
     for name in system.workers:
-        system.control_worker(name, slow_tasks_ms=250)
-    for i in range(12):
-        job = "race%d" % i
-        jobs.append(job)
-        # Ends are spread over the time of the drains.
-        system.submit(job, 60 + 12 * i, 10, cpu_milli=2000)
-    system.wait_steps(jobs[0], 1)
-    for domain in ("a1", "a2", "a1"):
+        system.control_worker(name, slow_tasks_ms=900)
+    jobs = ["race%d" % i for i in range(8)]
+    for i, job in enumerate(jobs):
+        system.submit(job, 150 + 25 * i, 20)
+    drained = 0
+    for job in jobs:
+        wait_for(job + " to be near its end", lambda: len(
+            system.effects_of(job)) >= system.jobs[job] - 30)
+        row = system.job(job)
+        if row["state"] != "running" or drained == 3:
+            continue
+        domain = places[row["agent"]]
         system.change(system.entries[0], intent="drain", domain=domain)
-        time.sleep(0.4)
+        drained += 1
+        time.sleep(0.5)
         system.change(system.entries[1], intent="undrain", domain=domain)
     finish(system, jobs)
+    met = sum(stops_that_met_ends(agent) for agent in system.agents.values())
+    expect(met, "a stop that met the end of its run")
+
+
+def stops_that_met_ends(agent):
+    stopping = {fields(line)["job"] + "/" + fields(line)["run"]
+                for line in agent.lines(2025)}
+    return sum(fields(line)["job"] + "/" + fields(line)["run"] in stopping and
+               fields(line)["state"] == "finished"
+               for line in agent.lines(2026))
+
+
+@with_options(vm_limits=(8, 64, 4000, 1000, 0),
+              limits=dict(FAST, partitions=4))
+def owners_crowd_one_vm(system):
+    """Guards against more tasks at a VM than fit when several owners choose
+    it at the same time; the agent decides."""
+    jobs = ["crowd%d" % i for i in range(16)]
+    threads = [threading.Thread(target=system.submit, args=(job, 40, 10),
+                                kwargs={"mem_mb": 600, "entry":
+                                        system.entries[i % 2]})
+               for i, job in enumerate(jobs)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    finish(system, jobs)
+    expect(sum(len(agent.lines(2021)) for agent in system.agents.values()),
+           "runs that an agent refused")
 
 
 @with_options(vm_limits=(8, 64, 4000, 1000, 0),
@@ -224,7 +260,8 @@
     run_all([owner_killed, owner_frozen, owner_frozen_twice,
              agent_killed_task_runs_on, agent_killed_for_good, vm_killed,
              agent_cut_and_rejoined, commits_lost, store_outage,
-             eviction_races_completion, urgent_work_evicts])
+             eviction_races_completion, owners_crowd_one_vm,
+             urgent_work_evicts])
 
 
 main()
