--- a/packages/core/include/membership.h
+++ b/packages/core/include/membership.h
@@ -14,10 +14,15 @@
  * NOTES
  *	A member is one agent, that is one upstream and one worker. A higher
  *	incarnation replaces a lower one; within an incarnation a lower
- *	sequence number is ignored, and leaving is never taken back.
+ *	sequence number is ignored, and leaving is never taken back. The time
+ *	of an announcement and of membership_expire() does not grow with the
+ *	number of members. Calls are made with times that do not decrease.
  */
 struct member {
-	struct list node;
+	struct list node;     /* of membership.members */
+	struct list age_node; /* of membership.by_age */
+	struct member *hash_next;
+	uint64_t hash; /* of agent */
 	char agent[ID_SIZE];
 	char peer[2 * ID_SIZE]; /* routing id for transport_send() */
 	uint64_t incarnation;
@@ -30,14 +35,18 @@
 	uint32_t connections;
 	struct resources capacity;
 	enum agent_state state;
-	struct load load; /* as last reported */
+	uint64_t config_version; /* in force at the agent */
+	struct load load;	 /* as last reported */
 	struct mstime reported_at;
 	uint32_t own_in_flight; /* requests that this entry has sent */
 	void *route_state;	/* owned by route.h; NULL at first */
 };
 
 struct membership {
-	struct list members;
+	struct list members; /* in the order of their first announcement */
+	struct list by_age;  /* the longest silent one first */
+	struct member **buckets;
+	size_t bucket_count; /* a power of two, or 0 */
 	uint32_t count;
 	int64_t silent_ms; /* not chosen after this silence */
 	int64_t expire_ms; /* forgotten after this silence */
