entry: judge an agent behind by its progress

An agent counted as still behind when it was behind at two reports in a row.

It now counts only when it reports the same old version again, which also holds for an agent whose first entry is dead while changes go on.

--- a/packages/core/include/membership.h
+++ b/packages/core/include/membership.h
@@ -38,7 +38,7 @@
 	uint64_t config_version; /* in force at the agent */
 	struct load load;	 /* as last reported */
 	struct mstime reported_at;
-	int config_behind;	/* its last report named an older version */
+	uint64_t config_behind; /* old version that it last reported plus 1 */
 	uint32_t own_in_flight; /* requests that this entry has sent */
 	void *route_state;	/* owned by route.h; NULL at first */
 };
--- a/packages/daemon/src/entry_agents.c
+++ b/packages/daemon/src/entry_agents.c
@@ -66,15 +66,15 @@
 /*
  * An agent announces itself to all entries at once, and each of them sees
  * that it is behind. Only the first in rank sends the configuration; the
- * others do when the agent is still behind a report later.
+ * others do when the agent still has the same version a report later.
  */
 static void bring_up(struct entry *entry, struct member *member, int remote,
 		     uint64_t announced)
 {
 	int behind = announced < entry->daemon->config.version;
-	int again = member->config_behind;
+	int again = member->config_behind == announced + 1;
 
-	member->config_behind = behind;
+	member->config_behind = behind ? announced + 1 : 0;
 	if (behind && (again || is_first_for(entry, member)))
 		send_config(entry, member, remote);
 }
--- a/tools/pylib/capacity_series.py
+++ b/tools/pylib/capacity_series.py
@@ -130,10 +130,13 @@
 
 def commit_row(window, store, first, tasks):
     trickle = Trickle(store, first, 1)
+    commits = -window.process.metric("catkinhill_batch_commits_total")
     row = window.measure(WINDOW_S)
+    commits += window.process.metric("catkinhill_batch_commits_total")
     count = trickle.close()
-    row["bytes_per_write"] = round(row["store_to_bytes_per_s"] /
-                                   max(row["store_writes_per_s"], 0.1), 1)
+    row["commits"] = commits
+    row["bytes_per_commit"] = round(row["store_to_bytes_per_s"] * WINDOW_S /
+                                    max(commits, 1), 1)
     return count, {"series": "commit_by_tasks", "tasks": tasks, **row}
 
 
