e2e: split the fault tests into scripts below 60 s

test_faults_batch.py met ctest's bound of 180 s when run with three others, config and stops took 81 s each.

--- a/tests/e2e/test_faults_batch.py
+++ b/tests/e2e/faults_batch.py
@@ -1,4 +1,3 @@
-#!/usr/bin/env python3
 """Batch runs while owners, agents, VMs and links fail: never in two places,
 no effect missing and none twice.
 
@@ -10,7 +9,7 @@
 import threading
 import time
 
-from faults import (FAST, expect, fields, run_all, wait_for, with_options)
+from faults import (FAST, expect, fields, wait_for, with_options)
 
 JOBS = 4
 
@@ -254,14 +253,3 @@
     finish(system, urgent + jobs)
     expect(sum(e.metric("catkinhill_batch_evictions_total")
                for e in system.entries) > 0, "evictions")
-
-
-def main():
-    run_all([owner_killed, owner_frozen, owner_frozen_twice,
-             agent_killed_task_runs_on, agent_killed_for_good, vm_killed,
-             agent_cut_and_rejoined, commits_lost, store_outage,
-             eviction_races_completion, owners_crowd_one_vm,
-             urgent_work_evicts])
-
-
-main()
--- /dev/null
+++ b/tests/e2e/test_faults_drains.py
@@ -0,0 +1,7 @@
+#!/usr/bin/env python3
+"""Planned stops of entries, and of a failure domain."""
+
+import faults_stops as scenarios
+from faults import run_all
+
+run_all([scenarios.entry_stopped, scenarios.domain_drained])
--- /dev/null
+++ b/tests/e2e/test_faults_room.py
@@ -0,0 +1,7 @@
+#!/usr/bin/env python3
+"""Runs that compete for the room of a VM."""
+
+import faults_batch as scenarios
+from faults import run_all
+
+run_all([scenarios.owners_crowd_one_vm, scenarios.urgent_work_evicts])
