tests: take ports from below the range of outgoing connections

Cause: test_faults_stops once failed with listen-failed. The harness let the system choose a port, released it and started the daemon; before the daemon had bound it, an outgoing connection or another listener of any test process could be given the same port.

Ruled out: a second use of the address within one cluster (the reserved sockets were all different), and a daemon of an earlier test (all were ended).

Change: tools/pylib/ports.py chooses ports from 10000 to 31999, which Linux does not use for outgoing connections, and keeps a lock file a port while the test process lives. The three copies of the old way are gone.

--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -5,7 +5,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +13,11 @@
 import urllib.error
 import urllib.request
 
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
+                                "tools", "pylib"))
+
+from ports import free_address  # noqa: E402
+
 WAIT_S = 30
 
 SETTINGS = """[daemon]
@@ -40,12 +44,6 @@
 """
 
 
-def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return "127.0.0.1:%d" % sock.getsockname()[1]
-
-
 def http(address, path, body=None):
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request("http://%s%s" % (address, path), data)
--- a/tests/e2e/entry_rig.py
+++ b/tests/e2e/entry_rig.py
@@ -3,19 +3,17 @@
 import json
 import os
 import re
-import socket
 import subprocess
 import sys
 import time
 
-BUILD = os.path.abspath(sys.argv.pop(1))
-WAIT_S = 30
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
+                                "tools", "pylib"))
 
+from ports import free_port  # noqa: E402
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+BUILD = os.path.abspath(sys.argv.pop(1))
+WAIT_S = 30
 
 
 def wait_for(what, condition):
--- a/tests/e2e/faults.py
+++ b/tests/e2e/faults.py
@@ -110,7 +110,6 @@
 
     def start_store(self, *options):
         self.control = self.control_address = self.address()
-        self.release(self.control)
         return super().start_store("--control", self.control, *options)
 
     def start_entry(self, name, region, domain, wait=True, **keys):
@@ -124,12 +123,10 @@
             sections["store"]["lease_s"] = self.lease_s
             if self.links and sections["daemon"]["role"] == "entry":
                 address = self.address()
-                self.release(address)
                 link = StoreLink(address, self.store_address)
                 sections["store"]["address"] = address
                 self.store_links[name] = link
                 relay = self.address()
-                self.release(relay)
                 self.moved[listen["peers"]] = relay
                 link.moved = self.moved
                 self.relays[name] = Relay(relay, listen["peers"], self.moved)
--- a/tools/pylib/cluster.py
+++ b/tools/pylib/cluster.py
@@ -9,11 +9,12 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import tempfile
 import time
 
+from ports import free_address
+
 # Generous, because it only bounds a failure: waits end on events.
 WAIT_SECONDS = 60
 
@@ -137,7 +138,6 @@
         self.build = os.path.abspath(build)
         self.directory = tempfile.mkdtemp(prefix="catkinhill.")
         self.processes = []
-        self.reserved = {}
         self.store_address = None
         self.store_process = None
         self.entries = []
@@ -161,25 +161,13 @@
     def kill_all(self):
         for process in reversed(self.processes):
             process.kill()
-        for held in self.reserved.values():
-            held.close()
 
     def binary(self, name):
         return os.path.join(self.build, name)
 
     def address(self):
-        """A free address; held until release(), so that none is double."""
-        held = socket.socket()
-        held.bind(("127.0.0.1", 0))
-        address = "127.0.0.1:%d" % held.getsockname()[1]
-        self.reserved[address] = held
-        return address
-
-    def release(self, *addresses):
-        for address in addresses:
-            held = self.reserved.pop(address, None)
-            if held:
-                held.close()
+        """An address that stays this process's own."""
+        return free_address()
 
     def start(self, kind, name, argv):
         process = kind(name, argv, self.directory)
@@ -189,7 +177,6 @@
     def start_store(self, *options):
         self.store_address = self.address()
         self.store_control = self.address()
-        self.release(self.store_address, self.store_control)
         self.store_process = self.start(
             Process, "store",
             [self.binary("fakestore"), "--listen", self.store_address,
@@ -218,7 +205,6 @@
 
     def start_daemon(self, name, sections, listen):
         path = self.write_settings(name, sections)
-        self.release(*listen.values())
         daemon = self.start(Daemon, name, [self.binary("catkinhilld"),
                                            "--config", path])
         daemon.settings = path
@@ -246,7 +232,6 @@
 
     def start_worker(self, name, *options):
         service, tasks = self.address(), self.address()
-        self.release(service, tasks)
         worker = self.start(
             Process, name, [self.binary("fakeworker"), "--service", service,
                             "--tasks", tasks, *options])
--- a/tools/pylib/measure.py
+++ b/tools/pylib/measure.py
@@ -163,7 +163,6 @@
 
     def __init__(self, cluster, partitions=4):
         self.control = cluster.address()
-        cluster.release(self.control)
         cluster.start_store("--control", self.control)
         self.address = cluster.store_address
         self.relay = Relay(self.address)
