agent: let the worker refuse calls after the grant

The agent checks the grant before it sends a start or renewal, but agent, worker or their VM may be paused between this check and the worker's handling. A start that came later than the owner's wait (T + 2 L + 2 s) was taken while another run of the job was at another worker. The second L of the wait covered renewals only.

start and renew now carry not_after_ms, the end of the grant on the VM's CLOCK_BOOTTIME. The worker refuses them with 412 grant-ended from then on, and otherwise gives a lease of L from the same clock reading, so no lease ends later than the end of the grant + L. Ending the lease at not_after_ms itself was ruled out: grants that are not extended would end by expiry at the worker in place of the agent's stop. The owner's wait is unchanged; its second L is now a reserve.

The stand-in measures leases on CLOCK_BOOTTIME, its records stay on CLOCK_MONOTONIC, which the fault tests read.

late_start freezes agent and worker with a start in the worker's socket.

--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -48,6 +48,14 @@
 	return t->agent->daemon->config.limits[LIMIT_TASK_LEASE_MS];
 }
 
+/* The grant's end, as of now: the worker refuses the call after it. */
+static struct taskapi_lease lease_of(const struct agent_task *t)
+{
+	struct taskapi_lease lease = { lease_ms(t), t->grant.deadline };
+
+	return lease;
+}
+
 void agent_task_end(struct agent_task *t, enum task_state state,
 		    const char *detail)
 {
@@ -156,6 +164,12 @@
 	}
 }
 
+/* The call did not reach the worker, or it came after the grant's end. */
+static int had_no_effect(int err)
+{
+	return err == ERR_UNAVAILABLE || err == ERR_TIMEOUT;
+}
+
 static void on_started(void *arg, int err)
 {
 	struct agent_task *t = arg;
@@ -181,8 +195,8 @@
 	default:
 		retry(t, "start", err);
 	}
-	/* Proof that no start has arrived, unless one before may have. */
-	if (err == ERR_UNAVAILABLE && t->sent == 1) {
+	/* Proof that no start took effect, unless one before may have. */
+	if (had_no_effect(err) && t->sent == 1) {
 		t->sent = 0;
 		t->grant.phase = GRANT_PENDING;
 	}
@@ -194,7 +208,7 @@
 {
 	struct taskapi_start start = { .job = t->grant.job,
 				       .run = t->grant.run,
-				       .lease_ms = lease_ms(t),
+				       .lease = lease_of(t),
 				       .need = t->need,
 				       .checkpoint = t->checkpoint,
 				       .command = t->command };
@@ -212,7 +226,7 @@
 {
 	struct agent_task *t = arg;
 
-	if (err == ERR_UNAVAILABLE)
+	if (had_no_effect(err))
 		t->lease_sent_at = t->lease_before;
 	if (settle(t, "renew", err))
 		return;
@@ -265,12 +279,13 @@
 	struct taskapi *api = t->agent->taskapi;
 	const char *job = t->grant.job;
 	uint64_t run = t->grant.run;
+	struct taskapi_lease lease = lease_of(t);
 
 	if (!mstime_before(now, t->renew_at)) {
 		t->lease_before = t->lease_sent_at;
 		t->lease_sent_at = now;
 		t->call_active = 1;
-		taskapi_renew(api, job, run, lease_ms(t), on_renewed, t);
+		taskapi_renew(api, job, run, &lease, on_renewed, t);
 	} else if (t->throttle_due) {
 		t->call_active = 1;
 		taskapi_throttle(api, job, run, t->throttle, on_throttled, t);
--- a/packages/io/include/taskapi.h
+++ b/packages/io/include/taskapi.h
@@ -6,6 +6,7 @@
 
 #include "loop.h"
 #include "message.h"
+#include "mstime.h"
 
 /*
  * NAME
@@ -20,16 +21,27 @@
  *	ERR_CONFLICT	 the task has ended by itself; see its state in the
  *			 list
  *	ERR_FULL	 the worker refused to start it
+ *	ERR_TIMEOUT	 the call came to the worker at or after not_after and
+ *			 changed nothing
  *	ERR_INVALID	 the worker refused the call as malformed
  *	ERR_UNAVAILABLE	 not sent
  *	ERR_UNKNOWN	 sent, no answer
  */
 struct taskapi;
 
+/*
+ * The worker takes a start or renewal only before not_after, the end of the
+ * grant on the clock of sysclock_now(), which agent and worker share.
+ */
+struct taskapi_lease {
+	int64_t lease_ms;
+	struct mstime not_after;
+};
+
 struct taskapi_start {
 	const char *job;
 	uint64_t run;
-	int64_t lease_ms;
+	struct taskapi_lease lease;
 	struct resources need;
 	const char *checkpoint; /* "" to start from the beginning */
 	const char *command;
@@ -61,7 +73,7 @@
 void taskapi_start(struct taskapi *api, const struct taskapi_start *start,
 		   taskapi_fn fn, void *arg);
 void taskapi_renew(struct taskapi *api, const char *job, uint64_t run,
-		   int64_t lease_ms, taskapi_fn fn, void *arg);
+		   const struct taskapi_lease *lease, taskapi_fn fn, void *arg);
 void taskapi_checkpoint(struct taskapi *api, const char *job, uint64_t run,
 			taskapi_checkpoint_fn fn, void *arg);
 void taskapi_throttle(struct taskapi *api, const char *job, uint64_t run,
--- a/packages/io/src/taskapi.c
+++ b/packages/io/src/taskapi.c
@@ -178,6 +178,8 @@
 		return ERR_NOT_FOUND;
 	if (status == 409)
 		return strcmp(name, "ended") ? ERR_FENCED : ERR_CONFLICT;
+	if (status == 412)
+		return ERR_TIMEOUT;
 	if (status == 507)
 		return ERR_FULL;
 	return ERR_UNKNOWN;
@@ -288,9 +290,10 @@
 
 	call->fn.plain = fn;
 	post(call, start->job, "start",
-	     json_pack("{s:I, s:I, s:I, s:I, s:I, s:s, s:s}", "run",
+	     json_pack("{s:I, s:I, s:I, s:I, s:I, s:I, s:s, s:s}", "run",
 		       (json_int_t)start->run, "lease_ms",
-		       (json_int_t)start->lease_ms, "cpu_milli",
+		       (json_int_t)start->lease.lease_ms, "not_after_ms",
+		       (json_int_t)start->lease.not_after.ms, "cpu_milli",
 		       (json_int_t)start->need.cpu_milli, "mem_mb",
 		       (json_int_t)start->need.mem_mb, "accel",
 		       (json_int_t)start->need.accel, "checkpoint",
@@ -298,14 +301,15 @@
 }
 
 void taskapi_renew(struct taskapi *api, const char *job, uint64_t run,
-		   int64_t lease_ms, taskapi_fn fn, void *arg)
+		   const struct taskapi_lease *lease, taskapi_fn fn, void *arg)
 {
 	struct call *call = call_new(api, CALL_PLAIN, arg);
 
 	call->fn.plain = fn;
 	post(call, job, "renew",
-	     json_pack("{s:I, s:I}", "run", (json_int_t)run, "lease_ms",
-		       (json_int_t)lease_ms));
+	     json_pack("{s:I, s:I, s:I}", "run", (json_int_t)run, "lease_ms",
+		       (json_int_t)lease->lease_ms, "not_after_ms",
+		       (json_int_t)lease->not_after.ms));
 }
 
 void taskapi_checkpoint(struct taskapi *api, const char *job, uint64_t run,
--- a/tests/e2e/test_agent_tasks.py
+++ b/tests/e2e/test_agent_tasks.py
@@ -85,6 +85,33 @@
     assert len(rig.effects("j")) == steps
 
 
+def late_start(rig):
+    """Guards against a start call that waits in a paused VM until the owner
+    counts the run as stopped and has started it elsewhere."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, grant_ms=2000, task_lease_ms=1000)
+    rig.worker.send_signal(signal.SIGSTOP)
+    entry.start_task("j", 1, LONG)
+    # The answer to the first report makes the agent send the start.
+    entry.wait_for(lambda: len([m for m in entry.messages
+                                if m.get("tasks")]) > 1, "second report")
+    rig.agent.send_signal(signal.SIGSTOP)
+    # The owner's wait: T + 2 L + margin.
+    time.sleep(2 + 2 * 1 + 2)
+    rig.worker.send_signal(signal.SIGCONT)
+    rig.wait_until(lambda: rig.record().get("late") or rig.effects("j"),
+                   "start call")
+    assert not rig.effects("j")
+    mark = entry.mark()
+    rig.agent.send_signal(signal.SIGCONT)
+    entry.wait_for(lambda: [t for m in entry.messages[mark:]
+                            for t in m.get("tasks", [])
+                            if t["state"] in ("refused", "lost")], "end")
+    assert not [r for r in rig.record()["history"]
+                if r["kind"] == "task-start"]
+
+
 def fencing(rig):
     """Guards against an old owner, and against commands for old runs."""
     entry = rig.entry
@@ -224,5 +251,5 @@
 
 
 agent_rig.run_all([resume_once, no_start_without_ack, grant_expires,
-                   agent_paused, fencing, room, lost_answers, agent_restarts,
+                   agent_paused, late_start, fencing, room, lost_answers, agent_restarts,
                    worker_restarts, worker_dies, worker_hangs], sys.argv[1])
--- a/tests/fakes/fakeworker.c
+++ b/tests/fakes/fakeworker.c
@@ -11,14 +11,24 @@
 
 #include "mem.h"
 
-int64_t worker_now_ms(void)
+static int64_t read_ms(clockid_t id)
 {
 	struct timespec ts;
 
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	clock_gettime(id, &ts);
 	return (int64_t)ts.tv_sec * 1000 + ts.tv_nsec / 1000000;
 }
 
+int64_t worker_now_ms(void)
+{
+	return read_ms(CLOCK_MONOTONIC);
+}
+
+int64_t worker_boot_ms(void)
+{
+	return read_ms(CLOCK_BOOTTIME);
+}
+
 void run_later(struct worker *worker, int64_t delay_ms, event_callback_fn fn,
 	       void *arg)
 {
--- a/tests/fakes/fakeworker/fakeworker.h
+++ b/tests/fakes/fakeworker/fakeworker.h
@@ -51,10 +51,14 @@
 	const char *effects; /* folder of the ledger, or NULL */
 	int64_t skipped;     /* steps that the ledger had already */
 	struct list tasks;
+	int64_t late; /* starts and renewals refused after a grant's end */
 	int64_t published;
 };
 
+/* Time of the records, on the clock that the tests in Python read. */
 int64_t worker_now_ms(void);
+/* Time of the leases, on the clock of not_after_ms. */
+int64_t worker_boot_ms(void);
 
 /* record.c: adds "t" and "who"; record_add() takes over the reference. */
 void record_stamp(struct worker *worker, json_t *record);
--- a/tests/fakes/fakeworker/record.c
+++ b/tests/fakes/fakeworker/record.c
@@ -61,10 +61,11 @@
 void record_serve(struct worker *worker, struct evhttp_request *request)
 {
 	reply_json(request, 200,
-		   json_pack("{s:o, s:o, s:I, s:I, s:O}", "max",
+		   json_pack("{s:o, s:o, s:I, s:I, s:I, s:O}", "max",
 			     object_of(worker->max), "now",
 			     object_of(worker->usage), "published",
 			     (json_int_t)worker->published, "skipped",
-			     (json_int_t)worker->skipped, "history",
+			     (json_int_t)worker->skipped, "late",
+			     (json_int_t)worker->late, "history",
 			     worker->history));
 }
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -123,18 +123,18 @@
 	end(task, STOPPED, "lease-expired");
 }
 
-static void set_lease(struct task *task, const json_t *body)
+static void set_lease(struct task *task, const json_t *body, int64_t now_ms)
 {
 	int64_t lease_ms = number(body, "lease_ms");
 
-	task->lease_until = worker_now_ms() + lease_ms;
+	task->lease_until = now_ms + lease_ms;
 	set_timer(task->lease_timer, lease_ms);
 }
 
 /* After a pause of this process, a call may come before the lease's timer. */
 static void expire(struct task *task)
 {
-	if (task->state == RUNNING && worker_now_ms() >= task->lease_until)
+	if (task->state == RUNNING && worker_boot_ms() >= task->lease_until)
 		on_lease(-1, 0, task);
 }
 
@@ -236,20 +236,40 @@
 	return status;
 }
 
+/* Checks a call that gives a lease; 0 when it may be taken at now_ms. */
+static int check_grant(struct worker *worker, const json_t *body,
+		       int64_t now_ms, json_t **answer)
+{
+	const json_t *not_after = json_object_get(body, "not_after_ms");
+
+	if (!json_is_integer(not_after))
+		return fail(answer, 400, "invalid");
+	if (now_ms < json_integer_value(not_after))
+		return 0;
+	worker->late++;
+	return fail(answer, 412, "grant-ended");
+}
+
 static int serve_start(struct worker *worker, struct task *task,
 		       const char *job, const json_t *body, json_t **answer)
 {
 	const char *checkpoint = text(body, "checkpoint");
-	int i;
+	int64_t now_ms = worker_boot_ms();
+	int known = task && number(body, "run") == task->run;
+	int i, status;
 
-	if (task && number(body, "run") == task->run)
-		return task->state == ABSENT ? fail(answer, 409, "fenced")
-					     : 200;
+	if (known && task->state == ABSENT)
+		return fail(answer, 409, "fenced");
+	status = check_grant(worker, body, now_ms, answer);
+	if (status)
+		return status;
+	if (known)
+		return 200;
 	if (task)
 		task_delete(task);
 	task = task_new(worker, job, number(body, "run"));
 	task->state = RUNNING;
-	task->started_at = worker_now_ms();
+	task->started_at = now_ms;
 	task->need[USAGE_CPU] = number(body, "cpu_milli");
 	task->need[USAGE_MEM] = number(body, "mem_mb");
 	task->need[USAGE_ACCEL] = number(body, "accel");
@@ -259,7 +279,7 @@
 	for (i = USAGE_CPU; i < USAGE_COUNT; i++)
 		record_usage(worker, i, task->need[i]);
 	record(task, "task-start");
-	set_lease(task, body);
+	set_lease(task, body, now_ms);
 	next_step(task);
 	return 200;
 }
@@ -267,9 +287,15 @@
 static int serve_renew(struct worker *worker, struct task *task,
 		       const char *job, const json_t *body, json_t **answer)
 {
+	int64_t now_ms = worker_boot_ms();
+	int status;
+
 	if (task->state != RUNNING)
 		return fail(answer, 409, "ended");
-	set_lease(task, body);
+	status = check_grant(worker, body, now_ms, answer);
+	if (status)
+		return status;
+	set_lease(task, body, now_ms);
 	return 200;
 }
 
@@ -351,7 +377,7 @@
 
 static json_t *row_of(const struct task *task)
 {
-	int lagging = worker_now_ms() - task->started_at < USAGE_LAG_MS;
+	int lagging = worker_boot_ms() - task->started_at < USAGE_LAG_MS;
 	const int64_t *used = lagging ? task->need : task->used;
 
 	return json_pack(
--- a/tests/unit/test_taskapi.c
+++ b/tests/unit/test_taskapi.c
@@ -12,6 +12,7 @@
 #include "errors.h"
 #include "httpc.h"
 #include "support.h"
+#include "sysclock.h"
 #include "taskapi.h"
 
 struct fixture {
@@ -138,23 +139,44 @@
 	assert_int_equal(wait_done(f), 0);
 }
 
-static int start(struct fixture *f, const char *job, uint64_t run,
-		 const char *command)
+/* A lease under a grant that ends left_ms from now. */
+static struct taskapi_lease lease_of(int64_t lease_ms, int64_t left_ms)
+{
+	struct taskapi_lease lease = { lease_ms,
+				       mstime_add(sysclock_now(), left_ms) };
+
+	return lease;
+}
+
+static int start_under(struct fixture *f, const char *job, uint64_t run,
+		       const char *command, struct taskapi_lease lease)
 {
 	struct taskapi_start s = {
-		job, run, 10000, { 100, 200, 0 }, "", command
+		job, run, lease, { 100, 200, 0 }, "", command
 	};
 
 	taskapi_start(f->api, &s, on_plain, f);
 	return wait_done(f);
 }
 
-static int renew(struct fixture *f, const char *job, uint64_t run)
+static int start(struct fixture *f, const char *job, uint64_t run,
+		 const char *command)
+{
+	return start_under(f, job, run, command, lease_of(10000, 20000));
+}
+
+static int renew_under(struct fixture *f, const char *job, uint64_t run,
+		       struct taskapi_lease lease)
 {
-	taskapi_renew(f->api, job, run, 10000, on_plain, f);
+	taskapi_renew(f->api, job, run, &lease, on_plain, f);
 	return wait_done(f);
 }
 
+static int renew(struct fixture *f, const char *job, uint64_t run)
+{
+	return renew_under(f, job, run, lease_of(10000, 20000));
+}
+
 static int stop(struct fixture *f, const char *job, uint64_t run)
 {
 	taskapi_stop(f->api, job, run, 1, on_checkpoint, f);
@@ -208,6 +230,25 @@
 	assert_int_equal(start(f, "j", 4, "steps=1"), 0);
 }
 
+/*
+ * Guards against a start or renewal that takes effect after the end of its
+ * grant, when the owner may have moved the run.
+ */
+static void test_after_grant(void **state)
+{
+	struct fixture *f = *state;
+	const char *command = "steps=100000 step_ms=5";
+
+	assert_int_equal(start_under(f, "j", 1, command, lease_of(10000, 0)),
+			 ERR_TIMEOUT);
+	assert_int_equal(list(f), 0);
+	assert_int_equal(f->rows, 0);
+	assert_int_equal(start(f, "j", 1, command), 0);
+	/* Were it taken, the lease of 0 ms would end the run. */
+	assert_int_equal(renew_under(f, "j", 1, lease_of(0, 0)), ERR_TIMEOUT);
+	assert_int_equal(renew(f, "j", 1), 0);
+}
+
 /* Guards against a lost answer that is taken for success or for a refusal. */
 static void test_faults(void **state)
 {
@@ -243,6 +284,8 @@
 		cmocka_unit_test_setup_teardown(test_calls, setup, teardown),
 		cmocka_unit_test_setup_teardown(test_stop_before_start, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_after_grant, setup,
+						teardown),
 		cmocka_unit_test_setup_teardown(test_faults, setup, teardown),
 	};
 
