core: do not count lost runs as tries of a job

Only runs that the worker reported as failed count now.

A job that takes its worker down each time is still stopped: a run is lost early when the last report that listed it as alive came within LOST_EARLY_MS (60 s) of its start, and the fifth in a row fails the job with that reason. The time of the loss itself was ruled out as measure, because an owner declares a silent agent's runs lost 42 s or an hour later. A run that no agent listed does not count: it cannot have started. The count is the last field of a job in the value; values without it are read as 0.

partition_lost() needs no policy any more.

--- a/packages/core/include/partition.h
+++ b/packages/core/include/partition.h
@@ -41,6 +41,19 @@
 /* A job that fails wherever it runs ends even if workers are ejected. */
 #define JOB_TRIES_TOTAL_MAX 20
 
+/*
+ * A run that is lost with its VM is no failure of the job, unless the job takes
+ * its worker down each time. A run counts as lost early when the last report
+ * that listed it came within LOST_EARLY_MS of its start: a minute covers the
+ * start and, with the default lease, the 22 s after which an agent reports a
+ * run of a dead worker as lost. More than LOST_EARLY_MAX such runs without a
+ * longer one between them end the job. 360 lost VMs of 20,000 a day are 1 loss
+ * in 80,000 within a minute, so only a fault that hits many VMs at once makes
+ * even two of them likely; each costs a worker, so the bound is small.
+ */
+#define LOST_EARLY_MS (60 * 1000)
+#define LOST_EARLY_MAX 4
+
 struct job {
 	struct list node; /* of partition.jobs, in order of arrival */
 	struct job *hash_next;
@@ -60,7 +73,8 @@
 	char reason[JOB_REASON_SIZE];  /* why it is in its state */
 	uint64_t tried[JOB_TRIED_MAX]; /* hashes of agents where it failed */
 	uint32_t tried_count;
-	uint32_t tries; /* failed or lost runs */
+	uint32_t tries;	     /* failed runs */
+	uint32_t lost_early; /* in a row; see LOST_EARLY_MS */
 	uint32_t evictions;
 	int evicted; /* evicted_at is set */
 	struct mstime submitted_at;
@@ -78,7 +92,7 @@
 	uint64_t commanded;    /* version of the last command */
 	struct mstime commanded_at;
 	struct mstime room_until; /* runs are being evicted for it */
-	struct mstime listed_at;  /* last report that listed the run */
+	struct mstime listed_at;  /* last report that listed it as alive */
 	int listed;
 	struct mstime saved_at; /* last new checkpoint, or the start */
 	struct resources used;	/* as last reported */
@@ -228,7 +242,10 @@
 				   struct job *job, uint64_t peer,
 				   struct mstime now);
 
-/* Bounds for failed runs; agents are given as hash_str() of their id. */
+/*
+ * Bounds for failed runs; lost ones are no tries. Agents are given as
+ * hash_str() of their id.
+ */
 struct try_policy {
 	uint32_t job_tries;	/* different workers */
 	const uint64_t *blamed; /* workers at fault; not counted as tries */
@@ -267,9 +284,7 @@
 
 /* The job's run is proved stopped without a report of its end. */
 enum task_effect partition_lost(struct partition *partition, struct job *job,
-				const char *reason,
-				const struct try_policy *policy,
-				struct mstime now);
+				const char *reason, struct mstime now);
 
 /*
  * Forgets jobs that ended more than keep_ms ago, then the oldest ended ones
--- a/packages/core/src/partition_codec.c
+++ b/packages/core/src/partition_codec.c
@@ -12,7 +12,7 @@
 
 #define VALUE_FORMAT 1
 #define HEAD_FIELDS 8
-#define JOB_FIELDS 22
+#define JOB_FIELDS 23
 #define JOB_TIMES 5
 
 /* Times are written as ages: clocks of two processes are never compared. */
@@ -71,6 +71,7 @@
 	pack_age(packer, job->evicted_at, now);
 	pack_age(packer, job->ended_at, now);
 	pack_age(packer, job->saved_at, now);
+	msgpack_pack_uint32(packer, job->lost_early);
 }
 
 int partition_encode(struct partition *partition, const char *writer,
@@ -223,6 +224,9 @@
 	job->evicted = (int)take_number(cursor, 1);
 	take_tried(cursor, job);
 	take_times(cursor, job, now);
+	/* Values of earlier versions end here. */
+	if (!cursor->err && cursor->next < cursor->end)
+		job->lost_early = (uint32_t)take_number(cursor, UINT32_MAX);
 }
 
 static int decode_job(struct partition *partition, struct cursor *jobs,
--- a/packages/core/src/partition_report.c
+++ b/packages/core/src/partition_report.c
@@ -59,6 +59,11 @@
 	job_enter(partition, job, JOB_QUEUED, reason);
 }
 
+static int is_cancelled(const struct job *job)
+{
+	return job->state == JOB_STOPPING && job->stop == STOP_CANCEL;
+}
+
 static enum task_effect end_cancelled(struct partition *partition,
 				      struct job *job, struct mstime now)
 {
@@ -67,41 +72,80 @@
 	return EFFECT_CANCELLED;
 }
 
-/* A run that ended without success and without a command to stop. */
-static enum task_effect take_failure(struct partition *partition,
-				     struct job *job, const char *what,
-				     const char *detail,
-				     const struct try_policy *policy,
-				     struct mstime now)
+/* Waits for another run, at first not at the same agent. */
+static void requeue_elsewhere(struct partition *partition, struct job *job,
+			      const char *what, const char *detail,
+			      struct mstime now)
+{
+	char reason[JOB_REASON_SIZE];
+
+	snprintf(reason, sizeof(reason), "%s %.40s: %.80s", what, job->agent,
+		 detail);
+	job->avoid = hash_str(job->agent);
+	job->avoid_until = mstime_add(now, REFUSED_PAUSE_MS);
+	requeue(partition, job, reason);
+}
+
+static enum task_effect take_failed(struct partition *partition,
+				    struct job *job, const char *detail,
+				    const struct try_policy *policy,
+				    struct mstime now)
 {
 	char reason[JOB_REASON_SIZE];
 	uint32_t tries;
 
-	if (job->state == JOB_STOPPING && job->stop == STOP_CANCEL)
+	if (is_cancelled(job))
 		return end_cancelled(partition, job, now);
 	add_try(job);
 	tries = counted_tries(job, policy);
 	if (tries >= policy->job_tries || job->tries >= JOB_TRIES_TOTAL_MAX) {
 		snprintf(reason, sizeof(reason),
 			 "failed at %u workers in %u runs; last at %.40s: "
-			 "%s: %.60s",
-			 job->tried_count, job->tries, job->agent, what,
+			 "%.60s",
+			 job->tried_count, job->tries, job->agent, detail);
+		job_end(partition, job, JOB_FAILED, reason, now);
+		return EFFECT_FAILED;
+	}
+	requeue_elsewhere(partition, job, "failed at", detail, now);
+	return EFFECT_RETRY;
+}
+
+/* A run that was never listed has not started, as no report of it was acked. */
+static void count_loss(struct job *job)
+{
+	if (!job->listed)
+		return;
+	if (mstime_diff(job->listed_at, job->started_at) < LOST_EARLY_MS)
+		job->lost_early++;
+	else
+		job->lost_early = 0;
+}
+
+static enum task_effect take_lost(struct partition *partition, struct job *job,
+				  const char *detail, struct mstime now)
+{
+	char reason[JOB_REASON_SIZE];
+
+	if (is_cancelled(job))
+		return end_cancelled(partition, job, now);
+	count_loss(job);
+	if (job->lost_early > LOST_EARLY_MAX) {
+		snprintf(reason, sizeof(reason),
+			 "lost with its worker within %d s of the start in %u "
+			 "runs; last at %.40s: %.40s",
+			 LOST_EARLY_MS / 1000, job->lost_early, job->agent,
 			 detail);
 		job_end(partition, job, JOB_FAILED, reason, now);
 		return EFFECT_FAILED;
 	}
-	snprintf(reason, sizeof(reason), "%s at %.40s: %.80s", what, job->agent,
-		 detail);
-	job->avoid = hash_str(job->agent);
-	job->avoid_until = mstime_add(now, REFUSED_PAUSE_MS);
-	requeue(partition, job, reason);
+	requeue_elsewhere(partition, job, "lost at", detail, now);
 	return EFFECT_RETRY;
 }
 
 static enum task_effect take_stopped(struct partition *partition,
 				     struct job *job, struct mstime now)
 {
-	if (job->state == JOB_STOPPING && job->stop == STOP_CANCEL)
+	if (is_cancelled(job))
 		return end_cancelled(partition, job, now);
 	job->evictions++;
 	job->evicted = 1;
@@ -114,15 +158,9 @@
 				     struct job *job, const char *detail,
 				     struct mstime now)
 {
-	char reason[JOB_REASON_SIZE];
-
-	if (job->state == JOB_STOPPING && job->stop == STOP_CANCEL)
+	if (is_cancelled(job))
 		return end_cancelled(partition, job, now);
-	snprintf(reason, sizeof(reason), "refused by %.40s: %.80s", job->agent,
-		 detail);
-	job->avoid = hash_str(job->agent);
-	job->avoid_until = mstime_add(now, REFUSED_PAUSE_MS);
-	requeue(partition, job, reason);
+	requeue_elsewhere(partition, job, "refused by", detail, now);
 	return EFFECT_REFUSED;
 }
 
@@ -162,11 +200,9 @@
 	case TASK_REFUSED:
 		return take_refused(partition, job, detail, now);
 	case TASK_FAILED:
-		return take_failure(partition, job, "failed", detail, policy,
-				    now);
+		return take_failed(partition, job, detail, policy, now);
 	default:
-		return take_failure(partition, job, "lost", detail, policy,
-				    now);
+		return take_lost(partition, job, detail, now);
 	}
 }
 
@@ -181,12 +217,12 @@
 	if (!job || !job_active(job) || job->run != status->run ||
 	    strcmp(job->agent, agent))
 		return is_terminal(status->state) ? EFFECT_NONE : EFFECT_STALE;
-	job->listed = 1;
-	job->listed_at = now;
 	take_usage(job, &status->used);
 	take_checkpoint(partition, job, status->checkpoint, now);
 	if (is_terminal(status->state))
 		return take_end(partition, job, status, policy, now);
+	job->listed = 1;
+	job->listed_at = now;
 	if (status->state != TASK_RUNNING || job->state != JOB_STARTING)
 		return EFFECT_NONE;
 	job_enter(partition, job, JOB_RUNNING, job->reason);
@@ -204,11 +240,9 @@
 }
 
 enum task_effect partition_lost(struct partition *partition, struct job *job,
-				const char *reason,
-				const struct try_policy *policy,
-				struct mstime now)
+				const char *reason, struct mstime now)
 {
 	if (!job_active(job))
 		return EFFECT_NONE;
-	return take_failure(partition, job, "lost", reason, policy, now);
+	return take_lost(partition, job, reason, now);
 }
--- a/packages/daemon/src/owner_agents.c
+++ b/packages/daemon/src/owner_agents.c
@@ -359,11 +359,9 @@
 static void declare_lost(struct slot *slot, struct job *job, const char *reason,
 			 struct mstime now)
 {
-	struct try_policy policy;
-	enum task_effect effect;
+	enum task_effect effect =
+		partition_lost(slot->partition, job, reason, now);
 
-	owner_try_policy(slot->owner, &policy);
-	effect = partition_lost(slot->partition, job, reason, &policy, now);
 	owner_count(slot->owner, OWNER_LOST_RUNS);
 	log_lost(slot, job, reason);
 	note_effect(slot, job, effect);
--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -198,6 +198,92 @@
 	partition_delete(p);
 }
 
+/* Starts the next run and has it reported as running until alive_ms. */
+static struct job *run_until(struct partition *partition, const char *agent,
+			     int64_t alive_ms)
+{
+	struct job *job = start(partition, "j", agent);
+	struct task_status status = { .job = "j",
+				      .run = job->run,
+				      .state = TASK_RUNNING };
+
+	partition_report(partition, agent, &status, &policy, at(alive_ms));
+	return job;
+}
+
+/* Guards against a long job that fails because its VMs do. */
+static void test_lost_runs_are_no_tries(void **state)
+{
+	struct partition *p = partition_new(1);
+	struct job *job = NULL;
+	char agent[ID_SIZE];
+	int i;
+
+	for (i = 0; i < 50; i++) {
+		struct task_status lost = { .job = "j", .state = TASK_LOST };
+
+		snprintf(agent, sizeof(agent), "a%d", i);
+		job = run_until(p, agent, LOST_EARLY_MS);
+		lost.run = job->run;
+		assert_int_equal(i % 2 ? partition_lost(p, job, "silent",
+							at(LOST_EARLY_MS))
+				       : partition_report(p, agent, &lost,
+							  &policy,
+							  at(LOST_EARLY_MS)),
+				 EFFECT_RETRY);
+		assert_int_equal(job->state, JOB_QUEUED);
+	}
+	assert_int_equal(job->tries, 0);
+	assert_int_equal(job->tried_count, 0);
+	/* A start that no agent listed cannot have taken a worker down. */
+	for (i = 0; i <= LOST_EARLY_MAX; i++) {
+		job = start(p, "j", "a");
+		assert_int_equal(partition_lost(p, job, "silent", at(1)),
+				 EFFECT_RETRY);
+	}
+	partition_delete(p);
+}
+
+/*
+ * Guards against a job that takes down one worker after the other; the loss
+ * shows only long after the last report.
+ */
+static void test_early_losses(void **state)
+{
+	struct partition *p = partition_new(1), *q = partition_new(1);
+	struct job *job;
+	char *data;
+	size_t len;
+	uint32_t i;
+
+	for (i = 0; i < LOST_EARLY_MAX; i++) {
+		job = run_until(p, "a", LOST_EARLY_MS - 1);
+		assert_int_equal(partition_lost(p, job, "silent",
+						at(LOST_EARLY_MS * 10)),
+				 EFFECT_RETRY);
+	}
+	/* A run that lives longer clears the count. */
+	job = run_until(p, "a", LOST_EARLY_MS);
+	partition_lost(p, job, "silent", at(LOST_EARLY_MS * 10));
+	for (i = 0; i < LOST_EARLY_MAX; i++) {
+		job = run_until(p, "a", 1);
+		assert_int_equal(partition_lost(p, job, "silent", at(50000)),
+				 EFFECT_RETRY);
+	}
+	/* The count outlives a takeover. */
+	assert_int_equal(partition_encode(p, "e", at(0), &data, &len), 0);
+	assert_int_equal(partition_decode(q, data, len, at(0)), 0);
+	job = run_until(q, "last", 1);
+	assert_int_equal(partition_lost(q, job, "silent", at(50000)),
+			 EFFECT_FAILED);
+	assert_int_equal(job->state, JOB_FAILED);
+	assert_non_null(strstr(job->reason, "lost"));
+	assert_non_null(strstr(job->reason, "last"));
+	free(data);
+	partition_delete(p);
+	partition_delete(q);
+}
+
 /* Guards against a field that a takeover loses. */
 static void test_value_round_trip(void **state)
 {
@@ -344,6 +430,8 @@
 		cmocka_unit_test(test_commit_comes_first),
 		cmocka_unit_test(test_cancelled_never_starts),
 		cmocka_unit_test(test_tries),
+		cmocka_unit_test(test_lost_runs_are_no_tries),
+		cmocka_unit_test(test_early_losses),
 		cmocka_unit_test(test_value_round_trip),
 		cmocka_unit_test(test_bounds),
 		cmocka_unit_test(test_job_spec),
