agent: split the step of a batch run

agent_task_step() mixed the reasons to stop a run with the choice of the next call, and step_live() held the renewal's bookkeeping. check_stop() and call_renew() take these; lease_gone() is named leases_expired(), which is what it tells. No change of behavior: test_agent, test_agent_tasks, test_grants and test_grants_model pass unchanged.

--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -274,18 +274,25 @@
 		     t->stop == STOP_CHECKPOINT, on_stopped, t);
 }
 
+static void call_renew(struct agent_task *t, struct mstime now)
+{
+	struct taskapi_lease lease = lease_of(t);
+
+	t->lease_before = t->lease_sent_at;
+	t->lease_sent_at = now;
+	t->call_active = 1;
+	taskapi_renew(t->agent->taskapi, t->grant.job, t->grant.run, &lease,
+		      on_renewed, t);
+}
+
 static void step_live(struct agent_task *t, struct mstime now)
 {
 	struct taskapi *api = t->agent->taskapi;
 	const char *job = t->grant.job;
 	uint64_t run = t->grant.run;
-	struct taskapi_lease lease = lease_of(t);
 
 	if (!mstime_before(now, t->renew_at)) {
-		t->lease_before = t->lease_sent_at;
-		t->lease_sent_at = now;
-		t->call_active = 1;
-		taskapi_renew(api, job, run, &lease, on_renewed, t);
+		call_renew(t, now);
 	} else if (t->throttle_due) {
 		t->call_active = 1;
 		taskapi_throttle(api, job, run, t->throttle, on_throttled, t);
@@ -295,22 +302,17 @@
 	}
 }
 
-/* Every lease that this agent has sent has expired by now. */
-static int lease_gone(const struct agent_task *t, struct mstime now)
+/* RETURN VALUE: 1 when every lease that this agent has sent has expired. */
+static int leases_expired(const struct agent_task *t, struct mstime now)
 {
 	return t->sent && t->agent->worker_down &&
 	       mstime_diff(now, t->lease_sent_at) >=
 		       2 * lease_ms(t) + AGENT_LEASE_MARGIN_MS;
 }
 
-void agent_task_step(struct agent_task *t, struct mstime now)
+/* Stops a run whose grant is over or whose worker does not answer. */
+static void check_stop(struct agent_task *t, struct mstime now)
 {
-	if (t->grant.phase == GRANT_ENDED)
-		return;
-	if (lease_gone(t, now)) {
-		agent_task_end(t, TASK_LOST, "worker-down");
-		return;
-	}
 	if (grants_expired(&t->grant, now))
 		agent_task_want_stop(t, STOP_CHECKPOINT,
 				     t->grant.granted ? "grant-expired"
@@ -318,6 +320,17 @@
 	if (t->confirmed && t->grant.granted &&
 	    mstime_diff(now, t->answered_at) >= AGENT_UNANSWERED_MS)
 		agent_task_want_stop(t, STOP_CHECKPOINT, "worker-unreachable");
+}
+
+void agent_task_step(struct agent_task *t, struct mstime now)
+{
+	if (t->grant.phase == GRANT_ENDED)
+		return;
+	if (leases_expired(t, now)) {
+		agent_task_end(t, TASK_LOST, "worker-down");
+		return;
+	}
+	check_stop(t, now);
 	if (t->call_active || mstime_before(now, t->retry_at))
 		return;
 	if (t->stop)
