tests: let the grant outlast the takeover in test_owner_dies

Cause: the test set grants of 2 s and waits for a takeover after 15 s, so the agent has to stop the run in between and the new owner starts run 2; the assertion that the run is still 1 held only if the row was read in the 40 ms between takeover and placement.

Ruled out: a doubled run; the log shows run 1 stopped with a checkpoint 12 s before run 2 was placed.

Change: the test sets grant_ms to 30000, so that the run must be adopted, and now also checks that run 1 is the one that finishes, with each of the 500 steps once. That is stricter than before.

Conclusion: the check now rests on the rule and not on the moment.

--- a/tests/e2e/test_batch_owner.py
+++ b/tests/e2e/test_batch_owner.py
@@ -12,6 +12,8 @@
 class OwnerTest(BatchTest):
     def test_owner_dies(self):
         """Guards against runs that are lost or doubled at a takeover."""
+        # The grant outlasts the takeover, so the run is adopted, not moved.
+        self.intend(intent="set-limit", limit="grant_ms", value=30000)
         self.submit("kept", "run steps=500 step_ms=50")
         owner = self.owner_of("kept")
         owner.kill()
@@ -19,7 +21,8 @@
             lambda r: r if r.get("owner") not in (None, "", owner.name)
             and r.get("epoch", 0) >= 2 else None)(self.explain("kept")))
         self.assertEqual(row["run"], 1)
-        self.assertEqual(self.wait_state("kept", *ENDED)["state"], "done")
+        row = self.wait_state("kept", *ENDED)
+        self.assertEqual((row["state"], row["run"]), ("done", 1))
         self.check_steps("kept", 500)
 
     def test_owner_pauses(self):
