agent: keep one link to an entry known by two addresses

Cause: found by the fault tests: an agent whose seed is not the address that the entry registers (a balancer, a forwarder) opened two links with the same routing id. The entry's socket hands the id to the newer one and closes the other, which connects again, and so on; requests were lost in between.

Ruled out: a routing id for each link, because the entry would then know one agent as two peers with two reports a second.

Change: ANNOUNCE_ACK carries the entry's id. An agent opens no second link to an entry that answers on one, and gives up the listed link when a seed turns out to lead to the same entry.

An ANNOUNCE_ACK grows by the length of the entry's id.

--- a/packages/daemon/src/agent_links.c
+++ b/packages/daemon/src/agent_links.c
@@ -29,6 +29,26 @@
 	return NULL;
 }
 
+/*
+ * An entry may be reached by its own address and by that of a balancer. Two
+ * links to it would take over each other's routing id again and again.
+ */
+static struct agent_link *find_entry(struct agent *agent, const char *entry,
+				     const struct agent_link *except)
+{
+	struct list *pos;
+
+	list_for_each (pos, &agent->links) {
+		struct agent_link *link =
+			list_entry(pos, struct agent_link, node);
+
+		if (link != except && link->answering &&
+		    !strcmp(link->entry, entry))
+			return link;
+	}
+	return NULL;
+}
+
 static int count_links(const struct agent *agent)
 {
 	const struct list *pos;
@@ -137,23 +157,43 @@
 	free(json);
 }
 
+/* A balancer may lead to another entry after a new connection. */
+static void set_entry(struct agent_link *link, const char *entry)
+{
+	struct agent_link *other;
+
+	if (!strcmp(link->entry, entry))
+		return;
+	str_copy(link->entry, entry, sizeof(link->entry));
+	other = find_entry(link->agent, entry, link);
+	if (other && !other->seed)
+		remove_link(other);
+}
+
+static void take_entry(struct agent *agent, const struct entry_address *entry,
+		       struct mstime now)
+{
+	struct agent_link *link = find_entry(agent, entry->id, NULL);
+
+	if (!link)
+		link = find_link(agent, entry->address);
+	if (!link)
+		link = add_link(agent, entry->address, 0);
+	if (link)
+		link->listed_at = now;
+}
+
 static void on_ack(struct agent_link *link, const struct msg_announce_ack *ack)
 {
 	struct mstime now = sysclock_now();
 	size_t i;
 
+	set_entry(link, ack->entry);
 	offer_config(link, ack->config_version);
 	if (ack->directory_hash != link->directory_hash && !ack->entries.count)
 		return;
-	for (i = 0; i < ack->entries.count; i++) {
-		const char *address = ack->entries.items[i].address;
-		struct agent_link *other = find_link(link->agent, address);
-
-		if (!other)
-			other = add_link(link->agent, address, 0);
-		if (other)
-			other->listed_at = now;
-	}
+	for (i = 0; i < ack->entries.count; i++)
+		take_entry(link->agent, &ack->entries.items[i], now);
 	if (ack->entries.count)
 		link->directory_hash = ack->directory_hash;
 }
--- a/packages/daemon/src/agent_state.h
+++ b/packages/daemon/src/agent_state.h
@@ -28,6 +28,7 @@
 	struct agent *agent;
 	struct transport *transport;
 	char address[ID_SIZE];
+	char entry[ID_SIZE]; /* who answered the last announcement, or "" */
 	int seed;      /* named by the settings: never given up */
 	int answering; /* heard from within AGENT_LINK_SILENT_MS */
 	int answered;  /* heard from at all */
--- a/packages/daemon/src/entry_agents.c
+++ b/packages/daemon/src/entry_agents.c
@@ -89,6 +89,8 @@
 		strcmp(member->region, entry->daemon->settings->region) != 0;
 	struct message msg = { .type = MSG_ANNOUNCE_ACK };
 
+	str_copy(msg.u.announce_ack.entry, entry->daemon->settings->id,
+		 sizeof(msg.u.announce_ack.entry));
 	msg.u.announce_ack.seq = announce->seq;
 	msg.u.announce_ack.config_version = version;
 	msg.u.announce_ack.directory_hash = hash;
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -130,6 +130,7 @@
 };
 
 static const struct field announce_ack_fields[] = {
+	ID(struct msg_announce_ack, entry),
 	U64(struct msg_announce_ack, seq),
 	U64(struct msg_announce_ack, config_version),
 	U64(struct msg_announce_ack, directory_hash),
--- /dev/null
+++ b/tests/e2e/test_seed_address.py
@@ -0,0 +1,76 @@
+#!/usr/bin/env python3
+"""An agent whose seed is another address of an entry in the directory."""
+
+import os
+import socket
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
+                                "tools", "pylib"))
+
+from cluster import Cluster, http_call, wait_for  # noqa: E402
+from ports import free_port  # noqa: E402
+
+LINK_UP = 2005
+WATCHED_S = 8
+
+
+def forward(port, target):
+    """Stands in for a balancer in front of the entries."""
+    listener = socket.create_server(("127.0.0.1", port))
+
+    def pump(source, sink):
+        try:
+            while data := source.recv(65536):
+                sink.sendall(data)
+        except OSError:
+            pass
+        for end in (source, sink):
+            end.close()
+
+    def accept():
+        while True:
+            near = listener.accept()[0]
+            host, number = target.split(":")
+            far = socket.create_connection((host, int(number)))
+            for pair in ((near, far), (far, near)):
+                threading.Thread(target=pump, args=pair, daemon=True).start()
+
+    threading.Thread(target=accept, daemon=True).start()
+    return "127.0.0.1:%d" % port
+
+
+def usable(cluster, entry):
+    return sum(member["usable"] for member in
+               cluster.ctl_json("status", entry=entry)["members"])
+
+
+def main():
+    """Guards against two links to one entry that take over each other: the
+    agent's routing id is the same on both."""
+    with Cluster(sys.argv[1]) as cluster:
+        cluster.start_store()
+        first = cluster.start_entry("e1", "a", "a1")
+        second = cluster.start_entry("e2", "a", "a1")
+        balancer = forward(free_port(), first.peers)
+        worker = cluster.start_worker("w1")
+        agent = cluster.start_agent("vm1", worker, "a", "a1",
+                                    seeds=[balancer])
+        for entry in (first, second):
+            wait_for("the agent at " + entry.name,
+                     lambda: usable(cluster, entry) == 1)
+        end = time.monotonic() + WATCHED_S
+        while time.monotonic() < end:
+            for entry in (first, second):
+                status, headers, _ = http_call(entry.callers, "POST", "/echo",
+                                               "x")
+                assert (status, headers["Catkinhill-Outcome"]) == \
+                    (200, "done"), (entry.name, status)
+            time.sleep(0.02)
+        ups = agent.lines(LINK_UP)
+        assert len(ups) == 2, ups
+
+
+main()
