core, agent: protect the service from batch tasks

Cause: tasks beside a service slow it, and a task may grow beyond what it declared; the agent reserved for such tasks but did not act. Change: core/interference compares the latency with a baseline, blames classes by a least-squares fit of their usage, throttles, restores and at last evicts; agent_interference applies it after each list.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -70,6 +70,12 @@
 	  "A partition has a new owner or epoch." },
 	{ EV_WORKER_OVER, LOG_WARN, "worker-over",
 	  "Observed usage raises the reservations above the capacity." },
+	{ EV_TASK_THROTTLED, LOG_INFO, "task-throttled",
+	  "The speed of a task was changed to protect the service or the "
+	  "worker." },
+	{ EV_TASK_INTERFERES, LOG_WARN, "task-interferes",
+	  "A task is evicted because a throttle does not protect the service "
+	  "or the worker from it." },
 
 	/* 3000: batch */
 	{ EV_JOB_PLACED, LOG_INFO, "job-placed",
--- /dev/null
+++ b/packages/core/src/interference.c
@@ -0,0 +1,534 @@
+#include "interference.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "hash.h"
+#include "interference_fit.h"
+#include "interference_room.h"
+
+/* Samples after which the baseline moves by a constant part each. */
+#define BASELINE_SAMPLES 120.0
+/* The same, upwards, while all tasks are at the floor. */
+#define FLOOR_SAMPLES 240.0
+/* Relative spread of one request's latency, for the error of a mean. */
+#define REQUEST_SPREAD 1.0
+/* Part of the tolerance that a cut aims at, so that noise is no cause. */
+#define CUT_TARGET 0.6
+/* Up to this part of the tolerance levels are restored. */
+#define CALM_TARGET 0.9
+/* Between two cuts, so that the latency shows the first one. */
+#define CUT_PAUSE_MS 2000
+/* Part of the excess that a class to blame must account for. */
+#define BLAMED_PART 0.25
+/* Part of the excess that must be left at the floor to be no task's. */
+#define OWN_PART 0.7
+/* Part of the largest excess before the floor that is kept each tick. */
+#define BEFORE_KEPT 0.98
+/* Time constant of the excess by which levels are restored. */
+#define CALM_TICKS 8
+/* Time of one class at the floor before the next one is tried. */
+#define TRIAL_MS 3000
+/* Steps of a level: usual, and least, which tests an old blame again. */
+#define RESTORE_STEP 20.0
+#define RESTORE_LEAST 2.0
+/* A class that costs less of the tolerance is restored in any case. */
+#define INNOCENT_PART 0.5
+#define EVICT_LEAST_MS 10000
+#define EVICT_WEIGHT_MS 400
+
+static const char *const reasons[] = {
+	[INTERFERENCE_NONE] = "none",
+	[INTERFERENCE_LATENCY] = "latency",
+	[INTERFERENCE_CPU] = "cpu",
+	[INTERFERENCE_MEMORY] = "memory",
+	[INTERFERENCE_RESTORED] = "restored",
+};
+
+const char *interference_reason_name(enum interference_reason reason)
+{
+	return reasons[reason];
+}
+
+uint64_t interference_class_key(const char *command)
+{
+	return hash_bytes(command, strcspn(command, " "));
+}
+
+void interference_init(struct interference *in)
+{
+	memset(in, 0, sizeof(*in));
+	fit_init(in);
+}
+
+static struct interference_class *find_class(const struct interference *in,
+					     uint64_t key)
+{
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++)
+		if (in->classes[i].level > 0 && in->classes[i].key == key)
+			return (struct interference_class *)&in->classes[i];
+	return NULL;
+}
+
+double interference_blame(const struct interference *in, uint64_t class_key)
+{
+	const struct interference_class *class = find_class(in, class_key);
+
+	return class ? fit_blame(in, (size_t)(class - in->classes)) : 0;
+}
+
+/*
+ * The class unused for longest gives its place.
+ *
+ * RETURN VALUE
+ *	NULL when all classes have a task; the task is left as it is then.
+ */
+static struct interference_class *add_class(struct interference *in,
+					    uint64_t key, struct mstime now)
+{
+	struct interference_class *class = in->classes;
+	size_t i;
+
+	for (i = 1; i < INTERFERENCE_CLASSES; i++)
+		if (mstime_before(in->classes[i].used_at, class->used_at))
+			class = &in->classes[i];
+	if (class->tasks)
+		return NULL;
+	memset(class, 0, sizeof(*class));
+	fit_forget(in, (size_t)(class - in->classes));
+	class->key = key;
+	class->level = 100;
+	class->cut_at = mstime_add(now, -INTERFERENCE_RESTORE_MS);
+	class->raised_at = class->cut_at;
+	return class;
+}
+
+/* The usage shows the throttle of some ticks ago. */
+static void take_demand(const struct interference *in,
+			struct interference_class *class,
+			struct interference_task *task,
+			const struct interference_sample *sample)
+{
+	uint32_t *slot = &task->before[in->ticks % INTERFERENCE_DELAY];
+	double then = *slot ? *slot : 100;
+	double full = task->used.cpu_milli * 100.0 / then;
+	double part;
+
+	if (task->demand_milli <= 0)
+		task->demand_milli = task->declared.cpu_milli;
+	task->demand_milli += (full - task->demand_milli) / 8;
+	*slot = task->percent ? task->percent : 100;
+	part = sample->capacity.cpu_milli
+		       ? task->demand_milli / sample->capacity.cpu_milli
+		       : 0;
+	class->demand += part;
+	class->usage += part * *slot / 100;
+}
+
+static size_t take_usage(struct interference *in,
+			 const struct interference_sample *sample,
+			 struct interference_task **tasks, size_t count,
+			 struct mstime now)
+{
+	struct interference_class *class;
+	size_t i, running = 0;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		in->classes[i].tasks = 0;
+		in->classes[i].usage = 0;
+		in->classes[i].demand = 0;
+	}
+	for (i = 0; i < count; i++) {
+		if (!tasks[i]->running)
+			continue;
+		running++;
+		class = find_class(in, tasks[i]->class_key);
+		if (!class)
+			class = add_class(in, tasks[i]->class_key, now);
+		if (!class)
+			continue;
+		class->tasks++;
+		class->used_at = now;
+		take_demand(in, class, tasks[i], sample);
+	}
+	return running;
+}
+
+static size_t load_of(uint32_t in_progress)
+{
+	size_t load = 0;
+
+	while (in_progress > 1 && load < INTERFERENCE_LOADS - 1) {
+		in_progress = (in_progress + 1) / 2;
+		load++;
+	}
+	return load;
+}
+
+/* The baseline of the load, or that of the nearest load with one. */
+static struct interference_baseline *find_baseline(struct interference *in,
+						   size_t load)
+{
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_LOADS; i++) {
+		if (load >= i && in->baseline[load - i].samples > 0)
+			return &in->baseline[load - i];
+		if (load + i < INTERFERENCE_LOADS &&
+		    in->baseline[load + i].samples > 0)
+			return &in->baseline[load + i];
+	}
+	return NULL;
+}
+
+static int all_at_floor(const struct interference *in)
+{
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++)
+		if (in->classes[i].tasks && !in->classes[i].at_floor)
+			return 0;
+	return 1;
+}
+
+/* The floor has not helped, so the excess is the service's own. */
+static int is_own(const struct interference *in)
+{
+	return all_at_floor(in) && in->excess >= OWN_PART * in->excess_before;
+}
+
+static void learn(struct interference *in, struct interference_baseline *b,
+		  double latency_us, size_t running)
+{
+	double part = 1 / fmin(b->samples + 1, BASELINE_SAMPLES);
+
+	if (running && latency_us > b->latency_us)
+		part = is_own(in) ? 1 / FLOOR_SAMPLES : 0;
+	else if (running)
+		/* Noise alone must not pull the baseline down. */
+		part = latency_us < 0.9 * b->latency_us ? 1 / BASELINE_SAMPLES
+							: 0;
+	b->latency_us += (latency_us - b->latency_us) * part;
+	b->samples += running ? 0 : 1;
+}
+
+/* Takes the latency of the tick; without requests it is as it was. */
+static void take_latency(struct interference *in,
+			 const struct interference_sample *sample,
+			 size_t running)
+{
+	size_t load = load_of(sample->in_progress);
+	struct interference_baseline *base;
+	double latency_us = fmax(sample->latency_us, INTERFERENCE_LEAST_US);
+	double excess, part;
+
+	if (!sample->requests) {
+		in->evidence /= 2;
+		in->excess /= 2;
+		return;
+	}
+	if (!running && in->baseline[load].samples <= 0)
+		base = &in->baseline[load];
+	else
+		base = find_baseline(in, load);
+	if (!base || (running && base->samples <= 0)) {
+		base = &in->baseline[load];
+		base->latency_us = latency_us;
+		base->samples = 1;
+	}
+	if (base->samples <= 0)
+		base->latency_us = latency_us;
+	excess = latency_us / base->latency_us - 1;
+	learn(in, base, latency_us, running);
+	in->evidence = in->evidence / 2 + sample->requests;
+	part = sample->requests / in->evidence;
+	in->excess += (excess - in->excess) * part;
+	in->calm += (excess - in->calm) / CALM_TICKS;
+	fit_add(in, excess);
+}
+
+static int slack_used_up(const struct interference *in)
+{
+	double error = REQUEST_SPREAD / sqrt(fmax(in->evidence, 1));
+
+	return in->excess > fmax(in->tolerance, 2 * error) ||
+	       in->calm >
+		       fmax(in->tolerance, 2 * error / sqrt(CALM_TICKS / 2.0));
+}
+
+static void set_level(struct interference_class *class, double level,
+		      struct mstime now)
+{
+	class->level = fmin(fmax(level, INTERFERENCE_FLOOR), 100);
+	if (class->level > INTERFERENCE_FLOOR)
+		class->at_floor = 0;
+	else if (!class->at_floor) {
+		class->at_floor = 1;
+		class->floor_since = now;
+	}
+}
+
+static void cut(struct interference_class *class, double factor, double least,
+		struct mstime now)
+{
+	double level = fmax(class->level * factor, least);
+
+	if (mstime_diff(now, class->cut_at) < CUT_PAUSE_MS)
+		return;
+	if (level >= class->level)
+		return;
+	class->cut_at = now;
+	set_level(class, level, now);
+}
+
+static double blamed_excess(const struct interference *in, double *parts)
+{
+	double sum = 0;
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		parts[i] = fit_blame(in, i) * in->classes[i].usage;
+		if (parts[i] < BLAMED_PART * in->excess)
+			parts[i] = 0;
+		sum += parts[i];
+	}
+	return sum;
+}
+
+static void cut_blamed(struct interference *in, const double *parts,
+		       struct mstime now)
+{
+	double factor = CUT_TARGET * in->tolerance / in->excess;
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++)
+		if (parts[i] > 0)
+			cut(&in->classes[i], factor, INTERFERENCE_FLOOR, now);
+}
+
+/* RETURN VALUE: whether any level was above the soft floor. */
+static int cut_all(struct interference *in, struct mstime now)
+{
+	size_t i;
+	int above = 0;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		struct interference_class *class = &in->classes[i];
+
+		if (!class->tasks || class->level <= INTERFERENCE_SOFT_FLOOR)
+			continue;
+		above = 1;
+		cut(class, 0, INTERFERENCE_SOFT_FLOOR, now);
+	}
+	if (above)
+		in->trial_at = now;
+	return above;
+}
+
+/* Brings the class to the floor that most likely explains the excess. */
+static void try_one(struct interference *in, struct mstime now)
+{
+	size_t i, best = INTERFERENCE_CLASSES;
+	double most = 0;
+
+	if (mstime_diff(now, in->trial_at) < TRIAL_MS)
+		return;
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		double part = fit_suspicion(in, i) * in->classes[i].usage;
+
+		if (in->classes[i].tasks && !in->classes[i].at_floor &&
+		    part > most) {
+			most = part;
+			best = i;
+		}
+	}
+	if (best == INTERFERENCE_CLASSES)
+		return;
+	cut(&in->classes[best], 0, INTERFERENCE_FLOOR, now);
+	in->trial_at = now;
+}
+
+/* RETURN VALUE: whether classes are throttled of which none is to blame. */
+static int is_unclear(const struct interference *in)
+{
+	size_t i;
+	int throttled = 0;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		const struct interference_class *class = &in->classes[i];
+
+		if (!class->tasks || class->level > INTERFERENCE_SOFT_FLOOR)
+			continue;
+		if (fit_blame(in, i) * class->demand > in->tolerance)
+			return 0;
+		throttled = 1;
+	}
+	return throttled;
+}
+
+static void cut_levels(struct interference *in, struct mstime now)
+{
+	double parts[INTERFERENCE_CLASSES];
+	double sum = blamed_excess(in, parts);
+
+	if (is_own(in))
+		/* Falls with the excess while the baseline follows. */
+		in->excess_before = fmin(in->excess_before, in->excess);
+	if (!all_at_floor(in))
+		in->excess_before =
+			fmax(in->excess_before * BEFORE_KEPT, in->excess);
+	cut_blamed(in, parts, now);
+	if (sum < in->excess / 2 && !cut_all(in, now))
+		try_one(in, now);
+}
+
+/* RETURN VALUE: by how much the level of the class may rise now. */
+static double step_of(const struct interference *in, size_t index, double room,
+		      struct mstime now)
+{
+	const struct interference_class *class = &in->classes[index];
+	double cost = fit_blame(in, index) * class->demand / 100;
+
+	if (class->level <= 0 || class->level >= 100 ||
+	    mstime_diff(now, class->cut_at) < INTERFERENCE_RESTORE_MS ||
+	    mstime_diff(now, class->raised_at) < INTERFERENCE_LAG_MS)
+		return 0;
+	if (cost * RESTORE_STEP <= room ||
+	    fit_suspicion(in, index) * class->demand <
+		    INNOCENT_PART * in->tolerance)
+		return RESTORE_STEP;
+	if (room <= 0)
+		return 0;
+	return fmax(room / cost, RESTORE_LEAST);
+}
+
+static void restore_levels(struct interference *in, struct mstime now)
+{
+	double room = CALM_TARGET * in->tolerance - in->calm;
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		struct interference_class *class = &in->classes[i];
+		double step = step_of(in, i, room, now);
+
+		if (step <= 0)
+			continue;
+		room -= fit_blame(in, i) * class->demand / 100 * step;
+		set_level(class, class->level + step, now);
+		class->raised_at = now;
+	}
+}
+
+static int may_evict(const struct interference *in, struct mstime now)
+{
+	return !in->evicted ||
+	       mstime_diff(now, in->evicted_at) >= 2 * INTERFERENCE_LAG_MS;
+}
+
+static void evict(struct interference *in, struct interference_task *task,
+		  enum interference_reason reason, struct mstime now)
+{
+	task->evict = 1;
+	task->reason = reason;
+	in->evicted = 1;
+	in->evicted_at = now;
+}
+
+static int64_t wait_ms(const struct interference_sample *sample)
+{
+	return EVICT_LEAST_MS +
+	       (100 + sample->weight_eviction - sample->weight_latency) *
+		       EVICT_WEIGHT_MS;
+}
+
+/* What the class accounts for at the floor. */
+static double guilt_of(const struct interference *in,
+		       const struct interference_class *class)
+{
+	size_t index = (size_t)(class - in->classes);
+	double blame = fit_blame(in, index) * class->usage;
+
+	return !is_own(in) && blame >= in->excess / 2 ? blame : 0;
+}
+
+/* The largest task of the class that accounts for most at the floor. */
+static void evict_for_latency(struct interference *in,
+			      const struct interference_sample *sample,
+			      struct interference_task **tasks, size_t count,
+			      struct mstime now)
+{
+	struct interference_task *victim = NULL;
+	double guilt, most = 0;
+	size_t i;
+
+	for (i = 0; i < count && may_evict(in, now); i++) {
+		const struct interference_class *class =
+			find_class(in, tasks[i]->class_key);
+
+		if (!tasks[i]->running || !class || !class->at_floor ||
+		    mstime_diff(now, class->floor_since) < wait_ms(sample))
+			continue;
+		guilt = guilt_of(in, class) * tasks[i]->demand_milli;
+		if (guilt > most) {
+			most = guilt;
+			victim = tasks[i];
+		}
+	}
+	if (victim && !victim->is_protected)
+		evict(in, victim, INTERFERENCE_LATENCY, now);
+}
+
+static void set_percent(struct interference *in, struct interference_task *task)
+{
+	const struct interference_class *class =
+		find_class(in, task->class_key);
+	uint32_t level = class ? (uint32_t)lround(class->level) : 100;
+	uint32_t before = task->percent ? task->percent : 100;
+	enum interference_reason reason = INTERFERENCE_LATENCY;
+
+	if (task->cpu_percent && task->cpu_percent < level) {
+		level = task->cpu_percent;
+		reason = INTERFERENCE_CPU;
+	}
+	if (task->memory_floor) {
+		level = INTERFERENCE_FLOOR;
+		reason = INTERFERENCE_MEMORY;
+	}
+	task->percent = level;
+	task->changed = level != before;
+	if (!task->evict)
+		task->reason = level > before ? INTERFERENCE_RESTORED : reason;
+}
+
+void interference_tick(struct interference *in,
+		       const struct interference_sample *sample,
+		       struct interference_task **tasks, size_t count,
+		       struct mstime now)
+{
+	size_t i, running;
+
+	in->tolerance = 0.04 + 0.0024 * (double)(100 - sample->weight_latency);
+	in->ticks++;
+	running = take_usage(in, sample, tasks, count, now);
+	take_latency(in, sample, running);
+	for (i = 0; i < count; i++)
+		tasks[i]->evict = 0;
+	if (running && slack_used_up(in)) {
+		cut_levels(in, now);
+		evict_for_latency(in, sample, tasks, count, now);
+	} else {
+		if (running && in->calm > CUT_TARGET * in->tolerance &&
+		    is_unclear(in))
+			try_one(in, now);
+		restore_levels(in, now);
+	}
+	room_check_cpu(sample, tasks, count, now);
+	i = room_check_memory(in, sample, tasks, count);
+	if (i < count && may_evict(in, now))
+		evict(in, tasks[i], INTERFERENCE_MEMORY, now);
+	for (i = 0; i < count; i++)
+		if (tasks[i]->running)
+			set_percent(in, tasks[i]);
+}
--- /dev/null
+++ b/packages/core/src/interference_fit.h
@@ -0,0 +1,24 @@
+#ifndef CATKINHILL_INTERFERENCE_FIT_H
+#define CATKINHILL_INTERFERENCE_FIT_H
+
+#include "interference.h"
+
+/*
+ * NAME
+ *	interference_fit - least-squares fit of excess latency to usage
+ */
+void fit_init(struct interference *in);
+
+/* Forgets what was learned of one class. */
+void fit_forget(struct interference *in, size_t index);
+
+/* Adds the excess of one tick; the usage of the classes is set. */
+void fit_add(struct interference *in, double excess);
+
+/* RETURN VALUE: the weight of the class, or 0 without confidence. */
+double fit_blame(const struct interference *in, size_t index);
+
+/* RETURN VALUE: the highest weight that the evidence makes likely. */
+double fit_suspicion(const struct interference *in, size_t index);
+
+#endif
--- a/packages/daemon/src/agent_counters.c
+++ b/packages/daemon/src/agent_counters.c
@@ -37,6 +37,30 @@
 	counter->labels = text;
 }
 
+static void add_interference(struct agent_counters *counters,
+			     struct counter_set *set, char (*text)[NAME_SIZE])
+{
+	int i;
+
+	for (i = 0; i < INTERFERENCE_REASON_COUNT; i++) {
+		label(&counters->throttles[i], *text++, "reason",
+		      interference_reason_name(i));
+		add(set, &counters->throttles[i], COUNTER_TOTAL,
+		    "catkinhill_agent_throttles_total",
+		    "Changes of the speed of tasks, by reason.");
+	}
+	for (i = 0; i < INTERFERENCE_REASON_COUNT; i++) {
+		label(&counters->evictions[i], *text++, "reason",
+		      interference_reason_name(i));
+		add(set, &counters->evictions[i], COUNTER_TOTAL,
+		    "catkinhill_agent_evictions_total",
+		    "Tasks evicted by the agent itself, by reason.");
+	}
+	add(set, &counters->excess, COUNTER_GAUGE,
+	    "catkinhill_agent_latency_excess_percent",
+	    "Latency of the service over its baseline.");
+}
+
 void agent_counters_init(struct agent_counters *counters,
 			 struct counter_set *set)
 {
@@ -72,6 +96,7 @@
 		    gauges[i].help);
 	add(set, &counters->links, COUNTER_GAUGE, "catkinhill_agent_links",
 	    "Entries that answer the announcements.");
+	add_interference(counters, set, text);
 }
 
 static void remove_all(struct counter *counters, int count)
@@ -90,6 +115,9 @@
 	remove_all(&counters->fenced, 1);
 	remove_all(counters->gauges, GAUGE_COUNT);
 	remove_all(&counters->links, 1);
+	remove_all(counters->throttles, INTERFERENCE_REASON_COUNT);
+	remove_all(counters->evictions, INTERFERENCE_REASON_COUNT);
+	remove_all(&counters->excess, 1);
 }
 
 void agent_counters_gate(struct agent_counters *counters,
--- a/packages/daemon/src/agent_counters.h
+++ b/packages/daemon/src/agent_counters.h
@@ -3,6 +3,7 @@
 
 #include "counters.h"
 #include "gate.h"
+#include "interference.h"
 #include "message.h"
 
 /*
@@ -26,8 +27,11 @@
 	struct counter tasks[TASK_STATE_COUNT];
 	struct counter gauges[GAUGE_COUNT];
 	struct counter links;
-	char labels[OUTCOME_UNKNOWN + 1 + REFUSAL_COUNT + TASK_STATE_COUNT]
-		   [NAME_SIZE];
+	struct counter throttles[INTERFERENCE_REASON_COUNT];
+	struct counter evictions[INTERFERENCE_REASON_COUNT];
+	struct counter excess;
+	char labels[OUTCOME_UNKNOWN + 1 + REFUSAL_COUNT + TASK_STATE_COUNT +
+		    2 * INTERFERENCE_REASON_COUNT][NAME_SIZE];
 };
 
 void agent_counters_init(struct agent_counters *counters,
--- a/packages/daemon/src/agent_request.c
+++ b/packages/daemon/src/agent_request.c
@@ -239,6 +239,8 @@
 	int64_t us = mstime_diff(sysclock_now(), r->started_at) * 1000;
 
 	r->agent->latency_us += (us - r->agent->latency_us) / 8;
+	r->agent->tick_us += us;
+	r->agent->tick_requests++;
 }
 
 static void on_head(void *arg, int status, const struct header_list *headers)
--- a/packages/daemon/src/agent_state.h
+++ b/packages/daemon/src/agent_state.h
@@ -6,6 +6,7 @@
 #include "gate.h"
 #include "grants.h"
 #include "httpc.h"
+#include "interference.h"
 #include "list.h"
 #include "loop.h"
 #include "rng.h"
@@ -73,6 +74,11 @@
 	size_t body_bytes; /* of all requests */
 	int64_t latency_us;
 
+	/* agent_interference.c */
+	struct interference interference;
+	int64_t tick_us;	/* sum of the latencies since the last tick */
+	uint32_t tick_requests; /* their number */
+
 	/* agent_tasks.c */
 	struct list tasks;
 	struct taskapi *taskapi;
--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -21,6 +21,8 @@
 	t->lease_sent_at = now;
 	t->renew_at = now;
 	t->retry_at = now;
+	t->throttle = 100;
+	t->owner_throttle = 100;
 	t->checkpoint_at = mstime_add(now, AGENT_CHECKPOINT_MS);
 	grants_add(&agent->grants, &t->grant, partition, job, run, now);
 	list_add_tail(&agent->tasks, &t->node);
@@ -77,6 +79,16 @@
 	agent_tasks_report_soon(t->agent);
 }
 
+void agent_task_throttle(struct agent_task *t, uint32_t percent)
+{
+	if (percent > t->owner_throttle)
+		percent = t->owner_throttle;
+	if (percent == t->throttle)
+		return;
+	t->throttle = percent;
+	t->throttle_due = 1;
+}
+
 static void confirm(struct agent_task *t)
 {
 	if (t->confirmed)
@@ -225,7 +237,8 @@
 	struct agent_task *t = arg;
 
 	if (!settle(t, "throttle", err))
-		t->throttle_due = 0;
+		/* It may have changed again during the call. */
+		t->throttle_due = t->throttle != t->throttle_sent;
 }
 
 static void on_checkpoint(void *arg, int err, const char *checkpoint)
@@ -273,6 +286,7 @@
 		taskapi_renew(api, job, run, lease_ms(t), on_renewed, t);
 	} else if (t->throttle_due) {
 		t->call_active = 1;
+		t->throttle_sent = t->throttle;
 		taskapi_throttle(api, job, run, t->throttle, on_throttled, t);
 	} else if (!mstime_before(now, t->checkpoint_at)) {
 		t->call_active = 1;
--- a/packages/daemon/src/agent_task.h
+++ b/packages/daemon/src/agent_task.h
@@ -50,8 +50,11 @@
 	int stop_commanded; /* by the owner */
 	int call_active;
 	struct mstime renew_at, retry_at, checkpoint_at;
-	uint32_t throttle;
+	uint32_t throttle; /* the lower of the owner's and the agent's */
+	uint32_t throttle_sent;
+	uint32_t owner_throttle;
 	int throttle_due;
+	struct interference_task interference;
 	uint64_t list_round;   /* last list that named it */
 	uint64_t report_round; /* last round of reports that listed it */
 };
@@ -72,6 +75,9 @@
 void agent_task_want_stop(struct agent_task *task, enum stop_wanted stop,
 			  const char *reason);
 
+/* Sets the throttle in force; percent is the agent's own. */
+void agent_task_throttle(struct agent_task *task, uint32_t percent);
+
 /* Takes what the worker's list says about the run. */
 void agent_task_observe(struct agent_task *task, const struct task_status *row);
 
--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "agent_interference.h"
 #include "agent_reports.h"
 #include "agent_requests.h"
 #include "agent_task.h"
@@ -168,8 +169,9 @@
 	if (judge(link, "throttle", msg->partition, msg->epoch, msg->job,
 		  msg->run, &t))
 		return;
-	t->throttle = msg->percent;
-	t->throttle_due = 1;
+	t->owner_throttle = msg->percent;
+	agent_task_throttle(t, t->interference.percent ? t->interference.percent
+						       : 100);
 	agent_task_step(t, sysclock_now());
 }
 
@@ -215,6 +217,8 @@
 
 	t->adopted = 1;
 	t->sent = 1;
+	/* The agent before may have left it throttled. */
+	t->throttle_due = 1;
 	t->confirmed = 1;
 	t->confirmed_at = agent->list_sent_at;
 	t->answered_at = sysclock_now();
@@ -316,6 +320,7 @@
 		take_row(agent, &tasks[i]);
 	find_lost(agent);
 	check_over(agent);
+	agent_interference_tick(agent);
 	agent->worker_known = 1;
 	agent->worker_down = 0;
 	agent_update(agent);
@@ -370,6 +375,7 @@
 {
 	struct daemon *daemon = agent->daemon;
 
+	interference_init(&agent->interference);
 	grants_init(&agent->grants, daemon->config.limits[LIMIT_GRANT_MS]);
 	agent->taskapi = taskapi_new(daemon->loop, daemon->settings->tasks,
 				     AGENT_TASK_CALL_MS);
--- a/tests/fakes/fakeworker/fakeworker.h
+++ b/tests/fakes/fakeworker/fakeworker.h
@@ -78,6 +78,9 @@
 void tasks_serve(struct worker *worker, struct evhttp_request *request);
 void tasks_clear(struct worker *worker);
 
+/* Milliseconds by which the running tasks slow each request. */
+int64_t tasks_slow_ms(const struct worker *worker);
+
 /* Answers with JSON; takes over the reference. */
 void reply_json(struct evhttp_request *request, int status, json_t *body);
 
--- a/tests/fakes/fakeworker/service.c
+++ b/tests/fakes/fakeworker/service.c
@@ -294,7 +294,7 @@
 void service_serve(struct worker *worker, struct evhttp_request *request)
 {
 	struct work *work = xcalloc(1, sizeof(*work));
-	int64_t delay_ms = worker->faults.slow_ms;
+	int64_t delay_ms = worker->faults.slow_ms + tasks_slow_ms(worker);
 
 	work->worker = worker;
 	work->request = request;
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -31,6 +31,7 @@
 	int64_t lease_until;
 	int64_t step, steps, step_ms, fail_at;
 	int64_t percent;
+	int64_t slow_ms; /* by which it slows requests at full speed */
 	char checkpoint[64];
 	const char *detail;
 	struct event *step_timer, *lease_timer;
@@ -186,6 +187,7 @@
 	task->steps = option(command, "steps=", 10);
 	task->step_ms = option(command, "step_ms=", 10);
 	task->fail_at = option(command, "fail_at=", -1);
+	task->slow_ms = option(command, "slow_ms=", 0);
 	if (!strncmp(command, "fail", 4) && task->fail_at < 0)
 		task->fail_at = task->step;
 	task->used[USAGE_CPU] =
@@ -230,6 +232,20 @@
 		task_delete(list_entry(pos, struct task, node));
 }
 
+int64_t tasks_slow_ms(const struct worker *worker)
+{
+	const struct list *pos;
+	int64_t sum = 0;
+
+	list_for_each (pos, &worker->tasks) {
+		const struct task *task = list_entry(pos, struct task, node);
+
+		if (task->state == RUNNING)
+			sum += task->slow_ms * task->percent / 100;
+	}
+	return sum;
+}
+
 static int fail(json_t **answer, int status, const char *name)
 {
 	*answer = json_pack("{s:s}", "error", name);
