--- a/packages/core/src/interference.c
+++ b/packages/core/src/interference.c
@@ -10,7 +10,7 @@
 /* Samples after which the baseline moves by a constant part each. */
 #define BASELINE_SAMPLES 120.0
 /* The same, upwards, while all tasks are at the floor. */
-#define FLOOR_SAMPLES 240.0
+#define FLOOR_SAMPLES 120.0
 /* Relative spread of one request's latency, for the error of a mean. */
 #define REQUEST_SPREAD 1.0
 /* Part of the tolerance that a cut aims at, so that noise is no cause. */
@@ -331,7 +331,8 @@
 static void try_one(struct interference *in, struct mstime now)
 {
 	size_t i, best = INTERFERENCE_CLASSES;
-	double most = 0;
+	/* A negative weight may be an old one, so every class gets its turn. */
+	double most = -INFINITY;
 
 	if (mstime_diff(now, in->trial_at) < TRIAL_MS)
 		return;
@@ -443,6 +444,16 @@
 		       EVICT_WEIGHT_MS;
 }
 
+static int is_alone(const struct interference *in)
+{
+	size_t i;
+	int classes = 0;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++)
+		classes += in->classes[i].tasks > 0;
+	return classes == 1;
+}
+
 /* What the class accounts for at the floor. */
 static double guilt_of(const struct interference *in,
 		       const struct interference_class *class)
@@ -450,7 +461,12 @@
 	size_t index = (size_t)(class - in->classes);
 	double blame = fit_blame(in, index) * class->usage;
 
-	return !is_own(in) && blame >= in->excess / 2 ? blame : 0;
+	if (is_own(in))
+		return 0;
+	/* Where no other class runs, the effect of the throttle is proof. */
+	if (is_alone(in))
+		return in->excess;
+	return blame >= in->excess / 2 ? blame : 0;
 }
 
 /* The largest task of the class that accounts for most at the floor. */
@@ -520,7 +536,7 @@
 		evict_for_latency(in, sample, tasks, count, now);
 	} else {
 		if (running && in->calm > CUT_TARGET * in->tolerance &&
-		    is_unclear(in))
+		    in->excess_before > in->tolerance && is_unclear(in))
 			try_one(in, now);
 		restore_levels(in, now);
 	}
