--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -50,6 +50,14 @@
 	return t->agent->daemon->config.limits[LIMIT_TASK_LEASE_MS];
 }
 
+/* The grant's end, as of now: the worker refuses the call after it. */
+static struct taskapi_lease lease_of(const struct agent_task *t)
+{
+	struct taskapi_lease lease = { lease_ms(t), t->grant.deadline };
+
+	return lease;
+}
+
 void agent_task_end(struct agent_task *t, enum task_state state,
 		    const char *detail)
 {
@@ -168,6 +176,12 @@
 	}
 }
 
+/* The call did not reach the worker, or it came after the grant's end. */
+static int had_no_effect(int err)
+{
+	return err == ERR_UNAVAILABLE || err == ERR_TIMEOUT;
+}
+
 static void on_started(void *arg, int err)
 {
 	struct agent_task *t = arg;
@@ -193,8 +207,8 @@
 	default:
 		retry(t, "start", err);
 	}
-	/* Proof that no start has arrived, unless one before may have. */
-	if (err == ERR_UNAVAILABLE && t->sent == 1) {
+	/* Proof that no start took effect, unless one before may have. */
+	if (had_no_effect(err) && t->sent == 1) {
 		t->sent = 0;
 		t->grant.phase = GRANT_PENDING;
 	}
@@ -206,7 +220,7 @@
 {
 	struct taskapi_start start = { .job = t->grant.job,
 				       .run = t->grant.run,
-				       .lease_ms = lease_ms(t),
+				       .lease = lease_of(t),
 				       .need = t->need,
 				       .checkpoint = t->checkpoint,
 				       .command = t->command };
@@ -224,7 +238,7 @@
 {
 	struct agent_task *t = arg;
 
-	if (err == ERR_UNAVAILABLE)
+	if (had_no_effect(err))
 		t->lease_sent_at = t->lease_before;
 	if (settle(t, "renew", err))
 		return;
@@ -273,6 +287,17 @@
 		     t->stop == STOP_CHECKPOINT, on_stopped, t);
 }
 
+static void call_renew(struct agent_task *t, struct mstime now)
+{
+	struct taskapi_lease lease = lease_of(t);
+
+	t->lease_before = t->lease_sent_at;
+	t->lease_sent_at = now;
+	t->call_active = 1;
+	taskapi_renew(t->agent->taskapi, t->grant.job, t->grant.run, &lease,
+		      on_renewed, t);
+}
+
 static void step_live(struct agent_task *t, struct mstime now)
 {
 	struct taskapi *api = t->agent->taskapi;
@@ -280,10 +305,7 @@
 	uint64_t run = t->grant.run;
 
 	if (!mstime_before(now, t->renew_at)) {
-		t->lease_before = t->lease_sent_at;
-		t->lease_sent_at = now;
-		t->call_active = 1;
-		taskapi_renew(api, job, run, lease_ms(t), on_renewed, t);
+		call_renew(t, now);
 	} else if (t->throttle_due) {
 		t->call_active = 1;
 		t->throttle_sent = t->throttle;
@@ -294,22 +316,17 @@
 	}
 }
 
-/* Every lease that this agent has sent has expired by now. */
-static int lease_gone(const struct agent_task *t, struct mstime now)
+/* RETURN VALUE: 1 when every lease that this agent has sent has expired. */
+static int leases_expired(const struct agent_task *t, struct mstime now)
 {
 	return t->sent && t->agent->worker_down &&
 	       mstime_diff(now, t->lease_sent_at) >=
 		       2 * lease_ms(t) + AGENT_LEASE_MARGIN_MS;
 }
 
-void agent_task_step(struct agent_task *t, struct mstime now)
+/* Stops a run whose grant is over or whose worker does not answer. */
+static void check_stop(struct agent_task *t, struct mstime now)
 {
-	if (t->grant.phase == GRANT_ENDED)
-		return;
-	if (lease_gone(t, now)) {
-		agent_task_end(t, TASK_LOST, "worker-down");
-		return;
-	}
 	if (grants_expired(&t->grant, now))
 		agent_task_want_stop(t, STOP_CHECKPOINT,
 				     t->grant.granted ? "grant-expired"
@@ -317,6 +334,17 @@
 	if (t->confirmed && t->grant.granted &&
 	    mstime_diff(now, t->answered_at) >= AGENT_UNANSWERED_MS)
 		agent_task_want_stop(t, STOP_CHECKPOINT, "worker-unreachable");
+}
+
+void agent_task_step(struct agent_task *t, struct mstime now)
+{
+	if (t->grant.phase == GRANT_ENDED)
+		return;
+	if (leases_expired(t, now)) {
+		agent_task_end(t, TASK_LOST, "worker-down");
+		return;
+	}
+	check_stop(t, now);
 	if (t->call_active || mstime_before(now, t->retry_at))
 		return;
 	if (t->stop)
