--- /dev/null
+++ b/tests/e2e/test_agent_interference.py
@@ -0,0 +1,31 @@
+#!/usr/bin/env python3
+"""Tasks that outgrow the worker, at one agent."""
+
+import sys
+
+import agent_rig
+
+LONG = "steps=100000 step_ms=50"
+
+
+def metric(rig, name, reason):
+    return rig.metric('catkinhill_agent_%s_total{reason="%s"}' %
+                      (name, reason))
+
+
+def memory(rig):
+    """Guards against a VM that a task fills beyond its memory."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.start_task("a", 1, LONG, mem_mb=300)
+    entry.wait_task("a", 1, "running")
+    entry.start_task("b", 1, LONG + " usage_mem_mb=4000", mem_mb=300)
+    stopped = entry.wait_task("b", 1, "stopped")
+    assert stopped["detail"] == "interference-memory", stopped
+    assert stopped["checkpoint"] == "step-%d" % len(rig.effects("b"))
+    rig.wait_until(lambda: len(rig.effects("a")) > 100, "steps of the other")
+    entry.wait_task("a", 1, "running", entry.mark())
+    assert metric(rig, "evictions", "memory") == 1
+
+
+agent_rig.run_all([memory], sys.argv[1])
