--- a/packages/daemon/src/agent_state.h
+++ b/packages/daemon/src/agent_state.h
@@ -30,9 +30,9 @@
 	struct transport *transport;
 	char address[ID_SIZE];
 	char entry[ID_SIZE]; /* who answered the last announcement, or "" */
-	int seed;      /* named by the settings: never given up */
-	int answering; /* heard from within AGENT_LINK_SILENT_MS */
-	int answered;  /* heard from at all */
+	int seed;	     /* named by the settings: never given up */
+	int answering;	     /* heard from within AGENT_LINK_SILENT_MS */
+	int answered;	     /* heard from at all */
 	struct mstime heard_at;
 	struct mstime listed_at;  /* last time an entry named it */
 	uint64_t directory_hash;  /* of the list that this entry sent last */
