tests: open watches where agents are stopped

Three agents are in the entry's region and each of its three watches goes to a random one, so in one of 27 runs all of them are at the agent that is not stopped (the log shows it).

Ruled out: a watch that was cut; no watch saw an end.

Change: the scenario opens watches until both agents that it stops hold one, before the load starts; what is expected is unchanged.

Conclusion: the check no longer depends on where random choices fall.

--- a/tests/e2e/faults_stops.py
+++ b/tests/e2e/faults_stops.py
@@ -58,12 +58,31 @@
                [(a.status, a.outcome) for a in self.answers])
 
 
+def watches_at(system, names):
+    """Opens watches until each named agent has one; there is no other load."""
+    watches = []
+
+    def has_stream(name):
+        return system.agents[name].metric(
+            "catkinhill_agent_connections_used") > 0
+
+    def all_have():
+        if all(has_stream(name) for name in names):
+            return True
+        watches.extend(Watch(system, entry, "w%d" % len(watches))
+                       for entry in system.entries)
+        time.sleep(1.5)  # The agent sets its gauges once a second.
+        return False
+
+    wait_for("watches at %s" % (names,), all_have)
+    return watches
+
+
 def agent_stopped(system):
     """Guards against requests and watches cut by the planned stop of their
     agent, and against late work for it."""
+    watches = watches_at(system, ("vm1", "vm2"))
     load = Load(system, paths=LOAD)
-    watches = [Watch(system, entry, "w%d" % (i % 3))
-               for i in range(3) for entry in system.entries]
     load.wait_count(100)
     for name in ("vm1", "vm2"):
         # Longer than the time after which an idle agent would be gone.
