bench: announce the members of the choice bench

Cause: bench_routing ended with a segmentation fault. It filled the list of members by hand, and since members are also kept in a hash table their removal looked for them there.

Ruled out: a fault of the membership module; its own functions keep both in step, and test_membership passes.

Conclusion: benches go through the interface of the module.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -182,22 +182,24 @@
 	struct list *pos;
 	uint32_t i;
 
-	/* Filled by hand: announcing is a list scan a member. */
 	membership_init(&membership);
 	route = route_new(&membership, SEED);
 	for (i = 0; i < members; i++) {
-		struct member *member = xcalloc(1, sizeof(*member));
+		struct msg_announce announce = { .incarnation = 1,
+						 .seq = 1,
+						 .service = "s",
+						 .slots = SLOTS,
+						 .connections = 64,
+						 .state = AGENT_READY };
 
-		snprintf(member->agent, sizeof(member->agent), "a%u", i);
-		str_copy(member->service, "s", sizeof(member->service));
-		str_copy(member->region, i % 3 ? "a" : "b",
-			 sizeof(member->region));
-		member->state = AGENT_READY;
-		member->slots = SLOTS;
-		member->connections = 64;
-		member->reported_at = query.now;
-		list_add_tail(&membership.members, &member->node);
-		route_update(route, member, NULL);
+		snprintf(announce.agent, sizeof(announce.agent), "a%u", i);
+		str_copy(announce.region, i % 3 ? "a" : "b",
+			 sizeof(announce.region));
+		membership_announce(&membership, &announce, announce.agent,
+				    query.now);
+		route_update(route,
+			     membership_find(&membership, announce.agent),
+			     NULL);
 	}
 	clock_gettime(CLOCK_MONOTONIC, &start);
 	for (i = 0; i < ROUNDS; i++)
