tests: kill entries after outcomes are stored

The log shows the keyed request answered at 08:43:03.982 and its entry killed at once. An entry stores the outcome after it has sent the answer, so the record still said "claimed" and the retry was answered 409 unknown, as docs/design.md, section 4.5, says for that case.

Ruled out: a record that is lost by the restart of all daemons; the answer was 409, not a second run.

Change: the scenario waits until the store holds the outcome before it kills the entries; the check of the replayed answer is as it was.

--- a/tests/e2e/faults.py
+++ b/tests/e2e/faults.py
@@ -282,6 +282,19 @@
             "key": base64.b64encode(key.encode()).decode()}).get("kvs")
         return json.loads(base64.b64decode(kvs[0]["value"])) if kvs else None
 
+    def wait_outcomes_stored(self):
+        """An entry stores the outcome of a keyed request after it has sent
+        the answer; until then a retry is told "unknown"."""
+        encode = lambda text: base64.b64encode(text.encode()).decode()
+
+        def stored():
+            kvs = self.store_call("/v3/kv/range", {
+                "key": encode("idem/"), "range_end": encode("idem0")})["kvs"]
+            states = [json.loads(base64.b64decode(kv["value"]))["state"]
+                      for kv in kvs]
+            return set(states) == {"done"}
+        wait_for("stored outcomes", stored)
+
     # Callers
 
     def name(self, prefix="r"):
--- a/tests/e2e/faults_config.py
+++ b/tests/e2e/faults_config.py
@@ -172,6 +172,7 @@
         system.wait_steps("job%d" % i, 5)
     keyed = system.ask(system.entries[0], "/publish", "POST", b"n", "before")
     expect(keyed.status == 200, "published")
+    system.wait_outcomes_stored()
     daemons = system.entries + list(system.agents.values())
     for daemon in daemons:
         system.die(daemon)
