owner: take the list of entries from the registry

Cause: the registry and the owner of an entry each read all keys entry/ every 5 s (docs/CAPACITY.md, "Waste found by the slopes").

Ruled out: one lease for both as well; it changes when the keys own/N go at a stop and needs a change of its own.

Change: the registry passes its list to the owner after each read.

--- a/packages/daemon/include/owner.h
+++ b/packages/daemon/include/owner.h
@@ -28,6 +28,9 @@
 /* An agent joined or changed its state, or the configuration changed. */
 void owner_on_change(struct owner *owner);
 
+/* All entries in the store: they set the order of claims. */
+void owner_set_entries(struct owner *owner, const struct entry_list *entries);
+
 /*
  * Gives up the partitions, after their state is committed, so that another
  * entry takes them at once; fn(arg) is called when that is done.
--- a/packages/daemon/src/entry_registry.c
+++ b/packages/daemon/src/entry_registry.c
@@ -110,8 +110,10 @@
 	struct registry *registry = arg;
 
 	registry->listing = 0;
-	if (!err)
-		fill(registry, items, count);
+	if (err)
+		return;
+	fill(registry, items, count);
+	owner_set_entries(registry->entry->owner, &registry->entries);
 }
 
 static void on_put(void *arg, int err, int64_t revision)
--- a/packages/daemon/src/owner_internal.h
+++ b/packages/daemon/src/owner_internal.h
@@ -123,8 +123,8 @@
 	char (*entries)[ID_SIZE];
 	size_t entry_count;
 	int entries_known;
-	struct mstime started_at, scan_at, entries_at;
-	int scanning, listing_entries;
+	struct mstime started_at, scan_at;
+	int scanning;
 
 	int64_t lease; /* 0 for none */
 	int lease_busy;
--- a/packages/daemon/src/owner_store.c
+++ b/packages/daemon/src/owner_store.c
@@ -163,40 +163,16 @@
 		owner->lease_busy = 0;
 }
 
-/* Entries, for the order in which partitions are claimed. */
-
-static void on_entries(void *arg, int err, const struct store_item *items,
-		       size_t count)
+void owner_set_entries(struct owner *owner, const struct entry_list *entries)
 {
-	struct owner_call call;
-	struct owner *owner;
 	size_t i;
 
-	if (!owner_call_end(arg, &call))
-		return;
-	owner = call.owner;
-	owner->listing_entries = 0;
-	if (err)
-		return;
 	owner->entries_known = 1;
 	free(owner->entries);
-	owner->entries = xcalloc(count + 1, sizeof(*owner->entries));
-	owner->entry_count = count;
-	for (i = 0; i < count; i++)
-		str_copy(owner->entries[i], items[i].key + strlen("entry/"),
-			 ID_SIZE);
-}
-
-static void tick_entries(struct owner *owner, struct mstime now)
-{
-	if (owner->listing_entries ||
-	    (owner->entries_known &&
-	     mstime_diff(now, owner->entries_at) < OWNER_ENTRIES_MS))
-		return;
-	owner->listing_entries = 1;
-	owner->entries_at = now;
-	store_list(owner->daemon->store, "entry/", OWNER_ENTRIES_MAX,
-		   on_entries, owner_call_new(owner, NULL));
+	owner->entries = xcalloc(entries->count + 1, sizeof(*owner->entries));
+	owner->entry_count = entries->count;
+	for (i = 0; i < entries->count; i++)
+		str_copy(owner->entries[i], entries->items[i].id, ID_SIZE);
 }
 
 /* Scan of own/ */
@@ -303,7 +279,6 @@
 	tick_lease(owner, now);
 	if (owner->stopping)
 		return;
-	tick_entries(owner, now);
 	tick_scan(owner, now);
 	if (!owner->lease || !owner->entries_known ||
 	    mstime_diff(now, owner->started_at) < FIRST_CLAIM_MS)
