agent: report at once only the runs that changed

Cause: each change of a run (start, end, checkpoint) made the agent report all its runs at once, in addition to the report of each second (docs/CAPACITY.md, "Waste found by the slopes").

Ruled out: dropping the report at once; an end or start would reach its owner up to 1 s later. Dropping runs from the report of each second; it extends their grants.

Change: a report at once lists the runs whose state, detail or checkpoint differs from the last report. A new owner, link or configuration still gets all runs, and every second all are listed, which repeats a lost report.

--- a/packages/daemon/src/agent_links.c
+++ b/packages/daemon/src/agent_links.c
@@ -222,7 +222,7 @@
 	link->answering = 1;
 	log_event(EV_AGENT_LINK_UP, "entry=%s", link->address);
 	/* An owner learns at once which of its runs this worker has. */
-	agent_tasks_report_soon(link->agent);
+	agent_tasks_report_all(link->agent);
 }
 
 static void on_message(void *arg, const char *peer, const struct message *msg)
--- a/packages/daemon/src/agent_reports.c
+++ b/packages/daemon/src/agent_reports.c
@@ -6,6 +6,7 @@
 #include "agent_links.h"
 #include "agent_task.h"
 #include "agent_tasks.h"
+#include "hash.h"
 #include "log.h"
 #include "mem.h"
 #include "sysclock.h"
@@ -42,7 +43,7 @@
 	owner->link = link;
 	log_event(EV_TASK_OWNER, "partition=%u epoch=%llu entry=%s", partition,
 		  (unsigned long long)epoch, link->address);
-	agent_tasks_report_soon(agent);
+	agent_tasks_report_all(agent);
 }
 
 void agent_tasks_link_removed(struct agent_link *link)
@@ -64,6 +65,12 @@
 		loop_timer_start(agent->report_timer, 0);
 }
 
+void agent_tasks_report_all(struct agent *agent)
+{
+	agent->report_all = 1;
+	agent_tasks_report_soon(agent);
+}
+
 static void send_report(struct agent *agent, const struct message *msg)
 {
 	const struct agent_owner *owner =
@@ -88,9 +95,24 @@
 	row->detail = t->detail;
 }
 
+/* Of all that a report says about the run but its usage; never 0. */
+static uint64_t hash_run(const struct agent_task *t)
+{
+	uint64_t parts[] = { t->grant.run, (uint64_t)t->state,
+			     hash_str(t->checkpoint), hash_str(t->detail) };
+
+	return hash_bytes(parts, sizeof(parts)) | 1;
+}
+
+static int is_due(const struct agent *agent, const struct agent_task *t)
+{
+	return t->report_round != agent->report_round &&
+	       grants_reportable(&t->grant) &&
+	       (agent->report_all || t->reported != hash_run(t));
+}
+
 /* Sends the runs of first's partition that this round has not listed. */
-static void report_partition(struct agent *agent, struct list *first,
-			     uint64_t round)
+static void report_partition(struct agent *agent, struct list *first)
 {
 	uint32_t partition =
 		list_entry(first, struct agent_task, node)->grant.partition;
@@ -109,10 +131,10 @@
 	for (pos = first; pos != &agent->tasks; pos = pos->next) {
 		struct agent_task *t = list_entry(pos, struct agent_task, node);
 
-		if (t->grant.partition != partition ||
-		    t->report_round == round || !grants_reportable(&t->grant))
+		if (t->grant.partition != partition || !is_due(agent, t))
 			continue;
-		t->report_round = round;
+		t->report_round = agent->report_round;
+		t->reported = hash_run(t);
 		grants_listed(&t->grant, report->seq, now);
 		fill_row(&rows[report->tasks.count++], t);
 		if (report->tasks.count == AGENT_REPORT_TASKS)
@@ -121,19 +143,29 @@
 	send_report(agent, &msg);
 }
 
+/*
+ * Reports at once list only the runs that changed: with all of them a run
+ * cost twice as many bytes at 200 runs. The full report a second extends the
+ * grants, and repeats what a lost report said.
+ */
 static void on_timer(void *arg)
 {
 	struct agent *agent = arg;
-	uint64_t round = ++agent->report_round;
+	struct mstime now = sysclock_now();
 	struct list *pos;
 
-	list_for_each (pos, &agent->tasks) {
-		struct agent_task *t = list_entry(pos, struct agent_task, node);
-
-		if (t->report_round != round && grants_reportable(&t->grant))
-			report_partition(agent, pos, round);
-	}
-	loop_timer_start(agent->report_timer, AGENT_REPORT_MS);
+	if (mstime_diff(now, agent->reported_at) >= AGENT_REPORT_MS)
+		agent->report_all = 1;
+	if (agent->report_all)
+		agent->reported_at = now;
+	agent->report_round++;
+	list_for_each (pos, &agent->tasks)
+		if (is_due(agent, list_entry(pos, struct agent_task, node)))
+			report_partition(agent, pos);
+	agent->report_all = 0;
+	loop_timer_start(agent->report_timer,
+			 AGENT_REPORT_MS -
+				 mstime_diff(now, agent->reported_at));
 }
 
 void agent_reports_start(struct agent *agent)
--- a/packages/daemon/src/agent_state.h
+++ b/packages/daemon/src/agent_state.h
@@ -87,6 +87,8 @@
 	struct loop_timer *report_timer;
 	uint64_t report_seq;
 	uint64_t report_round;
+	struct mstime reported_at; /* of all runs */
+	int report_all;		   /* in the next round */
 	uint64_t list_round;
 	int over; /* reservations are above the capacity */
 	int list_active;
--- a/packages/daemon/src/agent_task.h
+++ b/packages/daemon/src/agent_task.h
@@ -57,6 +57,7 @@
 	struct interference_task interference;
 	uint64_t list_round;   /* last list that named it */
 	uint64_t report_round; /* last round of reports that listed it */
+	uint64_t reported;     /* what that round said of it, 0 for none */
 };
 
 /* Adds a run; its grant is pending and its state TASK_STARTING. */
--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -97,6 +97,7 @@
 {
 	t->adopted = 0;
 	t->grant.end_acked = 0;
+	t->reported = 0;
 	agent_tasks_report_soon(t->agent);
 }
 
@@ -411,7 +412,7 @@
 		if (t->adopted)
 			t->grant.partition = partition_of(agent, t->grant.job);
 	}
-	agent_tasks_report_soon(agent);
+	agent_tasks_report_all(agent);
 }
 
 void agent_tasks_leave(struct agent *agent, const char *reason)
--- a/packages/daemon/src/agent_tasks.h
+++ b/packages/daemon/src/agent_tasks.h
@@ -41,8 +41,9 @@
 /* The number of partitions or the length of grants may have changed. */
 void agent_tasks_configured(struct agent *agent);
 
-/* Reports on all partitions as soon as the event loop is idle. */
+/* Reports changed runs, or all, as soon as the event loop is idle. */
 void agent_tasks_report_soon(struct agent *agent);
+void agent_tasks_report_all(struct agent *agent);
 
 /* Stops all runs with a checkpoint. */
 void agent_tasks_leave(struct agent *agent, const char *reason);
