entry: tick every 200 ms while idle

Cause: an entry woke every 20 ms and walked its 1,024 buckets of attempts also when there was no request (docs/CAPACITY.md, "Waste found by the slopes").

Ruled out: no tick at all while idle; it expires silent members and detects pauses of the process. Starting the timer with every first request; callers faster than 20 ms would put it off for ever.

Change: without requests and watches the tick is 200 ms; the first request brings it back to 20 ms. Readiness follows the configuration at once.

--- a/packages/daemon/src/entry.c
+++ b/packages/daemon/src/entry.c
@@ -19,6 +19,8 @@
 #define FULL_SERVICES_MAX 4
 /* A pause between ticks that is longer, and the time to read what waits. */
 #define PAUSE_MS 1000
+/* Tick without requests, when only members and readiness can change. */
+#define IDLE_TICK_MS 200
 #define LINGER_MS 200
 
 static const struct {
@@ -114,6 +116,20 @@
 		loop_timer_start(entry->drain, 0);
 }
 
+void entry_wake(struct entry *entry)
+{
+	/* Started again by every request, the timer might never end. */
+	if (!entry->slow_tick)
+		return;
+	entry->slow_tick = 0;
+	loop_timer_start(entry->tick, TICK_MS);
+}
+
+static int is_idle(const struct entry *entry)
+{
+	return list_empty(&entry->requests) && list_empty(&entry->watches);
+}
+
 static int is_full(const char *const *full, size_t count, const char *service)
 {
 	size_t i;
@@ -213,7 +229,9 @@
 	struct entry *entry = arg;
 	struct mstime now = sysclock_now();
 
-	loop_timer_start(entry->tick, TICK_MS);
+	entry->slow_tick = is_idle(entry);
+	loop_timer_start(entry->tick,
+			 entry->slow_tick ? IDLE_TICK_MS : TICK_MS);
 	detect_pause(entry, now);
 	update_ready(entry);
 	drop_expired(entry, now);
@@ -242,6 +260,7 @@
 			    (uint32_t)config->limits[LIMIT_ENTRY_QUEUE]);
 	route_config(entry->route, config);
 	owner_on_change(entry->owner);
+	update_ready(entry);
 	entry_drain_soon(entry);
 }
 
--- a/packages/daemon/src/entry_impl.h
+++ b/packages/daemon/src/entry_impl.h
@@ -87,6 +87,7 @@
 	struct loop_timer *tick;
 	struct loop_timer *drain;
 	int64_t seen_bytes_in;
+	int slow_tick;
 	struct mstime ticked_at;
 	/* No silence of an agent counts before: this process was paused. */
 	struct mstime deaf_until;
@@ -167,6 +168,9 @@
 /* Serves the queue as soon as the current event is handled. */
 void entry_drain_soon(struct entry *entry);
 
+/* Ticks at the rate of a busy entry; called with the first request. */
+void entry_wake(struct entry *entry);
+
 /* Calls the stop's callback when nothing is left. */
 void entry_check_stopped(struct entry *entry);
 
--- a/packages/daemon/src/entry_request.c
+++ b/packages/daemon/src/entry_request.c
@@ -123,6 +123,8 @@
 	request->deadline = request->arrived;
 	request->length = -1;
 	list_init(&request->watch_node);
+	if (list_empty(&entry->requests))
+		entry_wake(entry);
 	list_add_tail(&entry->requests, &request->node);
 	snprintf(request->trace, sizeof(request->trace), "%.24s-%08x-%" PRIx64,
 		 entry->daemon->settings->id,
