fakes: release delayed calls when the worker ends

Under the sanitizers fakeworker ended with a leak of 16 bytes: the structure of a call that was delayed by slow_tasks_ms. libevent frees its own part of a pending one-time event, but not the argument. A run with delayed calls on all paths and a SIGTERM showed more: 310 bytes with the clients waiting (also requests of the service), and 588 bytes and whole requests when the clients had gone, because libevent leaves a request whose client closed the connection to its user.

run_later() now keeps its calls and makes them with "ending" set when the worker ends; they then release what they hold. A request without a connection is freed, also after a lost answer and a closed watch.

--- a/tests/fakes/fakeworker.c
+++ b/tests/fakes/fakeworker.c
@@ -29,12 +29,47 @@
 	return read_ms(CLOCK_BOOTTIME);
 }
 
-void run_later(struct worker *worker, int64_t delay_ms, event_callback_fn fn,
-	       void *arg)
+struct later {
+	struct list node;
+	later_fn fn;
+	void *arg;
+};
+
+static void later_run(struct later *later, int ending)
+{
+	list_del(&later->node);
+	later->fn(later->arg, ending);
+	free(later);
+}
+
+static void on_later(evutil_socket_t fd, short what, void *arg)
+{
+	later_run(arg, 0);
+}
+
+void run_later(struct worker *worker, int64_t delay_ms, later_fn fn, void *arg)
 {
 	struct timeval tv = { delay_ms / 1000, delay_ms % 1000 * 1000 };
+	struct later *later = xcalloc(1, sizeof(*later));
 
-	event_base_once(worker->base, -1, EV_TIMEOUT, fn, arg, &tv);
+	later->fn = fn;
+	later->arg = arg;
+	list_add_tail(&worker->later, &later->node);
+	event_base_once(worker->base, -1, EV_TIMEOUT, on_later, later, &tv);
+}
+
+static void later_clear(struct worker *worker)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &worker->later)
+		later_run(list_entry(pos, struct later, node), 1);
+}
+
+void request_drop(struct evhttp_request *request)
+{
+	if (!evhttp_request_get_connection(request))
+		evhttp_request_free(request);
 }
 
 void reply_json(struct evhttp_request *request, int status, json_t *body)
@@ -52,12 +87,14 @@
 }
 
 /* The client may have closed the connection in the meantime. */
-static void on_close(evutil_socket_t fd, short what, void *arg)
+static void on_close(void *arg, int ending)
 {
 	struct evhttp_connection *connection =
 		evhttp_request_get_connection(arg);
 
-	if (connection)
+	if (!connection || ending)
+		request_drop(arg);
+	else
 		evhttp_connection_free(connection);
 }
 
@@ -184,6 +221,7 @@
 	fflush(stdout);
 	event_base_dispatch(worker->base);
 	event_free(term);
+	later_clear(worker);
 	evhttp_free(worker->http[0]);
 	evhttp_free(worker->http[1]);
 	tasks_clear(worker);
@@ -231,6 +269,7 @@
 	worker.history_file = history ? fopen(history, "a") : NULL;
 	worker.effects = effects;
 	list_init(&worker.tasks);
+	list_init(&worker.later);
 	code = run(&worker, service, tasks);
 	g_free(service);
 	g_free(tasks);
--- a/tests/fakes/fakeworker/fakeworker.h
+++ b/tests/fakes/fakeworker/fakeworker.h
@@ -51,7 +51,8 @@
 	const char *effects; /* folder of the ledger, or NULL */
 	int64_t skipped;     /* steps that the ledger had already */
 	struct list tasks;
-	int64_t late; /* starts and renewals refused after a grant's end */
+	struct list later; /* calls that run_later() has not made yet */
+	int64_t late;	   /* starts and renewals refused after a grant's end */
 	int64_t published;
 };
 
@@ -91,9 +92,18 @@
 /* Closes the connection of a request without an answer. */
 void reply_lost(struct worker *worker, struct evhttp_request *request);
 
-/* Calls fn(arg) once after delay_ms. */
-void run_later(struct worker *worker, int64_t delay_ms, event_callback_fn fn,
-	       void *arg);
+/*
+ * Calls fn(arg, 0) once after delay_ms, or fn(arg, 1) when the worker ends
+ * before; it then only releases what it holds.
+ */
+typedef void (*later_fn)(void *arg, int ending);
+void run_later(struct worker *worker, int64_t delay_ms, later_fn fn, void *arg);
+
+/*
+ * Releases a request that will not be answered. libevent leaves it to its
+ * user once the client has closed the connection.
+ */
+void request_drop(struct evhttp_request *request);
 
 /* RETURN VALUE: the body parsed, a new reference, or NULL. */
 json_t *request_json(struct evhttp_request *request);
--- a/tests/fakes/fakeworker/service.c
+++ b/tests/fakes/fakeworker/service.c
@@ -153,11 +153,14 @@
 	set_answer(work, 200, data, strlen(data));
 }
 
-static void on_cut(evutil_socket_t fd, short what, void *arg)
+static void on_cut(void *arg, int ending)
 {
 	struct work *work = arg;
 
-	reply_lost(work->worker, work->request);
+	if (ending)
+		request_drop(work->request);
+	else
+		reply_lost(work->worker, work->request);
 	record_usage(work->worker, USAGE_SLOTS, -1);
 	work_end(work);
 }
@@ -179,7 +182,10 @@
 
 static void on_watch_closed(struct evhttp_connection *connection, void *arg)
 {
-	work_end(arg);
+	struct work *work = arg;
+
+	request_drop(work->request);
+	work_end(work);
 }
 
 static void on_watch_event(evutil_socket_t fd, short what, void *arg)
@@ -279,11 +285,16 @@
 	set_answer(work, 404, xstrdup("no such path"), 12);
 }
 
-static void on_delay(evutil_socket_t fd, short what, void *arg)
+static void on_delay(void *arg, int ending)
 {
 	struct work *work = arg;
 
-	work->finish(work);
+	if (ending) {
+		request_drop(work->request);
+		work_end(work);
+	} else {
+		work->finish(work);
+	}
 }
 
 /*
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -457,11 +457,14 @@
 	struct evhttp_request *request;
 };
 
-static void on_delay(evutil_socket_t fd, short what, void *arg)
+static void on_delay(void *arg, int ending)
 {
 	struct delayed *delayed = arg;
 
-	serve_now(delayed->worker, delayed->request);
+	if (ending)
+		request_drop(delayed->request);
+	else
+		serve_now(delayed->worker, delayed->request);
 	free(delayed);
 }
 
