tests: start processes in groups of their own

silent_entry failed once in a parallel run with "no 1 announce {'state': 'ready'}" after the stand-in of the entry was continued, and passed alone. The stand-in had ended: with the tests in the background of a shell that ends while a process of them is stopped, the kernel sends SIGHUP to the process group that is left behind (exit code of the stand-in: -1).

All rigs now start processes by cluster.spawn(), which puts each one into its own group. Its parent lives on in another group of the session, so the end of a shell changes nothing for it.

--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -16,6 +16,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
                                 "tools", "pylib"))
 
+from cluster import spawn  # noqa: E402
 from ports import free_address  # noqa: E402
 
 WAIT_S = 30
@@ -55,7 +56,7 @@
     """The stand-in of an entry; keeps all messages that it received."""
 
     def __init__(self, build, address):
-        self.process = subprocess.Popen(
+        self.process = spawn(
             [build + "/fakeentry", address], stdin=subprocess.PIPE,
             stdout=subprocess.PIPE, text=True, encoding="latin-1")
         assert self.process.stdout.readline() == "ready\n"
@@ -175,7 +176,7 @@
         self.start_agent()
 
     def start_worker(self):
-        self.worker = subprocess.Popen(
+        self.worker = spawn(
             [self.build + "/fakeworker", "--service",
              self.addresses["service"], "--tasks", self.addresses["tasks"],
              "--id", "w1", "--limits", "8,64,4000,1000,0", "--history",
@@ -185,7 +186,7 @@
 
     def start_store(self, key, value):
         """The stand-in of the store, with one key."""
-        self.processes.append(subprocess.Popen(
+        self.processes.append(spawn(
             [self.build + "/fakestore", "--listen", self.addresses["store"]],
             stdout=subprocess.DEVNULL))
         put = {"key": base64.b64encode(key.encode()).decode(),
@@ -208,7 +209,7 @@
 
     def start_agent(self):
         with open(self.folder + "/agent.log", "a") as log:
-            self.agent = subprocess.Popen(
+            self.agent = spawn(
                 [self.build + "/catkinhilld", "--config",
                  self.folder + "/agent.ini"], stderr=log)
         self.processes.append(self.agent)
--- a/tests/e2e/entry_rig.py
+++ b/tests/e2e/entry_rig.py
@@ -10,6 +10,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "..",
                                 "tools", "pylib"))
 
+from cluster import spawn  # noqa: E402
 from ports import free_port  # noqa: E402
 
 BUILD = os.path.abspath(sys.argv.pop(1))
@@ -51,7 +52,7 @@
 lease_s = 5
 """)
         self.log = open(os.path.join(folder, name + ".log"), "w+")
-        self.process = subprocess.Popen(
+        self.process = spawn(
             [os.path.join(BUILD, "catkinhilld"), "--config", path],
             stderr=self.log)
         wait_for("entry", self.ready)
@@ -102,7 +103,7 @@
                  load=0):
         self.path = os.path.join(folder, name + ".out")
         with open(self.path, "w") as out:
-            self.process = subprocess.Popen(
+            self.process = spawn(
                 [os.path.join(BUILD, "fakeagent"),
                  f"127.0.0.1:{entry.peers}", name, region, service,
                  str(load)], stdout=out)
@@ -115,7 +116,7 @@
 class Store:
     def __init__(self):
         self.port, self.control = free_port(), free_port()
-        self.process = subprocess.Popen(
+        self.process = spawn(
             [os.path.join(BUILD, "fakestore"), "--listen",
              f"127.0.0.1:{self.port}", "--control",
              f"127.0.0.1:{self.control}"], stdout=subprocess.PIPE)
--- a/tools/pylib/cluster.py
+++ b/tools/pylib/cluster.py
@@ -55,15 +55,24 @@
         return None
 
 
+def spawn(argv, **options):
+    """Starts a process in a group of its own.
+
+    When the shell that started the tests ends first, the kernel sends SIGHUP
+    to the group that it leaves behind if a process of it is stopped. This
+    killed processes that a test had frozen.
+    """
+    return subprocess.Popen(argv, process_group=0, **options)
+
+
 class Process:
     def __init__(self, name, argv, directory, env=None):
         self.name = name
         self.stopping = False  # a second signal would not be graceful
         self.log = os.path.join(directory, name + ".log")
         self.output = open(self.log, "wb")
-        self.popen = subprocess.Popen(
-            argv, stdout=self.output, stderr=subprocess.STDOUT,
-            stdin=subprocess.DEVNULL, env=env)
+        self.popen = spawn(argv, stdout=self.output, stderr=subprocess.STDOUT,
+                           stdin=subprocess.DEVNULL, env=env)
 
     def text(self):
         with open(self.log, "r", errors="replace") as log:
