estimate: keep the pooled need until it changes

Each placement attempt walked the 168 buckets of two histograms, although they change only with a sample or a decay; a round over 200 waiting jobs repeats this for each job. The result now stays with the histogram until a sample, a decay or another bound. Estimates are unchanged; test_placement passes.

--- a/packages/core/src/estimate.c
+++ b/packages/core/src/estimate.c
@@ -23,6 +23,9 @@
 struct histo {
 	float weight[BUCKETS];
 	float total;
+	/* Result of pooled() for a bound; 0 when it must be computed. */
+	uint32_t pooled_for;
+	double pooled;
 };
 
 struct class
@@ -116,6 +119,7 @@
 	for (i = 0; i < BUCKETS; i++)
 		histo->weight[i] *= factor;
 	histo->total *= factor;
+	histo->pooled_for = 0;
 }
 
 /* Decay is slow; weights a minute old are as good as new. */
@@ -145,6 +149,7 @@
 {
 	histo->weight[bucket_of(value)] += 1;
 	histo->total += 1;
+	histo->pooled_for = 0;
 }
 
 void estimate_observe(struct estimate *estimate, const char *team,
@@ -208,10 +213,20 @@
 	return fmin(high, mean + DEVIATIONS * deviation / sqrt(runs)) * MARGIN;
 }
 
-static uint32_t need_of(const struct histo *histo, uint32_t declared,
-			uint32_t bound)
+static double known_need(struct histo *histo, uint32_t bound)
 {
-	double known = histo && histo->total > 0 ? pooled(histo, bound) : 0;
+	if (histo->total <= 0)
+		return 0;
+	if (!histo->pooled_for || histo->pooled_for != bound) {
+		histo->pooled = pooled(histo, bound);
+		histo->pooled_for = bound;
+	}
+	return histo->pooled;
+}
+
+static uint32_t need_of(struct histo *histo, uint32_t declared, uint32_t bound)
+{
+	double known = histo ? known_need(histo, bound) : 0;
 	double trust = histo ? histo->total / TRUSTED_WEIGHT : 0;
 	double unknown = UNKNOWN_FACTOR * (double)declared;
 	double need;
