gate: keep a task's reservation when its usage dips

The gate reserved the larger of declared and last reported usage. A throttled task also reports less than it will use. The reservation now keeps the most that was observed in the run.

A longer margin of the estimate was no alternative: it costs more work, and dips have no bound. test_gate has a new case and passes.

--- a/bench/bench_batch/model.c
+++ b/bench/bench_batch/model.c
@@ -152,7 +152,7 @@
 	}
 }
 
-/* What the agents reserve: the larger of what was asked and is observed now. */
+/* What the agents reserve: the larger of what was asked and was observed. */
 static void sum_reserved(struct world *world)
 {
 	int i;
@@ -167,8 +167,8 @@
 			continue;
 		used = &world->views[task->worker].used;
 		used->cpu_milli +=
-			max_u32(task->need.cpu_milli, task->seen.cpu_milli);
-		used->mem_mb += max_u32(task->need.mem_mb, task->seen.mem_mb);
+			max_u32(task->need.cpu_milli, task->most.cpu_milli);
+		used->mem_mb += max_u32(task->need.mem_mb, task->most.mem_mb);
 	}
 }
 
@@ -206,7 +206,6 @@
 
 	task->worker = worker;
 	task->started = world->now;
-	memset(&task->seen, 0, sizeof(task->seen));
 	memset(&task->most, 0, sizeof(task->most));
 	used->cpu_milli += task->need.cpu_milli;
 	used->mem_mb += task->need.mem_mb;
@@ -395,11 +394,13 @@
 /* What the worker reports is LAG_S old. */
 static void report_usage(struct world *world, struct task *task)
 {
+	struct resources used;
+
 	if (world->now - task->started < LAG_S ||
 	    world->policy >= POLICY_FIRST_FIT)
 		return;
-	task->seen = usage_at(world, task, fmax(worked(task) - LAG_S, 0));
-	raise_to(&task->most, &task->seen);
+	used = usage_at(world, task, fmax(worked(task) - LAG_S, 0));
+	raise_to(&task->most, &used);
 }
 
 /* As the owner does: only a peak that has grown since the last sample. */
--- a/bench/bench_batch/model.h
+++ b/bench/bench_batch/model.h
@@ -49,7 +49,6 @@
 	int urgent;
 	struct resources actual; /* mean of the run */
 	struct resources peak;	 /* most that it uses, ever */
-	struct resources seen;	 /* last reported */
 	struct resources most;	 /* most that was reported of this run */
 	struct resources declared, need;
 	uint64_t shape;	   /* seed of how its usage changes */
--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -116,6 +116,8 @@
 /* Reserves without a check, for a task that the worker already runs. */
 void gate_task_adopt(struct gate *gate, struct gate_task *task,
 		     const struct resources *observed);
+
+/* Raises the reservation to observed; it does not fall again. */
 void gate_task_observe(struct gate *gate, struct gate_task *task,
 		       const struct resources *observed);
 void gate_task_release(struct gate *gate, struct gate_task *task);
--- a/packages/core/src/gate.c
+++ b/packages/core/src/gate.c
@@ -215,8 +215,14 @@
 void gate_task_observe(struct gate *gate, struct gate_task *task,
 		       const struct resources *observed)
 {
-	if (task->reserved)
-		task->observed = *observed;
+	if (!task->reserved)
+		return;
+	/* Room that a dip gives away is missing when usage rises again. */
+	task->observed = (struct resources){
+		larger(task->observed.cpu_milli, observed->cpu_milli),
+		larger(task->observed.mem_mb, observed->mem_mb),
+		larger(task->observed.accel, observed->accel),
+	};
 }
 
 void gate_task_release(struct gate *gate, struct gate_task *task)
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -145,6 +145,28 @@
 	}
 }
 
+/* Guards against room that is given away while a task uses less. */
+static void test_usage_dips(void **state)
+{
+	const struct resources declared = { 100, 10, 0 };
+	const struct resources high = { 700, 20, 0 }, low = { 50, 80, 0 };
+	const struct resources rest = { 300, 20, 0 }, more = { 301, 20, 0 };
+	struct gate_task a = { 0 }, b = { 0 };
+	struct gate gate;
+
+	(void)state;
+	gate_init(&gate, &small);
+	assert_int_equal(gate_task_reserve(&gate, &a, &declared), 0);
+	gate_task_observe(&gate, &a, &high);
+	gate_task_observe(&gate, &a, &low);
+	assert_int_equal(gate_reserved(&gate).cpu_milli, 700);
+	assert_int_equal(gate_reserved(&gate).mem_mb, 80);
+	assert_int_equal(gate_task_reserve(&gate, &b, &more), ERR_FULL);
+	assert_int_equal(gate_task_reserve(&gate, &b, &rest), 0);
+	gate_task_release(&gate, &a);
+	gate_task_release(&gate, &b);
+}
+
 #define REQUESTS 24
 #define TASKS 12
 
@@ -225,6 +247,7 @@
 		cmocka_unit_test(test_streams),
 		cmocka_unit_test(test_deadline_and_close),
 		cmocka_unit_test(test_tasks),
+		cmocka_unit_test(test_usage_dips),
 		cmocka_unit_test(test_any_order),
 	};
 
