bench: measure jobs that can never run

Nothing measured whether such jobs end with a reason and whether others pay for them. The time of the others may grow by a tenth for the runs that fail.

--- a/bench/bench_batch.c
+++ b/bench/bench_batch.c
@@ -7,6 +7,7 @@
 #include <time.h>
 
 #include "bench_batch/model.h"
+#include "bench_batch/never.h"
 #include "mem.h"
 #include "partition.h"
 
@@ -399,10 +400,43 @@
 	partition_delete(partition);
 }
 
+/*
+ * The owner ends a job after failures at 3 workers that are not at fault
+ * themselves, and after JOB_TRIES_TOTAL_MAX runs in any case.
+ */
+static void bench_never(void)
+{
+	struct never_result with, without;
+	int bad = 0, named = 0, good = 0, done = 0, i;
+	uint32_t most_runs = 0;
+	double held = 0;
+
+	for (i = 0; i < SEEDS; i++) {
+		never_run(&with, 1, FIRST_SEED + (uint64_t)i);
+		never_run(&without, 0, FIRST_SEED + (uint64_t)i);
+		bad += with.bad;
+		named += with.named;
+		good += with.good;
+		done += with.done;
+		held += (double)with.waited_s / without.waited_s / SEEDS;
+		if (with.most_runs > most_runs)
+			most_runs = with.most_runs;
+	}
+	print_target("jobs that can never run, named with a reason",
+		     (double)named / bad, ">= 1", named == bad);
+	print_target("runs of a job that can never run, at most", most_runs,
+		     "<= 20", most_runs <= JOB_TRIES_TOTAL_MAX);
+	print_target("the other jobs done", (double)done / good, ">= 1",
+		     done == good);
+	print_target("time of the other jobs over that without them", held,
+		     "<= 1.1", held <= 1.1);
+}
+
 int main(void)
 {
 	bench_policies();
 	bench_decisions();
 	bench_partition();
+	bench_never();
 	return 0;
 }
