--- a/tests/sim/sim_owner.c
+++ b/tests/sim/sim_owner.c
@@ -155,6 +155,7 @@
 
 void sim_owner_start(struct sim_owner *owner)
 {
+	const struct entry_list entries = { NULL, 0 };
 	struct daemon *daemon = &owner->daemon;
 	static struct transport transports[SIM_OWNERS];
 	struct transport *transport = &transports[owner - sim.owners];
@@ -176,6 +177,7 @@
 	daemon->config.limits[LIMIT_GRANT_MS] = 20000;
 	membership_init(&owner->membership);
 	owner->owner = owner_new(daemon, transport, &owner->membership);
+	owner_set_entries(owner->owner, &entries);
 	owner->stopping = 0;
 	owner->stopped = 0;
 	sim_trace("%s starts", owner->id);
