core: encode and replay the log of a partition

partition_encode_delta() writes what changed since the last known commit: the head, each job whose version is later, and the ids of the jobs that were forgotten. Nothing is marked as sent, so a commit that failed is encoded again with what changed meanwhile, and changes made while a commit is in flight stay pending. partition_apply() replays an entry and refuses a gap, another epoch and damaged bytes.

Ages in a value are as of its writing, and a log makes them older than the read. Value and entries of one epoch have one writer, so they carry its clock, and the replay adds the difference. Comparing clocks of two processes stays ruled out.

--- a/packages/core/include/partition.h
+++ b/packages/core/include/partition.h
@@ -109,9 +109,10 @@
 struct partition {
 	uint32_t number;
 	uint64_t epoch;
-	uint64_t seq;	     /* of the commit; raised by each encoding */
+	uint64_t seq;	     /* of the last log entry known to be stored */
 	int64_t holdover_ms; /* see owner_lease_holdover() */
-	char token[160];     /* writer of the value that was decoded */
+	char token[160];     /* writer of the value or entry decoded last */
+	int64_t written_ms;  /* clock of that writer when it wrote */
 
 	struct list jobs;
 	struct job *buckets[PARTITION_BUCKETS];
@@ -119,11 +120,15 @@
 	uint64_t next_order;
 	uint64_t version;	 /* of the last change */
 	uint64_t committed;	 /* version that is known to be in the store */
+	struct list removed;	 /* jobs forgotten since, for the next delta */
 	size_t bytes;		 /* upper bound of the value's size */
 	uint64_t inbox_listings; /* complete listings of the inbox so far */
 };
 
-/* The value must fit into the store with its growth while jobs run. */
+/*
+ * The value must fit into the store with its growth while jobs run. A log
+ * entry has the same bound.
+ */
 #define PARTITION_VALUE_MAX (1024 * 1024)
 #define PARTITION_INTAKE_MAX (768 * 1024)
 
@@ -131,7 +136,8 @@
 void partition_delete(struct partition *partition);
 
 /*
- * Serializes the partition as of version.
+ * Serializes the partition as of version, as a snapshot that includes the log
+ * up to seq.
  *
  * writer	names this process; the token written is "WRITER/VERSION"
  *
@@ -153,16 +159,41 @@
 		     struct mstime now);
 
 /*
- * Reads epoch and token of a value, to settle a commit without an answer.
+ * Serializes the changes since the last known commit as log entry seq + 1.
+ * Encoding changes nothing, so a commit that failed is encoded again with the
+ * changes made meanwhile.
+ *
+ * RETURN VALUE
+ *	As partition_encode().
+ */
+int partition_encode_delta(const struct partition *partition,
+			   const char *writer, struct mstime now, char **data,
+			   size_t *len);
+
+/*
+ * Applies the next log entry to a partition that was decoded at the same time
+ * now. After ERR_MALFORMED the partition is of no use.
+ *
+ * ERRORS
+ *	ERR_INVALID	not the next entry: of another partition or epoch, or
+ *			a gap; nothing was changed
+ *	ERR_MALFORMED	not an entry of this format, or one that does not fit
+ */
+int partition_apply(struct partition *partition, const void *data, size_t len,
+		    struct mstime now);
+
+/*
+ * Reads the head of a value or log entry, to settle a commit without an
+ * answer.
  *
  * RETURN VALUE
- *	1 if the value was written by writer, and *version is what it holds;
+ *	1 if it was written by writer, and *version is what it holds;
  *	0 if by another; ERR_MALFORMED.
  */
 int partition_value_writer(const void *data, size_t len, const char *writer,
-			   uint64_t *epoch, uint64_t *version);
+			   uint64_t *epoch, uint64_t *seq, uint64_t *version);
 
-/* A commit of version has taken effect. */
+/* A commit of version has taken effect; changes made later are pending. */
 void partition_committed(struct partition *partition, uint64_t version);
 
 static inline int partition_dirty(const struct partition *partition)
--- a/packages/core/src/partition.c
+++ b/packages/core/src/partition.c
@@ -34,6 +34,7 @@
 
 	partition->number = number;
 	list_init(&partition->jobs);
+	list_init(&partition->removed);
 	return partition;
 }
 
@@ -43,12 +44,28 @@
 	free(job);
 }
 
+static void drop_removed(struct partition *partition, uint64_t version)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &partition->removed) {
+		struct removed_job *removed =
+			list_entry(pos, struct removed_job, node);
+
+		if (removed->version > version)
+			return;
+		list_del(pos);
+		free(removed);
+	}
+}
+
 void partition_delete(struct partition *partition)
 {
 	struct list *pos, *tmp;
 
 	if (!partition)
 		return;
+	drop_removed(partition, UINT64_MAX);
 	list_for_each_safe (pos, tmp, &partition->jobs)
 		job_delete(list_entry(pos, struct job, node));
 	free(partition);
@@ -102,7 +119,7 @@
 	partition->bytes += job->bytes;
 }
 
-static void unlink_job(struct partition *partition, struct job *job)
+void partition_unlink(struct partition *partition, struct job *job)
 {
 	struct job **pos = bucket_of(partition, job->id);
 
@@ -112,10 +129,20 @@
 	list_del(&job->node);
 	partition->counts[job->state]--;
 	partition->bytes -= job->bytes;
-	partition_touch(partition);
 	job_delete(job);
 }
 
+static void forget_job(struct partition *partition, struct job *job)
+{
+	struct removed_job *removed = xcalloc(1, sizeof(*removed));
+
+	memcpy(removed->id, job->id, sizeof(removed->id));
+	partition_unlink(partition, job);
+	partition_touch(partition);
+	removed->version = partition->version;
+	list_add_tail(&partition->removed, &removed->node);
+}
+
 void job_enter(struct partition *partition, struct job *job,
 	       enum job_state state, const char *reason)
 {
@@ -136,8 +163,10 @@
 
 void partition_committed(struct partition *partition, uint64_t version)
 {
-	if (version > partition->committed)
-		partition->committed = version;
+	if (version <= partition->committed)
+		return;
+	partition->committed = version;
+	drop_removed(partition, version);
 }
 
 int partition_submit(struct partition *partition, const struct job_spec *spec,
@@ -309,7 +338,7 @@
 		if (ended <= keep_count &&
 		    mstime_diff(now, job->ended_at) < keep_ms)
 			continue;
-		unlink_job(partition, job);
+		forget_job(partition, job);
 		ended--;
 	}
 }
--- a/packages/core/src/partition_codec.c
+++ b/packages/core/src/partition_codec.c
@@ -10,8 +10,17 @@
 #include "partition.h"
 #include "partition_internal.h"
 
-#define VALUE_FORMAT 1
-#define HEAD_FIELDS 8
+/*
+ * Version 1 had no log and no clock of the writer. Its programs would miss the
+ * log, so they must not accept the value of a later one.
+ */
+#define VALUE_FORMAT 2
+#define HEAD_FIELDS 9
+/* Not a version of the value, so that neither is taken for the other. */
+#define DELTA_FORMAT 3
+#define DELTA_FIELDS 10
+/* Bounds ages and clocks, so that their sums cannot overflow. */
+#define MS_MAX (INT64_MAX / 4)
 #define JOB_FIELDS 23
 #define JOB_TIMES 5
 
@@ -74,41 +83,85 @@
 	msgpack_pack_uint32(packer, job->lost_early);
 }
 
-int partition_encode(struct partition *partition, const char *writer,
-		     struct mstime now, char **data, size_t *len)
+static void pack_jobs(msgpack_packer *packer, const struct partition *partition,
+		      uint64_t since, struct mstime now)
 {
-	uint32_t count = 0;
-	struct list *pos;
+	const struct list *pos;
+	size_t count = 0;
+
+	list_for_each (pos, &partition->jobs)
+		count += list_entry(pos, struct job, node)->version >= since;
+	msgpack_pack_array(packer, count);
+	list_for_each (pos, &partition->jobs) {
+		const struct job *job = list_entry(pos, struct job, node);
+
+		if (job->version >= since)
+			pack_job(packer, job, now);
+	}
+}
+
+static void pack_removed(msgpack_packer *packer,
+			 const struct partition *partition)
+{
+	const struct list *pos;
+	size_t count = 0;
+
+	list_for_each (pos, &partition->removed)
+		count++;
+	msgpack_pack_array(packer, count);
+	list_for_each (pos, &partition->removed)
+		pack_str(packer, list_entry(pos, struct removed_job, node)->id);
+}
+
+/* since: least version of the jobs to include. */
+static int encode(const struct partition *partition, int format, uint64_t since,
+		  const char *writer, struct mstime now, char **data,
+		  size_t *len)
+{
+	int is_delta = format == DELTA_FORMAT;
 	msgpack_sbuffer buffer;
 	msgpack_packer packer;
 	char token[sizeof(partition->token)];
-	size_t i;
 
-	for (i = 0; i < JOB_STATE_COUNT; i++)
-		count += partition->counts[i];
 	snprintf(token, sizeof(token), "%s/%" PRIu64, writer,
 		 partition->version);
 	msgpack_sbuffer_init(&buffer);
 	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, HEAD_FIELDS);
-	msgpack_pack_uint8(&packer, VALUE_FORMAT);
+	msgpack_pack_array(&packer, is_delta ? DELTA_FIELDS : HEAD_FIELDS);
+	msgpack_pack_uint8(&packer, (uint8_t)format);
 	msgpack_pack_uint32(&packer, partition->number);
 	msgpack_pack_uint64(&packer, partition->epoch);
-	msgpack_pack_uint64(&packer, ++partition->seq);
+	msgpack_pack_uint64(&packer, partition->seq + (uint64_t)is_delta);
 	pack_str(&packer, token);
 	msgpack_pack_uint64(&packer, (uint64_t)partition->holdover_ms);
 	msgpack_pack_uint64(&packer, partition->next_order);
-	msgpack_pack_array(&packer, count);
-	list_for_each (pos, &partition->jobs)
-		pack_job(&packer, list_entry(pos, struct job, node), now);
+	pack_jobs(&packer, partition, since, now);
+	msgpack_pack_uint64(&packer, (uint64_t)now.ms);
+	if (is_delta)
+		pack_removed(&packer, partition);
 	*len = buffer.size;
 	*data = msgpack_sbuffer_release(&buffer);
 	if (*len <= PARTITION_VALUE_MAX)
 		return 0;
 	free(*data);
+	*data = NULL;
 	return ERR_TOO_LARGE;
 }
 
+int partition_encode(struct partition *partition, const char *writer,
+		     struct mstime now, char **data, size_t *len)
+{
+	return encode(partition, VALUE_FORMAT, 0, writer, now, data, len);
+}
+
+int partition_encode_delta(const struct partition *partition,
+			   const char *writer, struct mstime now, char **data,
+			   size_t *len)
+{
+	return encode(partition, DELTA_FORMAT, partition->committed + 1, writer,
+		      now, data, len);
+}
+
 /* Reads the elements of one array in order; err stays set after a fault. */
 struct cursor {
 	const msgpack_object *next, *end;
@@ -172,7 +225,7 @@
 
 static struct mstime take_age(struct cursor *cursor, struct mstime now)
 {
-	return mstime_add(now, -(int64_t)take_number(cursor, INT64_MAX));
+	return mstime_add(now, -(int64_t)take_number(cursor, MS_MAX));
 }
 
 static void take_tried(struct cursor *cursor, struct job *job)
@@ -230,13 +283,15 @@
 }
 
 static int decode_job(struct partition *partition, struct cursor *jobs,
-		      struct mstime now)
+		      int is_delta, struct mstime now)
 {
 	struct cursor fields = take_array(jobs);
 	struct job *job = xcalloc(1, sizeof(*job));
+	struct job *known;
 
 	take_job(&fields, job, now);
-	if (fields.err || partition_find(partition, job->id)) {
+	known = partition_find(partition, job->id);
+	if (fields.err || (known && !is_delta)) {
 		free(job->command);
 		free(job);
 		return ERR_MALFORMED;
@@ -245,17 +300,33 @@
 	job->start_sent = 1;
 	job->sent_at = now;
 	partition_link(partition, job);
+	if (!known)
+		return 0;
+	/* It keeps its place in the order of arrival. */
+	list_del(&job->node);
+	list_add_tail(&known->node, &job->node);
+	partition_unlink(partition, known);
 	return 0;
 }
 
+static int decode_jobs(struct partition *partition, struct cursor *jobs,
+		       int is_delta, struct mstime now)
+{
+	while (jobs->next < jobs->end)
+		if (decode_job(partition, jobs, is_delta, now))
+			return ERR_MALFORMED;
+	return jobs->err;
+}
+
 struct head {
-	uint64_t number, epoch, seq, holdover_ms, next_order;
+	uint64_t format, number, epoch, seq, holdover_ms, next_order;
 	char token[160];
 };
 
 static void take_head(struct cursor *cursor, struct head *head)
 {
-	take_number(cursor, VALUE_FORMAT);
+	memset(head, 0, sizeof(*head));
+	head->format = take_number(cursor, DELTA_FORMAT);
 	head->number = take_number(cursor, UINT32_MAX);
 	head->epoch = take_number(cursor, UINT64_MAX);
 	head->seq = take_number(cursor, UINT64_MAX);
@@ -264,65 +335,149 @@
 	head->next_order = take_number(cursor, UINT64_MAX);
 }
 
+static void set_head(struct partition *partition, const struct head *head)
+{
+	partition->epoch = head->epoch;
+	partition->seq = head->seq;
+	partition->holdover_ms = (int64_t)head->holdover_ms;
+	partition->next_order = head->next_order;
+	memcpy(partition->token, head->token, sizeof(head->token));
+}
+
 static int decode_value(struct partition *partition, struct cursor *cursor,
 			struct mstime now)
 {
 	struct head head;
 	struct cursor jobs;
 
-	memset(&head, 0, sizeof(head));
 	take_head(cursor, &head);
 	jobs = take_array(cursor);
-	if (jobs.err || head.number != partition->number)
+	if (jobs.err || head.number != partition->number ||
+	    head.format > VALUE_FORMAT)
+		return ERR_MALFORMED;
+	set_head(partition, &head);
+	/* Values of version 1 end here; no log follows them. */
+	if (head.format == VALUE_FORMAT)
+		partition->written_ms = (int64_t)take_number(cursor, MS_MAX);
+	if (cursor->err)
 		return ERR_MALFORMED;
-	partition->epoch = head.epoch;
-	partition->seq = head.seq;
-	partition->holdover_ms = (int64_t)head.holdover_ms;
-	partition->next_order = head.next_order;
-	memcpy(partition->token, head.token, sizeof(head.token));
-	while (jobs.next < jobs.end)
-		if (decode_job(partition, &jobs, now))
+	return decode_jobs(partition, &jobs, 0, now);
+}
+
+static int remove_jobs(struct partition *partition, struct cursor *removed)
+{
+	char id[ID_SIZE] = "";
+	struct job *job;
+
+	while (removed->next < removed->end) {
+		take_str(removed, id, sizeof(id));
+		job = removed->err ? NULL : partition_find(partition, id);
+		if (!job)
 			return ERR_MALFORMED;
-	return 0;
+		partition_unlink(partition, job);
+	}
+	return removed->err;
+}
+
+/*
+ * The ages in the value and in earlier entries are as of their writing. Value
+ * and entries of one epoch have one writer, so its clock gives the time that
+ * passed since.
+ */
+static void grow_older(struct partition *partition, int64_t ms)
+{
+	struct list *pos;
+
+	list_for_each (pos, &partition->jobs) {
+		struct job *job = list_entry(pos, struct job, node);
+
+		job->submitted_at = mstime_add(job->submitted_at, -ms);
+		job->started_at = mstime_add(job->started_at, -ms);
+		job->evicted_at = mstime_add(job->evicted_at, -ms);
+		job->ended_at = mstime_add(job->ended_at, -ms);
+		job->saved_at = mstime_add(job->saved_at, -ms);
+	}
+}
+
+static int decode_delta(struct partition *partition, struct cursor *cursor,
+			struct mstime now)
+{
+	struct head head;
+	struct cursor jobs, removed;
+	int64_t written_ms;
+
+	take_head(cursor, &head);
+	jobs = take_array(cursor);
+	written_ms = (int64_t)take_number(cursor, MS_MAX);
+	removed = take_array(cursor);
+	if (cursor->err || head.format != DELTA_FORMAT)
+		return ERR_MALFORMED;
+	if (head.number != partition->number ||
+	    head.epoch != partition->epoch || head.seq != partition->seq + 1)
+		return ERR_INVALID;
+	if (written_ms < partition->written_ms)
+		return ERR_MALFORMED;
+	set_head(partition, &head);
+	grow_older(partition, written_ms - partition->written_ms);
+	partition->written_ms = written_ms;
+	/* First, because a job of the same id may have been taken anew. */
+	if (remove_jobs(partition, &removed))
+		return ERR_MALFORMED;
+	return decode_jobs(partition, &jobs, 1, now);
+}
+
+static int unpack(msgpack_unpacked *unpacked, const void *data, size_t len,
+		  struct cursor *cursor)
+{
+	struct cursor outer;
+	size_t offset = 0;
+
+	msgpack_unpacked_init(unpacked);
+	if (msgpack_unpack_next(unpacked, data, len, &offset) !=
+	    MSGPACK_UNPACK_SUCCESS)
+		return ERR_MALFORMED;
+	outer = (struct cursor){ &unpacked->data, &unpacked->data + 1, 0 };
+	*cursor = take_array(&outer);
+	return outer.err;
 }
 
 int partition_decode(struct partition *partition, const void *data, size_t len,
 		     struct mstime now)
 {
 	msgpack_unpacked unpacked;
-	struct cursor cursor = { NULL, NULL, 0 };
-	int err = ERR_MALFORMED;
-	size_t offset = 0;
+	struct cursor cursor;
+	int err = unpack(&unpacked, data, len, &cursor);
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, len, &offset) ==
-	    MSGPACK_UNPACK_SUCCESS) {
-		struct cursor outer = { &unpacked.data, &unpacked.data + 1, 0 };
+	if (!err)
+		err = decode_value(partition, &cursor, now);
+	msgpack_unpacked_destroy(&unpacked);
+	return err;
+}
 
-		cursor = take_array(&outer);
-		err = cursor.err ? cursor.err
-				 : decode_value(partition, &cursor, now);
-	}
+int partition_apply(struct partition *partition, const void *data, size_t len,
+		    struct mstime now)
+{
+	msgpack_unpacked unpacked;
+	struct cursor cursor;
+	int err = unpack(&unpacked, data, len, &cursor);
+
+	if (!err)
+		err = decode_delta(partition, &cursor, now);
 	msgpack_unpacked_destroy(&unpacked);
 	return err;
 }
 
 int partition_value_writer(const void *data, size_t len, const char *writer,
-			   uint64_t *epoch, uint64_t *version)
+			   uint64_t *epoch, uint64_t *seq, uint64_t *version)
 {
 	msgpack_unpacked unpacked;
-	size_t offset = 0, prefix = strlen(writer);
+	size_t prefix = strlen(writer);
+	struct cursor cursor;
 	struct head head;
-	int err = ERR_MALFORMED;
 	char *end;
+	int err = unpack(&unpacked, data, len, &cursor);
 
-	memset(&head, 0, sizeof(head));
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, data, len, &offset) ==
-	    MSGPACK_UNPACK_SUCCESS) {
-		struct cursor outer = { &unpacked.data, &unpacked.data + 1, 0 };
-		struct cursor cursor = take_array(&outer);
-
+	if (!err) {
 		take_head(&cursor, &head);
 		err = cursor.err;
 	}
@@ -330,6 +485,7 @@
 	if (err)
 		return err;
 	*epoch = head.epoch;
+	*seq = head.seq;
 	if (strncmp(head.token, writer, prefix) || head.token[prefix] != '/')
 		return 0;
 	*version = strtoull(head.token + prefix + 1, &end, 10);
--- a/packages/core/src/partition_internal.h
+++ b/packages/core/src/partition_internal.h
@@ -6,6 +6,16 @@
 /* Adds a job to the list, the index and the counts. */
 void partition_link(struct partition *partition, struct job *job);
 
+/* Takes a job off them and releases it. */
+void partition_unlink(struct partition *partition, struct job *job);
+
+/* A job that was forgotten, until a commit has recorded it. */
+struct removed_job {
+	struct list node; /* of partition.removed, by version */
+	uint64_t version;
+	char id[ID_SIZE];
+};
+
 /* Marks a change of the job. */
 void job_touch(struct partition *partition, struct job *job);
 
--- a/packages/daemon/src/owner_commit.c
+++ b/packages/daemon/src/owner_commit.c
@@ -43,9 +43,10 @@
 
 static void settle(struct slot *slot, const struct store_item *item)
 {
-	uint64_t epoch = 0, version = 0;
+	uint64_t epoch = 0, seq = 0, version = 0;
 	int own = partition_value_writer(item->value, item->len,
-					 slot->owner->writer, &epoch, &version);
+					 slot->owner->writer, &epoch, &seq,
+					 &version);
 
 	if (own == 1 && epoch == slot->partition->epoch)
 		committed(slot, version, item->revision);
--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -288,7 +288,7 @@
 static void test_value_round_trip(void **state)
 {
 	struct partition *p = partition_new(3), *q = partition_new(3);
-	uint64_t epoch, version;
+	uint64_t epoch, seq, version;
 	struct job *job;
 	char *data;
 	size_t len, cut;
@@ -316,11 +316,13 @@
 	assert_true(job->inherited);
 	assert_int_equal(mstime_diff(at(9000), job->evicted_at), 4000);
 	assert_int_equal(partition_find(q, "k")->state, JOB_QUEUED);
-	assert_int_equal(
-		partition_value_writer(data, len, "e1/1", &epoch, &version), 1);
+	assert_int_equal(partition_value_writer(data, len, "e1/1", &epoch, &seq,
+						&version),
+			 1);
 	assert_int_equal(version, p->version);
 	assert_int_equal(
-		partition_value_writer(data, len, "e1", &epoch, &version), 0);
+		partition_value_writer(data, len, "e1", &epoch, &seq, &version),
+		0);
 	for (cut = 0; cut < len; cut++) {
 		struct partition *r = partition_new(3);
 
