io: transactions of several keys and range reads

The log of a partition needs a write that compares the revision of one key and the absence of another, that puts one key and deletes a range, and a read of a key with the keys below it at one revision.

store_txn() sends one /v3/kv/txn with several compare[] and success[] of request_put and request_delete_range, store_range() one /v3/kv/range with any range_end. The calls that exist keep their requests.

The stand-in had both already. It now also rejects a transaction that puts a key twice or puts and deletes it, as the store does; otherwise a test could accept a request that the store refuses.

--- a/packages/io/include/store.h
+++ b/packages/io/include/store.h
@@ -73,6 +73,13 @@
 void store_list(struct store *store, const char *prefix, int limit,
 		store_list_fn fn, void *arg);
 
+/*
+ * All keys from first up to, not including, end, in ascending order, at most
+ * limit. They are read at one revision.
+ */
+void store_range(struct store *store, const char *first, const char *end,
+		 int limit, store_list_fn fn, void *arg);
+
 /*
  * Writes the value if the key's modification revision is still the one
  * given; 0 means that the key must not exist. lease is 0 for none;
@@ -86,6 +93,34 @@
 void store_delete_if(struct store *store, const char *key, int64_t revision,
 		     store_write_fn fn, void *arg);
 
+/* The key's modification revision is the one given; 0: there is no such key. */
+struct store_compare {
+	const char *key;
+	int64_t revision;
+};
+
+enum store_change_kind {
+	STORE_PUT,
+	STORE_DELETE_RANGE
+};
+
+struct store_change {
+	enum store_change_kind kind;
+	const char *key;
+	const char *end;   /* of a deletion: the first key that stays */
+	const void *value; /* of a put */
+	size_t len;
+};
+
+/*
+ * Makes all changes in one step if all comparisons hold, and none otherwise. No
+ * two changes may concern the same key. The revision reported is that of all
+ * keys put.
+ */
+void store_txn(struct store *store, const struct store_compare *compares,
+	       size_t compare_count, const struct store_change *changes,
+	       size_t change_count, store_write_fn fn, void *arg);
+
 void store_lease_grant(struct store *store, int64_t ttl_seconds,
 		       store_lease_fn fn, void *arg);
 void store_lease_keepalive(struct store *store, int64_t lease,
--- a/packages/io/src/store.c
+++ b/packages/io/src/store.c
@@ -294,6 +294,39 @@
 	call_start(call, storejson_list(prefix, limit));
 }
 
+void store_range(struct store *store, const char *first, const char *end,
+		 int limit, store_list_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, &op_list, arg);
+
+	call->fn.list = fn;
+	call_start(call, storejson_range(first, end, limit));
+}
+
+static int is_too_large(const struct store_change *changes, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if (changes[i].len > STORE_VALUE_MAX)
+			return 1;
+	return 0;
+}
+
+void store_txn(struct store *store, const struct store_compare *compares,
+	       size_t compare_count, const struct store_change *changes,
+	       size_t change_count, store_write_fn fn, void *arg)
+{
+	struct store_call *call = call_new(store, &op_write, arg);
+
+	call->fn.write = fn;
+	if (is_too_large(changes, change_count))
+		fail_later(call, ERR_TOO_LARGE);
+	else
+		call_start(call, storejson_txn(compares, compare_count, changes,
+					       change_count));
+}
+
 void store_put_if(struct store *store, const char *key, int64_t revision,
 		  const void *value, size_t len, int64_t lease,
 		  store_write_fn fn, void *arg)
--- a/packages/io/src/storejson.c
+++ b/packages/io/src/storejson.c
@@ -66,14 +66,24 @@
 	return json;
 }
 
+/* Takes over the references to key and end. */
+static char *range(json_t *key, json_t *end, int limit)
+{
+	return finish(json_pack("{s:o, s:o, s:o, s:s, s:s}", "key", key,
+				"range_end", end, "limit", int64_str(limit),
+				"sort_order", "ASCEND", "sort_target", "KEY"));
+}
+
 char *storejson_list(const char *prefix, int limit)
 {
 	json_t *key = *prefix ? base64_str(prefix) : base64("", 1);
 
-	return finish(json_pack("{s:o, s:o, s:o, s:s, s:s}", "key", key,
-				"range_end", prefix_end(prefix), "limit",
-				int64_str(limit), "sort_order", "ASCEND",
-				"sort_target", "KEY"));
+	return range(key, prefix_end(prefix), limit);
+}
+
+char *storejson_range(const char *first, const char *end, int limit)
+{
+	return range(base64_str(first), base64_str(end), limit);
 }
 
 static json_t *compare(const char *key, int64_t revision)
@@ -81,7 +91,7 @@
 	const char *target = revision ? "MOD" : "CREATE";
 	const char *field = revision ? "mod_revision" : "create_revision";
 
-	return json_pack("[{s:o, s:s, s:s, s:o}]", "key", base64_str(key),
+	return json_pack("{s:o, s:s, s:s, s:o}", "key", base64_str(key),
 			 "target", target, "result", "EQUAL", field,
 			 int64_str(revision));
 }
@@ -89,7 +99,7 @@
 static char *txn(const char *key, int64_t revision, const char *name,
 		 json_t *operation)
 {
-	return finish(json_pack("{s:o, s:[{s:o}]}", "compare",
+	return finish(json_pack("{s:[o], s:[{s:o}]}", "compare",
 				compare(key, revision), "success", name,
 				operation));
 }
@@ -111,6 +121,37 @@
 		   json_pack("{s:o}", "key", base64_str(key)));
 }
 
+static json_t *change_json(const struct store_change *change)
+{
+	switch (change->kind) {
+	case STORE_PUT:
+		return json_pack("{s:{s:o, s:o}}", "request_put", "key",
+				 base64_str(change->key), "value",
+				 base64(change->value, change->len));
+	case STORE_DELETE_RANGE:
+		return json_pack("{s:{s:o, s:o}}", "request_delete_range",
+				 "key", base64_str(change->key), "range_end",
+				 base64_str(change->end));
+	}
+	abort();
+}
+
+char *storejson_txn(const struct store_compare *compares, size_t compare_count,
+		    const struct store_change *changes, size_t change_count)
+{
+	json_t *compare_list = json_array(), *change_list = json_array();
+	size_t i;
+
+	for (i = 0; i < compare_count; i++)
+		json_array_append_new(
+			compare_list,
+			compare(compares[i].key, compares[i].revision));
+	for (i = 0; i < change_count; i++)
+		json_array_append_new(change_list, change_json(&changes[i]));
+	return finish(json_pack("{s:o, s:o}", "compare", compare_list,
+				"success", change_list));
+}
+
 char *storejson_grant(int64_t ttl_seconds)
 {
 	return finish(json_pack("{s:o}", "TTL", int64_str(ttl_seconds)));
--- a/packages/io/src/storejson.h
+++ b/packages/io/src/storejson.h
@@ -19,6 +19,9 @@
  */
 char *storejson_get(const char *key);
 char *storejson_list(const char *prefix, int limit);
+char *storejson_range(const char *first, const char *end, int limit);
+char *storejson_txn(const struct store_compare *compares, size_t compare_count,
+		    const struct store_change *changes, size_t change_count);
 char *storejson_put_if(const char *key, int64_t revision, const void *value,
 		       size_t len, int64_t lease);
 char *storejson_delete_if(const char *key, int64_t revision);
--- a/tests/fakes/fakestore/kvstate.c
+++ b/tests/fakes/fakestore/kvstate.c
@@ -87,6 +87,16 @@
 	return to > from ? to - from : 0;
 }
 
+int kv_covers(const struct kv_bytes *key, const struct kv_bytes *end,
+	      const struct kv_bytes *other)
+{
+	if (!end->len)
+		return !compare(key, other);
+	if (compare(other, key) < 0)
+		return 0;
+	return (end->len == 1 && !*end->data) || compare(other, end) < 0;
+}
+
 void kv_write_begin(struct kv *kv)
 {
 	kv->revision++;
--- a/tests/fakes/fakestore/kvstate.h
+++ b/tests/fakes/fakestore/kvstate.h
@@ -55,6 +55,10 @@
 size_t kv_range(struct kv *kv, const struct kv_bytes *key,
 		const struct kv_bytes *end, struct kv_item **first);
 
+/* Whether a range, as kv_range() takes it, holds the key other. */
+int kv_covers(const struct kv_bytes *key, const struct kv_bytes *end,
+	      const struct kv_bytes *other);
+
 void kv_write_begin(struct kv *kv);
 void kv_put(struct kv *kv, const struct kv_bytes *key,
 	    const struct kv_bytes *value, int64_t lease);
--- a/tests/fakes/fakestore/storeapi.c
+++ b/tests/fakes/fakestore/storeapi.c
@@ -174,6 +174,47 @@
 	return either(operation, "request_delete_range", "requestDeleteRange");
 }
 
+/* Compares text of one encoding: keys are sent by one client. */
+static int is_same_key(const json_t *put, const json_t *other)
+{
+	const char *a = json_string_value(json_object_get(put, "key"));
+	const char *b = json_string_value(json_object_get(other, "key"));
+
+	return a && b && !strcmp(a, b);
+}
+
+static int is_deleted_by(const json_t *put, const json_t *request)
+{
+	struct kv_bytes key, end, put_key;
+	int deleted;
+
+	if (get_range(request, &key, &end))
+		return 0;
+	get_bytes(put, "key", &put_key);
+	deleted = kv_covers(&key, &end, &put_key);
+	g_free(key.data);
+	g_free(end.data);
+	g_free(put_key.data);
+	return deleted;
+}
+
+/* As the store: no key is put twice, or put and deleted. */
+static int has_duplicate(const json_t *list, size_t i)
+{
+	const json_t *put = put_of(json_array_get(list, i));
+	size_t n;
+
+	for (n = 0; put && n < json_array_size(list); n++) {
+		const json_t *other = json_array_get(list, n);
+
+		if (n != i && put_of(other) && is_same_key(put, put_of(other)))
+			return 1;
+		if (delete_of(other) && is_deleted_by(put, delete_of(other)))
+			return 1;
+	}
+	return 0;
+}
+
 /* Checks all operations before the first takes effect. */
 static int check_operations(struct kv *kv, const json_t *list, json_t **answer)
 {
@@ -184,7 +225,7 @@
 		const json_t *put = put_of(operation);
 		int64_t lease = get_number(put, "lease");
 
-		if (!put && !delete_of(operation))
+		if ((!put && !delete_of(operation)) || has_duplicate(list, i))
 			return invalid(answer);
 		if (lease && !kv_lease_find(kv, lease))
 			return error(answer, 404, CODE_NOT_FOUND,
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -205,6 +205,101 @@
 	assert_int_equal(f->count, 0);
 }
 
+/* Guards against a range that takes in the keys of partition 10 as well. */
+static void test_range(void **state)
+{
+	static const char *const keys[] = {
+		"part/10/log/1", "part/1/log/2", "part/1",
+		"part/10",	 "part/1/log/1", "part/2",
+	};
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(keys) / sizeof(keys[0]); i++)
+		assert_int_equal(put(f, keys[i], 0, "v", 0), 0);
+	store_range(f->store, "part/1", "part/10", 100, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_string_equal(f->keys, "part/1 part/1/log/1 part/1/log/2 ");
+	store_range(f->store, "part/1", "part/10", 2, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_string_equal(f->keys, "part/1 part/1/log/1 ");
+	store_range(f->store, "part/3", "part/30", 100, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_int_equal(f->count, 0);
+}
+
+/* Of a transaction on "head" and "log/1" to "log/3", which all exist. */
+static const struct {
+	int head, absent; /* comparisons that hold */
+	int err;
+	const char *keys; /* afterwards */
+} transactions[] = {
+	{ 0, 0, ERR_CONFLICT, "head log/1 log/2 log/3 " },
+	{ 0, 1, ERR_CONFLICT, "head log/1 log/2 log/3 " },
+	{ 1, 0, ERR_CONFLICT, "head log/1 log/2 log/3 " },
+	{ 1, 1, 0, "head log/3 new " },
+};
+
+/* Guards against a transaction that takes effect in part or unasked. */
+static void test_transaction(void **state)
+{
+	struct fixture *f = *state;
+	const struct store_change changes[] = {
+		{ STORE_PUT, "head", NULL, "two", 3 },
+		{ STORE_PUT, "new", NULL, "n", 1 },
+		{ STORE_DELETE_RANGE, "log/", "log/3", NULL, 0 },
+	};
+	int64_t head;
+	size_t i;
+
+	assert_int_equal(put(f, "head", 0, "one", 0), 0);
+	head = f->number;
+	assert_int_equal(put(f, "log/1", 0, "", 0), 0);
+	assert_int_equal(put(f, "log/2", 0, "", 0), 0);
+	assert_int_equal(put(f, "log/3", 0, "", 0), 0);
+	for (i = 0; i < sizeof(transactions) / sizeof(transactions[0]); i++) {
+		const struct store_compare compares[] = {
+			{ "head", transactions[i].head ? head : head + 1 },
+			{ transactions[i].absent ? "log/4" : "log/3", 0 },
+		};
+
+		store_txn(f->store, compares, 2, changes, 3, on_number, f);
+		assert_int_equal(end_of(f), transactions[i].err);
+		store_list(f->store, "", 100, on_list, f);
+		assert_int_equal(end_of(f), 0);
+		assert_string_equal(f->keys, transactions[i].keys);
+		assert_int_equal(get(f, "head"), 0);
+		assert_string_equal(f->value,
+				    transactions[i].err ? "one" : "two");
+	}
+	assert_true(f->number > head);
+	head = f->number;
+	assert_int_equal(get(f, "new"), 0);
+	assert_int_equal(f->number, head);
+}
+
+/* Guards against requests that the store rejects, and values over its bound. */
+static void test_transaction_rejected(void **state)
+{
+	struct fixture *f = *state;
+	const struct store_change twice[] = {
+		{ STORE_PUT, "log/1", NULL, "a", 1 },
+		{ STORE_DELETE_RANGE, "log/", "log0", NULL, 0 },
+	};
+	struct store_change large = { STORE_PUT, "k", NULL, NULL,
+				      STORE_VALUE_MAX + 1 };
+
+	store_txn(f->store, NULL, 0, twice, 2, on_number, f);
+	assert_int_equal(end_of(f), ERR_INVALID);
+	large.value = xcalloc(1, large.len);
+	store_txn(f->store, NULL, 0, &large, 1, on_number, f);
+	assert_int_equal(end_of(f), ERR_TOO_LARGE);
+	free((void *)large.value);
+	store_list(f->store, "", 100, on_list, f);
+	assert_int_equal(end_of(f), 0);
+	assert_int_equal(f->count, 0);
+}
+
 /* Guards against bounds and text handling that damage a value. */
 static void test_largest_value(void **state)
 {
@@ -459,11 +554,19 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		CASE(test_compare_and_swap), CASE(test_list),
-		CASE(test_largest_value),    CASE(test_leases),
-		CASE(test_lease_expires),    CASE(test_faults),
-		CASE(test_other_server),     CASE(test_watch),
-		CASE(test_watch_breaks),     CASE(test_watch_stopped_by_event),
+		CASE(test_compare_and_swap),
+		CASE(test_list),
+		CASE(test_range),
+		CASE(test_transaction),
+		CASE(test_transaction_rejected),
+		CASE(test_largest_value),
+		CASE(test_leases),
+		CASE(test_lease_expires),
+		CASE(test_faults),
+		CASE(test_other_server),
+		CASE(test_watch),
+		CASE(test_watch_breaks),
+		CASE(test_watch_stopped_by_event),
 		CASE(test_forget),
 	};
 
