daemon: append commits to a log of the partition

Each commit of an owner rewrote the value part/N with all its jobs.

Plans, job queries and takeovers replay the log.

--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -77,6 +77,7 @@
 	EV_COMMIT_UNSETTLED = 3014,
 	EV_HOLDOVER = 3015,
 	EV_INBOX_INVALID = 3016,
+	EV_PARTITION_SNAPSHOT = 3017,
 
 	/* 4000: operators and configuration */
 	EV_CONFIG_APPLIED = 4001,
--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -111,6 +111,8 @@
 	  "Ownership cannot be renewed at the store, or can be again." },
 	{ EV_INBOX_INVALID, LOG_ERROR, "inbox-invalid",
 	  "A submitted job cannot be understood and was removed." },
+	{ EV_PARTITION_SNAPSHOT, LOG_DEBUG, "partition-snapshot",
+	  "A snapshot of a partition was written in place of its log." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/daemon/src/opjobs.c
+++ b/packages/daemon/src/opjobs.c
@@ -6,7 +6,7 @@
 
 #include "errors.h"
 #include "mem.h"
-#include "partition.h"
+#include "partstore.h"
 #include "sysclock.h"
 
 #define PREFIX "part/"
@@ -51,14 +51,16 @@
 }
 
 /* RETURN VALUE: 0, or ERR_MALFORMED. */
-static int add_partition(struct opjobs *jobs, const struct store_item *item)
+static int add_partition(struct opjobs *jobs, const struct store_item *items,
+			 size_t count)
 {
-	const char *number = item->key + strlen(PREFIX);
+	const char *number = items[0].key + strlen(PREFIX);
 	struct partition *partition =
 		partition_new((uint32_t)strtoul(number, NULL, 10));
 	const struct list *pos;
-	int err = partition_decode(partition, item->value, item->len,
-				   sysclock_now());
+	struct partstore_state state;
+	int err = partstore_replay(partition, items, count, sysclock_now(),
+				   &state);
 
 	if (!err)
 		list_for_each (pos, &partition->jobs) {
@@ -79,10 +81,12 @@
 			  size_t count)
 {
 	struct opjobs *jobs = arg;
-	size_t i;
+	size_t group, i;
 
-	for (i = 0; !err && i < count; i++)
-		err = add_partition(jobs, &items[i]);
+	for (i = 0; !err && i < count; i += group) {
+		group = partstore_group(&items[i], count - i);
+		err = add_partition(jobs, &items[i], group);
+	}
 	finish(jobs, !err);
 }
 
@@ -95,14 +99,15 @@
 	finish(jobs, !err || err == ERR_NOT_FOUND);
 }
 
-static void on_partition(void *arg, int err, const struct store_item *item)
+static void on_partition(void *arg, int err, const struct store_item *items,
+			 size_t count)
 {
 	struct opjobs *jobs = arg;
 	char *key;
 
-	if (!err)
-		err = add_partition(jobs, item);
-	if (err && err != ERR_NOT_FOUND) {
+	if (!err && count)
+		err = add_partition(jobs, items, count);
+	if (err) {
 		finish(jobs, 0);
 		return;
 	}
@@ -115,7 +120,6 @@
 {
 	uint32_t partitions =
 		(uint32_t)jobs->daemon->config.limits[LIMIT_PARTITIONS];
-	char *key;
 
 	str_copy(jobs->job, job, sizeof(jobs->job));
 	if (!jobs->daemon->store) {
@@ -123,9 +127,8 @@
 		return;
 	}
 	jobs->partition = job_partition(job, partitions);
-	key = xstrfmt(PREFIX "%" PRIu32, jobs->partition);
-	store_get(jobs->daemon->store, key, on_partition, jobs);
-	free(key);
+	partstore_read(jobs->daemon->store, jobs->partition, on_partition,
+		       jobs);
 }
 
 static void read_all(struct opjobs *jobs)
@@ -134,8 +137,9 @@
 
 	if (jobs->daemon->store)
 		store_list(jobs->daemon->store, PREFIX,
-			   (int)config->limits[LIMIT_PARTITIONS], on_partitions,
-			   jobs);
+			   partstore_keys_max(
+				   (uint32_t)config->limits[LIMIT_PARTITIONS]),
+			   on_partitions, jobs);
 	else
 		loop_timer_start(jobs->timer, 0);
 }
--- a/packages/daemon/src/owner_api.c
+++ b/packages/daemon/src/owner_api.c
@@ -161,9 +161,11 @@
 	query_delete(query);
 }
 
-static void on_partition(void *arg, int err, const struct store_item *item)
+static void on_partition(void *arg, int err, const struct store_item *items,
+			 size_t count)
 {
 	struct query *query = ((struct owner_call *)arg)->arg;
+	struct partstore_state stored;
 	struct partition *partition;
 	struct owner_call call;
 
@@ -172,13 +174,13 @@
 		return;
 	}
 	partition = partition_new((uint32_t)call.number);
-	if (err && err != ERR_NOT_FOUND)
-		query->incomplete = 1;
-	else if (!err && partition_decode(partition, item->value, item->len,
-					  owner_now()))
-		query->incomplete = 1;
-	else if (!err)
+	if (!err)
+		err = partstore_replay(partition, items, count, owner_now(),
+				       &stored);
+	if (!err)
 		look_at(call.owner, query, partition, 0);
+	else if (err != ERR_NOT_FOUND)
+		query->incomplete = 1;
 	partition_delete(partition);
 	query_step(call.owner, query);
 }
@@ -186,7 +188,6 @@
 static void query_step(struct owner *owner, struct query *query)
 {
 	struct owner_call *call;
-	char key[32];
 
 	while (query->next < query->end && !query->found) {
 		struct slot *slot = &owner->slots[query->next++];
@@ -198,9 +199,8 @@
 		call = owner_call_new(owner, NULL);
 		call->arg = query;
 		call->number = slot->number;
-		store_get(owner->daemon->store,
-			  owner_key(key, sizeof(key), "part", slot->number),
-			  on_partition, call);
+		partstore_read(owner->daemon->store, slot->number, on_partition,
+			       call);
 		return;
 	}
 	query_end(owner, query);
--- a/packages/daemon/src/owner_commit.c
+++ b/packages/daemon/src/owner_commit.c
@@ -5,12 +5,32 @@
 #include "log.h"
 #include "owner_internal.h"
 
-static void committed(struct slot *slot, uint64_t version, int64_t revision)
+static void log_snapshot(const struct slot *slot,
+			 const struct partstore_state *stored)
+{
+	const char *reason = slot->state == SLOT_LOADING ? "takeover"
+			     : slot->owner->stopping	 ? "stop"
+							 : "log";
+
+	owner_count(slot->owner, OWNER_SNAPSHOTS);
+	log_event(EV_PARTITION_SNAPSHOT,
+		  "partition=%u epoch=%" PRIu64 " seq=%" PRIu64
+		  " bytes=%zu log_entries=%u log_bytes=%zu reason=%s",
+		  slot->number, slot->partition->epoch, slot->partition->seq,
+		  stored->snapshot_bytes, slot->stored.log_entries,
+		  slot->stored.log_bytes, reason);
+}
+
+static void committed(struct slot *slot, uint64_t version, uint64_t seq,
+		      const struct partstore_state *stored)
 {
 	struct owner *owner = slot->owner;
 
 	slot->commit = COMMIT_IDLE;
-	slot->revision = revision;
+	slot->partition->seq = seq;
+	if (stored->revision != slot->stored.revision)
+		log_snapshot(slot, stored);
+	slot->stored = *stored;
 	if (mstime_before(slot->unproved_at, slot->commit_at))
 		slot->unproved = 0;
 	partition_committed(slot->partition, version);
@@ -41,22 +61,29 @@
 		owner_slot_fenced(slot, epoch);
 }
 
-static void settle(struct slot *slot, const struct store_item *item)
+/*
+ * The newest of snapshot and log tells the outcome: an own one of this epoch
+ * shows up to which version the partition is stored.
+ */
+static void settle(struct slot *slot, const struct store_item *items,
+		   size_t count)
 {
 	uint64_t epoch = 0, seq = 0, version = 0;
-	int own = partition_value_writer(item->value, item->len,
-					 slot->owner->writer, &epoch, &seq,
-					 &version);
+	struct partstore_state stored;
+	int own = partstore_writer(items, count, slot->owner->writer, &stored,
+				   &epoch, &seq, &version);
 
 	if (own == 1 && epoch == slot->partition->epoch)
-		committed(slot, version, item->revision);
-	else if (item->revision == slot->revision)
+		committed(slot, version, seq, &stored);
+	else if (stored.revision == slot->stored.revision &&
+		 seq == slot->partition->seq)
 		slot->commit = COMMIT_IDLE; /* not written; commit again */
 	else
 		lost_to(slot, epoch);
 }
 
-static void on_read_back(void *arg, int err, const struct store_item *item)
+static void on_read_back(void *arg, int err, const struct store_item *items,
+			 size_t count)
 {
 	struct owner_call call;
 	struct slot *slot;
@@ -64,14 +91,11 @@
 	if (!owner_call_end(arg, &call))
 		return;
 	slot = call.slot;
-	if (!err) {
-		settle(slot, item);
-		return;
-	}
-	slot->commit = COMMIT_UNSETTLED;
-	if (err != ERR_NOT_FOUND)
-		return;
-	if (!slot->revision)
+	if (err)
+		slot->commit = COMMIT_UNSETTLED;
+	else if (count)
+		settle(slot, items, count);
+	else if (!slot->stored.revision)
 		slot->commit = COMMIT_IDLE;
 	else
 		lost_to(slot, UINT64_MAX);
@@ -79,20 +103,34 @@
 
 static void read_back(struct slot *slot)
 {
-	char key[32];
-
 	slot->commit = COMMIT_READING;
-	store_get(slot->owner->daemon->store,
-		  owner_key(key, sizeof(key), "part", slot->number),
-		  on_read_back, owner_call_new(slot->owner, slot));
+	partstore_read(slot->owner->daemon->store, slot->number, on_read_back,
+		       owner_call_new(slot->owner, slot));
+}
+
+/* What is stored after the commit in flight has taken effect. */
+static void expect_stored(const struct slot *slot, int64_t revision,
+			  struct partstore_state *stored)
+{
+	*stored = slot->stored;
+	if (slot->commit_snapshot) {
+		stored->revision = revision;
+		stored->snapshot_bytes = slot->commit_bytes;
+		stored->log_bytes = 0;
+		stored->log_entries = 0;
+	} else {
+		stored->log_bytes += slot->commit_bytes;
+		stored->log_entries++;
+	}
 }
 
 /*
- * A conflict is read back as well: the value may be an earlier attempt of
+ * A conflict is read back as well: what is stored may be an earlier attempt of
  * this process that took effect after its answer was lost.
  */
 static void on_committed(void *arg, int err, int64_t revision)
 {
+	struct partstore_state stored;
 	struct owner_call call;
 	struct slot *slot;
 
@@ -100,7 +138,10 @@
 		return;
 	slot = call.slot;
 	if (!err) {
-		committed(slot, slot->commit_version, revision);
+		expect_stored(slot, revision, &stored);
+		committed(slot, slot->commit_version,
+			  slot->partition->seq + !slot->commit_snapshot,
+			  &stored);
 		return;
 	}
 	if (err == ERR_UNAVAILABLE) {
@@ -116,19 +157,39 @@
 	read_back(slot);
 }
 
+static int needs_snapshot(const struct slot *slot)
+{
+	return slot->state == SLOT_LOADING || slot->owner->stopping ||
+	       partstore_log_full(&slot->stored);
+}
+
+/* Encodes a log entry, or a snapshot if one is due or the entry too large. */
+static int encode(struct slot *slot, struct mstime now, char **data,
+		  size_t *len)
+{
+	const char *writer = slot->owner->writer;
+
+	slot->commit_snapshot = needs_snapshot(slot);
+	if (!slot->commit_snapshot &&
+	    !partition_encode_delta(slot->partition, writer, now, data, len))
+		return 0;
+	slot->commit_snapshot = 1;
+	return partition_encode(slot->partition, writer, now, data, len);
+}
+
 void owner_commit_now(struct slot *slot)
 {
 	struct owner *owner = slot->owner;
 	struct partition *partition = slot->partition;
 	struct mstime now = owner_now();
-	char key[32], *data;
+	char *data;
 	size_t len;
 
 	slot->commit_at = now;
 	slot->urgent = 0;
 	partition->holdover_ms =
 		owner_lease_holdover(&slot->lease, &owner->bounds, now);
-	if (partition_encode(partition, owner->writer, now, &data, &len)) {
+	if (encode(slot, now, &data, &len)) {
 		log_event(EV_PARTITION_INVALID,
 			  "partition=%u reason=\"value over %d bytes\"",
 			  slot->number, PARTITION_VALUE_MAX);
@@ -137,10 +198,12 @@
 	slot->commit = COMMIT_SENT;
 	slot->commit_version = partition->version;
 	slot->commit_holdover_ms = partition->holdover_ms;
-	store_put_if(owner->daemon->store,
-		     owner_key(key, sizeof(key), "part", slot->number),
-		     slot->revision, data, len, 0, on_committed,
-		     owner_call_new(owner, slot));
+	slot->commit_bytes = len;
+	owner_count_add(owner, OWNER_COMMIT_BYTES, (int64_t)len);
+	(slot->commit_snapshot ? partstore_snapshot : partstore_append)(
+		owner->daemon->store, slot->number, &slot->stored,
+		partition->seq, data, len, on_committed,
+		owner_call_new(owner, slot));
 	free(data);
 }
 
--- a/packages/daemon/src/owner_counters.c
+++ b/packages/daemon/src/owner_counters.c
@@ -37,6 +37,10 @@
 	      "Runs reported as failed or lost."),
 	TOTAL(OWNER_COMMITS, "catkinhill_batch_commits_total",
 	      "Commits of partitions that took effect."),
+	TOTAL(OWNER_COMMIT_BYTES, "catkinhill_batch_commit_bytes_total",
+	      "Bytes of snapshots and log entries sent, before base64."),
+	TOTAL(OWNER_SNAPSHOTS, "catkinhill_batch_snapshots_total",
+	      "Commits that wrote a snapshot."),
 	TOTAL(OWNER_CONFLICTS, "catkinhill_batch_conflicts_total",
 	      "Commits refused because the value had changed."),
 	TOTAL(OWNER_UNSETTLED, "catkinhill_batch_unsettled_total",
@@ -88,7 +92,13 @@
 
 void owner_count(struct owner *owner, enum owner_counter counter)
 {
-	owner->counters->counters[counter].value++;
+	owner_count_add(owner, counter, 1);
+}
+
+void owner_count_add(struct owner *owner, enum owner_counter counter,
+		     int64_t amount)
+{
+	owner->counters->counters[counter].value += amount;
 }
 
 void owner_counters_commit(struct owner *owner, int64_t latency_ms)
--- a/packages/daemon/src/owner_internal.h
+++ b/packages/daemon/src/owner_internal.h
@@ -6,6 +6,7 @@
 #include "owner.h"
 #include "ownerlease.h"
 #include "partition.h"
+#include "partstore.h"
 #include "placement.h"
 #include "quota.h"
 #include "taskhealth.h"
@@ -83,12 +84,14 @@
 	struct mstime retry_at; /* earliest next attempt to take over */
 
 	struct partition *partition;
-	int64_t revision; /* of part/N */
+	struct partstore_state stored; /* as last known */
 	struct owner_lease lease;
 	struct list links;
 	enum commit_state commit;
 	uint64_t commit_version;
 	int64_t commit_holdover_ms;
+	int commit_snapshot; /* it is a snapshot, not a log entry */
+	size_t commit_bytes;
 	struct mstime commit_at; /* start of the last commit */
 	int urgent;		 /* commit at once */
 	int reclaim;		 /* own/N is lost; write it again */
@@ -195,7 +198,7 @@
 void owner_takeover_done(struct slot *slot);
 void owner_takeover_again(struct slot *slot);
 
-/* owner_commit.c: group commits of part/N */
+/* owner_commit.c: group commits, to the log of part/N or as a snapshot */
 void owner_commit_tick(struct slot *slot);
 void owner_commit_now(struct slot *slot);
 
@@ -243,6 +246,8 @@
 	OWNER_LOST_RUNS,
 	OWNER_FAILED_RUNS,
 	OWNER_COMMITS,
+	OWNER_COMMIT_BYTES,
+	OWNER_SNAPSHOTS,
 	OWNER_CONFLICTS,
 	OWNER_UNSETTLED,
 	OWNER_TAKEOVERS,
@@ -254,6 +259,8 @@
 struct owner_counters *owner_counters_new(struct counter_set *set);
 void owner_counters_delete(struct owner_counters *counters);
 void owner_count(struct owner *owner, enum owner_counter counter);
+void owner_count_add(struct owner *owner, enum owner_counter counter,
+		     int64_t amount);
 void owner_counters_commit(struct owner *owner, int64_t latency_ms);
 void owner_counters_tick(struct owner *owner);
 
--- a/packages/daemon/src/owner_takeover.c
+++ b/packages/daemon/src/owner_takeover.c
@@ -101,7 +101,8 @@
 	free(text);
 }
 
-static void on_loaded(void *arg, int err, const struct store_item *item)
+static void on_loaded(void *arg, int err, const struct store_item *items,
+		      size_t count)
 {
 	struct owner_call call;
 	struct slot *slot;
@@ -109,17 +110,20 @@
 	if (!owner_call_end(arg, &call))
 		return;
 	slot = call.slot;
-	if (err && err != ERR_NOT_FOUND) {
+	if (err) {
 		give_up(slot, OWNER_RETRY_MS);
 		return;
 	}
 	slot->partition = partition_new(slot->number);
-	slot->revision = err ? 0 : item->revision;
-	if (!err && partition_decode(slot->partition, item->value, item->len,
-				     owner_now())) {
+	err = partstore_replay(slot->partition, items, count, owner_now(),
+			       &slot->stored);
+	if (err && err != ERR_NOT_FOUND) {
 		log_event(EV_PARTITION_INVALID,
-			  "partition=%u revision=%lld bytes=%zu", slot->number,
-			  (long long)item->revision, item->len);
+			  "partition=%u revision=%lld bytes=%zu "
+			  "log_entries=%u",
+			  slot->number, (long long)slot->stored.revision,
+			  slot->stored.snapshot_bytes,
+			  slot->stored.log_entries);
 		give_up(slot, OWNER_ENTRIES_MS);
 		return;
 	}
@@ -134,12 +138,9 @@
 
 static void load(struct slot *slot)
 {
-	char key[32];
-
 	slot->state = SLOT_LOADING;
-	store_get(slot->owner->daemon->store,
-		  owner_key(key, sizeof(key), "part", slot->number), on_loaded,
-		  owner_call_new(slot->owner, slot));
+	partstore_read(slot->owner->daemon->store, slot->number, on_loaded,
+		       owner_call_new(slot->owner, slot));
 }
 
 void owner_takeover_tick(struct slot *slot, struct mstime now)
--- a/tests/sim/sim_store.c
+++ b/tests/sim/sim_store.c
@@ -4,10 +4,11 @@
 
 #include "errors.h"
 #include "mem.h"
-#include "partition.h"
+#include "partstore.h"
 #include "sim.h"
 
-#define KEYS_MAX 64
+#define KEYS_MAX (64 + SIM_PARTITIONS * PARTSTORE_ENTRIES_MAX)
+#define TXN_MAX 2
 #define CALL_TIMEOUT_MS 2000
 
 struct key {
@@ -25,7 +26,9 @@
 enum call_kind {
 	CALL_GET,
 	CALL_LIST,
+	CALL_RANGE,
 	CALL_PUT,
+	CALL_TXN,
 	CALL_DELETE,
 	CALL_GRANT,
 	CALL_KEEPALIVE,
@@ -37,9 +40,19 @@
 	enum call_kind kind;
 	struct sim_owner *owner;
 	char name[128];
+	char end[128]; /* of CALL_RANGE */
 	unsigned char *value;
 	size_t len;
 	int64_t revision, lease;
+	size_t compare_count, change_count;
+	struct {
+		char name[128];
+		int64_t revision;
+	} compares[TXN_MAX];
+	struct {
+		enum store_change_kind kind;
+		char name[128], end[128];
+	} changes[TXN_MAX];
 	union {
 		store_get_fn get;
 		store_list_fn list;
@@ -157,14 +170,31 @@
 	job->final = now->state;
 }
 
-static void check_partition(const struct key *key)
+static void fill_item(struct store_item *item, const struct key *key)
 {
-	uint32_t number = (uint32_t)strtoul(key->name + 5, NULL, 10);
+	item->key = key->name;
+	item->value = key->value;
+	item->len = key->len;
+	item->revision = key->revision;
+}
+
+/* Replays snapshot and log as a takeover would at this moment. */
+static void check_partition(const char *name)
+{
+	uint32_t number = (uint32_t)strtoul(name + 5, NULL, 10);
 	struct partition *partition = partition_new(number);
+	struct store_item items[KEYS_MAX];
+	struct partstore_state state;
+	char prefix[32];
+	size_t count = 0, k;
 	int i;
 
-	if (partition_decode(partition, key->value, key->len, mstime_from(0)))
-		sim_fail("%s cannot be decoded", key->name);
+	snprintf(prefix, sizeof(prefix), "part/%u", number);
+	for (k = 0; k < key_count; k++)
+		if (!strncmp(keys[k].name, prefix, strlen(prefix)))
+			fill_item(&items[count++], &keys[k]);
+	if (partstore_replay(partition, items, count, mstime_from(0), &state))
+		sim_fail("%s cannot be replayed", name);
 	for (i = 0; i < SIM_JOBS; i++)
 		if (job_partition(sim.jobs[i].id, SIM_PARTITIONS) == number)
 			check_job(&sim.jobs[i],
@@ -205,15 +235,30 @@
 	copy->value = xmemdup(key->value, key->len + 1);
 }
 
+static int is_in_range(const char *name, const char *first, const char *end)
+{
+	return strcmp(name, first) >= 0 && strcmp(name, end) < 0;
+}
+
+static int is_wanted(const struct call *call, const char *name)
+{
+	switch (call->kind) {
+	case CALL_GET:
+		return !strcmp(name, call->name);
+	case CALL_RANGE:
+		return is_in_range(name, call->name, call->end);
+	default:
+		return !strncmp(name, call->name, strlen(call->name));
+	}
+}
+
 static int do_read(struct call *call)
 {
 	size_t i;
 
-	call->found = xcalloc(KEYS_MAX, sizeof(*call->found));
+	call->found = xcalloc(key_count + 1, sizeof(*call->found));
 	for (i = 0; i < key_count; i++)
-		if (call->kind == CALL_GET ? !strcmp(keys[i].name, call->name)
-					   : !strncmp(keys[i].name, call->name,
-						      strlen(call->name)))
+		if (is_wanted(call, keys[i].name))
 			copy_found(call, &keys[i]);
 	return call->kind == CALL_GET && !call->found_count ? ERR_NOT_FOUND : 0;
 }
@@ -233,8 +278,34 @@
 	}
 	put_key(call->name, call->value, call->len, call->lease);
 	call->result = keys[find_key(call->name)].revision;
+	return 0;
+}
+
+static int do_txn(struct call *call)
+{
+	size_t i, k;
+	int found;
+
+	for (i = 0; i < call->compare_count; i++) {
+		found = find_key(call->compares[i].name);
+		if ((found < 0 ? 0 : keys[found].revision) !=
+		    call->compares[i].revision)
+			return ERR_CONFLICT;
+	}
+	call->result = next_revision;
+	for (i = 0; i < call->change_count; i++) {
+		if (call->changes[i].kind == STORE_PUT) {
+			put_key(call->changes[i].name, call->value, call->len,
+				0);
+			continue;
+		}
+		for (k = key_count; k-- > 0;)
+			if (is_in_range(keys[k].name, call->changes[i].name,
+					call->changes[i].end))
+				remove_key(k);
+	}
 	if (!strncmp(call->name, "part/", 5))
-		check_partition(&keys[find_key(call->name)]);
+		check_partition(call->name);
 	return 0;
 }
 
@@ -279,12 +350,8 @@
 	struct store_item items[KEYS_MAX];
 	size_t i;
 
-	for (i = 0; i < call->found_count; i++) {
-		items[i].key = call->found[i].name;
-		items[i].value = call->found[i].value;
-		items[i].len = call->found[i].len;
-		items[i].revision = call->found[i].revision;
-	}
+	for (i = 0; i < call->found_count; i++)
+		fill_item(&items[i], &call->found[i]);
 	if (call->kind == CALL_GET)
 		call->fn.get(call->arg, err, err ? NULL : items);
 	else
@@ -296,7 +363,7 @@
 	if (call->answered)
 		return;
 	call->answered = 1;
-	if (call->kind <= CALL_LIST)
+	if (call->kind <= CALL_RANGE)
 		answer_read(call, err);
 	else if (call->kind <= CALL_DELETE)
 		call->fn.write(call->arg, err, call->result);
@@ -338,14 +405,16 @@
 		return;
 	}
 	expire_leases();
-	if (call->kind <= CALL_LIST)
+	if (call->kind <= CALL_RANGE)
 		call->err = do_read(call);
+	else if (call->kind == CALL_TXN)
+		call->err = do_txn(call);
 	else if (call->kind <= CALL_DELETE)
 		call->err = do_write(call);
 	else
 		call->err = do_lease(call);
 	if (sim_chance(sim.store_loss)) {
-		if (call->kind == CALL_PUT)
+		if (call->kind == CALL_PUT || call->kind == CALL_TXN)
 			sim_trace("%s: answer to %s lost after the effect",
 				  call->owner->id, call->name);
 		call_release(call);
@@ -417,6 +486,56 @@
 	send_call(call);
 }
 
+void store_range(struct store *store, const char *first, const char *end,
+		 int limit, store_list_fn fn, void *arg)
+{
+	struct call *call = call_new(store, CALL_RANGE, first, arg);
+
+	snprintf(call->end, sizeof(call->end), "%s", end);
+	call->fn.list = fn;
+	send_call(call);
+}
+
+static void copy_change(struct call *call, const struct store_change *change)
+{
+	size_t i = call->change_count++;
+
+	call->changes[i].kind = change->kind;
+	snprintf(call->changes[i].name, sizeof(call->changes[i].name), "%s",
+		 change->key);
+	if (change->kind == STORE_DELETE_RANGE) {
+		snprintf(call->changes[i].end, sizeof(call->changes[i].end),
+			 "%s", change->end);
+		return;
+	}
+	if (call->value)
+		abort(); /* one put a transaction is enough here */
+	call->value = xcalloc(1, change->len + 1);
+	memcpy(call->value, change->value, change->len);
+	call->len = change->len;
+}
+
+void store_txn(struct store *store, const struct store_compare *compares,
+	       size_t compare_count, const struct store_change *changes,
+	       size_t change_count, store_write_fn fn, void *arg)
+{
+	struct call *call = call_new(store, CALL_TXN, changes[0].key, arg);
+	size_t i;
+
+	if (compare_count > TXN_MAX || change_count > TXN_MAX)
+		abort();
+	for (i = 0; i < compare_count; i++) {
+		snprintf(call->compares[i].name, sizeof(call->compares[i].name),
+			 "%s", compares[i].key);
+		call->compares[i].revision = compares[i].revision;
+	}
+	call->compare_count = compare_count;
+	for (i = 0; i < change_count; i++)
+		copy_change(call, &changes[i]);
+	call->fn.write = fn;
+	send_call(call);
+}
+
 void store_put_if(struct store *store, const char *key, int64_t revision,
 		  const void *value, size_t len, int64_t lease,
 		  store_write_fn fn, void *arg)
