--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -11,7 +11,7 @@
 #include "hash.h"
 #include "mem.h"
 #include "membership.h"
-#include "partition.h"
+#include "partstore.h"
 #include "placement.h"
 #include "rng.h"
 #include "route.h"
@@ -291,6 +291,7 @@
 	struct partition *partition;
 	char *value;
 	size_t len, count;
+	size_t changes; /* so far; a repeated checkpoint is no change */
 };
 
 static void encode(void *arg, uint64_t i)
@@ -358,6 +359,69 @@
 	return err;
 }
 
+/* Whole cycles of the longest log. */
+#define COMMITS (10 * (PARTSTORE_ENTRIES_MAX + 1))
+
+/* Commits the partition as an owner does; returns the bytes of the value. */
+static size_t commit(struct jobs *jobs, struct partstore_state *stored)
+{
+	struct partition *p = jobs->partition;
+	const char *writer = "entry-a1/6b1266c4482e8e34";
+	struct mstime now = { 5000 };
+	int err, full = partstore_log_full(stored);
+	char *data;
+	size_t len;
+
+	err = full ? partition_encode(p, writer, now, &data, &len)
+		   : partition_encode_delta(p, writer, now, &data, &len);
+	if (err)
+		abort();
+	free(data);
+	partition_committed(p, p->version);
+	if (full) {
+		*stored = (struct partstore_state){ .snapshot_bytes = len };
+		return len;
+	}
+	p->seq++;
+	stored->log_entries++;
+	stored->log_bytes += len;
+	return len;
+}
+
+static void change_job(struct jobs *jobs)
+{
+	size_t i = jobs->changes++;
+	struct task_status status = { .run = 1, .state = TASK_RUNNING };
+	const struct try_policy policy = { .job_tries = 3 };
+	char checkpoint[32];
+
+	snprintf(checkpoint, sizeof(checkpoint), "step-%06zu", i);
+	status.checkpoint = checkpoint;
+	status.detail = "";
+	snprintf(status.job, sizeof(status.job), "reconcile-2026-49-%05zu",
+		 i * 7919 % jobs->count);
+	partition_report(jobs->partition, "vm-00001", &status, &policy,
+			 (struct mstime){ 5000 });
+}
+
+/* Bytes of a commit, with the snapshots that replace the log. */
+static void bench_log(struct jobs *jobs, uint64_t changes)
+{
+	struct partstore_state stored = { .log_bytes = 1 };
+	size_t bytes = 0, i;
+	char what[64];
+	uint64_t n;
+
+	commit(jobs, &stored);
+	for (i = 0; i < COMMITS; i++) {
+		for (n = 0; n < changes; n++)
+			change_job(jobs);
+		bytes += commit(jobs, &stored);
+	}
+	snprintf(what, sizeof(what), "commit of %d changed jobs", (int)changes);
+	print_bytes(what, "jobs", jobs->count, (double)bytes / COMMITS);
+}
+
 /* count 0 fills the partition up to its bound. */
 static void bench_partition(size_t count)
 {
@@ -377,6 +441,8 @@
 	measure("partition encoded", "jobs", jobs.count, encode, &jobs);
 	measure("partition decoded", "jobs", jobs.count, decode, &jobs);
 	measure("task of a report taken", "jobs", jobs.count, report, &jobs);
+	bench_log(&jobs, 1);
+	bench_log(&jobs, 3);
 	free(jobs.value);
 	partition_delete(jobs.partition);
 }
