interference: prove guilt at the floor by a probe

A class that alone slowed the service was throttled to the floor and never evicted: is_own() compared the excess one tick after the cut, while the latency from before the cut still showed, so the excess counted as the service's own and cut_levels() lowered excess_before.

Waiting until the latency shows the floor repairs that, but not alone: classes that were cut in the same tick look alike to the fit, and test_evicts_at_floor then saw an innocent task evicted. A larger variance of unknown weights (50 to 1600 in place of 25) did not repair this reliably; it still failed at all but 50.

Where several classes run, each class at the floor is raised alone to 30% for 4 s, and a task is evicted only when the measured effect is above the noise and accounts for a quarter of the excess.

--- a/packages/core/include/interference.h
+++ b/packages/core/include/interference.h
@@ -98,6 +98,9 @@
 	struct mstime cut_at, raised_at, used_at;
 	struct mstime floor_since;
 	int at_floor;
+	int is_probed;
+	double share; /* of the excess at the floor, by the last probe */
+	struct mstime probed_at;
 };
 
 struct interference_baseline {
@@ -117,7 +120,11 @@
 	double calm;	 /* the same over a longer time */
 	double evidence; /* requests behind the excess */
 	double tolerance;
-	double excess_before; /* when all were last cut */
+	double excess_before;	  /* when all were last cut */
+	struct mstime changed_at; /* the last level of any class */
+	int is_settled; /* all at the floor, and the latency shows it */
+	struct interference_class *probed; /* or NULL */
+	double probe_excess;		   /* when the probe began */
 	struct mstime trial_at;
 	struct mstime evicted_at;
 	int evicted;
@@ -142,6 +149,9 @@
  */
 double interference_blame(const struct interference *in, uint64_t class_key);
 
+/* RETURN VALUE: standard error of the excess. */
+double interference_error(const struct interference *in);
+
 const char *interference_reason_name(enum interference_reason reason);
 
 #endif
--- a/packages/core/src/interference.c
+++ b/packages/core/src/interference.c
@@ -5,6 +5,7 @@
 
 #include "hash.h"
 #include "interference_fit.h"
+#include "interference_probe.h"
 #include "interference_room.h"
 
 /* Samples after which the baseline moves by a constant part each. */
@@ -196,7 +197,7 @@
 /* The floor has not helped, so the excess is the service's own. */
 static int is_own(const struct interference *in)
 {
-	return all_at_floor(in) && in->excess >= OWN_PART * in->excess_before;
+	return in->is_settled && in->excess >= OWN_PART * in->excess_before;
 }
 
 static void learn(struct interference *in, struct interference_baseline *b,
@@ -249,19 +250,29 @@
 	fit_add(in, excess);
 }
 
+double interference_error(const struct interference *in)
+{
+	return REQUEST_SPREAD / sqrt(fmax(in->evidence, 1));
+}
+
 static int slack_used_up(const struct interference *in)
 {
-	double error = REQUEST_SPREAD / sqrt(fmax(in->evidence, 1));
+	double error = interference_error(in);
 
 	return in->excess > fmax(in->tolerance, 2 * error) ||
 	       in->calm >
 		       fmax(in->tolerance, 2 * error / sqrt(CALM_TICKS / 2.0));
 }
 
-static void set_level(struct interference_class *class, double level,
-		      struct mstime now)
+static void set_level(struct interference *in, struct interference_class *class,
+		      double level, struct mstime now)
 {
-	class->level = fmin(fmax(level, INTERFERENCE_FLOOR), 100);
+	level = fmin(fmax(level, INTERFERENCE_FLOOR), 100);
+	if (level != class->level) {
+		in->changed_at = now;
+		probe_forget(class);
+	}
+	class->level = level;
 	if (class->level > INTERFERENCE_FLOOR)
 		class->at_floor = 0;
 	else if (!class->at_floor) {
@@ -270,8 +281,8 @@
 	}
 }
 
-static void cut(struct interference_class *class, double factor, double least,
-		struct mstime now)
+static void cut(struct interference *in, struct interference_class *class,
+		double factor, double least, struct mstime now)
 {
 	double level = fmax(class->level * factor, least);
 
@@ -280,7 +291,7 @@
 	if (level >= class->level)
 		return;
 	class->cut_at = now;
-	set_level(class, level, now);
+	set_level(in, class, level, now);
 }
 
 static double blamed_excess(const struct interference *in, double *parts)
@@ -305,7 +316,8 @@
 
 	for (i = 0; i < INTERFERENCE_CLASSES; i++)
 		if (parts[i] > 0)
-			cut(&in->classes[i], factor, INTERFERENCE_FLOOR, now);
+			cut(in, &in->classes[i], factor, INTERFERENCE_FLOOR,
+			    now);
 }
 
 /* RETURN VALUE: whether any level was above the soft floor. */
@@ -320,7 +332,7 @@
 		if (!class->tasks || class->level <= INTERFERENCE_SOFT_FLOOR)
 			continue;
 		above = 1;
-		cut(class, 0, INTERFERENCE_SOFT_FLOOR, now);
+		cut(in, class, 0, INTERFERENCE_SOFT_FLOOR, now);
 	}
 	if (above)
 		in->trial_at = now;
@@ -347,7 +359,7 @@
 	}
 	if (best == INTERFERENCE_CLASSES)
 		return;
-	cut(&in->classes[best], 0, INTERFERENCE_FLOOR, now);
+	cut(in, &in->classes[best], 0, INTERFERENCE_FLOOR, now);
 	in->trial_at = now;
 }
 
@@ -377,7 +389,7 @@
 	if (is_own(in))
 		/* Falls with the excess while the baseline follows. */
 		in->excess_before = fmin(in->excess_before, in->excess);
-	if (!all_at_floor(in))
+	if (!in->is_settled)
 		in->excess_before =
 			fmax(in->excess_before * BEFORE_KEPT, in->excess);
 	cut_blamed(in, parts, now);
@@ -417,7 +429,7 @@
 		if (step <= 0)
 			continue;
 		room -= fit_blame(in, i) * class->demand / 100 * step;
-		set_level(class, class->level + step, now);
+		set_level(in, class, class->level + step, now);
 		class->raised_at = now;
 	}
 }
@@ -431,6 +443,10 @@
 static void evict(struct interference *in, struct interference_task *task,
 		  enum interference_reason reason, struct mstime now)
 {
+	struct interference_class *class = find_class(in, task->class_key);
+
+	if (class)
+		probe_forget(class);
 	task->evict = 1;
 	task->reason = reason;
 	in->evicted = 1;
@@ -458,15 +474,12 @@
 static double guilt_of(const struct interference *in,
 		       const struct interference_class *class)
 {
-	size_t index = (size_t)(class - in->classes);
-	double blame = fit_blame(in, index) * class->usage;
-
 	if (is_own(in))
 		return 0;
 	/* Where no other class runs, the effect of the throttle is proof. */
 	if (is_alone(in))
 		return in->excess;
-	return blame >= in->excess / 2 ? blame : 0;
+	return probe_share(in, class);
 }
 
 /* The largest task of the class that accounts for most at the floor. */
@@ -528,13 +541,17 @@
 	in->tolerance = 0.04 + 0.0024 * (double)(100 - sample->weight_latency);
 	in->ticks++;
 	running = take_usage(in, sample, tasks, count, now);
+	in->is_settled = all_at_floor(in) && mstime_diff(now, in->changed_at) >=
+						     INTERFERENCE_LAG_MS;
 	take_latency(in, sample, running);
 	for (i = 0; i < count; i++)
 		tasks[i]->evict = 0;
 	if (running && slack_used_up(in)) {
-		cut_levels(in, now);
+		if (is_own(in) || !probe_step(in, now))
+			cut_levels(in, now);
 		evict_for_latency(in, sample, tasks, count, now);
 	} else {
+		probe_abort(in, now);
 		if (running && in->calm > CUT_TARGET * in->tolerance &&
 		    in->excess_before > in->tolerance && is_unclear(in))
 			try_one(in, now);
--- /dev/null
+++ b/packages/core/src/interference_probe.c
@@ -0,0 +1,118 @@
+#include "interference_probe.h"
+
+#include <math.h>
+
+#include "interference_fit.h"
+
+/* Level of a probe: high enough that the effect exceeds the noise. */
+#define PROBE_LEVEL 30.0
+/* The smoothed excess needs this to show nearly all of the effect. */
+#define PROBE_MS 4000
+/* After this a share is measured again, because tasks change. */
+#define PROBE_VALID_MS 120000
+/* Least part of the excess that a proved share accounts for. */
+#define PROVED_PART 0.25
+/* Standard errors by which an effect exceeds the noise. */
+#define CONFIDENT 2.0
+
+void probe_forget(struct interference_class *class)
+{
+	class->is_probed = 0;
+	class->share = 0;
+}
+
+static void end(struct interference *in, struct mstime now)
+{
+	struct interference_class *class = in->probed;
+
+	class->level = INTERFERENCE_FLOOR;
+	class->cut_at = now;
+	in->changed_at = now;
+	in->probed = NULL;
+}
+
+void probe_abort(struct interference *in, struct mstime now)
+{
+	if (in->probed)
+		end(in, now);
+}
+
+static void measure(struct interference *in, struct mstime now)
+{
+	struct interference_class *class = in->probed;
+	double effect = in->excess - in->probe_excess;
+	double error = interference_error(in) * M_SQRT2;
+
+	class->share = effect > CONFIDENT * error
+			       ? effect * INTERFERENCE_FLOOR /
+					 (PROBE_LEVEL - INTERFERENCE_FLOOR)
+			       : 0;
+	class->is_probed = 1;
+	class->probed_at = now;
+	end(in, now);
+}
+
+static int may_probe(const struct interference_class *class, struct mstime now)
+{
+	if (!class->tasks || !class->at_floor)
+		return 0;
+	if (class->is_probed &&
+	    mstime_diff(now, class->probed_at) < PROBE_VALID_MS)
+		return 0;
+	return mstime_diff(now, class->cut_at) >= INTERFERENCE_RESTORE_MS;
+}
+
+/* RETURN VALUE: the most suspicious class without a fresh share, or NULL. */
+static struct interference_class *choose(struct interference *in,
+					 struct mstime now)
+{
+	struct interference_class *best = NULL;
+	double most = -INFINITY;
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES; i++) {
+		struct interference_class *class = &in->classes[i];
+		double part = fit_suspicion(in, i) * class->usage;
+
+		if (probe_share(in, class) > 0)
+			return NULL;
+		if (!may_probe(class, now) || part <= most)
+			continue;
+		most = part;
+		best = class;
+	}
+	return best;
+}
+
+int probe_step(struct interference *in, struct mstime now)
+{
+	struct interference_class *class = in->probed;
+
+	if (class && !class->tasks) {
+		probe_abort(in, now);
+		return 0;
+	}
+	if (class) {
+		if (mstime_diff(now, in->changed_at) >= PROBE_MS)
+			measure(in, now);
+		return 1;
+	}
+	if (mstime_diff(now, in->changed_at) < INTERFERENCE_LAG_MS)
+		return 0;
+	class = choose(in, now);
+	if (!class)
+		return 0;
+	class->level = PROBE_LEVEL;
+	in->changed_at = now;
+	in->probe_excess = in->excess;
+	in->probed = class;
+	return 1;
+}
+
+double probe_share(const struct interference *in,
+		   const struct interference_class *class)
+{
+	if (!class->is_probed || class->share < PROVED_PART * in->excess)
+		return 0;
+	return class->share;
+}
