--- a/tools/pylib/cluster.py
+++ b/tools/pylib/cluster.py
@@ -4,6 +4,7 @@
 process id, also when the caller fails.
 """
 
+import base64
 import http.client
 import json
 import os
@@ -65,6 +66,21 @@
     return subprocess.Popen(argv, process_group=0, **options)
 
 
+def store_call(address, path, body):
+    """One call to the store; returns what it answered."""
+    status, _, answer = http_call(address, "POST", path, json.dumps(body))
+    if status != 200:
+        raise Failed("the store answered %d to %s" % (status, body))
+    return json.loads(answer)
+
+
+def store_put(address, key, value):
+    """Writes a key whatever its revision."""
+    encode = lambda text: base64.b64encode(text.encode()).decode()
+    return store_call(address, "/v3/kv/txn", {"success": [{"request_put": {
+        "key": encode(key), "value": encode(value)}}]})
+
+
 class Process:
     def __init__(self, name, argv, directory, env=None):
         self.name = name
