tools: share starting entries and writing many jobs

capacity_series.py and capacity_storms.py had the same threads around a submission and a cancellation, and they and test_config_spread.py the same loop that starts entries. 38 lines out, 19 in.

test_config_spread passes.

--- a/tests/e2e/test_config_spread.py
+++ b/tests/e2e/test_config_spread.py
@@ -26,10 +26,7 @@
 def main():
     with Cluster(sys.argv[1]) as cluster:
         cluster.start_store()
-        for i in range(3):
-            cluster.start_entry("entry-%d" % i, "a", "a1", wait=False)
-        for entry in cluster.entries:
-            entry.wait_ready()
+        cluster.start_entries(3)
         fleet = start_fleet(cluster, AGENTS, 0)
         wait_known(cluster.entries, AGENTS)
         wait_for("the entries to know each other", lambda: all(
--- a/tools/pylib/capacity_series.py
+++ b/tools/pylib/capacity_series.py
@@ -15,11 +15,12 @@
     return ["reconcile-2026-49-%06d" % i for i in range(first, first + count)]
 
 
-def submit_all(store, jobs, threads=4):
+def write_all(store, write, jobs, threads=4):
+    """Calls store.submit or store.cancel for all jobs."""
     def run(part):
         connection = store.connect()
         for job in part:
-            store.submit(connection, job)
+            write(connection, job)
         connection.close()
     started = [threading.Thread(target=run, args=(jobs[i::threads],))
                for i in range(threads)]
@@ -67,10 +68,7 @@
     for count in (1, 2, 4, 8):
         with Cluster(build) as cluster:
             store = Store(cluster)
-            for i in range(count):
-                cluster.start_entry("entry-%d" % i, "a", "a1", wait=False)
-            for entry in cluster.entries:
-                entry.wait_ready()
+            cluster.start_entries(count)
             worker = cluster.start_worker("worker", "--id", "vm-1")
             agent = cluster.start_agent("vm-1", worker, "a", "a1")
             wait_known(cluster.entries, 1)
@@ -89,7 +87,7 @@
         wait_known([entry], 1)
         done = 0
         for tasks in (0, 13, 50, 100, 200):
-            submit_all(store, names(done, tasks - done))
+            write_all(store, store.submit, names(done, tasks - done))
             done = tasks
             wait_for("%d tasks at the agent" % tasks,
                      lambda count=tasks: entry.metric(
@@ -149,7 +147,7 @@
         window = Window(entry, fleet, store)
         done = 0
         for tasks in (0, 200, 500, 1000, 2000, 4000):
-            submit_all(store, names(done, tasks - done))
+            write_all(store, store.submit, names(done, tasks - done))
             done = tasks
             wait_running(fleet, tasks)
             time.sleep(SETTLE_S)
@@ -207,10 +205,7 @@
     for count in (1, 2, 4, 8):
         with Cluster(build) as cluster:
             store = Store(cluster)
-            for i in range(count):
-                cluster.start_entry("entry-%d" % i, "a", "a1", wait=False)
-            for entry in cluster.entries:
-                entry.wait_ready()
+            cluster.start_entries(count)
             fleet = start_fleet(cluster, 50, 0)
             wait_known(cluster.entries, 50)
             time.sleep(SETTLE_S)
--- a/tools/pylib/capacity_storms.py
+++ b/tools/pylib/capacity_storms.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from capacity_series import names, submit_all, wait_running
+from capacity_series import names, wait_running, write_all
 from cluster import Cluster, http_call, wait_for
 from measure import Store, cpu_seconds, start_fleet, wait_known
 
@@ -50,13 +50,10 @@
 
 def start(build, cluster, entries, agents, task_ms, jobs, partitions=4):
     store = Store(cluster, partitions)
-    for i in range(entries):
-        cluster.start_entry("entry-%d" % i, "a", "a1", wait=False)
-    for entry in cluster.entries:
-        entry.wait_ready()
+    cluster.start_entries(entries)
     fleet = start_fleet(cluster, agents, task_ms)
     wait_known(cluster.entries, agents)
-    submit_all(store, names(0, jobs))
+    write_all(store, store.submit, names(0, jobs))
     wait_running(fleet, jobs)
     time.sleep(SETTLE_S)
     return store, fleet
@@ -153,7 +150,7 @@
         cluster.processes.remove(fleet)
         fleet = start_fleet(cluster, 100, 10000)
         wait_known(cluster.entries, 100)
-        submit_all(store, names(0, 200))
+        write_all(store, store.submit, names(0, 200))
         wait_running(fleet, 200)
         store.faults(mode="refuse")
         during = calls_a_second(store, OUTAGE_S)
@@ -200,20 +197,6 @@
         return self.most
 
 
-def cancel_all(store, jobs, threads=4):
-    def run(part):
-        connection = store.connect()
-        for job in part:
-            store.cancel(connection, job)
-        connection.close()
-    started = [threading.Thread(target=run, args=(jobs[i::threads],))
-               for i in range(threads)]
-    for thread in started:
-        thread.start()
-    for thread in started:
-        thread.join()
-
-
 CANCELLED = 10000
 
 
@@ -227,7 +210,7 @@
         usual_probe = probe.most
         cpu, before = cpu_seconds(entry.popen.pid), store.sample()
         first, since = fleet.sample(), time.monotonic()
-        cancel_all(store, names(0, CANCELLED))
+        write_all(store, store.cancel, names(0, CANCELLED))
         written = time.monotonic() - since
         wait_for("all runs to be stopped",
                  lambda: fleet.sample()["running"] == 0)
--- a/tools/pylib/cluster.py
+++ b/tools/pylib/cluster.py
@@ -255,6 +255,12 @@
             entry.wait_ready()
         return entry
 
+    def start_entries(self, count):
+        for i in range(count):
+            self.start_entry("entry-%d" % i, "a", "a1", wait=False)
+        for entry in self.entries:
+            entry.wait_ready()
+
     def start_worker(self, name, *options):
         service, tasks = self.address(), self.address()
         worker = self.start(
