bench: measure fairness, and the deployments' regions

Routing was measured with one caller and 1 ms to every worker, so neither shares of callers nor regions counted. A scenario with five callers at 0.1 of the capacity each and a sixth that floods with 3.5 times the capacity is new, and one for each deployment: 1 ms and 1.5 ms between domains, 30 ms between regions, the last three workers and the last entry in region B.

A trace shows entries at which all callers have none running: the others take each free place before the next report names it. The other scenarios are as before.

--- a/bench/bench_routing.c
+++ b/bench/bench_routing.c
@@ -166,6 +166,42 @@
 	result_clear(&own);
 }
 
+/*
+ * Callers that keep to their share while one floods. Refused means 429; what
+ * else is lost must be no more than overload costs anyone.
+ */
+static void bench_fairness(const struct scenario *scenario)
+{
+	int normal_s = scenario->phases[0].until_s;
+	int over_s = scenario->phases[1].until_s;
+	struct second sum;
+	struct result own;
+
+	printf("%s (figures of the flood)\n", scenario->name);
+	model_run(scenario, &product, SEED, &own);
+	row(scenario, &product, &own, normal_s, over_s);
+	sum = result_sum(&own, normal_s, over_s);
+	at_most(scenario->name, "refusals of callers within their share",
+		(double)sum.kept_refused, 0);
+	at_least(scenario->name, "their requests answered in time",
+		 (double)sum.kept_in_time / (double)sum.kept_offered, 0.95);
+	result_clear(&own);
+}
+
+static void bench_regions(const struct scenario *scenario)
+{
+	int until_s = scenario->phases[0].until_s;
+	struct second sum;
+	struct result own;
+
+	bench_latency(scenario);
+	model_run(scenario, &product, SEED, &own);
+	sum = result_sum(&own, WARM_S, until_s);
+	at_most(scenario->name, "share of attempts to the other region",
+		(double)sum.to_remote / (double)sum.attempts, 0.01);
+	result_clear(&own);
+}
+
 static double choose_ns(uint32_t members)
 {
 	enum {
@@ -273,6 +309,23 @@
 				      .fail_at_s = 10,
 				      .deadline_ms = 1000 };
 
+static const struct scenario flood = {
+	.name = "one-caller-floods",
+	.phases = { { 20, 0.5 }, { 50, 4 }, { 70, 0.5 } },
+	.deadline_ms = 1000,
+	.callers = 5
+};
+static const struct scenario register_regions = { .name = "register-regions",
+						  .phases = { { 35, 0.7 } },
+						  .deadline_ms = 1000,
+						  .hop_us = 1000,
+						  .remote_us = 30000 };
+static const struct scenario notices_regions = { .name = "notices-regions",
+						 .phases = { { 35, 0.7 } },
+						 .deadline_ms = 1000,
+						 .hop_us = 1500,
+						 .remote_us = 30000 };
+
 int main(void)
 {
 	bench_latency(&equal);
@@ -282,6 +335,9 @@
 	bench_third_failing(&third);
 	bench_black_hole(&hole);
 	bench_black_hole(&hang);
+	bench_fairness(&flood);
+	bench_regions(&register_regions);
+	bench_regions(&notices_regions);
 	bench_choice_time();
 	return 0;
 }
--- a/bench/bench_routing/model.c
+++ b/bench/bench_routing/model.c
@@ -33,6 +33,7 @@
 	struct request *next_free;
 	uint32_t generation; /* tells a reused structure apart */
 	int entry;
+	int keeps; /* its caller keeps to its share */
 	int64_t arrived_us, sent_us;
 	int attempts;
 	int worker; /* -1 while not in flight */
@@ -138,6 +139,31 @@
 	return &m->result->seconds[m->now_us / 1000000];
 }
 
+static const char *region_of_entry(const struct model *m, int entry)
+{
+	return m->scenario->remote_us && entry == ENTRIES - 1 ? "b" : "a";
+}
+
+static const char *region_of_worker(const struct model *m, int worker)
+{
+	return m->scenario->remote_us && worker >= WORKERS - REMOTE_WORKERS
+		       ? "b"
+		       : "a";
+}
+
+static int is_remote(const struct model *m, int entry, int worker)
+{
+	return strcmp(region_of_entry(m, entry), region_of_worker(m, worker)) !=
+	       0;
+}
+
+static int64_t hop_us(const struct model *m, int entry, int worker)
+{
+	if (is_remote(m, entry, worker))
+		return m->scenario->remote_us;
+	return m->scenario->hop_us ? m->scenario->hop_us : HOP_US;
+}
+
 static void record(struct model *m, const struct request *r, int in_time)
 {
 	struct result *result = m->result;
@@ -154,6 +180,7 @@
 	result->samples[result->count].at_s = (float)(m->now_us / 1e6);
 	result->samples[result->count++].ms = (float)ms;
 	second_of(m)->in_time += in_time;
+	second_of(m)->kept_in_time += in_time && r->keeps;
 }
 
 static double service_us(struct model *m, const struct worker *worker)
@@ -183,7 +210,8 @@
 	m->free = r;
 }
 
-static int pick_oracle(struct model *m)
+/* A remote hop counts as the queue that takes as long. */
+static int pick_oracle(struct model *m, int entry)
 {
 	int best = -1, best_load = 0, ties = 0, i;
 
@@ -193,6 +221,8 @@
 
 		if (load >= SLOTS + GATE_QUEUE)
 			continue;
+		if (is_remote(m, entry, i))
+			load += 2 * m->scenario->remote_us * SLOTS / MEAN_US;
 		if (best < 0 || load < best_load)
 			ties = 0;
 		else if (load > best_load)
@@ -219,7 +249,7 @@
 static int pick_route(struct model *m, struct entry *entry, struct request *r)
 {
 	struct route_query query = { .service = "s",
-				     .region = "a",
+				     .region = region_of_entry(m, r->entry),
 				     .tried_count = (size_t)r->tried_count,
 				     .may_probe = 1,
 				     .limit = 64,
@@ -247,7 +277,7 @@
 	case PICK_ROUTE:
 		return pick_route(m, entry, r);
 	case PICK_ORACLE:
-		return pick_oracle(m);
+		return pick_oracle(m, r->entry);
 	case PICK_RANDOM:
 		return (int)rng_below(&m->rng, WORKERS);
 	case PICK_ROUND_ROBIN:
@@ -281,11 +311,19 @@
 	route_sent(entry->route, entry->members[worker], r->probe, now_of(m));
 	second_of(m)->attempts++;
 	second_of(m)->to_failing += m->workers[worker].failing;
+	second_of(m)->to_remote += is_remote(m, r->entry, worker);
 	m->workers[worker].in_transit++;
-	push(m, event, HOP_US);
+	push(m, event, hop_us(m, r->entry, worker));
 	return 1;
 }
 
+static void refuse(struct model *m, struct request *r,
+		   enum admission_verdict why)
+{
+	second_of(m)->kept_refused += r->keeps && why == ADMISSION_OVER_SHARE;
+	finish(m, r, 0);
+}
+
 static void enqueue(struct model *m, struct request *r)
 {
 	struct admission_item *evicted;
@@ -294,7 +332,7 @@
 	admission_wait(m->entries[r->entry].admission, &r->item, now_of(m),
 		       &evicted, &why);
 	if (evicted)
-		finish(m, list_entry(evicted, struct request, item), 0);
+		refuse(m, list_entry(evicted, struct request, item), why);
 }
 
 static void drain(struct model *m, struct entry *entry)
@@ -339,13 +377,29 @@
 	return 0;
 }
 
+/* Index of the caller; the one that floods comes after the others. */
+static int pick_caller(struct model *m, double load)
+{
+	const struct scenario *scenario = m->scenario;
+	double kept = scenario->phases[0].load / load;
+
+	if (!scenario->callers)
+		return 0;
+	if (load > scenario->phases[0].load && rng_unit(&m->rng) >= kept)
+		return scenario->callers;
+	return (int)rng_below(&m->rng, (uint32_t)scenario->callers);
+}
+
 static void on_arrival(struct model *m)
 {
 	double load = load_at(m->scenario, m->now_us);
 	struct event next = { .kind = ARRIVAL };
 	struct event deadline = { .kind = DEADLINE };
+	enum admission_verdict verdict;
 	struct request *r;
 	struct entry *entry;
+	char caller[16];
+	int number;
 
 	if (load <= 0)
 		return;
@@ -356,11 +410,16 @@
 	r->entry = (int)rng_below(&m->rng, ENTRIES);
 	r->arrived_us = m->now_us;
 	entry = &m->entries[r->entry];
+	number = pick_caller(m, load);
+	r->keeps = number < m->scenario->callers;
+	snprintf(caller, sizeof(caller), "caller%d", number);
 	second_of(m)->offered++;
-	if (admission_enter(entry->admission, &r->item, "caller",
-			    mstime_add(now_of(m), m->scenario->deadline_ms),
-			    now_of(m)) != ADMISSION_OK) {
-		finish(m, r, 0);
+	second_of(m)->kept_offered += r->keeps;
+	verdict = admission_enter(
+		entry->admission, &r->item, caller,
+		mstime_add(now_of(m), m->scenario->deadline_ms), now_of(m));
+	if (verdict != ADMISSION_OK) {
+		refuse(m, r, verdict);
 		return;
 	}
 	retry_request(&entry->retry);
@@ -398,7 +457,7 @@
 		worker->queue[worker->queued++] = event;
 	} else {
 		event.kind = REFUSED;
-		push(m, event, HOP_US);
+		push(m, event, hop_us(m, event.request->entry, event.index));
 	}
 }
 
@@ -417,7 +476,7 @@
 
 	worker->busy--;
 	event.kind = ANSWER;
-	push(m, event, HOP_US);
+	push(m, event, hop_us(m, event.request->entry, event.index));
 	while (worker->queued && worker->busy < SLOTS) {
 		next = worker->queue[0];
 		memmove(worker->queue, worker->queue + 1,
@@ -493,7 +552,6 @@
 	struct worker *worker = &m->workers[index];
 	struct msg_announce msg = { .incarnation = 1,
 				    .service = "s",
-				    .region = "a",
 				    .slots = SLOTS,
 				    .connections = 64,
 				    .state = AGENT_READY };
@@ -501,6 +559,7 @@
 
 	msg.seq = ++worker->seq;
 	msg.load = load_of(worker);
+	str_copy(msg.region, region_of_worker(m, index), sizeof(msg.region));
 	snprintf(msg.agent, sizeof(msg.agent), "%d", index);
 	for (i = 0; i < ENTRIES; i++) {
 		struct entry *entry = &m->entries[i];
@@ -530,7 +589,7 @@
 
 	while (!m->policy->plain_queue &&
 	       (item = admission_expired(entry->admission, now_of(m), &why)))
-		finish(m, list_entry(item, struct request, item), 0);
+		refuse(m, list_entry(item, struct request, item), why);
 	drain(m, entry);
 	push(m, event, TICK_US);
 }
--- a/bench/bench_routing/model.h
+++ b/bench/bench_routing/model.h
@@ -21,6 +21,7 @@
 #define MEAN_US 20000
 #define SIGMA 0.5
 #define HOP_US 1000
+#define REMOTE_WORKERS 3 /* with remote_us */
 #define PHASES_MAX 4
 #define SECONDS_MAX 200
 
@@ -58,6 +59,16 @@
 	enum failure failure;
 	int fail_at_s;
 	int deadline_ms;
+	/*
+	 * With callers, so many share the load of the first phase and one more
+	 * sends what goes beyond it. Without, there is one caller.
+	 */
+	int callers;
+	/*
+	 * One-way latencies; 0 for HOP_US everywhere. With remote_us, the last
+	 * three workers and the last entry are in another region.
+	 */
+	int hop_us, remote_us;
 };
 
 struct second {
@@ -65,6 +76,11 @@
 	int64_t in_time;
 	int64_t attempts;
 	int64_t to_failing; /* attempts sent to failing workers */
+	int64_t to_remote;  /* attempts sent to the other region */
+	/* Of the callers that keep to their share */
+	int64_t kept_offered;
+	int64_t kept_refused; /* 429 */
+	int64_t kept_in_time;
 };
 
 struct sample {
--- a/bench/bench_routing/result.c
+++ b/bench/bench_routing/result.c
@@ -40,6 +40,10 @@
 		sum.in_time += result->seconds[i].in_time;
 		sum.attempts += result->seconds[i].attempts;
 		sum.to_failing += result->seconds[i].to_failing;
+		sum.to_remote += result->seconds[i].to_remote;
+		sum.kept_offered += result->seconds[i].kept_offered;
+		sum.kept_refused += result->seconds[i].kept_refused;
+		sum.kept_in_time += result->seconds[i].kept_in_time;
 	}
 	return sum;
 }
