--- a/bench/bench_path.py
+++ b/bench/bench_path.py
@@ -10,6 +10,7 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
 
@@ -94,6 +95,8 @@
             print(json.dumps(row))
 
 
+# Ends the processes of the cluster also when tools/bench ends this one.
+signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
 try:
     main()
 except Failed as error:
