core: claim room at the gate for urgent runs

The owner of an urgent job sees only the runs of its own partition, so the agent has to choose whom to stop. This adds what that needs, without a user yet:

- gate: a task may claim the room of tasks that are being stopped.
Nothing else is admitted to claimed room, and the claim becomes a reservation only when it fits beside what is reserved, so the reserved sum never passes the capacity.
- placement: a request may count the room of evictable runs as free.
- wire: TASK_START carries whether the run is urgent and what is left of the job's eviction pause; ANNOUNCE carries the evictable part of the load.
The new fields are the last ones and bounded like the others.

--- a/packages/core/include/gate.h
+++ b/packages/core/include/gate.h
@@ -20,6 +20,11 @@
  *	grows beyond its declaration can raise the reserved sum above the
  *	capacity; until that has passed no further task is admitted.
  *
+ *	A task for which others are being stopped claims its room: no other
+ *	task is admitted to it, and the task takes it as its reservation once
+ *	the stopping tasks have been released. Claims alone never lift the
+ *	reserved sum.
+ *
  *	Requests and tasks are embedded in structs of the user, zeroed at
  *	first; the gate owns no memory.
  */
@@ -39,6 +44,8 @@
 struct gate_task {
 	struct list node;
 	int reserved;
+	int claimed;  /* waits for stopping tasks; not reserved yet */
+	int stopping; /* reserved, but free for a claim */
 	struct resources declared, observed;
 };
 
@@ -113,6 +120,25 @@
 int gate_task_reserve(struct gate *gate, struct gate_task *task,
 		      const struct resources *declared);
 
+/*
+ * Claims resources that are free, or will be when the stopping tasks have
+ * been released; gate_task_release() gives a claim up. Errors are those of
+ * gate_task_reserve().
+ */
+int gate_task_claim(struct gate *gate, struct gate_task *task,
+		    const struct resources *declared);
+
+/*
+ * Turns a claim into a reservation.
+ *
+ * RETURN VALUE
+ *	0 when the task has a reservation, else ERR_FULL.
+ */
+int gate_task_take(struct gate *gate, struct gate_task *task);
+
+/* The task is being stopped: its room may be claimed. */
+void gate_task_stopping(struct gate *gate, struct gate_task *task);
+
 /* Reserves without a check, for a task that the worker already runs. */
 void gate_task_adopt(struct gate *gate, struct gate_task *task,
 		     const struct resources *observed);
@@ -123,10 +149,16 @@
 /* Sum of all reservations; saturates. */
 struct resources gate_reserved(const struct gate *gate);
 
+/* The same once all stopping tasks are released and all claims taken. */
+struct resources gate_planned(const struct gate *gate);
+
+/* RETURN VALUE: what the task has reserved or claimed. */
+struct resources gate_task_amount(const struct gate_task *task);
+
 /* RETURN VALUE: 1 when the reserved sum is above the capacity. */
 int gate_over(const struct gate *gate);
 
-/* Fills all fields but latency_ms. */
+/* Fills all fields but latency_ms; used includes what is claimed. */
 void gate_load(const struct gate *gate, struct load *load);
 
 #endif
--- a/packages/core/include/membership.h
+++ b/packages/core/include/membership.h
@@ -35,8 +35,9 @@
 	uint32_t connections;
 	struct resources capacity;
 	enum agent_state state;
-	uint64_t config_version; /* in force at the agent */
-	struct load load;	 /* as last reported */
+	uint64_t config_version;    /* in force at the agent */
+	struct load load;	    /* as last reported */
+	struct resources evictable; /* part of load.used */
 	struct mstime reported_at;
 	uint64_t config_behind; /* old version that it last reported plus 1 */
 	uint32_t own_in_flight; /* requests that this entry has sent */
--- a/packages/core/include/placement.h
+++ b/packages/core/include/placement.h
@@ -31,9 +31,10 @@
 	uint64_t hash;	 /* hash_str(agent) */
 	uint32_t domain; /* index of its failure domain */
 	struct resources capacity;
-	struct resources used; /* reported, and what was placed since */
-	uint32_t requests;     /* latency-critical requests in flight */
-	uint32_t slots;	       /* for requests */
+	struct resources used;	    /* reported, and what was placed since */
+	struct resources evictable; /* part of used; for urgent work */
+	uint32_t requests;	    /* latency-critical requests in flight */
+	uint32_t slots;		    /* for requests */
 	unsigned int usable : 1;
 	unsigned int drained : 1;
 	unsigned int ejected : 1;
@@ -47,6 +48,7 @@
 	/* Tasks of the job's team by domain; NULL for no spreading. */
 	const uint32_t *domain_tasks;
 	uint32_t domain_count;
+	int evicts;		 /* the room of evictable runs counts as free */
 	int64_t weight_latency;	 /* LIMIT_WEIGHT_LATENCY, percent */
 	int64_t weight_eviction; /* LIMIT_WEIGHT_EVICTION, percent */
 };
--- a/packages/core/src/gate.c
+++ b/packages/core/src/gate.c
@@ -160,6 +160,19 @@
 	       a.accel <= b.accel;
 }
 
+static struct resources larger_resources(struct resources a, struct resources b)
+{
+	a.cpu_milli = larger(a.cpu_milli, b.cpu_milli);
+	a.mem_mb = larger(a.mem_mb, b.mem_mb);
+	a.accel = larger(a.accel, b.accel);
+	return a;
+}
+
+struct resources gate_task_amount(const struct gate_task *task)
+{
+	return larger_resources(task->declared, task->observed);
+}
+
 struct resources gate_reserved(const struct gate *gate)
 {
 	struct resources sum = { 0, 0, 0 };
@@ -168,13 +181,24 @@
 	list_for_each (pos, &gate->tasks) {
 		const struct gate_task *t =
 			list_entry(pos, struct gate_task, node);
-		struct resources r = {
-			larger(t->declared.cpu_milli, t->observed.cpu_milli),
-			larger(t->declared.mem_mb, t->observed.mem_mb),
-			larger(t->declared.accel, t->observed.accel),
-		};
 
-		sum = add_resources(sum, r);
+		if (t->reserved)
+			sum = add_resources(sum, gate_task_amount(t));
+	}
+	return sum;
+}
+
+struct resources gate_planned(const struct gate *gate)
+{
+	struct resources sum = { 0, 0, 0 };
+	const struct list *pos;
+
+	list_for_each (pos, &gate->tasks) {
+		const struct gate_task *t =
+			list_entry(pos, struct gate_task, node);
+
+		if (!t->stopping)
+			sum = add_resources(sum, gate_task_amount(t));
 	}
 	return sum;
 }
@@ -184,27 +208,61 @@
 	return !within(gate_reserved(gate), gate->limits.capacity);
 }
 
-int gate_task_reserve(struct gate *gate, struct gate_task *task,
-		      const struct resources *declared)
+static int fits_beside(const struct gate *gate, struct resources sum,
+		       const struct resources *need)
 {
-	if (task->reserved)
+	return within(add_resources(sum, *need), gate->limits.capacity);
+}
+
+int gate_task_claim(struct gate *gate, struct gate_task *task,
+		    const struct resources *declared)
+{
+	if (task->reserved || task->claimed)
 		return ERR_EXISTS;
 	if (gate->refusing && gate->reason == REFUSAL_LEAVING)
 		return ERR_STOPPING;
 	if (!within(*declared, gate->limits.capacity))
 		return ERR_TOO_LARGE;
-	if (!within(add_resources(gate_reserved(gate), *declared),
-		    gate->limits.capacity))
+	if (!fits_beside(gate, gate_planned(gate), declared))
 		return ERR_FULL;
-	gate_task_adopt(gate, task, &(struct resources){ 0, 0, 0 });
+	memset(task, 0, sizeof(*task));
+	task->claimed = 1;
 	task->declared = *declared;
+	list_add_tail(&gate->tasks, &task->node);
 	return 0;
 }
 
+int gate_task_take(struct gate *gate, struct gate_task *task)
+{
+	if (task->claimed &&
+	    fits_beside(gate, gate_reserved(gate), &task->declared)) {
+		task->claimed = 0;
+		task->reserved = 1;
+	}
+	return task->reserved ? 0 : ERR_FULL;
+}
+
+void gate_task_stopping(struct gate *gate, struct gate_task *task)
+{
+	task->stopping = task->reserved;
+}
+
+int gate_task_reserve(struct gate *gate, struct gate_task *task,
+		      const struct resources *declared)
+{
+	int err = gate_task_claim(gate, task, declared);
+
+	if (!err && gate_task_take(gate, task)) {
+		gate_task_release(gate, task);
+		err = ERR_FULL;
+	}
+	return err;
+}
+
 void gate_task_adopt(struct gate *gate, struct gate_task *task,
 		     const struct resources *observed)
 {
-	if (task->reserved)
+	if (task->reserved || task->claimed)
 		return;
 	memset(task, 0, sizeof(*task));
 	task->reserved = 1;
@@ -221,10 +279,12 @@
 
 void gate_task_release(struct gate *gate, struct gate_task *task)
 {
-	if (!task->reserved)
+	if (!task->reserved && !task->claimed)
 		return;
 	list_del(&task->node);
 	task->reserved = 0;
+	task->claimed = 0;
+	task->stopping = 0;
 }
 
 void gate_load(const struct gate *gate, struct load *load)
@@ -232,5 +292,5 @@
 	load->in_flight = gate->slots_used;
 	load->queued = gate->queued;
 	load->connections = gate->connections_used;
-	load->used = gate_reserved(gate);
+	load->used = larger_resources(gate_reserved(gate), gate_planned(gate));
 }
--- a/packages/core/src/membership.c
+++ b/packages/core/src/membership.c
@@ -125,6 +125,7 @@
 	member->state = (enum agent_state)announce->state;
 	member->config_version = announce->config_version;
 	member->load = announce->load;
+	member->evictable = announce->evictable;
 	member->reported_at = now;
 	list_del(&member->age_node);
 	list_add_tail(&membership->by_age, &member->age_node);
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -51,10 +51,29 @@
 	return 0;
 }
 
+static uint32_t minus(uint32_t a, uint32_t b)
+{
+	return a > b ? a - b : 0;
+}
+
+static struct resources used_of(const struct placement_request *request,
+				const struct worker_view *worker)
+{
+	struct resources used = worker->used;
+
+	if (!request->evicts)
+		return used;
+	used.cpu_milli = minus(used.cpu_milli, worker->evictable.cpu_milli);
+	used.mem_mb = minus(used.mem_mb, worker->evictable.mem_mb);
+	used.accel = minus(used.accel, worker->evictable.accel);
+	return used;
+}
+
 static enum placement_verdict judge(const struct placement_request *request,
 				    const struct worker_view *worker)
 {
 	const struct resources *need = &request->need;
+	const struct resources used = used_of(request, worker);
 
 	if (!worker->usable)
 		return PLACEMENT_DOWN;
@@ -64,13 +83,12 @@
 		return PLACEMENT_EJECTED;
 	if (is_avoided(request, worker->hash))
 		return PLACEMENT_AVOIDED;
-	if (!has_room(need->cpu_milli, worker->used.cpu_milli,
+	if (!has_room(need->cpu_milli, used.cpu_milli,
 		      worker->capacity.cpu_milli))
 		return PLACEMENT_CPU;
-	if (!has_room(need->mem_mb, worker->used.mem_mb,
-		      worker->capacity.mem_mb))
+	if (!has_room(need->mem_mb, used.mem_mb, worker->capacity.mem_mb))
 		return PLACEMENT_MEMORY;
-	if (!has_room(need->accel, worker->used.accel, worker->capacity.accel))
+	if (!has_room(need->accel, used.accel, worker->capacity.accel))
 		return PLACEMENT_ACCEL;
 	return PLACEMENT_FITS;
 }
@@ -108,10 +126,11 @@
 			     const struct worker_view *worker)
 {
 	const struct resources *need = &request->need;
-	double cpu = fraction(need->cpu_milli, worker->used.cpu_milli,
+	const struct resources used = used_of(request, worker);
+	double cpu = fraction(need->cpu_milli, used.cpu_milli,
 			      worker->capacity.cpu_milli);
-	double mem = fraction(need->mem_mb, worker->used.mem_mb,
-			      worker->capacity.mem_mb);
+	double mem =
+		fraction(need->mem_mb, used.mem_mb, worker->capacity.mem_mb);
 	double busy =
 		worker->slots ? (double)worker->requests / worker->slots : 0;
 	double latency = (double)request->weight_latency / 100;
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -65,6 +65,9 @@
 	STOP_CANCEL
 };
 
+/* Detail of a run that its agent stopped to make room for an urgent one. */
+#define DETAIL_URGENT_ROOM "urgent-room"
+
 const char *outcome_name(enum outcome outcome);
 const char *agent_state_name(enum agent_state state);
 const char *refusal_name(enum refusal refusal);
@@ -160,6 +163,7 @@
 	struct load load;
 	uint64_t config_version;
 	uint64_t directory_hash;
+	struct resources evictable; /* part of load.used; see TASK_START */
 };
 
 struct msg_announce_ack {
@@ -234,6 +238,11 @@
 	uint32_t bytes;
 };
 
+/*
+ * An urgent run may take the room of runs that are not urgent, whatever their
+ * partition, but not of one whose eviction pause has not passed: pause_ms is
+ * what was left of it when the start was sent.
+ */
 struct msg_task_start {
 	uint32_t partition;
 	uint64_t epoch;
@@ -242,6 +251,8 @@
 	struct resources need;
 	const char *checkpoint;
 	const char *command;
+	uint32_t urgent;
+	uint32_t pause_ms;
 };
 
 struct msg_task_stop {
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -127,6 +127,7 @@
 	NESTED(struct msg_announce, load, load_fields),
 	U64(struct msg_announce, config_version),
 	U64(struct msg_announce, directory_hash),
+	NESTED(struct msg_announce, evictable, resources_fields),
 };
 
 static const struct field announce_ack_fields[] = {
@@ -207,6 +208,8 @@
 	NESTED(struct msg_task_start, need, resources_fields),
 	TEXT(struct msg_task_start, checkpoint, CHECKPOINT_MAX),
 	TEXT(struct msg_task_start, command, COMMAND_MAX),
+	ENUM(struct msg_task_start, urgent, 2),
+	U32(struct msg_task_start, pause_ms),
 };
 
 static const struct field task_stop_fields[] = {
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -145,12 +145,78 @@
 	}
 }
 
+/*
+ * Guards against a claim that lifts the reserved sum above the capacity, and
+ * against a start that takes the room which a claim waits for.
+ */
+static void test_claims(void **state)
+{
+	static const struct {
+		const char *what;
+		int stopping; /* of two tasks of 40 */
+		struct resources claim, other;
+		int err_claim, err_other;
+	} cases[] = {
+		{ "nothing stops", 0, { 1, 30, 0 }, { 1, 1, 0 }, ERR_FULL, 0 },
+		{ "free room", 0, { 1, 20, 0 }, { 1, 1, 0 }, 0, ERR_FULL },
+		{ "one stops", 1, { 1, 60, 0 }, { 1, 1, 0 }, 0, ERR_FULL },
+		{ "not enough", 1, { 1, 61, 0 }, { 1, 20, 0 }, ERR_FULL, 0 },
+		{ "rest is free", 2, { 1, 90, 0 }, { 1, 10, 0 }, 0, 0 },
+		{ "rest is too small",
+		  2,
+		  { 1, 90, 0 },
+		  { 1, 11, 0 },
+		  0,
+		  ERR_FULL },
+		{ "too large",
+		  2,
+		  { 1, 101, 0 },
+		  { 1, 1, 0 },
+		  ERR_TOO_LARGE,
+		  0 },
+	};
+	const struct resources need = { 1, 40, 0 };
+	size_t i;
+	int n;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct gate_task running[2] = { 0 }, claim = { 0 };
+		struct gate_task other = { 0 };
+		struct gate gate;
+
+		gate_init(&gate, &small);
+		for (n = 0; n < 2; n++)
+			assert_int_equal(
+				gate_task_reserve(&gate, &running[n], &need),
+				0);
+		for (n = 0; n < cases[i].stopping; n++)
+			gate_task_stopping(&gate, &running[n]);
+		if (gate_task_claim(&gate, &claim, &cases[i].claim) !=
+			    cases[i].err_claim ||
+		    gate_task_reserve(&gate, &other, &cases[i].other) !=
+			    cases[i].err_other)
+			fail_msg("%s", cases[i].what);
+		assert_false(gate_over(&gate));
+		if (cases[i].err_claim)
+			continue;
+		for (n = 0; n < cases[i].stopping; n++) {
+			if (cases[i].claim.mem_mb > 20u + 40u * (uint32_t)n)
+				assert_int_equal(gate_task_take(&gate, &claim),
+						 ERR_FULL);
+			gate_task_release(&gate, &running[n]);
+		}
+		assert_int_equal(gate_task_take(&gate, &claim), 0);
+		assert_false(gate_over(&gate));
+	}
+}
+
 #define REQUESTS 24
 #define TASKS 12
 
 static void check_ledger(struct gate *gate, const struct gate_request *r)
 {
 	uint32_t slots = 0, connections = 0, queued = 0;
+	struct load load;
 	int i;
 
 	for (i = 0; i < REQUESTS; i++) {
@@ -165,6 +231,10 @@
 	assert_true(connections <= gate->limits.connections);
 	assert_true(queued <= gate->limits.queue);
 	assert_false(gate_over(gate));
+	gate_load(gate, &load);
+	assert_true(load.used.cpu_milli <= gate->limits.capacity.cpu_milli);
+	assert_true(load.used.mem_mb <= gate->limits.capacity.mem_mb);
+	assert_true(load.used.accel <= gate->limits.capacity.accel);
 }
 
 /*
@@ -191,7 +261,7 @@
 					  rng_below(&rng, 2) };
 		enum refusal reason;
 
-		switch (rng_below(&rng, 7)) {
+		switch (rng_below(&rng, 10)) {
 		case 0:
 		case 1:
 			gate_admit(&gate, one,
@@ -211,6 +281,15 @@
 		case 5:
 			gate_task_reserve(&gate, task, &need);
 			break;
+		case 6:
+			gate_task_claim(&gate, task, &need);
+			break;
+		case 7:
+			gate_task_take(&gate, task);
+			break;
+		case 8:
+			gate_task_stopping(&gate, task);
+			break;
 		default:
 			gate_task_release(&gate, task);
 		}
@@ -225,6 +304,7 @@
 		cmocka_unit_test(test_streams),
 		cmocka_unit_test(test_deadline_and_close),
 		cmocka_unit_test(test_tasks),
+		cmocka_unit_test(test_claims),
 		cmocka_unit_test(test_any_order),
 	};
 
--- a/tests/unit/test_placement.c
+++ b/tests/unit/test_placement.c
@@ -68,6 +68,20 @@
 	  { .need = { 1000, 1000, 0 }, .weight_latency = 100 },
 	  1,
 	  PLACEMENT_FITS },
+	{ "held by evictable runs",
+	  { { .used = { 8000 }, .evictable = { 500 } },
+	    { .used = { 8000 }, .evictable = { 1000 } },
+	    { .used = { 9000 }, .evictable = { 1000 } } },
+	  { .need = { 1000, 1, 0 }, .evicts = 1 },
+	  1,
+	  PLACEMENT_CPU },
+	{ "evictable runs keep work that is not urgent out",
+	  { { .used = { 8000 }, .evictable = { 8000 } },
+	    { .used = { 8000 }, .evictable = { 8000 } },
+	    { .used = { 8000 }, .evictable = { 8000 } } },
+	  { .need = { 1000, 1, 0 } },
+	  -1,
+	  PLACEMENT_CPU },
 	{ "none",
 	  { { .ejected = 1 }, { .drained = 1 }, { .used = { 8000 } } },
 	  { .need = { 1, 1, 0 } },
@@ -90,6 +104,7 @@
 		fill(workers, WORKERS);
 		for (n = 0; n < WORKERS; n++) {
 			workers[n].used = cases[i].changed[n].used;
+			workers[n].evictable = cases[i].changed[n].evictable;
 			workers[n].requests = cases[i].changed[n].requests;
 			workers[n].drained = cases[i].changed[n].drained;
 			workers[n].ejected = cases[i].changed[n].ejected;
