agent: make room for urgent runs across partitions

With two partitions at two entries, eight jobs of 400 MB and four urgent jobs of 800 MB on VMs of 1000 MB, urgent jobs waited up to 6.8 s. The log shows four causes, none of them the eviction cap, the time of a checkpoint or a slow commit (about 20 ms each):

- An owner evicts only its own runs; the other VMs came free when their runs ended by themselves.
- For 2.5 s after a start, the owner counts the run twice, in the announced load and in its own.
So one eviction seemed not to be enough, and make_room found nothing before that time.
- After the stop, the owner waited for the next announcement, 1 s later.
- By then another owner had started a run that is not urgent in that room.

Now an urgent start goes to a VM whose evictable runs hold enough room, and the agent stops those with the least lost work (2032 task-makes-room) with the detail "urgent-room", claims their room and starts the run when they have ended. The owner's own search for victims is gone: one mechanism, not two. Adopted runs are not stopped, as the worker does not tell whether they are urgent. The owner counts an eviction from the report.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -51,7 +51,8 @@
 	{ EV_AGENT_REQUEST_CUT, LOG_WARN, "agent-request-cut",
 	  "A request ended without a whole answer; the reason is given." },
 	{ EV_TASK_ACCEPTED, LOG_INFO, "task-accepted",
-	  "A run fits and waits for its owner's grant." },
+	  "A run has room, or a claim to it, and waits for its owner's "
+	  "grant." },
 	{ EV_TASK_REFUSED, LOG_WARN, "task-refused",
 	  "A run was not started; the reason is given." },
 	{ EV_TASK_FENCED, LOG_WARN, "task-fenced",
@@ -76,6 +77,9 @@
 	{ EV_TASK_INTERFERES, LOG_WARN, "task-interferes",
 	  "A task is evicted because a throttle does not protect the service "
 	  "or the worker from it." },
+	{ EV_TASK_MAKES_ROOM, LOG_INFO, "task-makes-room",
+	  "A run is stopped with a checkpoint to make room for an urgent "
+	  "run." },
 
 	/* 3000: batch */
 	{ EV_JOB_PLACED, LOG_INFO, "job-placed",
@@ -85,7 +89,8 @@
 	{ EV_JOB_RUNNING, LOG_INFO, "job-running",
 	  "An agent reported a run of a batch job as running." },
 	{ EV_JOB_EVICTED, LOG_INFO, "job-evicted",
-	  "A run is stopped with a checkpoint, for urgent work or a drain." },
+	  "A run is stopped with a checkpoint because its worker is drained or "
+	  "leaving." },
 	{ EV_JOB_REQUEUED, LOG_INFO, "job-requeued",
 	  "A run was stopped or refused; the job waits to resume." },
 	{ EV_JOB_ENDED, LOG_INFO, "job-ended",
--- a/packages/core/include/partition.h
+++ b/packages/core/include/partition.h
@@ -91,8 +91,7 @@
 	struct mstime sent_at; /* last start sent, or the takeover */
 	uint64_t commanded;    /* version of the last command */
 	struct mstime commanded_at;
-	struct mstime room_until; /* runs are being evicted for it */
-	struct mstime listed_at;  /* last report that listed it as alive */
+	struct mstime listed_at; /* last report that listed it as alive */
 	int listed;
 	struct mstime saved_at;	  /* last new checkpoint, or the start */
 	struct resources used;	  /* as last reported */
--- a/packages/daemon/src/agent_links.c
+++ b/packages/daemon/src/agent_links.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "agent_requests.h"
+#include "agent_room.h"
 #include "agent_tasks.h"
 #include "errors.h"
 #include "log.h"
@@ -121,6 +122,7 @@
 	a->capacity = agent->gate.limits.capacity;
 	a->state = agent->state;
 	gate_load(&agent->gate, &a->load);
+	a->evictable = agent_room_evictable(agent);
 	a->load.latency_ms = (uint32_t)((agent->latency_us + 999) / 1000);
 	a->config_version = agent->daemon->config.version;
 	a->directory_hash = link->directory_hash;
--- a/packages/daemon/src/agent_state.h
+++ b/packages/daemon/src/agent_state.h
@@ -3,6 +3,7 @@
 
 #include "agent.h"
 #include "agent_counters.h"
+#include "evict.h"
 #include "gate.h"
 #include "grants.h"
 #include "httpc.h"
@@ -80,6 +81,9 @@
 	int64_t tick_us;	/* sum of the latencies since the last tick */
 	uint32_t tick_requests; /* their number */
 
+	/* agent_room.c */
+	struct evict_window evictions;
+
 	/* agent_tasks.c */
 	struct list tasks;
 	struct taskapi *taskapi;
--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent_room.h"
 #include "agent_tasks.h"
 #include "errors.h"
 #include "log.h"
@@ -18,6 +19,7 @@
 	t->agent = agent;
 	t->state = TASK_STARTING;
 	t->accepted_at = now;
+	t->saved_at = now;
 	t->lease_sent_at = now;
 	t->renew_at = now;
 	t->retry_at = now;
@@ -81,6 +83,7 @@
 	t->stop_reason = reason;
 	t->retry_at = sysclock_now();
 	t->state = TASK_STOPPING;
+	gate_task_stopping(&t->agent->gate, &t->gate);
 	log_event(EV_TASK_STOPPING, "job=%s run=%llu reason=%s checkpoint=%d",
 		  t->grant.job, (unsigned long long)t->grant.run, reason,
 		  stop == STOP_CHECKPOINT);
@@ -118,6 +121,7 @@
 	if (!*checkpoint || !strcmp(t->checkpoint, checkpoint))
 		return;
 	str_copy(t->checkpoint, checkpoint, sizeof(t->checkpoint));
+	t->saved_at = sysclock_now();
 	agent_tasks_report_soon(t->agent);
 }
 
@@ -351,6 +355,8 @@
 		step_stop(t);
 	else if (!grants_valid(&t->grant, now))
 		return;
+	else if (t->gate.claimed && agent_room_wait(t, now))
+		return;
 	else if (!t->confirmed)
 		call_start(t, now);
 	else
--- a/packages/daemon/src/agent_task.h
+++ b/packages/daemon/src/agent_task.h
@@ -37,11 +37,14 @@
 	char checkpoint[CHECKPOINT_SIZE];
 	char detail[DETAIL_SIZE];
 	char *command;
+	int evictable; /* not urgent; an adopted run may be urgent */
+	struct mstime protected_until; /* its eviction pause */
 	int adopted; /* found at the worker, not commanded so far */
 	int sent;    /* a start may have reached the worker */
 	int confirmed;
 	struct mstime confirmed_at; /* the worker has shown that it runs */
 	struct mstime accepted_at;
+	struct mstime saved_at;	     /* accepted, or last checkpoint */
 	struct mstime lease_sent_at; /* last start or renewal */
 	struct mstime lease_before;  /* the one before it */
 	struct mstime answered_at;   /* last start or renewal answered */
--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -5,6 +5,7 @@
 #include "agent_interference.h"
 #include "agent_reports.h"
 #include "agent_requests.h"
+#include "agent_room.h"
 #include "agent_task.h"
 #include "errors.h"
 #include "jobspec.h"
@@ -47,9 +48,10 @@
 }
 
 /* RETURN VALUE: why the run cannot be accepted, or NULL. */
-static const char *accept_run(struct agent_task *t)
+static const char *accept_run(struct agent_task *t, int urgent)
 {
 	struct agent *agent = t->agent;
+	int err;
 
 	if (agent->stopping)
 		return "leaving";
@@ -57,7 +59,10 @@
 		return "drained";
 	if (!agent->worker_known || agent->worker_down)
 		return "worker-down";
-	switch (gate_task_reserve(&agent->gate, &t->gate, &t->need)) {
+	err = gate_task_reserve(&agent->gate, &t->gate, &t->need);
+	if (err == ERR_FULL && urgent)
+		err = agent_room_make(t);
+	switch (err) {
 	case 0:
 		return NULL;
 	case ERR_TOO_LARGE:
@@ -78,7 +83,9 @@
 	t->need = msg->need;
 	t->command = xstrdup(msg->command);
 	str_copy(t->checkpoint, msg->checkpoint, sizeof(t->checkpoint));
-	refusal = accept_run(t);
+	t->evictable = !msg->urgent;
+	t->protected_until = mstime_add(t->accepted_at, msg->pause_ms);
+	refusal = accept_run(t, (int)msg->urgent);
 	if (refusal) {
 		agent_task_end(t, TASK_REFUSED, refusal);
 		return;
--- a/packages/daemon/src/owner_agents.c
+++ b/packages/daemon/src/owner_agents.c
@@ -81,6 +81,15 @@
 	transport_send(slot->owner->transport, peer, &msg);
 }
 
+/* RETURN VALUE: what is left of the pause between two evictions of the job. */
+static uint32_t pause_left(const struct owner *owner, const struct job *job)
+{
+	int64_t left = owner_limit(owner, LIMIT_EVICT_PAUSE_MS) -
+		       mstime_diff(owner_now(), job->evicted_at);
+
+	return job->evicted && left > 0 ? (uint32_t)left : 0;
+}
+
 static void send_start(struct slot *slot, const char *peer,
 		       const struct job *job)
 {
@@ -93,6 +102,8 @@
 	msg.u.task_start.need = job->need;
 	msg.u.task_start.checkpoint = job->checkpoint;
 	msg.u.task_start.command = job->command;
+	msg.u.task_start.urgent = job->urgent != 0;
+	msg.u.task_start.pause_ms = pause_left(slot->owner, job);
 	transport_send(slot->owner->transport, peer, &msg);
 }
 
@@ -245,6 +256,9 @@
 	if (effect == EFFECT_RETRY || effect == EFFECT_FAILED)
 		note_failure(slot, job);
 	note_effect(slot, job, effect);
+	if (effect == EFFECT_REQUEUED && status->detail &&
+	    !strcmp(status->detail, DETAIL_URGENT_ROOM))
+		owner_count(owner, OWNER_EVICTIONS);
 	if (effect >= EFFECT_DONE && job->urgent)
 		slot->urgent = 1;
 	return effect;
--- a/packages/daemon/src/owner_internal.h
+++ b/packages/daemon/src/owner_internal.h
@@ -2,7 +2,6 @@
 #define CATKINHILL_OWNER_INTERNAL_H
 
 #include "estimate.h"
-#include "evict.h"
 #include "owner.h"
 #include "ownerlease.h"
 #include "partition.h"
@@ -144,7 +143,6 @@
 	struct estimate *estimate;
 	struct quota *quota;
 	struct taskhealth *health;
-	struct evict_window evictions;
 	struct worker_index *workers; /* as of the current tick */
 	struct owner_counters *counters;
 };
--- a/packages/daemon/src/owner_schedule.c
+++ b/packages/daemon/src/owner_schedule.c
@@ -11,9 +11,6 @@
 /* Bounds of the work of one tick; what is left waits for the next one. */
 #define STARTS_MAX 500
 #define FAILURES_MAX 2000
-#define EVICT_SEARCHES_MAX 4
-/* The evicted runs have stopped and the job is placed within this time. */
-#define ROOM_MS 15000
 
 /*
  * A job that waited this long gets a worker held free for it, so that large
@@ -36,7 +33,7 @@
 	struct waiting *waiting;
 	size_t count, capacity;
 	uint32_t owned; /* partitions */
-	uint32_t starts, failures, searches, holds;
+	uint32_t starts, failures, holds;
 	struct mstime now;
 };
 
@@ -136,7 +133,6 @@
 	if (partition_evict(slot->partition, job, reason, round->now))
 		return;
 	slot->urgent = 1;
-	evict_window_add(&owner->evictions, round->now);
 	owner_count(owner, OWNER_EVICTIONS);
 	log_event(EV_JOB_EVICTED,
 		  "partition=%u job=%s run=%" PRIu64 " agent=%s reason=\"%s\"",
@@ -161,107 +157,6 @@
 	}
 }
 
-struct candidates {
-	struct evict_candidate *items;
-	struct waiting *jobs; /* slot and job of each item */
-	size_t count, capacity;
-};
-
-static void add_candidate(struct candidates *candidates, struct slot *slot,
-			  struct job *job, int worker)
-{
-	struct evict_candidate *item;
-
-	if (candidates->count == candidates->capacity) {
-		candidates->capacity = candidates->capacity * 2 + 64;
-		candidates->items = xrealloc(
-			candidates->items,
-			candidates->capacity * sizeof(*candidates->items));
-		candidates->jobs = xrealloc(candidates->jobs,
-					    candidates->capacity *
-						    sizeof(*candidates->jobs));
-	}
-	item = &candidates->items[candidates->count];
-	item->worker = (uint32_t)worker;
-	item->need = job->need;
-	item->urgent = job->urgent;
-	item->evicted = job->evicted;
-	item->evicted_at = job->evicted_at;
-	item->saved_at = job->saved_at;
-	candidates->jobs[candidates->count].slot = slot;
-	candidates->jobs[candidates->count].job = job;
-	candidates->count++;
-}
-
-static void find_candidates(struct round *round, struct candidates *candidates)
-{
-	struct owner *owner = round->owner;
-	struct list *pos;
-	uint32_t i;
-
-	for (i = 0; i < owner->slot_count; i++) {
-		if (owner->slots[i].state != SLOT_OWNED)
-			continue;
-		list_for_each (pos, &owner->slots[i].partition->jobs) {
-			struct job *job = list_entry(pos, struct job, node);
-			int worker;
-
-			if (job->state != JOB_RUNNING)
-				continue;
-			worker = worker_index_find(owner->workers, job->agent);
-			if (worker >= 0)
-				add_candidate(candidates, &owner->slots[i], job,
-					      worker);
-		}
-	}
-}
-
-static struct evict_worker *find_evict_workers(const struct round *round)
-{
-	struct evict_worker *workers =
-		xcalloc(round->view_count + 1, sizeof(*workers));
-	size_t i;
-
-	for (i = 0; i < round->view_count; i++) {
-		const struct worker_view *view = &round->views[i];
-
-		workers[i].capacity = view->capacity;
-		workers[i].used = view->used;
-		workers[i].usable =
-			view->usable && !view->drained && !view->ejected;
-	}
-	return workers;
-}
-
-/* RETURN VALUE: 1 if runs are being stopped to make room for the job. */
-static int make_room(struct round *round, struct job *job,
-		     const struct resources *need)
-{
-	struct owner *owner = round->owner;
-	struct candidates candidates = { 0 };
-	struct evict_worker *workers = find_evict_workers(round);
-	struct evict_choice choice;
-	char reason[JOB_REASON_SIZE];
-	uint32_t i;
-
-	find_candidates(round, &candidates);
-	evict_choose(
-		&choice, need, candidates.items, candidates.count, workers,
-		round->view_count, owner_limit(owner, LIMIT_EVICT_PAUSE_MS),
-		evict_window_left(&owner->evictions, round->now), round->now);
-	snprintf(reason, sizeof(reason), "makes room for urgent job %.64s",
-		 job->id);
-	for (i = 0; i < choice.count; i++) {
-		struct waiting *victim = &candidates.jobs[choice.victims[i]];
-
-		evict(round, victim->slot, victim->job, reason);
-	}
-	free(workers);
-	free(candidates.items);
-	free(candidates.jobs);
-	return choice.count > 0;
-}
-
 static void fill_request(struct round *round, const struct job *job,
 			 struct placement_request *request)
 {
@@ -292,8 +187,13 @@
 	struct job *job = waiting->job;
 	const char *agent = round->views[result->worker].agent;
 	char reason[JOB_REASON_SIZE];
+	size_t len;
 
 	placement_explain(result, round->views, reason, sizeof(reason));
+	len = strlen(reason);
+	if (request->evicts)
+		snprintf(reason + len, sizeof(reason) - len,
+			 "; runs there are stopped for it");
 	if (partition_start(waiting->slot->partition, job, agent,
 			    &request->need, reason, round->now)) {
 		partition_waits(job, "the partition's value is full");
@@ -339,19 +239,6 @@
 	return 1;
 }
 
-static void try_urgent(struct round *round, struct job *job,
-		       const struct resources *need)
-{
-	if (!job->urgent || mstime_before(round->now, job->room_until) ||
-	    round->searches == EVICT_SEARCHES_MAX)
-		return;
-	round->searches++;
-	if (!make_room(round, job, need))
-		return;
-	job->room_until = mstime_add(round->now, ROOM_MS);
-	partition_waits(job, "runs are being stopped to make room for it");
-}
-
 static int may_hold(const struct worker_view *view,
 		    const struct resources *need)
 {
@@ -435,6 +322,12 @@
 	fill_request(round, job, &request);
 	placement_choose(&result, &request, round->views, round->view_count,
 			 &round->owner->rng);
+	if (result.worker < 0 && job->urgent) {
+		/* The agent stops other runs for it. */
+		request.evicts = 1;
+		placement_choose(&result, &request, round->views,
+				 round->view_count, &round->owner->rng);
+	}
 	if (result.worker < 0 && result.verdicts[PLACEMENT_AVOIDED] &&
 	    result.verdicts[PLACEMENT_AVOIDED] +
 			    result.verdicts[PLACEMENT_DOWN] +
@@ -454,7 +347,6 @@
 	round->failures++;
 	placement_explain(&result, round->views, reason, sizeof(reason));
 	partition_waits(job, reason);
-	try_urgent(round, job, &request.need);
 	hold_worker(round, job, &request.need);
 }
 
--- a/packages/daemon/src/owner_workers.c
+++ b/packages/daemon/src/owner_workers.c
@@ -97,6 +97,7 @@
 	view->domain = domain_of(index, member->domain);
 	view->capacity = member->capacity;
 	view->used = member->load.used;
+	view->evictable = member->evictable;
 	view->requests = member->load.in_flight;
 	view->slots = member->slots;
 	view->usable = member_usable(owner->membership, member, now) != 0;
@@ -108,20 +109,33 @@
 	insert(index, view->hash, i);
 }
 
+static void add(struct resources *sum, const struct resources *need)
+{
+	sum->cpu_milli += need->cpu_milli;
+	sum->mem_mb += need->mem_mb;
+	sum->accel += need->accel;
+}
+
 static void add_job(struct worker_index *index, const struct job *job,
-		    struct mstime now)
+		    int64_t pause_ms, struct mstime now)
 {
 	int i = worker_index_find(index, job->agent);
 
 	if (i < 0)
 		return;
 	worker_index_count(index, i, job->team);
-	if (!job->listed || mstime_diff(now, job->started_at) < LOAD_LAG_MS)
-		worker_index_reserve(index, i, &job->need);
+	if (job->listed && mstime_diff(now, job->started_at) >= LOAD_LAG_MS)
+		return;
+	worker_index_reserve(index, i, &job->need);
+	/* Otherwise a recent run would hide its VM from urgent work. */
+	if (!job->urgent &&
+	    (!job->evicted || mstime_diff(now, job->evicted_at) >= pause_ms))
+		add(&index->views[i].evictable, &job->need);
 }
 
 void worker_index_build(struct worker_index *index, struct owner *owner)
 {
+	int64_t pause_ms = owner_limit(owner, LIMIT_EVICT_PAUSE_MS);
 	struct mstime now = owner_now();
 	struct list *pos;
 	uint32_t i;
@@ -143,7 +157,7 @@
 
 			if (!job_active(job))
 				continue;
-			add_job(index, job, now);
+			add_job(index, job, pause_ms, now);
 			quota_add(owner->quota, job->team, &job->need, 1);
 		}
 	}
@@ -221,9 +235,5 @@
 void worker_index_reserve(struct worker_index *index, int i,
 			  const struct resources *need)
 {
-	struct resources *used = &index->views[i].used;
-
-	used->cpu_milli += need->cpu_milli;
-	used->mem_mb += need->mem_mb;
-	used->accel += need->accel;
+	add(&index->views[i].used, need);
 }
--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -140,8 +140,9 @@
         return "".join(part["data"] for part in parts)
 
     def start_task(self, job, run, command, epoch=1, mem_mb=100,
-                   checkpoint=""):
-        self.send("task-start", partition=0, epoch=epoch, job=job, run=run,
+                   checkpoint="", partition=0, urgent=0, pause_ms=0):
+        self.send("task-start", partition=partition, urgent=urgent,
+                  pause_ms=pause_ms, epoch=epoch, job=job, run=run,
                   cpu_milli=500, mem_mb=mem_mb, accel=0,
                   checkpoint=checkpoint, command=command)
 
--- a/tests/e2e/faults_batch.py
+++ b/tests/e2e/faults_batch.py
@@ -9,9 +9,11 @@
 import threading
 import time
 
-from faults import (FAST, expect, fields, wait_for, with_options)
+from faults import (FAST, expect, fields, now, wait_for, with_options)
 
 JOBS = 4
+# The design's bound from the submission of an urgent job to its start.
+URGENT_MS = 3500
 
 
 def submit_all(system, steps=500, step_ms=10, count=JOBS):
@@ -253,3 +255,37 @@
     finish(system, urgent + jobs)
     expect(sum(e.metric("catkinhill_batch_evictions_total")
                for e in system.entries) > 0, "evictions")
+
+
+@with_options(vm_limits=(8, 64, 4000, 1000, 0))
+def urgent_work_of_two_owners(system):
+    """Guards against urgent work that waits because the room it needs is held
+    by runs of a partition that another entry owns."""
+    wait_for("each entry to own a partition", lambda: len(
+        {(system.get("own/%d" % n) or {}).get("entry")
+         for n in range(2)} - {None}) == 2)
+    jobs = ["low%d" % i for i in range(8)]
+    for job in jobs:
+        system.submit(job, 400, 10, mem_mb=400)
+    wait_for("the VMs to be full", lambda: sum(
+        len(system.effects_of(job)) >= 5 for job in jobs) >= 4)
+    urgent = ["urgent%d" % i for i in range(2, 6)]
+    submitted = {}
+    for job in urgent:
+        submitted[job] = now()
+        system.submit(job, 100, 10, mem_mb=800, urgent=True)
+    finish(system, urgent + jobs)
+    # The partition of a job follows from its name, so this is fixed.
+    for kind in (jobs, urgent):
+        expect(len({system.job(job)["partition"] for job in kind}) == 2,
+               "jobs in both partitions")
+    waited = {job: started_at(system, job) - submitted[job] for job in urgent}
+    print("ms from submission to start: %s" % waited, flush=True)
+    expect(max(waited.values()) <= URGENT_MS, "starts within %d ms" %
+           URGENT_MS)
+
+
+def started_at(system, job):
+    return min(row["t"] for name in system.workers
+               for row in system.worker_records(name)
+               if row["kind"] == "task-start" and row["id"] == job)
--- a/tests/e2e/test_agent_tasks.py
+++ b/tests/e2e/test_agent_tasks.py
@@ -156,6 +156,35 @@
     assert rig.record()["max"]["mem_mb"] == 700
 
 
+def urgent_room(rig):
+    """Guards against urgent work that waits for runs of another partition,
+    takes the room of urgent or recently evicted runs, or shares it."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.start_task("paused", 2, LONG, mem_mb=300, pause_ms=600000)
+    entry.start_task("first", 1, LONG, mem_mb=300, urgent=1)
+    entry.start_task("victim", 1, LONG, mem_mb=300, partition=1)
+    for job, run in (("paused", 2), ("first", 1), ("victim", 1)):
+        entry.wait_task(job, run, "running")
+    entry.start_task("plain", 1, LONG, mem_mb=300)
+    assert entry.wait_task("plain", 1, "refused")["detail"] == "no-room"
+    # The stop takes effect late; meanwhile the room is kept.
+    rig.control(slow_tasks_ms=500)
+    entry.start_task("urgent", 1, LONG, mem_mb=400, urgent=1)
+    entry.start_task("plain", 2, LONG, mem_mb=100)
+    assert entry.wait_task("plain", 2, "refused")["detail"] == "no-room"
+    stopped = entry.wait_task("victim", 1, "stopped")
+    assert stopped["detail"] == "urgent-room"
+    entry.wait_task("urgent", 1, "running")
+    assert stopped["checkpoint"] == "step-%d" % len(rig.effects("victim"))
+    entry.start_task("late", 1, LONG, mem_mb=400, urgent=1)
+    assert entry.wait_task("late", 1, "refused")["detail"] == "no-room"
+    for job in ("paused", "first"):
+        assert not [t for m in entry.messages for t in m.get("tasks", [])
+                    if t["job"] == job and t["state"] == "stopped"]
+    assert rig.record()["max"]["mem_mb"] <= 1000
+
+
 def lost_answers(rig):
     """Guards against an unknown answer that is taken for an end."""
     entry = rig.entry
@@ -251,5 +280,6 @@
 
 
 agent_rig.run_all([resume_once, no_start_without_ack, grant_expires,
-                   agent_paused, late_start, fencing, room, lost_answers, agent_restarts,
+                   agent_paused, late_start, fencing, room, urgent_room,
+                   lost_answers, agent_restarts,
                    worker_restarts, worker_dies, worker_hangs], sys.argv[1])
--- a/tests/e2e/test_faults_room.py
+++ b/tests/e2e/test_faults_room.py
@@ -4,4 +4,5 @@
 import faults_batch as scenarios
 from faults import run_all
 
-run_all([scenarios.owners_crowd_one_vm, scenarios.urgent_work_evicts])
+run_all([scenarios.owners_crowd_one_vm, scenarios.urgent_work_evicts,
+         scenarios.urgent_work_of_two_owners])
--- a/tests/fakes/fakeentry.c
+++ b/tests/fakes/fakeentry.c
@@ -147,6 +147,8 @@
 	m->need.accel = (uint32_t)number(root, "accel");
 	m->checkpoint = text(root, "checkpoint");
 	m->command = text(root, "command");
+	m->urgent = (uint32_t)number(root, "urgent");
+	m->pause_ms = (uint32_t)number(root, "pause_ms");
 	send_message(entry, &msg);
 }
 
