owner: commit after a claim that a scan finds

Cause: an owner that lost its store lease claims own/N again. When the answer to the claim was lost, the next scan showed the key as its own and counted as proof; only the answer itself led to a commit. Another owner may have held the partition in between, so the process could work on an old copy of part/N for ever, while nobody else could claim it.

Ruled out: giving the partition up on such a scan; the commit decides safely, and mostly nobody else had it.

Change: both ways go through owner_slot_reclaimed(), which commits at once.

--- a/packages/daemon/src/owner_internal.h
+++ b/packages/daemon/src/owner_internal.h
@@ -186,6 +186,12 @@
 void owner_slots_free(struct owner *owner);
 void owner_slot_release(struct slot *slot);
 void owner_slot_unproved(struct slot *slot);
+
+/*
+ * own/N is this process's again. In between, another owner may have changed
+ * the partition, which only a commit finds out.
+ */
+void owner_slot_reclaimed(struct slot *slot);
 void owner_slot_fenced(struct slot *slot, uint64_t epoch);
 const char *owner_key(char *key, size_t size, const char *prefix,
 		      uint32_t number);
--- a/packages/daemon/src/owner_store.c
+++ b/packages/daemon/src/owner_store.c
@@ -61,6 +61,15 @@
 	slot->unproved_at = owner_now();
 }
 
+void owner_slot_reclaimed(struct slot *slot)
+{
+	if (!slot->reclaim)
+		return;
+	slot->reclaim = 0;
+	partition_touch(slot->partition);
+	slot->urgent = 1;
+}
+
 void owner_slots_free(struct owner *owner)
 {
 	uint32_t i;
@@ -194,7 +203,7 @@
 			!strcmp(incarnation, own);
 	if (slot->claimed) {
 		slot->claim_lease = owner->lease;
-		slot->reclaim = 0;
+		owner_slot_reclaimed(slot);
 	}
 	json_decref(root);
 	slot->absent = 0;
--- a/packages/daemon/src/owner_takeover.c
+++ b/packages/daemon/src/owner_takeover.c
@@ -74,11 +74,8 @@
 	slot->claimed = !err && call.number == slot->owner->lease;
 	slot->claim_lease = call.number;
 	if (slot->state == SLOT_OWNED) {
-		if (!err) {
-			slot->reclaim = 0;
-			partition_touch(slot->partition);
-			slot->urgent = 1;
-		}
+		if (!err)
+			owner_slot_reclaimed(slot);
 		return;
 	}
 	if (slot->claimed)
