--- a/packages/daemon/src/agent_room.c
+++ b/packages/daemon/src/agent_room.c
@@ -53,8 +53,7 @@
 	list_for_each (pos, &agent->tasks)
 		count++;
 	victims->count = 0;
-	victims->candidates =
-		xcalloc(count + 1, sizeof(*victims->candidates));
+	victims->candidates = xcalloc(count + 1, sizeof(*victims->candidates));
 	victims->tasks = xcalloc(count + 1, sizeof(struct agent_task *));
 	list_for_each (pos, &agent->tasks) {
 		struct agent_task *t = list_entry(pos, struct agent_task, node);
