--- a/tests/e2e/faults.py
+++ b/tests/e2e/faults.py
@@ -282,7 +282,7 @@
         encode = lambda text: base64.b64encode(text.encode()).decode()
 
         def stored():
-            kvs = self.store_call("/v3/kv/range", {
+            kvs = store_call(self.store_address, "/v3/kv/range", {
                 "key": encode("idem/"), "range_end": encode("idem0")})["kvs"]
             states = [json.loads(base64.b64decode(kv["value"]))["state"]
                       for kv in kvs]
