wire: raise the message version

Ruled out: optional fields; nothing is in production that would need them.

Change: MESSAGE_VERSION is 2, so all frames of another version are dropped.

--- a/packages/daemon/src/owner_commit.c
+++ b/packages/daemon/src/owner_commit.c
@@ -177,6 +177,21 @@
 	return partition_encode(slot->partition, writer, now, data, len);
 }
 
+static void send_commit(struct slot *slot, const char *data, size_t len)
+{
+	struct owner *owner = slot->owner;
+	struct store *store = owner->daemon->store;
+	struct owner_call *call = owner_call_new(owner, slot);
+	uint64_t seq = slot->partition->seq;
+
+	if (slot->commit_snapshot)
+		partstore_snapshot(store, slot->number, &slot->stored, seq,
+				   data, len, on_committed, call);
+	else
+		partstore_append(store, slot->number, &slot->stored, seq, data,
+				 len, on_committed, call);
+}
+
 void owner_commit_now(struct slot *slot)
 {
 	struct owner *owner = slot->owner;
@@ -200,10 +215,7 @@
 	slot->commit_holdover_ms = partition->holdover_ms;
 	slot->commit_bytes = len;
 	owner_count_add(owner, OWNER_COMMIT_BYTES, (int64_t)len);
-	(slot->commit_snapshot ? partstore_snapshot : partstore_append)(
-		owner->daemon->store, slot->number, &slot->stored,
-		partition->seq, data, len, on_committed,
-		owner_call_new(owner, slot));
+	send_commit(slot, data, len);
 	free(data);
 }
 
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -15,7 +15,7 @@
  *	and always terminated; a const char * or a span of a decoded message
  *	points into its storage and is valid until message_clear().
  */
-#define MESSAGE_VERSION 1
+#define MESSAGE_VERSION 2
 #define FRAME_MAX (128 * 1024)
 #define BODY_CHUNK_MAX (64 * 1024)
 #define ID_SIZE 64
--- a/tests/unit/test_tcp.c
+++ b/tests/unit/test_tcp.c
@@ -20,8 +20,8 @@
 	(void)state;
 	assert_true(fd >= 0);
 	tcp_no_delay(fd);
-	assert_int_equal(
-		getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, &len), 0);
+	assert_int_equal(getsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, &len),
+			 0);
 	assert_true(on);
 	close(fd);
 	tcp_no_delay(-1);
