tests: use message version 2 in hand-made frames

Change: the frames carry version 2. The case of another version is now two, of the earlier and of a later one, so the check is stricter.

--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -181,18 +181,19 @@
 	} cases[] = {
 		{ "empty", "", 0, ERR_MALFORMED },
 		{ "not an array", "\x01", 1, ERR_MALFORMED },
-		{ "other version", "\x93\x02\x06\x91\x01", 5, ERR_MALFORMED },
-		{ "type 0", "\x93\x01\x00\x91\x01", 5, ERR_INVALID },
-		{ "type 99", "\x93\x01\x63\x91\x01", 5, ERR_INVALID },
-		{ "missing field", "\x93\x01\x06\x90", 4, ERR_MALFORMED },
-		{ "text for number", "\x93\x01\x06\x91\xa1x", 6,
+		{ "earlier version", "\x93\x01\x06\x91\x01", 5, ERR_MALFORMED },
+		{ "later version", "\x93\x03\x06\x91\x01", 5, ERR_MALFORMED },
+		{ "type 0", "\x93\x02\x00\x91\x01", 5, ERR_INVALID },
+		{ "type 99", "\x93\x02\x63\x91\x01", 5, ERR_INVALID },
+		{ "missing field", "\x93\x02\x06\x90", 4, ERR_MALFORMED },
+		{ "text for number", "\x93\x02\x06\x91\xa1x", 6,
 		  ERR_MALFORMED },
-		{ "trailing byte", "\x93\x01\x06\x91\x01\x00", 6,
+		{ "trailing byte", "\x93\x02\x06\x91\x01\x00", 6,
 		  ERR_MALFORMED },
 		{ "huge array", "\xdd\xff\xff\xff\xff", 5, ERR_MALFORMED },
-		{ "good cancel", "\x93\x01\x06\x91\x01", 5, 0 },
+		{ "good cancel", "\x93\x02\x06\x91\x01", 5, 0 },
 		/* msgpack-c passes NULL for an empty text before any other. */
-		{ "empty text first", "\x93\x01\x03\x92\x01\xa0", 6, 0 },
+		{ "empty text first", "\x93\x02\x03\x92\x01\xa0", 6, 0 },
 	};
 	size_t i;
 
--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -222,7 +222,7 @@
 /* Guards against frames that reach the callbacks undecoded or uncounted. */
 static void test_bad_frames(void **state)
 {
-	static const char good[] = "\x93\x01\x06\x91\x05";
+	static const char good[] = "\x93\x02\x06\x91\x05";
 	static char large[FRAME_MAX + 1];
 	static const struct {
 		const char *id;
@@ -233,7 +233,7 @@
 	} cases[] = {
 		{ "x", "", 0, 1, 1 },
 		{ "x", "garbage", 7, 1, 1 },
-		{ "x", "\x93\x01\x63\x91\x01", 5, 1, 1 },
+		{ "x", "\x93\x02\x63\x91\x01", 5, 1, 1 },
 		{ "x", large, sizeof(large), 1, 1 },
 		{ "x", good, 5, 2, 1 },
 		{ "bad id", good, 5, 1, 1 },
