--- /dev/null
+++ b/packages/core/src/dispatch.c
@@ -0,0 +1,468 @@
+#include "dispatch.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch_internal.h"
+#include "errors.h"
+#include "hash.h"
+#include "mem.h"
+
+const struct dispatch_limits dispatch_defaults = {
+	/* Below the worker's bound of 6 s for the lease of its runs. */
+	.lease_ms = 5500,
+	/* The lease, 2% of drift of the worker's clock and 300 ms. */
+	.lease_max_ms = 5910,
+	/* The scheduler's own lease of 2 s, and a call in flight. */
+	.takeover_ms = 3000,
+	/* Several round trips between regions, below the cancel bound. */
+	.resend_ms = 400,
+	/* A failing worker must not consume all attempts in an instant. */
+	.retry_ms = 50,
+	/* Callers may ask for the state of a final job for 120 s. */
+	.keep_final_ms = 130000,
+	/* Three reports. */
+	.worker_silent_ms = 1600,
+	.worker_penalty_ms = 2000,
+	.fill_percent = 100,
+};
+
+int task_id_equal(const struct task_id *a, const struct task_id *b)
+{
+	return a->index == b->index && a->step == b->step &&
+	       a->occurrence == b->occurrence && !strcmp(a->job, b->job);
+}
+
+void dispatch_note(struct dispatch *dispatch, enum dispatch_note_kind kind,
+		   const struct workflow *workflow, const struct worker *worker,
+		   const struct task_id *task, uint32_t run, const char *reason)
+{
+	struct dispatch_note note = { kind, workflow, worker,
+				      task, run,      reason };
+
+	if (dispatch->note_fn)
+		dispatch->note_fn(dispatch->note_arg, &note);
+}
+
+struct dispatch *dispatch_new(const struct dispatch_limits *limits,
+			      uint64_t epoch, struct mstime now,
+			      dispatch_note_fn fn, void *arg)
+{
+	struct dispatch *dispatch = xcalloc(1, sizeof(*dispatch));
+
+	dispatch->limits = *limits;
+	dispatch->epoch = epoch;
+	dispatch->started = now;
+	dispatch->note_fn = fn;
+	dispatch->note_arg = arg;
+	list_init(&dispatch->workflows);
+	list_init(&dispatch->finals);
+	list_init(&dispatch->workers);
+	return dispatch;
+}
+
+static void worker_delete(struct worker *worker)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &worker->runs)
+		free(list_entry(pos, struct run, node));
+	list_del(&worker->node);
+	free(worker);
+}
+
+static struct workflow_slot **slot_of(struct dispatch *dispatch,
+				      const char *job)
+{
+	struct workflow_slot **slot =
+		&dispatch->buckets[hash_str(job) % JOB_BUCKETS];
+
+	while (*slot && strcmp((*slot)->workflow->spec.id, job))
+		slot = &(*slot)->next;
+	return slot;
+}
+
+static void forget(struct dispatch *dispatch, struct workflow *workflow)
+{
+	struct workflow_slot **slot = slot_of(dispatch, workflow->spec.id);
+	struct workflow_slot *found = *slot;
+
+	*slot = found->next;
+	free(found);
+	workflow_delete(workflow);
+}
+
+static void forget_all(struct dispatch *dispatch, struct list *head)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, head)
+		forget(dispatch, list_entry(pos, struct workflow, node));
+}
+
+void dispatch_delete(struct dispatch *dispatch)
+{
+	struct list *pos, *tmp;
+
+	if (!dispatch)
+		return;
+	list_for_each_safe (pos, tmp, &dispatch->workers)
+		worker_delete(list_entry(pos, struct worker, node));
+	forget_all(dispatch, &dispatch->workflows);
+	forget_all(dispatch, &dispatch->finals);
+	free(dispatch);
+}
+
+struct list *dispatch_workers(struct dispatch *dispatch)
+{
+	return &dispatch->workers;
+}
+
+struct list *dispatch_workflows(struct dispatch *dispatch)
+{
+	return &dispatch->workflows;
+}
+
+struct workflow *dispatch_find(struct dispatch *dispatch, const char *job)
+{
+	struct workflow_slot *slot = *slot_of(dispatch, job);
+
+	return slot ? slot->workflow : NULL;
+}
+
+void dispatch_touch(struct dispatch *dispatch, struct workflow *workflow)
+{
+	workflow->version = ++dispatch->version;
+}
+
+void dispatch_set_wall(struct dispatch *dispatch, int64_t wall_ms)
+{
+	dispatch->wall_ms = wall_ms;
+}
+
+/* Priority first, then age. */
+static int goes_before(const struct workflow *a, const struct workflow *b)
+{
+	if (a->queue.priority != b->queue.priority)
+		return a->queue.priority < b->queue.priority;
+	return a->submitted_ms < b->submitted_ms;
+}
+
+static void insert_sorted(struct list *head, struct workflow *workflow)
+{
+	struct list *pos = head->prev;
+
+	while (pos != head &&
+	       goes_before(workflow, list_entry(pos, struct workflow, node)))
+		pos = pos->prev;
+	list_add_head(pos, &workflow->node);
+}
+
+/* Runs that a former scheduler has ordered take their room again. */
+static void adopt_runs(struct dispatch *dispatch, struct workflow *workflow,
+		       struct mstime now)
+{
+	uint32_t k, step, index;
+
+	for (k = 0; k < workflow->spec.occurrences; k++) {
+		if (!workflow->occurrences[k].tasks)
+			continue;
+		for (step = 0; step < workflow->spec.step_count; step++) {
+			uint32_t count = workflow->spec.steps[step].count;
+
+			for (index = 0; index < count; index++) {
+				struct workflow_task *task = workflow_task(
+					workflow, k, step, index);
+				struct task_id id = { "", k, step, index };
+				struct worker *worker;
+
+				if (task->phase != TASK_ASSIGNED)
+					continue;
+				str_copy(id.job, workflow->spec.id,
+					 sizeof(id.job));
+				worker = dispatch_worker(
+					dispatch, task->place->node, now);
+				if (!worker->id[0]) {
+					str_copy(worker->id,
+						 task->place->worker,
+						 sizeof(worker->id));
+					worker->born = task->place->born;
+				}
+				task->current = dispatch_run_new(
+					worker, workflow, &id, task->run);
+				task->current->state = RUN_SAVED;
+				task->current->is_ordered = 1;
+				task->current->born =
+					task->place->born;
+			}
+		}
+	}
+}
+
+int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
+		 struct mstime now)
+{
+	struct workflow_slot **slot = slot_of(dispatch, workflow->spec.id);
+
+	if (*slot) {
+		workflow_delete(workflow);
+		return ERR_EXISTS;
+	}
+	*slot = xcalloc(1, sizeof(**slot));
+	(*slot)->workflow = workflow;
+	adopt_runs(dispatch, workflow, now);
+	if (workflow_is_final(workflow)) {
+		workflow->ended_at = now;
+		list_add_tail(&dispatch->finals, &workflow->node);
+		return 0;
+	}
+	insert_sorted(&dispatch->workflows, workflow);
+	return 0;
+}
+
+void dispatch_check_final(struct dispatch *dispatch, struct workflow *workflow,
+			  struct mstime now)
+{
+	if (!workflow_is_final(workflow) || workflow->ended_at.ms)
+		return;
+	workflow->ended_at = now;
+	list_del(&workflow->node);
+	list_add_tail(&dispatch->finals, &workflow->node);
+	dispatch_note(dispatch, NOTE_WORKFLOW_ENDED, workflow, NULL, NULL, 0,
+		      workflow_state_name(workflow->state));
+}
+
+int dispatch_cancel(struct dispatch *dispatch, const char *job,
+		    struct mstime now)
+{
+	struct workflow *workflow = dispatch_find(dispatch, job);
+
+	if (!workflow)
+		return ERR_NOT_FOUND;
+	if (workflow_is_final(workflow))
+		return 0;
+	workflow->cancelled = 1;
+	workflow->state = WORKFLOW_CANCELLED;
+	dispatch_touch(dispatch, workflow);
+	dispatch_check_final(dispatch, workflow, now);
+	return 0;
+}
+
+struct worker *dispatch_worker(struct dispatch *dispatch, const char *runner,
+			       struct mstime now)
+{
+	struct worker *worker;
+	struct list *pos;
+
+	list_for_each (pos, &dispatch->workers) {
+		worker = list_entry(pos, struct worker, node);
+		if (!strcmp(worker->runner, runner))
+			return worker;
+	}
+	worker = xcalloc(1, sizeof(*worker));
+	list_init(&worker->node);
+	list_init(&worker->runs);
+	str_copy(worker->runner, runner, sizeof(worker->runner));
+	worker->reported_at = now;
+	worker->lease_end = mstime_add(dispatch->started,
+				       dispatch->limits.takeover_ms +
+					       dispatch->limits.lease_max_ms);
+	list_add_tail(&dispatch->workers, &worker->node);
+	return worker;
+}
+
+struct run *dispatch_run_new(struct worker *worker, struct workflow *workflow,
+			     const struct task_id *id, uint32_t number)
+{
+	const struct workflow_step *step = &workflow->spec.steps[id->step];
+	struct run *run = xcalloc(1, sizeof(*run));
+
+	list_init(&run->node);
+	run->worker = worker;
+	run->workflow = workflow;
+	run->id = *id;
+	run->number = number;
+	run->need = step->need;
+	run->fills = step->fills;
+	run->percent = 100;
+	list_add_tail(&worker->runs, &run->node);
+	worker->run_count++;
+	worker->used.mem_mb += run->need.mem_mb;
+	worker->used.accel += run->need.accel;
+	if (run->fills)
+		worker->fill_cpu += run->need.cpu_milli;
+	else
+		worker->used.cpu_milli += run->need.cpu_milli;
+	return run;
+}
+
+struct run *dispatch_run_find(struct worker *worker, const struct task_id *id,
+			      uint32_t number)
+{
+	struct list *pos;
+
+	list_for_each (pos, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (run->number == number && task_id_equal(&run->id, id))
+			return run;
+	}
+	return NULL;
+}
+
+static void task_release(struct run *run, struct mstime now)
+{
+	struct workflow *workflow = run->workflow;
+	struct workflow_task *task = workflow_find(workflow, &run->id);
+
+	if (task->current != run)
+		return;
+	task->current = NULL;
+	task->waiting_from = now;
+	workflow->occurrences[run->id.occurrence].assigned[run->id.step]--;
+	if (task->phase != TASK_ASSIGNED)
+		return;
+	task->phase = TASK_WAITING;
+	free(task->place);
+	task->place = NULL;
+}
+
+void dispatch_run_end(struct dispatch *dispatch, struct run *run,
+		      struct mstime now)
+{
+	struct worker *worker = run->worker;
+
+	if (run->workflow && !run->is_orphan) {
+		task_release(run, now);
+		dispatch_touch(dispatch, run->workflow);
+	}
+	worker->run_count--;
+	worker->used.mem_mb -= run->need.mem_mb;
+	worker->used.accel -= run->need.accel;
+	if (run->fills)
+		worker->fill_cpu -= run->need.cpu_milli;
+	else
+		worker->used.cpu_milli -= run->need.cpu_milli;
+	list_del(&run->node);
+	free(run);
+}
+
+static void expire_worker(struct dispatch *dispatch, struct worker *worker,
+			  struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	if (mstime_before(now, worker->lease_end) || list_empty(&worker->runs))
+		return;
+	dispatch_note(dispatch, NOTE_WORKER_LAPSED, NULL, worker, NULL, 0,
+		      "lease");
+	list_for_each_safe (pos, tmp, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (run->state == RUN_UNSAVED)
+			continue;
+		dispatch_note(dispatch, NOTE_LOST, run->workflow, worker,
+			      &run->id, run->number, "lapsed");
+		dispatch_run_end(dispatch, run, now);
+	}
+}
+
+void dispatch_expire(struct dispatch *dispatch, struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	list_for_each (pos, &dispatch->workers)
+		expire_worker(dispatch, list_entry(pos, struct worker, node),
+			      now);
+	list_for_each_safe (pos, tmp, &dispatch->finals) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		if (mstime_diff(now, workflow->ended_at) <
+			    dispatch->limits.keep_final_ms ||
+		    workflow->saving ||
+		    workflow->saved_version != workflow->version)
+			break;
+		forget(dispatch, workflow);
+	}
+}
+
+static struct workflow *changed_in(struct list *head)
+{
+	struct list *pos;
+
+	list_for_each (pos, head) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		if (workflow->version != workflow->saved_version &&
+		    !workflow->saving)
+			return workflow;
+	}
+	return NULL;
+}
+
+struct workflow *dispatch_changed(struct dispatch *dispatch)
+{
+	struct workflow *workflow = changed_in(&dispatch->workflows);
+
+	return workflow ? workflow : changed_in(&dispatch->finals);
+}
+
+static void ends_stored(struct worker *worker, const struct workflow *workflow,
+			uint64_t version)
+{
+	size_t i, stored = 0;
+
+	for (i = 0; i < worker->ended_count; i++) {
+		struct ended_run *end = &worker->ended[i];
+
+		if (end->job[0] && end->version <= version &&
+		    !strcmp(end->job, workflow->spec.id))
+			end->job[0] = '\0';
+	}
+	while (stored < worker->ended_count && !worker->ended[stored].job[0])
+		worker->ends_stored = worker->ended[stored++].number;
+	if (!stored)
+		return;
+	worker->needs_answer = 1;
+	worker->ended_count -= stored;
+	memmove(worker->ended, worker->ended + stored,
+		worker->ended_count * sizeof(worker->ended[0]));
+}
+
+void dispatch_saved(struct dispatch *dispatch, struct workflow *workflow,
+		    uint64_t version)
+{
+	struct list *pos, *at;
+
+	workflow->saved_version = version;
+	list_for_each (pos, &dispatch->workers) {
+		struct worker *worker = list_entry(pos, struct worker, node);
+
+		ends_stored(worker, workflow, version);
+		list_for_each (at, &worker->runs) {
+			struct run *run = list_entry(at, struct run, node);
+
+			if (run->workflow == workflow &&
+			    run->state == RUN_UNSAVED &&
+			    run->version <= version)
+				run->state = RUN_SAVED;
+		}
+	}
+}
+
+uint32_t dispatch_pending(struct dispatch *dispatch, const char *queue)
+{
+	uint32_t count = 0;
+	struct list *pos;
+
+	list_for_each (pos, &dispatch->workflows) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		if (!workflow->started && !strcmp(workflow->queue.name, queue))
+			count++;
+	}
+	return count;
+}
--- /dev/null
+++ b/packages/core/src/dispatch_assign.c
@@ -0,0 +1,296 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch.h"
+#include "dispatch_internal.h"
+#include "mem.h"
+
+/* What a task needs that is the same for all tasks of its step. */
+struct request {
+	struct workflow *workflow;
+	const struct workflow_step *step;
+	uint32_t occurrence, step_index;
+};
+
+static int has_label(const struct worker *worker, const char *label)
+{
+	size_t i;
+
+	for (i = 0; i < worker->label_count; i++)
+		if (!strcmp(worker->labels[i], label))
+			return 1;
+	return 0;
+}
+
+static uint32_t siblings_at(const struct worker *worker,
+			    const struct request *request)
+{
+	uint32_t count = 0;
+	const struct list *pos;
+
+	list_for_each (pos, &worker->runs) {
+		const struct run *run = list_entry(pos, struct run, node);
+
+		count += run->workflow == request->workflow &&
+			 run->id.step == request->step_index &&
+			 run->id.occurrence == request->occurrence;
+	}
+	return count;
+}
+
+static uint32_t spare_cpu(const struct worker *worker)
+{
+	return worker->capacity.cpu_milli > worker->used.cpu_milli
+		       ? worker->capacity.cpu_milli - worker->used.cpu_milli
+		       : 0;
+}
+
+static int cpu_fits(const struct dispatch *dispatch,
+		    const struct worker *worker,
+		    const struct workflow_step *step)
+{
+	uint64_t spare = spare_cpu(worker);
+
+	if (!step->fills)
+		return step->need.cpu_milli <= spare;
+	if (!worker->fill_cpu)
+		return spare * 2 >= step->need.cpu_milli;
+	return (uint64_t)worker->fill_cpu + step->need.cpu_milli <=
+	       spare * dispatch->limits.fill_percent / 100;
+}
+
+static int fits(const struct dispatch *dispatch, const struct worker *worker,
+		const struct workflow_step *step)
+{
+	return cpu_fits(dispatch, worker, step) &&
+	       worker->used.mem_mb + step->need.mem_mb <=
+		       worker->capacity.mem_mb &&
+	       worker->used.accel + step->need.accel <= worker->capacity.accel;
+}
+
+static int may_take(const struct dispatch *dispatch,
+		    const struct worker *worker, const struct request *request,
+		    struct mstime now)
+{
+	const struct workflow_step *step = request->step;
+	int64_t silent_ms = dispatch->limits.worker_silent_ms;
+
+	if (worker->state != WORKER_READY || !worker->is_listed ||
+	    mstime_diff(now, worker->reported_at) > silent_ms ||
+	    worker->lists_old > silent_ms ||
+	    mstime_before(now, worker->shunned_until) ||
+	    worker->run_count >= RUNS_MAX / 2)
+		return 0;
+	if (strcmp(worker->service, request->workflow->queue.service))
+		return 0;
+	if (step->required_label && !has_label(worker, step->required_label))
+		return 0;
+	if (!fits(dispatch, worker, step))
+		return 0;
+	return !step->max_per_worker ||
+	       siblings_at(worker, request) < step->max_per_worker;
+}
+
+/* Share of the cpu in use after the task was added; lower is better. */
+static double load_with(const struct worker *worker,
+			const struct workflow_step *step)
+{
+	double used = (double)worker->used.cpu_milli + worker->fill_cpu +
+		      step->need.cpu_milli;
+
+	return used / (worker->capacity.cpu_milli + 1.0);
+}
+
+static double score(const struct worker *worker, const struct request *request)
+{
+	const struct workflow_step *step = request->step;
+	double value = load_with(worker, step);
+
+	if (step->data_rack && !has_label(worker, step->data_rack))
+		value += 1;
+	if (step->same_rack && !siblings_at(worker, request))
+		value += 0.5;
+	return value;
+}
+
+static struct worker *choose(struct dispatch *dispatch,
+			     const struct request *request, struct mstime now)
+{
+	struct worker *best = NULL;
+	double best_score = 0;
+	struct list *pos;
+
+	list_for_each (pos, &dispatch->workers) {
+		struct worker *worker = list_entry(pos, struct worker, node);
+		double value;
+
+		if (!may_take(dispatch, worker, request, now))
+			continue;
+		value = score(worker, request);
+		if (best && value >= best_score)
+			continue;
+		best = worker;
+		best_score = value;
+	}
+	return best;
+}
+
+static struct run *assign(const struct request *request, uint32_t index,
+			  struct worker *worker, uint32_t number)
+{
+	struct workflow *workflow = request->workflow;
+	struct workflow_task *task =
+		workflow_task(workflow, request->occurrence,
+			      request->step_index, index);
+	struct task_id id = { "", request->occurrence, request->step_index,
+			      index };
+
+	str_copy(id.job, workflow->spec.id, sizeof(id.job));
+	task->phase = TASK_ASSIGNED;
+	task->run = number;
+	task->place = xcalloc(1, sizeof(*task->place));
+	str_copy(task->place->node, worker->runner, sizeof(task->place->node));
+	str_copy(task->place->worker, worker->id, sizeof(task->place->worker));
+	task->place->born = worker->born;
+	task->current = dispatch_run_new(worker, workflow, &id, number);
+	task->current->born = worker->born;
+	workflow->occurrences[id.occurrence].assigned[id.step]++;
+	return task->current;
+}
+
+static void commit_run(struct dispatch *dispatch, struct run *run)
+{
+	struct workflow *workflow = run->workflow;
+
+	workflow->started = 1;
+	if (workflow->state == WORKFLOW_QUEUED)
+		workflow->state = WORKFLOW_RUNNING;
+	dispatch_touch(dispatch, workflow);
+	run->version = workflow->version;
+	dispatch_note(dispatch, NOTE_ASSIGNED, workflow, run->worker, &run->id,
+		      run->number, "least-loaded");
+}
+
+static int task_ready(const struct workflow_task *task, struct mstime now)
+{
+	return task->phase == TASK_WAITING && !task->current &&
+	       !mstime_before(now, task->not_before);
+}
+
+/* All members or none, with one run number. */
+static int assign_gang(struct dispatch *dispatch, const struct request *request,
+		       struct mstime now)
+{
+	uint32_t i, number = 0, count = request->step->count;
+	struct run **runs;
+	int placed = 0;
+
+	for (i = 0; i < count; i++) {
+		struct workflow_task *task =
+			workflow_task(request->workflow, request->occurrence,
+				      request->step_index, i);
+
+		if (!task_ready(task, now))
+			return 0;
+		if (task->run > number)
+			number = task->run;
+	}
+	runs = xcalloc(count, sizeof(struct run *));
+	for (i = 0; i < count; i++) {
+		struct worker *worker = choose(dispatch, request, now);
+
+		if (!worker)
+			break;
+		runs[placed++] = assign(request, i, worker, number + 1);
+	}
+	for (i = 0; i < (uint32_t)placed; i++) {
+		if ((uint32_t)placed == count)
+			commit_run(dispatch, runs[i]);
+		else
+			dispatch_run_end(dispatch, runs[i], now);
+	}
+	free(runs);
+	return (uint32_t)placed == count ? placed : 0;
+}
+
+static int assign_step(struct dispatch *dispatch, const struct request *request,
+		       struct mstime now)
+{
+	uint32_t i;
+	int placed = 0;
+
+	if (request->step->gang)
+		return assign_gang(dispatch, request, now);
+	for (i = 0; i < request->step->count; i++) {
+		struct workflow_task *task =
+			workflow_task(request->workflow, request->occurrence,
+				      request->step_index, i);
+		struct worker *worker;
+
+		if (!task_ready(task, now))
+			continue;
+		worker = choose(dispatch, request, now);
+		if (!worker)
+			break;
+		commit_run(dispatch,
+			   assign(request, i, worker, task->run + 1));
+		placed++;
+	}
+	return placed;
+}
+
+static int occurrence_is_due(const struct dispatch *dispatch,
+			     const struct workflow *workflow, uint32_t k)
+{
+	const struct workflow_spec *spec = &workflow->spec;
+
+	if (!spec->interval_ms && !spec->first_ms)
+		return 1;
+	return spec->first_ms + (int64_t)k * spec->interval_ms <=
+	       dispatch->wall_ms;
+}
+
+static int step_has_waiting(const struct workflow *workflow, uint32_t k,
+			    uint32_t step)
+{
+	const struct occurrence *state = &workflow->occurrences[k];
+
+	if (!state->tasks)
+		return 1;
+	return state->done[step] + state->assigned[step] <
+	       workflow->spec.steps[step].count;
+}
+
+static int assign_workflow(struct dispatch *dispatch, struct workflow *workflow,
+			   struct mstime now)
+{
+	uint32_t k, step;
+	int placed = 0;
+
+	for (k = 0; k < workflow->spec.occurrences; k++) {
+		if (!occurrence_is_due(dispatch, workflow, k))
+			break;
+		for (step = 0; step < workflow->spec.step_count; step++) {
+			struct request request = {
+				workflow, &workflow->spec.steps[step], k, step
+			};
+
+			if (!step_has_waiting(workflow, k, step) ||
+			    !workflow_step_open(workflow, k, step))
+				continue;
+			placed += assign_step(dispatch, &request, now);
+		}
+	}
+	return placed;
+}
+
+int dispatch_assign(struct dispatch *dispatch, struct mstime now)
+{
+	struct list *pos;
+	int placed = 0;
+
+	list_for_each (pos, &dispatch->workflows)
+		placed += assign_workflow(
+			dispatch, list_entry(pos, struct workflow, node), now);
+	return placed;
+}
--- /dev/null
+++ b/packages/core/src/dispatch_internal.h
@@ -0,0 +1,58 @@
+#ifndef CATKINHILL_DISPATCH_INTERNAL_H
+#define CATKINHILL_DISPATCH_INTERNAL_H
+
+#include "dispatch.h"
+
+/*
+ * NAME
+ *	dispatch_internal - what the sources of dispatch share
+ */
+#define JOB_BUCKETS 4096
+
+struct workflow_slot {
+	struct workflow *workflow;
+	struct workflow_slot *next;
+};
+
+struct dispatch {
+	struct dispatch_limits limits;
+	uint64_t epoch;
+	uint64_t version;
+	int64_t wall_ms;
+	struct mstime started;
+	struct list workflows; /* active ones, most important first */
+	struct list finals;    /* in the order in which they ended */
+	struct list workers;
+	struct workflow_slot *buckets[JOB_BUCKETS];
+	dispatch_note_fn note_fn;
+	void *note_arg;
+	struct run_order starts[ORDER_STARTS_MAX];
+	struct run_name stops[RUNS_MAX];
+};
+
+void dispatch_note(struct dispatch *dispatch, enum dispatch_note_kind kind,
+		   const struct workflow *workflow, const struct worker *worker,
+		   const struct task_id *task, uint32_t run,
+		   const char *reason);
+
+/* The workflow's state has changed and has to be stored. */
+void dispatch_touch(struct dispatch *dispatch, struct workflow *workflow);
+
+/* Takes room at the worker. */
+struct run *dispatch_run_new(struct worker *worker, struct workflow *workflow,
+			     const struct task_id *id, uint32_t number);
+
+/* Gives the room back; the task, if this is its run, waits again. */
+void dispatch_run_end(struct dispatch *dispatch, struct run *run,
+		      struct mstime now);
+
+struct run *dispatch_run_find(struct worker *worker, const struct task_id *id,
+			      uint32_t number);
+
+/* Moves a workflow that has become final to the final ones. */
+void dispatch_check_final(struct dispatch *dispatch, struct workflow *workflow,
+			  struct mstime now);
+
+int task_id_equal(const struct task_id *a, const struct task_id *b);
+
+#endif
--- /dev/null
+++ b/packages/core/src/dispatch_orders.c
@@ -0,0 +1,133 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch.h"
+#include "dispatch_internal.h"
+#include "mem.h"
+
+/* A runner that cannot reach its worker extends no lease. */
+#define LISTS_OLD_MAX_MS 1500
+
+static int is_unwanted(const struct run *run)
+{
+	return run->is_orphan || workflow_is_final(run->workflow);
+}
+
+static int is_due(const struct dispatch *dispatch, struct mstime last,
+		  struct mstime now)
+{
+	return !last.ms ||
+	       mstime_diff(now, last) >= dispatch->limits.resend_ms;
+}
+
+static int wants_start(const struct dispatch *dispatch, const struct run *run,
+		       struct mstime now)
+{
+	return run->state == RUN_SAVED && !is_unwanted(run) &&
+	       is_due(dispatch, run->ordered_at, now);
+}
+
+static int wants_stop(const struct dispatch *dispatch, const struct run *run,
+		      struct mstime now)
+{
+	return run->state != RUN_UNSAVED && run->is_ordered &&
+	       is_unwanted(run) && is_due(dispatch, run->stop_at, now);
+}
+
+static int never_ordered(const struct run *run)
+{
+	return run->state == RUN_SAVED && !run->is_ordered && is_unwanted(run);
+}
+
+static void add_start(struct dispatch *dispatch, struct run *run,
+		      struct msg_work_orders *orders, struct mstime now)
+{
+	struct workflow *workflow = run->workflow;
+	const struct workflow_step *step =
+		&workflow->spec.steps[run->id.step];
+	struct run_order *order = &dispatch->starts[orders->starts.count++];
+
+	order->task = run->id;
+	order->run = run->number;
+	order->payload = workflow->spec.payload;
+	order->checkpoint = workflow_find(workflow, &run->id)->checkpoint;
+	order->fills = run->fills;
+	order->latency_target_ms = (uint32_t)step->latency_target_ms;
+	run->is_ordered = 1;
+	run->ordered_at = now;
+}
+
+static void add_stop(struct dispatch *dispatch, struct run *run,
+		     struct msg_work_orders *orders, struct mstime now)
+{
+	struct run_name *name = &dispatch->stops[orders->stops.count++];
+
+	name->task = run->id;
+	name->run = run->number;
+	run->is_stopping = 1;
+	run->stop_at = now;
+}
+
+int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
+			struct mstime now)
+{
+	const struct list *pos;
+
+	if (worker->needs_answer)
+		return 1;
+	list_for_each (pos, &worker->runs) {
+		const struct run *run = list_entry(pos, struct run, node);
+
+		if ((worker->is_listed &&
+		     wants_start(dispatch, run, now)) ||
+		    wants_stop(dispatch, run, now) || never_ordered(run))
+			return 1;
+	}
+	return 0;
+}
+
+static void extend_lease(struct dispatch *dispatch, struct worker *worker,
+			 struct msg_work_orders *orders)
+{
+	orders->lease_ms = (uint32_t)dispatch->limits.lease_ms;
+	worker->lease_end = mstime_max(
+		worker->lease_end, mstime_add(worker->reported_at,
+					      dispatch->limits.lease_max_ms));
+}
+
+int dispatch_orders(struct dispatch *dispatch, struct worker *worker,
+		    int may_extend, struct msg_work_orders *orders,
+		    struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	if (!worker->session || !worker->fence ||
+	    !dispatch_has_orders(dispatch, worker, now))
+		return 0;
+	memset(orders, 0, sizeof(*orders));
+	orders->epoch = dispatch->epoch;
+	orders->report_seq = worker->report_seq;
+	orders->fence = worker->fence;
+	str_copy(orders->worker, worker->id, sizeof(orders->worker));
+	orders->born = worker->born;
+	orders->ends_seen = worker->ends_stored;
+	orders->starts.items = dispatch->starts;
+	orders->stops.items = dispatch->stops;
+	if (may_extend && worker->lists_old <= LISTS_OLD_MAX_MS)
+		extend_lease(dispatch, worker, orders);
+	worker->needs_answer = 0;
+	list_for_each_safe (pos, tmp, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (never_ordered(run))
+			dispatch_run_end(dispatch, run, now);
+		else if (wants_stop(dispatch, run, now) &&
+			 orders->stops.count < RUNS_MAX)
+			add_stop(dispatch, run, orders, now);
+		else if (may_extend && worker->is_listed &&
+			 wants_start(dispatch, run, now) &&
+			 orders->starts.count < ORDER_STARTS_MAX)
+			add_start(dispatch, run, orders, now);
+	}
+	return 1;
+}
--- /dev/null
+++ b/packages/core/src/dispatch_report.c
@@ -0,0 +1,346 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch.h"
+#include "dispatch_internal.h"
+#include "errors.h"
+#include "mem.h"
+
+/* Fences of one scheduler; the epoch is the part above. */
+#define FENCES_PER_EPOCH 4096
+
+/* Starts in a row that failed by the worker's fault before it is shunned. */
+#define FAILURES_MAX 4
+
+static void set_fence(struct dispatch *dispatch, struct worker *worker)
+{
+	worker->incarnations++;
+	worker->fence = dispatch->epoch * FENCES_PER_EPOCH +
+			worker->incarnations % FENCES_PER_EPOCH;
+	worker->is_listed = 0;
+}
+
+static void lose_former_runs(struct dispatch *dispatch, struct worker *worker,
+			     struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (run->born == worker->born)
+			continue;
+		dispatch_note(dispatch, NOTE_LOST, run->workflow, worker,
+			      &run->id, run->number, "worker-restarted");
+		dispatch_run_end(dispatch, run, now);
+	}
+}
+
+/* Ends of a former worker are gone with it; those known still get stored. */
+static void worker_replaced(struct dispatch *dispatch, struct worker *worker,
+			    const struct msg_work_report *report,
+			    struct mstime now)
+{
+	str_copy(worker->id, report->worker, sizeof(worker->id));
+	worker->born = report->born;
+	worker->last_end = 0;
+	worker->ends_stored = 0;
+	worker->ended_count = 0;
+	worker->failures_in_row = 0;
+	lose_former_runs(dispatch, worker, now);
+}
+
+static void session_changed(struct worker *worker, uint64_t session)
+{
+	struct list *pos;
+
+	worker->session = session;
+	worker->report_seq = 0;
+	list_for_each (pos, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		run->is_active = 0;
+		if (run->state == RUN_CONFIRMED)
+			run->state = RUN_SAVED;
+	}
+}
+
+static void take_labels(struct worker *worker, const struct text_list *labels)
+{
+	size_t i;
+
+	worker->label_count = 0;
+	for (i = 0; i < labels->count && worker->label_count < LABELS_MAX; i++)
+		if (!str_copy(worker->labels[worker->label_count],
+			      labels->items[i].text, NAME_SIZE))
+			worker->label_count++;
+}
+
+static void take_description(struct worker *worker,
+			     const struct msg_work_report *report)
+{
+	worker->state = (enum worker_state)report->state;
+	worker->capacity = report->capacity;
+	str_copy(worker->service, report->service, sizeof(worker->service));
+	take_labels(worker, &report->labels);
+}
+
+static void shun(struct dispatch *dispatch, struct worker *worker,
+		 struct mstime now)
+{
+	worker->failures_in_row = 0;
+	worker->shunned_until =
+		mstime_add(now, dispatch->limits.worker_penalty_ms);
+}
+
+static void count_failure(struct dispatch *dispatch, struct worker *worker,
+			  struct mstime now)
+{
+	if (++worker->failures_in_row >= FAILURES_MAX)
+		shun(dispatch, worker, now);
+}
+
+static void task_failed(struct dispatch *dispatch, struct workflow *workflow,
+			const struct task_id *id, struct mstime now)
+{
+	const struct workflow_step *step = &workflow->spec.steps[id->step];
+	struct workflow_task *task = workflow_find(workflow, id);
+
+	task->not_before = mstime_add(now, dispatch->limits.retry_ms);
+	if (step->long_running)
+		return;
+	task->failures++;
+	if (workflow->queue.max_attempts &&
+	    task->failures >= workflow->queue.max_attempts &&
+	    !workflow_is_final(workflow))
+		workflow->state = WORKFLOW_FAILED;
+}
+
+static void keep_checkpoint(struct workflow_task *task, const char *checkpoint)
+{
+	if (!checkpoint || !*checkpoint)
+		return;
+	if (task->checkpoint && !strcmp(task->checkpoint, checkpoint))
+		return;
+	free(task->checkpoint);
+	task->checkpoint = xstrdup(checkpoint);
+}
+
+/* The end of a run that the scheduler knows. */
+static void run_ended(struct dispatch *dispatch, struct run *run,
+		      const struct run_ended *end, struct mstime now)
+{
+	struct workflow *workflow = run->workflow;
+	struct workflow_task *task = workflow_find(workflow, &run->id);
+	const struct workflow_step *step =
+		&workflow->spec.steps[run->id.step];
+	struct task_id id = run->id;
+
+	keep_checkpoint(task, end->checkpoint);
+	if (end->how == RUN_END_FAILED) {
+		task_failed(dispatch, workflow, &id, now);
+		count_failure(dispatch, run->worker, now);
+	}
+	if (end->how == RUN_END_DONE) {
+		run->worker->failures_in_row = 0;
+		if (!step->long_running)
+			workflow_task_done(workflow, id.occurrence, id.step,
+					   id.index);
+	}
+	dispatch_run_end(dispatch, run, now);
+	dispatch_check_final(dispatch, workflow, now);
+}
+
+static int take_end(struct dispatch *dispatch, struct worker *worker,
+		    const struct run_ended *end, struct mstime now)
+{
+	struct run *run;
+	struct ended_run *record;
+
+	if (end->number <= worker->last_end)
+		return 0;
+	if (worker->ended_count == RUNS_MAX)
+		return ERR_FULL;
+	worker->last_end = end->number;
+	record = &worker->ended[worker->ended_count++];
+	record->number = end->number;
+	record->job[0] = '\0';
+	run = dispatch_run_find(worker, &end->task, end->run);
+	dispatch_note(dispatch, NOTE_ENDED, run ? run->workflow : NULL, worker,
+		      &end->task, end->run,
+		      run_end_name((enum run_end)end->how));
+	if (!run)
+		return 0;
+	if (run->is_orphan) {
+		dispatch_run_end(dispatch, run, now);
+		return 0;
+	}
+	str_copy(record->job, end->task.job, sizeof(record->job));
+	run_ended(dispatch, run, end, now);
+	record->version = dispatch->version;
+	return 0;
+}
+
+/* Ends without a change to store are acknowledged with the next answer. */
+static void skip_settled_ends(struct worker *worker)
+{
+	size_t settled = 0;
+
+	while (settled < worker->ended_count && !worker->ended[settled].job[0])
+		worker->ends_stored = worker->ended[settled++].number;
+	if (!settled)
+		return;
+	worker->needs_answer = 1;
+	worker->ended_count -= settled;
+	memmove(worker->ended, worker->ended + settled,
+		worker->ended_count * sizeof(worker->ended[0]));
+}
+
+static struct run *orphan_new(struct dispatch *dispatch, struct worker *worker,
+			      const struct run_status *status)
+{
+	struct workflow *workflow = dispatch_find(dispatch, status->task.job);
+	struct run *run;
+
+	if (workflow && workflow_find(workflow, &status->task)) {
+		run = dispatch_run_new(worker, workflow, &status->task,
+				       status->run);
+	} else {
+		run = xcalloc(1, sizeof(*run));
+		run->worker = worker;
+		run->id = status->task;
+		run->number = status->run;
+		list_add_tail(&worker->runs, &run->node);
+		worker->run_count++;
+	}
+	run->is_orphan = 1;
+	run->is_ordered = 1;
+	run->born = worker->born;
+	dispatch_note(dispatch, NOTE_ORPHAN, workflow, worker, &status->task,
+		      status->run, "not-assigned-here");
+	return run;
+}
+
+static void run_refused(struct dispatch *dispatch, struct run *run,
+			const struct run_status *status, struct mstime now)
+{
+	struct workflow_task *task;
+
+	dispatch_note(dispatch, NOTE_LOST, run->workflow, run->worker,
+		      &run->id, run->number, status->detail);
+	if (status->phase == RUN_REFUSED)
+		count_failure(dispatch, run->worker, now);
+	if (run->workflow && !run->is_orphan) {
+		task = workflow_find(run->workflow, &run->id);
+		task->not_before = mstime_add(now, dispatch->limits.retry_ms);
+	}
+	dispatch_run_end(dispatch, run, now);
+}
+
+static void take_status(struct dispatch *dispatch, struct worker *worker,
+			const struct run_status *status, uint64_t seq,
+			struct mstime now)
+{
+	struct run *run =
+		dispatch_run_find(worker, &status->task, status->run);
+	int exists = status->phase == RUN_PENDING ||
+		     status->phase == RUN_ACTIVE;
+
+	if (!run && !exists)
+		return;
+	if (!run)
+		run = orphan_new(dispatch, worker, status);
+	run->seen = seq;
+	if (!exists) {
+		run_refused(dispatch, run, status, now);
+		return;
+	}
+	run->state = RUN_CONFIRMED;
+	if (status->phase == RUN_PENDING)
+		return;
+	if (!run->is_active) {
+		run->is_active = 1;
+		run->active_at = now;
+	}
+	run->percent = status->percent;
+	if (run->workflow && !run->is_orphan)
+		keep_checkpoint(workflow_find(run->workflow, &run->id),
+				status->checkpoint);
+}
+
+/* A run that the runner had confirmed and no longer names is gone. */
+static void drop_unnamed(struct dispatch *dispatch, struct worker *worker,
+			 uint64_t seq, struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (run->seen == seq ||
+		    (!run->is_orphan && run->state != RUN_CONFIRMED))
+			continue;
+		if (!run->is_orphan)
+			dispatch_note(dispatch, NOTE_LOST, run->workflow,
+				      worker, &run->id, run->number,
+				      "not-reported");
+		dispatch_run_end(dispatch, run, now);
+	}
+}
+
+static void take_lists(struct dispatch *dispatch, struct worker *worker,
+		       const struct msg_work_report *report, struct mstime now)
+{
+	size_t i;
+
+	for (i = 0; i < report->ends.count; i++)
+		if (take_end(dispatch, worker, &report->ends.items[i], now))
+			break;
+	skip_settled_ends(worker);
+	for (i = 0; i < report->runs.count; i++)
+		take_status(dispatch, worker, &report->runs.items[i],
+			    report->seq, now);
+	drop_unnamed(dispatch, worker, report->seq, now);
+}
+
+int dispatch_report(struct dispatch *dispatch, const char *runner,
+		    const struct msg_work_report *report, struct mstime now)
+{
+	struct worker *worker = dispatch_worker(dispatch, runner, now);
+	int is_new = 0;
+
+	if (report->epoch != dispatch->epoch)
+		return ERR_FENCED;
+	if (report->session < worker->session ||
+	    (report->session == worker->session &&
+	     report->seq <= worker->report_seq))
+		return ERR_FENCED;
+	if (report->session != worker->session) {
+		session_changed(worker, report->session);
+		is_new = 1;
+	}
+	worker->report_seq = report->seq;
+	worker->reported_at = now;
+	worker->needs_answer = 1;
+	worker->lists_old = report->lists_old;
+	if (!report->worker[0]) {
+		worker->state = WORKER_ABSENT;
+		return 0;
+	}
+	if (report->born != worker->born ||
+	    strcmp(report->worker, worker->id)) {
+		worker_replaced(dispatch, worker, report, now);
+		is_new = 1;
+	}
+	take_description(worker, report);
+	if (is_new || !worker->fence) {
+		set_fence(dispatch, worker);
+		dispatch_note(dispatch, NOTE_WORKER_NEW, NULL, worker, NULL, 0,
+			      "session-or-worker");
+	}
+	if (report->fence != worker->fence)
+		return 0;
+	worker->is_listed = 1;
+	take_lists(dispatch, worker, report, now);
+	return 0;
+}
--- /dev/null
+++ b/packages/core/src/workflow.c
@@ -0,0 +1,251 @@
+#include "workflow.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "mem.h"
+
+static const char *const state_names[WORKFLOW_STATE_COUNT] = {
+	[WORKFLOW_QUEUED] = "queued",	    [WORKFLOW_RUNNING] = "running",
+	[WORKFLOW_COMPLETE] = "complete",   [WORKFLOW_FAILED] = "failed",
+	[WORKFLOW_CANCELLED] = "cancelled",
+};
+
+const char *workflow_state_name(enum workflow_state state)
+{
+	return state_names[state];
+}
+
+static void step_clear(struct workflow_step *step)
+{
+	free(step->after);
+	free(step->required_label);
+	free(step->data_rack);
+	free(step->image);
+}
+
+void workflow_spec_clear(struct workflow_spec *spec)
+{
+	size_t i;
+
+	for (i = 0; i < spec->step_count; i++)
+		step_clear(&spec->steps[i]);
+	free(spec->steps);
+	free(spec->payload);
+	memset(spec, 0, sizeof(*spec));
+}
+
+/* References point to earlier steps only, so that there is no cycle. */
+static int after_valid(const struct workflow_spec *spec, size_t index)
+{
+	const struct workflow_step *step = &spec->steps[index];
+	size_t i;
+
+	for (i = 0; i < step->after_count; i++)
+		if (step->after[i] >= index)
+			return 0;
+	return 1;
+}
+
+static int fail(const char **reason, const char *text, int err)
+{
+	*reason = text;
+	return err;
+}
+
+int workflow_spec_check(struct workflow_spec *spec, const char **reason)
+{
+	uint64_t tasks = 0;
+	size_t i;
+
+	if (!spec->step_count)
+		return fail(reason, "no steps", ERR_INVALID);
+	if (spec->step_count > STEPS_MAX)
+		return fail(reason, "too many steps", ERR_TOO_LARGE);
+	if (spec->payload && strlen(spec->payload) > WORKFLOW_PAYLOAD_MAX)
+		return fail(reason, "payload is too long", ERR_TOO_LARGE);
+	for (i = 0; i < spec->step_count; i++) {
+		struct workflow_step *step = &spec->steps[i];
+
+		if (!step->count)
+			return fail(reason, "a step without tasks",
+				    ERR_INVALID);
+		if (!after_valid(spec, i))
+			return fail(reason, "a step waits for a later one",
+				    ERR_INVALID);
+		step->first = (uint32_t)tasks;
+		tasks += step->count;
+		if (tasks > TASKS_PER_WORKFLOW_MAX)
+			return fail(reason, "too many tasks", ERR_TOO_LARGE);
+	}
+	if (spec->occurrences > OCCURRENCES_MAX)
+		return fail(reason, "too many occurrences", ERR_TOO_LARGE);
+	if (spec->occurrences > 1 && spec->interval_ms < 1)
+		return fail(reason, "occurrences without interval",
+			    ERR_INVALID);
+	if (!spec->occurrences)
+		spec->occurrences = 1;
+	spec->task_count = (uint32_t)tasks;
+	return 0;
+}
+
+struct workflow *workflow_new(struct workflow_spec *spec,
+			      const struct queue_config *queue,
+			      int64_t submitted_ms)
+{
+	struct workflow *workflow = xcalloc(1, sizeof(*workflow));
+
+	list_init(&workflow->node);
+	workflow->spec = *spec;
+	workflow->queue = *queue;
+	workflow->submitted_ms = submitted_ms;
+	workflow->occurrences = xcalloc(spec->occurrences,
+					sizeof(*workflow->occurrences));
+	memset(spec, 0, sizeof(*spec));
+	return workflow;
+}
+
+static void occurrence_clear(struct occurrence *occurrence, uint32_t count)
+{
+	uint32_t i;
+
+	for (i = 0; occurrence->tasks && i < count; i++) {
+		free(occurrence->tasks[i].checkpoint);
+		free(occurrence->tasks[i].place);
+	}
+	free(occurrence->tasks);
+	free(occurrence->done);
+	free(occurrence->assigned);
+}
+
+void workflow_delete(struct workflow *workflow)
+{
+	uint32_t k;
+
+	if (!workflow)
+		return;
+	for (k = 0; k < workflow->spec.occurrences; k++)
+		occurrence_clear(&workflow->occurrences[k],
+				 workflow->spec.task_count);
+	free(workflow->occurrences);
+	list_del(&workflow->node);
+	workflow_spec_clear(&workflow->spec);
+	free(workflow);
+}
+
+int workflow_is_final(const struct workflow *workflow)
+{
+	return workflow->state >= WORKFLOW_COMPLETE;
+}
+
+/* Occurrences are allocated when they are first used: there may be many. */
+static struct occurrence *occurrence_get(struct workflow *workflow, uint32_t k)
+{
+	struct occurrence *occurrence = &workflow->occurrences[k];
+	size_t steps = workflow->spec.step_count;
+
+	if (occurrence->tasks)
+		return occurrence;
+	occurrence->tasks = xcalloc(workflow->spec.task_count,
+				    sizeof(*occurrence->tasks));
+	occurrence->done = xcalloc(steps, sizeof(*occurrence->done));
+	occurrence->assigned = xcalloc(steps, sizeof(*occurrence->assigned));
+	return occurrence;
+}
+
+struct workflow_task *workflow_task(struct workflow *workflow,
+				    uint32_t occurrence, uint32_t step,
+				    uint32_t index)
+{
+	return &occurrence_get(workflow, occurrence)
+			->tasks[workflow->spec.steps[step].first + index];
+}
+
+struct workflow_task *workflow_find(struct workflow *workflow,
+				    const struct task_id *id)
+{
+	if (id->occurrence >= workflow->spec.occurrences ||
+	    id->step >= workflow->spec.step_count ||
+	    id->index >= workflow->spec.steps[id->step].count)
+		return NULL;
+	return workflow_task(workflow, id->occurrence, id->step, id->index);
+}
+
+int workflow_step_open(const struct workflow *workflow, uint32_t occurrence,
+		       uint32_t step)
+{
+	const struct occurrence *state = &workflow->occurrences[occurrence];
+	const struct workflow_step *spec = &workflow->spec.steps[step];
+	size_t i;
+
+	for (i = 0; i < spec->after_count; i++) {
+		uint32_t before = spec->after[i];
+
+		if (!state->done ||
+		    state->done[before] < workflow->spec.steps[before].count)
+			return 0;
+	}
+	return 1;
+}
+
+int64_t workflow_chain_ms(const struct workflow *workflow)
+{
+	const struct workflow_spec *spec = &workflow->spec;
+	int64_t ends[STEPS_MAX], longest = 0;
+	size_t i, k;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const struct workflow_step *step = &spec->steps[i];
+		int64_t start = 0;
+
+		for (k = 0; k < step->after_count; k++)
+			if (ends[step->after[k]] > start)
+				start = ends[step->after[k]];
+		ends[i] = start + step->estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+static void mark_done(struct workflow_task *task)
+{
+	task->phase = TASK_DONE;
+	free(task->checkpoint);
+	task->checkpoint = NULL;
+	free(task->place);
+	task->place = NULL;
+}
+
+static int all_done(const struct workflow *workflow)
+{
+	uint32_t k;
+
+	for (k = 0; k < workflow->spec.occurrences; k++)
+		if (workflow->occurrences[k].steps_done <
+		    workflow->spec.step_count)
+			return 0;
+	return 1;
+}
+
+void workflow_task_done(struct workflow *workflow, uint32_t occurrence,
+			uint32_t step, uint32_t index)
+{
+	const struct workflow_step *spec = &workflow->spec.steps[step];
+	struct occurrence *state = occurrence_get(workflow, occurrence);
+	uint32_t i, first = spec->gang ? 0 : index;
+	uint32_t last = spec->gang ? spec->count - 1 : index;
+
+	for (i = first; i <= last; i++) {
+		struct workflow_task *task = &state->tasks[spec->first + i];
+
+		if (task->phase == TASK_DONE)
+			continue;
+		mark_done(task);
+		if (++state->done[step] == spec->count)
+			state->steps_done++;
+	}
+	if (!workflow_is_final(workflow) && all_done(workflow))
+		workflow->state = WORKFLOW_COMPLETE;
+}
--- /dev/null
+++ b/packages/daemon/include/follow.h
@@ -0,0 +1,32 @@
+#ifndef CATKINHILL_FOLLOW_H
+#define CATKINHILL_FOLLOW_H
+
+#include "kv.h"
+#include "loop.h"
+
+/*
+ * NAME
+ *	follow - keeps a reader up to date with a prefix of the store
+ *
+ * NOTES
+ *	Lists the prefix, then watches it, and lists it again when the watch
+ *	loses its history. on_list gets all items and replaces what was known;
+ *	on_change gets one change. Both may come again with a revision that
+ *	was seen. A reader must not call follow_delete() inside a callback.
+ */
+struct follow;
+
+struct follow_handlers {
+	void (*on_list)(void *arg, const struct kv_item *items, size_t count);
+	void (*on_change)(void *arg, const struct kv_item *item);
+};
+
+/* prefix is copied. */
+struct follow *follow_new(struct loop *loop, struct kv *kv, const char *prefix,
+			  const struct follow_handlers *handlers, void *arg);
+void follow_delete(struct follow *follow);
+
+/* Whether the store has answered the last call. */
+int follow_is_current(const struct follow *follow);
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/gateway.c
@@ -0,0 +1,302 @@
+#include "gateway.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "gateway_internal.h"
+#include "log.h"
+#include "mem.h"
+#include "sysclock.h"
+
+#define STORE_TIMEOUT_MS 900
+/* Largest body when the configuration names none. */
+#define BODY_MAX (1024 * 1024)
+/* Of a caller that names no deadline. */
+#define DEADLINE_DEFAULT_MS 3000
+/* Kept for the way of the answer back to the caller. */
+#define DEADLINE_RESERVE_MS 150
+#define RETRY_PAUSE_MS 60
+/* Without an answer of the store for so long, others serve better. */
+#define STORE_SILENT_MS 2600
+/* The platform stops sending connections after two missed probes. */
+#define LAME_DUCK_MS 2500
+#define STOP_POLL_MS 50
+#define RETRY_AFTER_S "1"
+
+static void job_call_free(struct job_call *call)
+{
+	list_del(&call->node);
+	kv_forget(call->gateway->kv, call);
+	loop_timer_delete(call->timer);
+	free(call->record);
+	free(call);
+}
+
+void job_call_reply(struct job_call *call, int status, const char *body,
+		    const char *detail)
+{
+	int64_t took_ms = mstime_diff(sysclock_now(), call->started);
+
+	log_event(EV_WORKFLOW_ANSWERED,
+		  "job=%s method=%s queue=%s status=%d took_ms=%lld "
+		  "attempts=%d config=%lld detail=%s",
+		  call->job, httpd_method(call->request),
+		  call->queue.name, status, (long long)took_ms,
+		  call->attempts,
+		  (long long)call->gateway->config.version, detail);
+	httpd_reply(call->request, status, body);
+	job_call_free(call);
+}
+
+void job_call_refuse(struct job_call *call, int status, const char *detail)
+{
+	call->gateway->refused.value++;
+	httpd_add_header(call->request, "Retry-After", RETRY_AFTER_S);
+	job_call_reply(call, status, "{}", detail);
+}
+
+int job_call_retry(struct job_call *call, loop_fn retry, int64_t limit_ms)
+{
+	struct mstime now = sysclock_now();
+	struct mstime end = mstime_min(
+		call->deadline, mstime_add(call->started, limit_ms));
+
+	if (!mstime_before(mstime_add(now, RETRY_PAUSE_MS), end))
+		return 0;
+	loop_timer_delete(call->timer);
+	call->timer = loop_timer_new(call->gateway->daemon->loop,
+					 retry, call);
+	loop_timer_start(call->timer, RETRY_PAUSE_MS);
+	return 1;
+}
+
+static int64_t deadline_ms(const struct httpd_request *request)
+{
+	const char *text = httpd_header(request, PLATFORM_DEADLINE_HEADER);
+	int64_t ms = text ? strtoll(text, NULL, 10) : 0;
+
+	if (ms <= 0)
+		ms = DEADLINE_DEFAULT_MS;
+	return ms > DEADLINE_RESERVE_MS * 2 ? ms - DEADLINE_RESERVE_MS
+					    : ms / 2;
+}
+
+static void dispatch_request(struct job_call *call)
+{
+	struct httpd_request *request = call->request;
+	const char *method = httpd_method(request);
+	size_t len;
+	const char *body = httpd_body(request, &len);
+
+	if (!strcmp(method, "GET") && !call->job[0])
+		gateway_pending(call);
+	else if (!strcmp(method, "GET"))
+		gateway_state(call);
+	else if (!strcmp(method, "DELETE"))
+		gateway_cancel(call);
+	else if (!strcmp(method, "POST"))
+		gateway_submit(call, body, len);
+	else
+		job_call_reply(call, 405, "{}", "method");
+}
+
+static void on_caller(void *arg, struct httpd_request *request)
+{
+	struct gateway *gateway = arg;
+	struct job_call *call = xcalloc(1, sizeof(*call));
+	const struct platform_queue *queue;
+
+	call->gateway = gateway;
+	call->request = request;
+	call->started = sysclock_now();
+	call->deadline =
+		mstime_add(call->started, deadline_ms(request));
+	list_add_tail(&gateway->job_calls, &call->node);
+	if (!gateway->has_config) {
+		job_call_refuse(call, 503, "no-configuration");
+		return;
+	}
+	queue = platform_queue_find(&gateway->config,
+				    httpd_header(request, "Host"),
+				    httpd_path(request));
+	if (!queue) {
+		job_call_reply(call, 404, "{}", "no-queue");
+		return;
+	}
+	call->queue = queue->queue;
+	if (str_copy(call->job, httpd_path(request) + strlen(queue->prefix),
+		     sizeof(call->job))) {
+		call->job[0] = '\0';
+		job_call_reply(call, 400, "{}", "identifier");
+		return;
+	}
+	dispatch_request(call);
+}
+
+static int is_ready(const struct gateway *gateway)
+{
+	return gateway->has_config && !gateway->is_stopping &&
+	       kv_silent_ms(gateway->kv) < STORE_SILENT_MS;
+}
+
+static void on_probe(void *arg, struct httpd_request *request)
+{
+	struct gateway *gateway = arg;
+
+	httpd_reply(request, is_ready(gateway) ? 200 : 503, "{}");
+}
+
+static void on_item(void *arg, const struct kv_item *item)
+{
+	struct gateway *gateway = arg;
+	struct platform_config config = { 0 };
+
+	if (strcmp(item->key, PLATFORM_CONFIG_KEY) != 0 || !item->value)
+		return;
+	if (platform_decode_config(item->value, item->len, &config)) {
+		log_event(EV_QUEUES_REJECTED, "revision=%lld",
+			  (long long)item->revision);
+		return;
+	}
+	if (gateway->has_config && config.version <= gateway->config.version) {
+		platform_config_clear(&config);
+		return;
+	}
+	platform_config_clear(&gateway->config);
+	gateway->config = config;
+	gateway->has_config = 1;
+	log_event(EV_QUEUES_APPLIED, "version=%lld queues=%zu revision=%lld",
+		  (long long)config.version, config.queue_count,
+		  (long long)item->revision);
+}
+
+static void on_list(void *arg, const struct kv_item *items, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		on_item(arg, &items[i]);
+}
+
+static void add_counters(struct gateway *gateway)
+{
+	struct counter_set *set = &gateway->daemon->counters;
+
+	gateway->accepted = (struct counter){
+		.name = "catkinhill_gateway_accepted_total",
+		.help = "Workflows that were stored and accepted.",
+	};
+	gateway->refused = (struct counter){
+		.name = "catkinhill_gateway_refused_total",
+		.help = "Requests that were refused and not carried out.",
+	};
+	gateway->unknown = (struct counter){
+		.name = "catkinhill_gateway_unknown_total",
+		.help = "Requests whose outcome the store did not tell.",
+	};
+	gateway->states = (struct counter){
+		.name = "catkinhill_gateway_states_total",
+		.help = "Requests for the state of a workflow.",
+	};
+	gateway->cancels = (struct counter){
+		.name = "catkinhill_gateway_cancels_total",
+		.help = "Cancellations that were stored.",
+	};
+	gateway->accept_ms = (struct histogram){
+		.name = "catkinhill_gateway_accept_ms",
+		.help = "Time until a workflow was accepted.",
+	};
+	gateway->state_ms = (struct histogram){
+		.name = "catkinhill_gateway_state_ms",
+		.help = "Time until a state was answered.",
+	};
+	counter_add(set, &gateway->accepted);
+	counter_add(set, &gateway->refused);
+	counter_add(set, &gateway->unknown);
+	counter_add(set, &gateway->states);
+	counter_add(set, &gateway->cancels);
+	histogram_add(set, &gateway->accept_ms);
+	histogram_add(set, &gateway->state_ms);
+}
+
+static struct gateway *failed(struct gateway *gateway, const char *key,
+			      const char *address)
+{
+	log_event(EV_LISTEN_FAILED, "key=%s address=%s", key, address);
+	gateway_delete(gateway);
+	return NULL;
+}
+
+struct gateway *gateway_new(struct daemon *daemon)
+{
+	static const struct follow_handlers handlers = {
+		.on_list = on_list,
+		.on_change = on_item,
+	};
+	const struct settings *settings = daemon->settings;
+	struct gateway *gateway = xcalloc(1, sizeof(*gateway));
+
+	gateway->daemon = daemon;
+	list_init(&gateway->job_calls);
+	add_counters(gateway);
+	gateway->kv = kv_new(daemon->loop, settings->store_address,
+			     STORE_TIMEOUT_MS);
+	if (!gateway->kv)
+		return failed(gateway, "store.address",
+			      settings->store_address);
+	gateway->callers = httpd_new(daemon->loop, settings->callers, BODY_MAX,
+				     on_caller, gateway);
+	if (!gateway->callers)
+		return failed(gateway, "listen.callers", settings->callers);
+	gateway->probe = httpd_new(daemon->loop, settings->probe, BODY_MAX,
+				   on_probe, gateway);
+	if (!gateway->probe)
+		return failed(gateway, "listen.probe", settings->probe);
+	gateway->follow = follow_new(daemon->loop, gateway->kv,
+				     PLATFORM_OPERATOR_PREFIX, &handlers,
+				     gateway);
+	return gateway;
+}
+
+void gateway_delete(struct gateway *gateway)
+{
+	struct list *pos, *tmp;
+
+	if (!gateway)
+		return;
+	list_for_each_safe (pos, tmp, &gateway->job_calls)
+		job_call_free(list_entry(pos, struct job_call, node));
+	follow_delete(gateway->follow);
+	httpd_delete(gateway->callers);
+	httpd_delete(gateway->probe);
+	loop_timer_delete(gateway->stop_timer);
+	kv_delete(gateway->kv);
+	platform_config_clear(&gateway->config);
+	free(gateway);
+}
+
+static void on_stop_timer(void *arg)
+{
+	struct gateway *gateway = arg;
+
+	if (mstime_before(sysclock_now(), gateway->stop_until) ||
+	    httpd_pending(gateway->callers)) {
+		loop_timer_start(gateway->stop_timer, STOP_POLL_MS);
+		return;
+	}
+	gateway->stopped(gateway->stopped_arg);
+}
+
+/* Goes on serving until the platform has noticed; then finishes. */
+void gateway_stop(struct gateway *gateway, stopped_fn fn, void *arg)
+{
+	gateway->is_stopping = 1;
+	gateway->stopped = fn;
+	gateway->stopped_arg = arg;
+	gateway->stop_until = mstime_add(sysclock_now(), LAME_DUCK_MS);
+	httpd_close_connections(gateway->callers);
+	gateway->stop_timer = loop_timer_new(gateway->daemon->loop,
+					     on_stop_timer, gateway);
+	loop_timer_start(gateway->stop_timer, STOP_POLL_MS);
+}
--- /dev/null
+++ b/packages/daemon/src/gateway_internal.h
@@ -0,0 +1,70 @@
+#ifndef CATKINHILL_GATEWAY_INTERNAL_H
+#define CATKINHILL_GATEWAY_INTERNAL_H
+
+#include "counters.h"
+#include "follow.h"
+#include "gateway.h"
+#include "httpd.h"
+#include "jobstore.h"
+#include "kv.h"
+#include "list.h"
+#include "platformjson.h"
+
+/*
+ * NAME
+ *	gateway_internal - what the sources of the gateway share
+ */
+struct gateway {
+	struct daemon *daemon;
+	struct kv *kv;
+	struct httpd *callers;
+	struct httpd *probe;
+	struct follow *follow;
+	struct platform_config config;
+	int has_config;
+	struct list job_calls;
+	struct loop_timer *stop_timer;
+	int is_stopping;
+	struct mstime stop_until;
+	stopped_fn stopped;
+	void *stopped_arg;
+	struct counter accepted, refused, unknown, states, cancels;
+	struct histogram accept_ms, state_ms;
+};
+
+/* One request of a caller about one workflow or one queue. */
+struct job_call {
+	struct list node;
+	struct gateway *gateway;
+	struct httpd_request *request;
+	struct queue_config queue;
+	char job[JOB_ID_SIZE];
+	char *record;	       /* of a submission */
+	struct loop_timer *timer; /* next attempt */
+	struct mstime started;
+	struct mstime deadline;
+	int attempts;
+	int may_exist; /* an attempt without an answer may have stored it */
+};
+
+/* Answers and frees the call. detail goes to the log. */
+void job_call_reply(struct job_call *call, int status, const char *body,
+		    const char *detail);
+
+/* Not done and not to be done: names the time to come back. */
+void job_call_refuse(struct job_call *call, int status,
+		     const char *detail);
+
+/*
+ * Calls retry(call) after a pause if the deadline allows; otherwise 0 and
+ * the caller has to answer.
+ */
+int job_call_retry(struct job_call *call, loop_fn retry, int64_t limit_ms);
+
+/* Each answers the call in the end. */
+void gateway_submit(struct job_call *call, const char *body, size_t len);
+void gateway_cancel(struct job_call *call);
+void gateway_state(struct job_call *call);
+void gateway_pending(struct job_call *call);
+
+#endif
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -9,7 +9,9 @@
 #include "agent.h"
 #include "daemon.h"
 #include "entry.h"
+#include "gateway.h"
 #include "log.h"
+#include "runner.h"
 
 #define VERSION "0.1.0"
 
@@ -25,8 +27,9 @@
 struct process {
 	struct settings settings;
 	struct daemon daemon;
-	struct entry *entry;
-	struct agent *agent;
+	const char *config_path;
+	const struct role_part *part;
+	void *instance; /* of the part */
 	struct loop_timer *stop_timer;
 	int stopping;
 };
@@ -38,6 +41,39 @@
 	gboolean version;
 };
 
+/* The part of the process that differs by role. */
+struct role_part {
+	void *(*create)(struct daemon *daemon);
+	void (*destroy)(void *instance);
+	void (*stop)(void *instance, stopped_fn fn, void *arg);
+};
+
+#define ROLE_PART(name)                                                        \
+	static void *name##_create(struct daemon *daemon)                      \
+	{                                                                      \
+		return name##_new(daemon);                                     \
+	}                                                                      \
+	static void name##_destroy(void *instance)                             \
+	{                                                                      \
+		name##_delete(instance);                                       \
+	}                                                                      \
+	static void name##_end(void *instance, stopped_fn fn, void *arg)       \
+	{                                                                      \
+		name##_stop(instance, fn, arg);                                \
+	}
+
+ROLE_PART(entry)
+ROLE_PART(agent)
+ROLE_PART(gateway)
+ROLE_PART(runner)
+
+static const struct role_part role_parts[ROLE_COUNT] = {
+	[ROLE_ENTRY] = { entry_create, entry_destroy, entry_end },
+	[ROLE_AGENT] = { agent_create, agent_destroy, agent_end },
+	[ROLE_GATEWAY] = { gateway_create, gateway_destroy, gateway_end },
+	[ROLE_RUNNER] = { runner_create, runner_destroy, runner_end },
+};
+
 static void on_stopped(void *arg)
 {
 	struct process *process = arg;
@@ -66,21 +102,30 @@
 	admin_set_ready(process->daemon.admin, 0, "stopping");
 	loop_timer_start(process->stop_timer,
 			 process->settings.stop_ms + STOP_MARGIN_MS);
-	if (process->entry)
-		entry_stop(process->entry, on_stopped, process);
-	else
-		agent_stop(process->agent, on_stopped, process);
+	process->part->stop(process->instance, on_stopped, process);
 }
 
-static int role_start(struct process *process)
+/* Only the log level can change while the process runs. */
+static void on_reload(void *arg)
 {
-	struct daemon *daemon = &process->daemon;
+	struct process *process = arg;
+	struct settings settings;
+	char message[512];
+
+	if (settings_load(&settings, process->config_path, message,
+			  sizeof(message))) {
+		log_event(EV_SETTINGS_INVALID, "message=\"%s\"", message);
+		return;
+	}
+	process->settings.log_level = settings.log_level;
+	log_init(stdout, settings.log_level, process->settings.id);
+	log_event(EV_SETTINGS_RELOADED, "log_level=%s",
+		  log_level_name(settings.log_level));
+}
 
-	if (process->settings.role == ROLE_ENTRY)
-		process->entry = entry_new(daemon);
-	else
-		process->agent = agent_new(daemon);
-	return process->entry || process->agent;
+static int uses_etcd(const struct settings *settings)
+{
+	return settings->role == ROLE_ENTRY || settings->role == ROLE_AGENT;
 }
 
 static void daemon_init(struct daemon *daemon, const struct settings *settings)
@@ -90,7 +135,7 @@
 	counter_set_init(&daemon->counters);
 	daemon->incarnation = daemon_incarnation();
 	config_init(&daemon->config);
-	if (settings->store_address[0])
+	if (settings->store_address[0] && uses_etcd(settings))
 		daemon->store = store_new(daemon->loop, settings->store_address,
 					  settings->store_timeout_ms);
 }
@@ -109,7 +154,8 @@
 	struct daemon *daemon = &process->daemon;
 
 	if (loop_on_signal(daemon->loop, SIGTERM, on_terminate, process) ||
-	    loop_on_signal(daemon->loop, SIGINT, on_terminate, process))
+	    loop_on_signal(daemon->loop, SIGINT, on_terminate, process) ||
+	    loop_on_signal(daemon->loop, SIGHUP, on_reload, process))
 		return EXIT_FAILED;
 	daemon->admin = admin_new(daemon);
 	if (!daemon->admin) {
@@ -117,11 +163,12 @@
 			  settings->admin);
 		return EXIT_FAILED;
 	}
-	if (!role_start(process))
+	process->instance = process->part->create(daemon);
+	if (!process->instance)
 		return EXIT_FAILED;
 	log_event(EV_DAEMON_START,
 		  "role=%s region=%s domain=%s incarnation=%016llx admin=%s",
-		  process->entry ? "entry" : "agent", settings->region,
+		  role_name(settings->role), settings->region,
 		  settings->domain, (unsigned long long)daemon->incarnation,
 		  settings->admin);
 	loop_run(daemon->loop);
@@ -140,16 +187,16 @@
 		g_free(process);
 		return EXIT_USAGE;
 	}
-	log_init(stderr, process->settings.log_level, process->settings.id);
+	log_init(stdout, process->settings.log_level, process->settings.id);
+	process->config_path = path;
+	process->part = &role_parts[process->settings.role];
 	signal(SIGPIPE, SIG_IGN);
 	daemon_init(&process->daemon, &process->settings);
 	process->stop_timer =
 		loop_timer_new(process->daemon.loop, on_stop_overdue, process);
 	code = serve(process);
-	if (process->entry)
-		entry_delete(process->entry);
-	if (process->agent)
-		agent_delete(process->agent);
+	if (process->instance)
+		process->part->destroy(process->instance);
 	loop_timer_delete(process->stop_timer);
 	daemon_clear(&process->daemon);
 	g_free(process);
@@ -192,7 +239,7 @@
 		{ NULL }
 	};
 	GOptionContext *context =
-		g_option_context_new("- entry or agent of catkinhill");
+		g_option_context_new("- daemon of catkinhill, in the role of its settings");
 	GError *error = NULL;
 	int ok;
 
--- /dev/null
+++ b/packages/daemon/src/runner.c
@@ -0,0 +1,468 @@
+#include "runner.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "runner_internal.h"
+#include "sysclock.h"
+
+/* The store answers within 4 ms, or 64 ms from another region. */
+#define STORE_TIMEOUT_MS 1000
+/* The worker is on the same VM. */
+#define WORKER_TIMEOUT_MS 700
+#define ANNOUNCEMENT_MAX (4 * 1024 * 1024)
+/* The scheduler takes a worker for silent after three of these. */
+#define REPORT_INTERVAL_MS 500
+/* Several reports. */
+#define ENDED_KEPT_MS 3000
+#define REPORT_DELAY_MS 2
+#define REPORT_SPACING_MS 10
+#define TICK_MS 50
+/* Lets the resignation of a scheduler reach the store. */
+#define STOP_DELAY_MS 300
+
+void local_run_delete(struct local_run *run)
+{
+	workercall_forget(run->runner->calls, run);
+	list_del(&run->node);
+	run->runner->run_count--;
+	free(run->payload);
+	free(run->checkpoint);
+	free(run->detail);
+	free(run);
+}
+
+struct local_run *local_run_find(struct runner *runner,
+				 const struct task_id *task, uint32_t run)
+{
+	struct list *pos;
+
+	list_for_each (pos, &runner->runs) {
+		struct local_run *at = list_entry(pos, struct local_run, node);
+
+		if (at->run == run && at->task.index == task->index &&
+		    at->task.step == task->step &&
+		    at->task.occurrence == task->occurrence &&
+		    !strcmp(at->task.job, task->job))
+			return at;
+	}
+	return NULL;
+}
+
+struct local_run *local_run_new(struct runner *runner,
+				const struct task_id *task, uint32_t run,
+				enum run_phase phase)
+{
+	struct local_run *local = xcalloc(1, sizeof(*local));
+
+	local->runner = runner;
+	local->task = *task;
+	local->run = run;
+	local->phase = phase;
+	local->percent = 100;
+	list_add_tail(&runner->runs, &local->node);
+	runner->run_count++;
+	return local;
+}
+
+static void forget_lists(struct runner *runner)
+{
+	struct list *pos, *tmp;
+	size_t i;
+
+	list_for_each_safe (pos, tmp, &runner->runs)
+		local_run_delete(list_entry(pos, struct local_run, node));
+	for (i = 0; i < runner->end_count; i++)
+		free((char *)runner->ends[i].checkpoint);
+	free(runner->ends);
+	runner->ends = NULL;
+	runner->end_count = 0;
+	runner->ends_seen = 0;
+	runner->listed_fence = 0;
+}
+
+static void bind_worker(struct runner *runner, const char *id,
+			const struct announcement *announcement)
+{
+	log_event(EV_WORKER_BOUND, "worker=%s born=%llu service=%s cpu=%u "
+		  "mem_mb=%u former=%s",
+		  id, (unsigned long long)announcement->born,
+		  announcement->service, announcement->capacity.cpu_milli,
+		  announcement->capacity.mem_mb, runner->target.id);
+	workercall_forget(runner->calls, &runner->hold_marker);
+	workercall_forget(runner->calls, &runner->pace_marker);
+	runner->hold_is_open = 0;
+	forget_lists(runner);
+	str_copy(runner->target.id, id, sizeof(runner->target.id));
+	runner->target.fence = 0;
+	runner->is_bound = 1;
+	runner->lease_end = mstime_from(0);
+	runner->clock_at = mstime_from(0);
+	runner->listed_at = sysclock_now();
+	runner->pace_percent = 100;
+}
+
+static int is_same_worker(const struct runner *runner, const char *id,
+			  const struct announcement *announcement)
+{
+	return runner->is_bound && !strcmp(runner->target.id, id) &&
+	       runner->worker.born == announcement->born;
+}
+
+/* Announcements may arrive late, after those of a newer worker. */
+static int is_outdated(const struct runner *runner, const char *id,
+		       const struct announcement *announcement)
+{
+	if (announcement->born <= runner->ended_born)
+		return 1;
+	if (!runner->is_bound)
+		return 0;
+	if (is_same_worker(runner, id, announcement))
+		return announcement->sequence < runner->worker.sequence;
+	return announcement->born < runner->worker.born;
+}
+
+static void take_announcement(struct runner *runner, const char *id,
+			      const struct announcement *announcement)
+{
+	int changed;
+
+	if (is_outdated(runner, id, announcement)) {
+		log_event(EV_ANNOUNCEMENT_DROPPED, "worker=%s born=%llu "
+			  "sequence=%llu reason=outdated",
+			  id, (unsigned long long)announcement->born,
+			  (unsigned long long)announcement->sequence);
+		return;
+	}
+	changed = !is_same_worker(runner, id, announcement);
+	if (changed)
+		bind_worker(runner, id, announcement);
+	if (!changed && announcement->state != runner->worker.state)
+		log_event(EV_WORKER_STATE, "worker=%s state=%d remaining_ms=%lld",
+			  id, (int)announcement->state,
+			  (long long)announcement->remaining_ms);
+	changed |= announcement->state != runner->worker.state;
+	runner->worker = *announcement;
+	if (changed)
+		runner_report_now(runner);
+}
+
+static void on_announcement(struct runner *runner, const char *id,
+			    struct httpd_request *request)
+{
+	struct announcement announcement;
+	size_t len;
+	const char *body = httpd_body(request, &len);
+
+	if (strlen(id) >= sizeof(runner->target.id) ||
+	    platform_decode_announcement(body, len, &announcement)) {
+		log_event(EV_ANNOUNCEMENT_DROPPED,
+			  "worker=%s reason=malformed", id);
+		httpd_reply(request, 400, "{}");
+		return;
+	}
+	take_announcement(runner, id, &announcement);
+	httpd_reply(request, 200, "{}");
+}
+
+static void on_deregister(struct runner *runner, const char *id)
+{
+	if (!runner->is_bound || strcmp(runner->target.id, id) != 0)
+		return;
+	log_event(EV_WORKER_STATE, "worker=%s state=deregistered", id);
+	runner->ended_born = runner->worker.born;
+	runner->worker.state = WORKER_ABSENT;
+	runner_report_now(runner);
+}
+
+static void on_request(void *arg, struct httpd_request *request)
+{
+	struct runner *runner = arg;
+	char id[ID_SIZE];
+
+	switch (platform_call_parse(httpd_method(request), httpd_path(request),
+				    id, sizeof(id))) {
+	case PLATFORM_CALL_ANNOUNCE:
+		on_announcement(runner, id, request);
+		return;
+	case PLATFORM_CALL_DEREGISTER:
+		on_deregister(runner, id);
+		httpd_reply(request, 200, "{}");
+		return;
+	case PLATFORM_CALL_PROBE:
+	case PLATFORM_CALL_NONE:
+		break;
+	}
+	httpd_reply(request, 404, "{}");
+}
+
+static void fill_runs(struct runner *runner, struct msg_work_report *report)
+{
+	struct list *pos;
+
+	report->runs.items =
+		xcalloc(runner->run_count + 1, sizeof(*report->runs.items));
+	list_for_each (pos, &runner->runs) {
+		const struct local_run *run =
+			list_entry(pos, struct local_run, node);
+		struct run_status *status =
+			&report->runs.items[report->runs.count];
+
+		if (report->runs.count == RUNS_MAX)
+			break;
+		report->runs.count++;
+		status->task = run->task;
+		status->run = run->run;
+		status->phase = run->phase;
+		status->percent = run->percent;
+		status->load = run->load;
+		status->checkpoint = run->checkpoint;
+		status->detail = run->detail;
+	}
+}
+
+static void fill_report(struct runner *runner, struct msg_work_report *report,
+			struct text_item *labels, struct mstime now)
+{
+	const struct announcement *worker = &runner->worker;
+	size_t i;
+
+	report->epoch = runner->epoch;
+	report->seq = ++runner->report_seq;
+	report->session = runner->session;
+	report->state = worker->state;
+	report->remaining_ms = (uint32_t)worker->remaining_ms;
+	if (!runner->is_bound)
+		return;
+	str_copy(report->worker, runner->target.id, ID_SIZE);
+	str_copy(report->service, worker->service, ID_SIZE);
+	report->born = worker->born;
+	report->fence = runner->listed_fence;
+	report->capacity = worker->capacity;
+	report->lists_old = (uint32_t)mstime_diff(now, runner->listed_at);
+	for (i = 0; i < worker->label_count; i++)
+		labels[i].text = worker->labels[i];
+	report->labels.items = labels;
+	report->labels.count = worker->label_count;
+	fill_runs(runner, report);
+	report->ends.items = runner->ends;
+	report->ends.count =
+		runner->end_count < RUNS_MAX ? runner->end_count : RUNS_MAX;
+}
+
+/* A report may get lost, so a run that is gone is named in several. */
+static void forget_ended(struct runner *runner, struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &runner->runs) {
+		struct local_run *run = list_entry(pos, struct local_run, node);
+
+		if (run->ended_at.ms &&
+		    mstime_diff(now, run->ended_at) > ENDED_KEPT_MS)
+			local_run_delete(run);
+	}
+}
+
+void runner_report_now(void *arg)
+{
+	struct runner *runner = arg;
+	struct message msg = { MSG_WORK_REPORT };
+	struct text_item labels[LABELS_MAX];
+	struct mstime now = sysclock_now();
+	int err;
+
+	runner->report_is_set = 0;
+	loop_timer_start(runner->report_timer, REPORT_INTERVAL_MS);
+	if (!runner->peer[0])
+		return;
+	fill_report(runner, &msg.u.work_report, labels, now);
+	runner->reported_at = now;
+	runner->report_sent[runner->report_seq % REPORT_RING] = now;
+	err = transport_send(runner->transport, runner->peer, &msg);
+	free(msg.u.work_report.runs.items);
+	runner->reports.value++;
+	if (!err)
+		forget_ended(runner, now);
+}
+
+void runner_report(struct runner *runner)
+{
+	int64_t since = mstime_diff(sysclock_now(), runner->reported_at);
+	int64_t delay = REPORT_SPACING_MS - since;
+
+	if (runner->report_is_set)
+		return;
+	runner->report_is_set = 1;
+	loop_timer_start(runner->report_timer,
+			 delay > REPORT_DELAY_MS ? delay : REPORT_DELAY_MS);
+}
+
+static void take_hello(struct runner *runner, const char *peer,
+		       const struct msg_work_hello *hello)
+{
+	if (hello->epoch < runner->epoch)
+		return;
+	if (hello->epoch > runner->epoch)
+		log_event(EV_SCHEDULER_FOLLOWED, "scheduler=%s epoch=%llu",
+			  hello->scheduler, (unsigned long long)hello->epoch);
+	runner->epoch = hello->epoch;
+	str_copy(runner->peer, peer, sizeof(runner->peer));
+	runner_report_now(runner);
+}
+
+static void on_message(void *arg, const char *peer, const struct message *msg)
+{
+	struct runner *runner = arg;
+
+	if (msg->type == MSG_WORK_HELLO)
+		take_hello(runner, peer, &msg->u.work_hello);
+	else if (msg->type == MSG_WORK_ORDERS &&
+		 msg->u.work_orders.epoch == runner->epoch)
+		runner_take_orders(runner, &msg->u.work_orders);
+}
+
+static void on_tick(void *arg)
+{
+	struct runner *runner = arg;
+
+	loop_timer_start(runner->tick, TICK_MS);
+	runner_work(runner);
+}
+
+static void on_hold_timer(void *arg)
+{
+	runner_hold(arg);
+}
+
+static void add_counters(struct runner *runner)
+{
+	static const struct {
+		size_t offset;
+		const char *name, *help;
+	} rows[] = {
+		{ offsetof(struct runner, starts),
+		  "catkinhill_runner_starts_total",
+		  "Starts that were ordered at the worker." },
+		{ offsetof(struct runner, starts_refused),
+		  "catkinhill_runner_starts_refused_total",
+		  "Starts that the worker refused." },
+		{ offsetof(struct runner, stops),
+		  "catkinhill_runner_stops_total",
+		  "Stops that were ordered at the worker." },
+		{ offsetof(struct runner, holds),
+		  "catkinhill_runner_lists_total",
+		  "Readings of the worker's lists." },
+		{ offsetof(struct runner, holds_failed),
+		  "catkinhill_runner_list_failures_total",
+		  "Readings that the worker did not answer." },
+		{ offsetof(struct runner, reports),
+		  "catkinhill_runner_reports_total",
+		  "Reports to the scheduler." },
+		{ offsetof(struct runner, paces),
+		  "catkinhill_runner_paces_total",
+		  "Changes of the pace of filling runs." },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(rows) / sizeof(rows[0]); i++) {
+		struct counter *counter =
+			(void *)((char *)runner + rows[i].offset);
+
+		counter->name = rows[i].name;
+		counter->help = rows[i].help;
+		counter_add(&runner->daemon->counters, counter);
+	}
+	runner->start_ms.name = "catkinhill_runner_start_ms";
+	runner->start_ms.help = "Time of a start at the worker.";
+	histogram_add(&runner->daemon->counters, &runner->start_ms);
+}
+
+static struct runner *listen_failed(struct runner *runner, const char *key,
+				    const char *address)
+{
+	log_event(EV_LISTEN_FAILED, "key=%s address=%s", key, address);
+	runner_delete(runner);
+	return NULL;
+}
+
+struct runner *runner_new(struct daemon *daemon)
+{
+	const struct settings *settings = daemon->settings;
+	struct runner *runner = xcalloc(1, sizeof(*runner));
+
+	runner->daemon = daemon;
+	runner->session = daemon->incarnation;
+	runner->pace_percent = 100;
+	list_init(&runner->runs);
+	runner->report_timer =
+		loop_timer_new(daemon->loop, runner_report_now, runner);
+	runner->hold_timer =
+		loop_timer_new(daemon->loop, on_hold_timer, runner);
+	runner->tick = loop_timer_new(daemon->loop, on_tick, runner);
+	add_counters(runner);
+	runner->calls = workercall_new(daemon->loop, settings->worker,
+				       WORKER_TIMEOUT_MS);
+	if (!runner->calls)
+		return listen_failed(runner, "runner.worker",
+				     settings->worker);
+	runner->kv = kv_new(daemon->loop, settings->store_address,
+			    STORE_TIMEOUT_MS);
+	if (!runner->kv)
+		return listen_failed(runner, "store.address",
+				     settings->store_address);
+	runner->transport = transport_server_new(daemon->loop, settings->peers,
+						 on_message, runner);
+	if (!runner->transport)
+		return listen_failed(runner, "listen.peers", settings->peers);
+	runner->httpd = httpd_new(daemon->loop, settings->announcements,
+				  ANNOUNCEMENT_MAX, on_request, runner);
+	if (!runner->httpd)
+		return listen_failed(runner, "listen.announcements",
+				     settings->announcements);
+	runner->registration = registration_new(
+		daemon->loop, runner->kv, settings->id, settings->peers);
+	runner->scheduler = scheduler_new(daemon, runner->kv);
+	loop_timer_start(runner->tick, TICK_MS);
+	loop_timer_start(runner->report_timer, REPORT_INTERVAL_MS);
+	return runner;
+}
+
+void runner_delete(struct runner *runner)
+{
+	if (!runner)
+		return;
+	scheduler_delete(runner->scheduler);
+	registration_delete(runner->registration);
+	httpd_delete(runner->httpd);
+	if (runner->transport)
+		transport_delete(runner->transport);
+	forget_lists(runner);
+	workercall_delete(runner->calls);
+	kv_delete(runner->kv);
+	loop_timer_delete(runner->report_timer);
+	loop_timer_delete(runner->hold_timer);
+	loop_timer_delete(runner->tick);
+	loop_timer_delete(runner->stop_timer);
+	free(runner);
+}
+
+static void on_stop_timer(void *arg)
+{
+	struct runner *runner = arg;
+
+	runner->stopped(runner->stopped_arg);
+}
+
+void runner_stop(struct runner *runner, stopped_fn fn, void *arg)
+{
+	runner->stopped = fn;
+	runner->stopped_arg = arg;
+	scheduler_resign(runner->scheduler);
+	runner->stop_timer =
+		loop_timer_new(runner->daemon->loop, on_stop_timer, runner);
+	loop_timer_start(runner->stop_timer, STOP_DELAY_MS);
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler.c
@@ -0,0 +1,246 @@
+#include "scheduler.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "scheduler_internal.h"
+#include "sysclock.h"
+
+/* Resends, expiry and retries are looked at this often. */
+#define TICK_MS 100
+/* Reports that arrive together are handled together. */
+#define PUMP_DELAY_MS 1
+
+static void note_task(const struct dispatch_note *note, char *buf, size_t size)
+{
+	snprintf(buf, size, "%s.%u.%u.%u run=%u", note->task->job,
+		 note->task->occurrence, note->task->step, note->task->index,
+		 note->run);
+}
+
+static void note_ended(struct scheduler *scheduler,
+		       const struct dispatch_note *note)
+{
+	const struct workflow *workflow = note->workflow;
+	int64_t age_ms = sysclock_wall_ms() - workflow->submitted_ms;
+
+	histogram_observe(&scheduler->job_ms, age_ms < 0 ? 0 : age_ms);
+	log_event(EV_WORKFLOW_ENDED, "job=%s queue=%s state=%s age_ms=%lld",
+		  workflow->spec.id, workflow->queue.name, note->reason,
+		  (long long)age_ms);
+}
+
+static void on_note(void *arg, const struct dispatch_note *note)
+{
+	struct scheduler *scheduler = arg;
+	char task[96] = "";
+
+	if (note->task)
+		note_task(note, task, sizeof(task));
+	switch (note->kind) {
+	case NOTE_ASSIGNED:
+		scheduler->assigned.value++;
+		log_event(EV_RUN_ASSIGNED,
+			  "task=%s runner=%s cpu_used=%u fill_cpu=%u runs=%u "
+			  "report_age_ms=%lld reason=%s",
+			  task, note->worker->runner,
+			  note->worker->used.cpu_milli, note->worker->fill_cpu,
+			  note->worker->run_count,
+			  (long long)mstime_diff(sysclock_now(),
+						 note->worker->reported_at),
+			  note->reason);
+		break;
+	case NOTE_ENDED:
+		log_event(EV_RUN_ENDED, "task=%s runner=%s how=%s", task,
+			  note->worker->runner, note->reason);
+		break;
+	case NOTE_LOST:
+		scheduler->lost.value++;
+		log_event(EV_RUN_DROPPED, "task=%s runner=%s reason=%s", task,
+			  note->worker->runner, note->reason);
+		break;
+	case NOTE_ORPHAN:
+		log_event(EV_RUN_ORPHAN, "task=%s runner=%s", task,
+			  note->worker->runner);
+		break;
+	case NOTE_WORKER_NEW:
+		log_event(EV_WORKER_SEEN,
+			  "runner=%s worker=%s born=%llu session=%llx "
+			  "fence=%llu",
+			  note->worker->runner, note->worker->id,
+			  (unsigned long long)note->worker->born,
+			  (unsigned long long)note->worker->session,
+			  (unsigned long long)note->worker->fence);
+		break;
+	case NOTE_WORKER_LAPSED:
+		log_event(EV_WORKER_LAPSED, "runner=%s worker=%s runs=%u",
+			  note->worker->runner, note->worker->id,
+			  note->worker->run_count);
+		break;
+	case NOTE_WORKFLOW_ENDED:
+		note_ended(scheduler, note);
+		break;
+	}
+}
+
+static void on_pump(void *arg)
+{
+	struct scheduler *scheduler = arg;
+	struct mstime now = sysclock_now();
+
+	scheduler->pump_is_set = 0;
+	if (!scheduler->is_loaded)
+		return;
+	dispatch_set_wall(scheduler->dispatch, sysclock_wall_ms());
+	if (election_is_valid(scheduler->election, now))
+		dispatch_assign(scheduler->dispatch, now);
+	scheduler_commit(scheduler, now);
+	scheduler_links_send(scheduler, now);
+}
+
+void scheduler_wake(struct scheduler *scheduler)
+{
+	if (scheduler->pump_is_set)
+		return;
+	scheduler->pump_is_set = 1;
+	loop_timer_start(scheduler->pump, PUMP_DELAY_MS);
+}
+
+static void on_tick(void *arg)
+{
+	struct scheduler *scheduler = arg;
+	struct mstime now = sysclock_now();
+
+	loop_timer_start(scheduler->tick, TICK_MS);
+	if (!scheduler->is_loaded)
+		return;
+	dispatch_expire(scheduler->dispatch, now);
+	scheduler_publish_pending(scheduler, now);
+	scheduler_wake(scheduler);
+}
+
+static void on_elected(void *arg, int64_t epoch)
+{
+	struct scheduler *scheduler = arg;
+
+	scheduler->epoch = epoch;
+	scheduler->dispatch =
+		dispatch_new(&dispatch_defaults, (uint64_t)epoch,
+			     sysclock_now(), on_note, scheduler);
+	scheduler_links_start(scheduler);
+	scheduler_load_start(scheduler);
+	loop_timer_start(scheduler->tick, TICK_MS);
+}
+
+static void term_end(struct scheduler *scheduler)
+{
+	if (!scheduler->dispatch)
+		return;
+	loop_timer_stop(scheduler->tick);
+	loop_timer_stop(scheduler->pump);
+	scheduler->pump_is_set = 0;
+	kv_forget(scheduler->kv, scheduler);
+	kv_forget(scheduler->kv, &scheduler->self);
+	scheduler_load_stop(scheduler);
+	scheduler_commit_stop(scheduler);
+	scheduler_links_stop(scheduler);
+	dispatch_delete(scheduler->dispatch);
+	scheduler->dispatch = NULL;
+	scheduler->epoch = 0;
+}
+
+static void on_lost(void *arg)
+{
+	term_end(arg);
+}
+
+static void on_load_retry(void *arg)
+{
+	struct scheduler *scheduler = arg;
+
+	scheduler_load_stop(scheduler);
+	scheduler_load_start(scheduler);
+}
+
+static void add_counters(struct scheduler *scheduler)
+{
+	struct counter_set *set = &scheduler->daemon->counters;
+
+	scheduler->commits = (struct counter){
+		.name = "catkinhill_scheduler_commits_total",
+		.help = "Transactions that stored progress of workflows.",
+	};
+	scheduler->commits_failed = (struct counter){
+		.name = "catkinhill_scheduler_commit_failures_total",
+		.help = "Transactions without an answer that settles them.",
+	};
+	scheduler->assigned = (struct counter){
+		.name = "catkinhill_scheduler_runs_assigned_total",
+		.help = "Runs that were assigned to workers.",
+	};
+	scheduler->lost = (struct counter){
+		.name = "catkinhill_scheduler_runs_lost_total",
+		.help = "Runs that ended without a listed end.",
+	};
+	scheduler->commit_ms = (struct histogram){
+		.name = "catkinhill_scheduler_commit_ms",
+		.help = "Time until a change was stored.",
+	};
+	scheduler->job_ms = (struct histogram){
+		.name = "catkinhill_scheduler_workflow_ms",
+		.help = "Time from submission to the end of a workflow.",
+	};
+	counter_add(set, &scheduler->commits);
+	counter_add(set, &scheduler->commits_failed);
+	counter_add(set, &scheduler->assigned);
+	counter_add(set, &scheduler->lost);
+	histogram_add(set, &scheduler->commit_ms);
+	histogram_add(set, &scheduler->job_ms);
+}
+
+struct scheduler *scheduler_new(struct daemon *daemon, struct kv *kv)
+{
+	static const struct election_handlers handlers = {
+		.on_elected = on_elected,
+		.on_lost = on_lost,
+	};
+	struct scheduler *scheduler = xcalloc(1, sizeof(*scheduler));
+
+	scheduler->daemon = daemon;
+	scheduler->kv = kv;
+	scheduler->self = scheduler;
+	list_init(&scheduler->links);
+	str_copy(scheduler->id, daemon->settings->id, sizeof(scheduler->id));
+	scheduler->tick = loop_timer_new(daemon->loop, on_tick, scheduler);
+	scheduler->pump = loop_timer_new(daemon->loop, on_pump, scheduler);
+	scheduler->load_retry =
+		loop_timer_new(daemon->loop, on_load_retry, scheduler);
+	scheduler_commit_init(scheduler);
+	add_counters(scheduler);
+	scheduler->election = election_new(daemon->loop, kv, scheduler->id,
+					   &handlers, scheduler);
+	return scheduler;
+}
+
+void scheduler_resign(struct scheduler *scheduler)
+{
+	election_resign(scheduler->election);
+	term_end(scheduler);
+}
+
+void scheduler_delete(struct scheduler *scheduler)
+{
+	if (!scheduler)
+		return;
+	election_delete(scheduler->election);
+	term_end(scheduler);
+	loop_timer_delete(scheduler->tick);
+	loop_timer_delete(scheduler->pump);
+	loop_timer_delete(scheduler->load_retry);
+	loop_timer_delete(scheduler->commit.retry);
+	free(scheduler);
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler_commit.c
@@ -0,0 +1,262 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "scheduler_internal.h"
+#include "sysclock.h"
+
+/* Changes of this time share a commit; bounds the calls to 50 a second. */
+#define COMMIT_INTERVAL_MS 20
+#define RETRY_MS 100
+#define PENDING_INTERVAL_MS 1000
+
+static void send_commit(struct scheduler *scheduler);
+
+static void settle(struct scheduler *scheduler)
+{
+	struct commit *commit = &scheduler->commit;
+	size_t i;
+
+	for (i = 0; i < commit->count; i++) {
+		commit->entries[i].workflow->saving = 0;
+		free(commit->entries[i].value);
+	}
+	commit->count = 0;
+	commit->is_open = 0;
+}
+
+static void commit_done(struct scheduler *scheduler, const int64_t *revisions)
+{
+	struct commit *commit = &scheduler->commit;
+	size_t i;
+
+	scheduler->commits.value++;
+	histogram_observe(&scheduler->commit_ms,
+			  mstime_diff(sysclock_now(), commit->started));
+	for (i = 0; i < commit->count; i++) {
+		struct commit_entry *entry = &commit->entries[i];
+
+		entry->workflow->stored_revision = revisions[i];
+		dispatch_saved(scheduler->dispatch, entry->workflow,
+			       entry->version);
+	}
+	settle(scheduler);
+	scheduler_wake(scheduler);
+}
+
+static const struct kv_item *item_find(const struct kv_result *result,
+				       const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < result->count; i++)
+		if (!strcmp(result->items[i].key, key))
+			return &result->items[i];
+	return NULL;
+}
+
+/*
+ * A comparison fails when an earlier attempt, whose answer was lost, has been
+ * carried out: then every key has the value of this commit.
+ */
+static int is_own_commit(const struct scheduler *scheduler,
+			 const struct kv_result *result, int64_t *revisions)
+{
+	const struct commit *commit = &scheduler->commit;
+	size_t i;
+
+	for (i = 0; i < commit->count; i++) {
+		const struct commit_entry *entry = &commit->entries[i];
+		const struct kv_item *item = item_find(result, entry->key);
+
+		if (!item || !item->value || item->len != entry->len ||
+		    memcmp(item->value, entry->value, entry->len) != 0)
+			return 0;
+		revisions[i] = item->revision;
+	}
+	return 1;
+}
+
+static void on_conflict(struct scheduler *scheduler,
+			const struct kv_result *result)
+{
+	int64_t revisions[COMMIT_WORKFLOWS];
+
+	if (is_own_commit(scheduler, result, revisions)) {
+		commit_done(scheduler, revisions);
+		return;
+	}
+	scheduler->commits_failed.value++;
+	log_event(EV_STATE_CONFLICT, "epoch=%lld workflows=%zu",
+		  (long long)scheduler->epoch, scheduler->commit.count);
+	/* Tells whether the election is lost; otherwise tries again. */
+	election_check(scheduler->election);
+	loop_timer_start(scheduler->commit.retry, RETRY_MS);
+}
+
+static void on_committed(void *arg, const struct kv_result *result)
+{
+	int64_t revisions[COMMIT_WORKFLOWS];
+	struct scheduler *scheduler = arg;
+	size_t i;
+
+	if (!result->err) {
+		for (i = 0; i < scheduler->commit.count; i++)
+			revisions[i] = result->revision;
+		commit_done(scheduler, revisions);
+		return;
+	}
+	if (result->err == ERR_CONFLICT) {
+		on_conflict(scheduler, result);
+		return;
+	}
+	scheduler->commits_failed.value++;
+	if (scheduler->commit.attempts == 1)
+		log_event(EV_STATE_UNSETTLED, "epoch=%lld workflows=%zu err=%s",
+			  (long long)scheduler->epoch, scheduler->commit.count,
+			  error_name(result->err));
+	loop_timer_start(scheduler->commit.retry, RETRY_MS);
+}
+
+static void on_retry(void *arg)
+{
+	send_commit(arg);
+}
+
+static void send_commit(struct scheduler *scheduler)
+{
+	struct commit *commit = &scheduler->commit;
+	struct kv_txn txn = { .compare_count = 1 };
+	size_t i;
+
+	txn.compares[0].key = ELECTION_KEY;
+	txn.compares[0].revision = scheduler->epoch;
+	for (i = 0; i < commit->count; i++) {
+		const struct commit_entry *entry = &commit->entries[i];
+		struct kv_compare *compare =
+			&txn.compares[txn.compare_count++];
+		struct kv_put *put = &txn.puts[txn.put_count++];
+
+		compare->key = entry->key;
+		compare->revision = entry->workflow->stored_revision;
+		put->key = entry->key;
+		put->value = entry->value;
+		put->len = entry->len;
+	}
+	commit->attempts++;
+	kv_txn(scheduler->kv, &txn, on_committed, scheduler);
+}
+
+static void add_entry(struct commit *commit, struct workflow *workflow)
+{
+	struct commit_entry *entry = &commit->entries[commit->count++];
+
+	entry->workflow = workflow;
+	entry->version = workflow->version;
+	entry->value = workflow_encode(workflow);
+	entry->len = strlen(entry->value);
+	job_key(entry->key, STATE_PREFIX, workflow->spec.id);
+	workflow->saving = 1;
+}
+
+void scheduler_commit(struct scheduler *scheduler, struct mstime now)
+{
+	struct commit *commit = &scheduler->commit;
+	struct workflow *workflow;
+	int64_t since = mstime_diff(now, scheduler->committed_at);
+
+	if (commit->is_open || !dispatch_changed(scheduler->dispatch))
+		return;
+	if (since < COMMIT_INTERVAL_MS) {
+		loop_timer_start(scheduler->pump, COMMIT_INTERVAL_MS - since);
+		scheduler->pump_is_set = 1;
+		return;
+	}
+	while (commit->count < COMMIT_WORKFLOWS &&
+	       (workflow = dispatch_changed(scheduler->dispatch)))
+		add_entry(commit, workflow);
+	commit->is_open = 1;
+	commit->attempts = 0;
+	commit->started = now;
+	scheduler->committed_at = now;
+	send_commit(scheduler);
+}
+
+void scheduler_commit_init(struct scheduler *scheduler)
+{
+	scheduler->commit.retry =
+		loop_timer_new(scheduler->daemon->loop, on_retry, scheduler);
+}
+
+void scheduler_commit_stop(struct scheduler *scheduler)
+{
+	loop_timer_stop(scheduler->commit.retry);
+	settle(scheduler);
+	free(scheduler->pending_text);
+	scheduler->pending_text = NULL;
+	scheduler->pending_is_open = 0;
+}
+
+static char *pending_text(struct scheduler *scheduler)
+{
+	json_t *root = json_object();
+	struct list *pos;
+	char *text;
+
+	list_for_each (pos, dispatch_workflows(scheduler->dispatch)) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+		const char *queue = workflow->queue.name;
+		json_int_t count;
+
+		if (workflow->started)
+			continue;
+		count = json_integer_value(json_object_get(root, queue));
+		json_object_set_new(root, queue, json_integer(count + 1));
+	}
+	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
+	json_decref(root);
+	return text;
+}
+
+static void on_pending(void *arg, const struct kv_result *result)
+{
+	struct scheduler *scheduler = *(struct scheduler **)arg;
+
+	scheduler->pending_is_open = 0;
+	if (!result->err)
+		return;
+	/* Written again with the next change of this text. */
+	free(scheduler->pending_text);
+	scheduler->pending_text = NULL;
+}
+
+void scheduler_publish_pending(struct scheduler *scheduler, struct mstime now)
+{
+	struct kv_txn txn = { .compare_count = 1, .put_count = 1 };
+	char *text;
+
+	if (scheduler->pending_is_open ||
+	    mstime_diff(now, scheduler->pending_at) < PENDING_INTERVAL_MS)
+		return;
+	text = pending_text(scheduler);
+	if (scheduler->pending_text &&
+	    !strcmp(text, scheduler->pending_text)) {
+		free(text);
+		return;
+	}
+	free(scheduler->pending_text);
+	scheduler->pending_text = text;
+	scheduler->pending_at = now;
+	scheduler->pending_is_open = 1;
+	txn.compares[0].key = ELECTION_KEY;
+	txn.compares[0].revision = scheduler->epoch;
+	txn.puts[0].key = PENDING_KEY;
+	txn.puts[0].value = text;
+	txn.puts[0].len = strlen(text);
+	kv_txn(scheduler->kv, &txn, on_pending, &scheduler->self);
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler_links.c
@@ -0,0 +1,189 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "registration.h"
+#include "scheduler_internal.h"
+#include "sysclock.h"
+
+/* A runner that has not answered is greeted again. */
+#define HELLO_INTERVAL_MS 300
+/* Four reports. */
+#define SILENT_MS 2000
+
+static void say_hello(struct runner_link *link, struct mstime now)
+{
+	struct message msg = { MSG_WORK_HELLO };
+
+	msg.u.work_hello.epoch = (uint64_t)link->scheduler->epoch;
+	str_copy(msg.u.work_hello.scheduler, link->scheduler->id, ID_SIZE);
+	link->hello_at = now;
+	if (transport_send(link->transport, NULL, &msg))
+		log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s",
+			  link->runner, link->address);
+}
+
+static void on_message(void *arg, const char *peer, const struct message *msg)
+{
+	struct runner_link *link = arg;
+	struct scheduler *scheduler = link->scheduler;
+	struct mstime now = sysclock_now();
+
+	if (msg->type != MSG_WORK_REPORT)
+		return;
+	if (dispatch_report(scheduler->dispatch, link->runner,
+			    &msg->u.work_report, now))
+		return;
+	if (link->is_silent || !link->heard_at.ms)
+		log_event(EV_RUNNER_HEARD, "runner=%s worker=%s state=%u",
+			  link->runner, msg->u.work_report.worker,
+			  msg->u.work_report.state);
+	link->is_silent = 0;
+	link->heard_at = now;
+	scheduler_wake(scheduler);
+}
+
+static struct runner_link *link_find(struct scheduler *scheduler,
+				     const char *runner)
+{
+	struct list *pos;
+
+	list_for_each (pos, &scheduler->links) {
+		struct runner_link *link =
+			list_entry(pos, struct runner_link, node);
+
+		if (!strcmp(link->runner, runner))
+			return link;
+	}
+	return NULL;
+}
+
+static void link_connect(struct runner_link *link, const char *address)
+{
+	struct scheduler *scheduler = link->scheduler;
+	char *routing_id =
+		xstrfmt("%s/%lld", scheduler->id, (long long)scheduler->epoch);
+
+	transport_delete(link->transport);
+	str_copy(link->address, address, sizeof(link->address));
+	link->transport = transport_client_new(scheduler->daemon->loop,
+					       address, routing_id, on_message,
+					       link);
+	free(routing_id);
+	if (link->transport)
+		say_hello(link, sysclock_now());
+	else
+		log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s",
+			  link->runner, address);
+}
+
+static void take_node(struct scheduler *scheduler, const struct kv_item *item)
+{
+	const char *runner = job_key_id(item->key, NODE_PREFIX);
+	struct runner_link *link;
+	char address[ID_SIZE];
+
+	if (!runner || !item->value ||
+	    registration_decode(item->value, item->len, address))
+		return;
+	link = link_find(scheduler, runner);
+	if (link && !strcmp(link->address, address))
+		return;
+	if (!link) {
+		link = xcalloc(1, sizeof(*link));
+		link->scheduler = scheduler;
+		if (str_copy(link->runner, runner, sizeof(link->runner))) {
+			free(link);
+			return;
+		}
+		list_add_tail(&scheduler->links, &link->node);
+		dispatch_worker(scheduler->dispatch, runner, sysclock_now());
+	}
+	link_connect(link, address);
+}
+
+static void on_nodes(void *arg, const struct kv_item *items, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		take_node(arg, &items[i]);
+}
+
+static void on_node(void *arg, const struct kv_item *item)
+{
+	take_node(arg, item);
+}
+
+void scheduler_links_start(struct scheduler *scheduler)
+{
+	static const struct follow_handlers handlers = {
+		.on_list = on_nodes,
+		.on_change = on_node,
+	};
+
+	scheduler->nodes = follow_new(scheduler->daemon->loop, scheduler->kv,
+				      NODE_PREFIX, &handlers, scheduler);
+}
+
+void scheduler_links_stop(struct scheduler *scheduler)
+{
+	struct list *pos, *tmp;
+
+	follow_delete(scheduler->nodes);
+	scheduler->nodes = NULL;
+	list_for_each_safe (pos, tmp, &scheduler->links) {
+		struct runner_link *link =
+			list_entry(pos, struct runner_link, node);
+
+		transport_delete(link->transport);
+		list_del(&link->node);
+		free(link);
+	}
+}
+
+static void send_orders(struct runner_link *link, struct mstime now)
+{
+	struct scheduler *scheduler = link->scheduler;
+	struct worker *worker =
+		dispatch_worker(scheduler->dispatch, link->runner, now);
+	int may_extend = election_is_valid(scheduler->election, now);
+	struct message msg = { MSG_WORK_ORDERS };
+
+	while (dispatch_orders(scheduler->dispatch, worker, may_extend,
+			       &msg.u.work_orders, now)) {
+		int err = transport_send(link->transport, NULL, &msg);
+
+		if (err)
+			log_event(EV_RUNNER_UNREACHABLE, "runner=%s err=%s",
+				  link->runner, error_name(err));
+		if (msg.u.work_orders.starts.count < ORDER_STARTS_MAX)
+			return;
+	}
+}
+
+void scheduler_links_send(struct scheduler *scheduler, struct mstime now)
+{
+	struct list *pos;
+
+	list_for_each (pos, &scheduler->links) {
+		struct runner_link *link =
+			list_entry(pos, struct runner_link, node);
+		int64_t quiet_ms = mstime_diff(now, link->heard_at);
+
+		if (!link->transport)
+			continue;
+		if (quiet_ms > SILENT_MS && link->heard_at.ms &&
+		    !link->is_silent) {
+			link->is_silent = 1;
+			log_event(EV_RUNNER_SILENT, "runner=%s quiet_ms=%lld",
+				  link->runner, (long long)quiet_ms);
+		}
+		if (quiet_ms > SILENT_MS / 2 &&
+		    mstime_diff(now, link->hello_at) >= HELLO_INTERVAL_MS)
+			say_hello(link, now);
+		send_orders(link, now);
+	}
+}
--- /dev/null
+++ b/packages/daemon/src/scheduler_load.c
@@ -0,0 +1,203 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "platformjson.h"
+#include "scheduler_internal.h"
+#include "sysclock.h"
+
+/* State as stored; the scheduler of an earlier term has written it. */
+static int restore_state(struct scheduler *scheduler, struct workflow *workflow)
+{
+	const json_t *record =
+		json_object_get(scheduler->states, workflow->spec.id);
+	const char *value;
+
+	if (!record)
+		return 0;
+	value = json_string_value(json_array_get(record, 0));
+	workflow->stored_revision =
+		json_integer_value(json_array_get(record, 1));
+	return workflow_decode(workflow, value, strlen(value));
+}
+
+static void take_job(struct scheduler *scheduler, const char *id,
+		     const struct kv_item *item)
+{
+	struct mstime now = sysclock_now();
+	struct workflow *workflow;
+	const char *reason;
+
+	if (!item->value || dispatch_find(scheduler->dispatch, id))
+		return;
+	workflow = job_record_decode(id, item->value, item->len,
+				     item->created_ms, &reason);
+	if (!workflow) {
+		log_event(EV_WORKFLOW_INVALID, "job=%s reason=\"%s\"", id,
+			  reason);
+		return;
+	}
+	if (restore_state(scheduler, workflow)) {
+		log_event(EV_WORKFLOW_INVALID, "job=%s reason=state", id);
+		workflow_delete(workflow);
+		return;
+	}
+	log_event(EV_WORKFLOW_TAKEN,
+		  "job=%s queue=%s priority=%u steps=%zu tasks=%u state=%s "
+		  "revision=%lld",
+		  id, workflow->queue.name, workflow->queue.priority,
+		  workflow->spec.step_count, workflow->spec.task_count,
+		  workflow_state_name(workflow->state),
+		  (long long)item->revision);
+	dispatch_add(scheduler->dispatch, workflow, now);
+}
+
+static void take_cancel(struct scheduler *scheduler, const char *id,
+			const struct kv_item *item)
+{
+	int err;
+
+	if (!item->value)
+		return;
+	err = dispatch_cancel(scheduler->dispatch, id, sysclock_now());
+	log_event(EV_WORKFLOW_CANCELLED, "job=%s result=%s", id,
+		  error_name(err));
+}
+
+/* A cancellation is written after its job, and listed before it. */
+static void on_submitted(void *arg, const struct kv_item *items, size_t count)
+{
+	struct scheduler *scheduler = arg;
+	const char *id;
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		if ((id = job_key_id(items[i].key, SUBMITTED_JOB)))
+			take_job(scheduler, id, &items[i]);
+	for (i = 0; i < count; i++)
+		if ((id = job_key_id(items[i].key, SUBMITTED_CANCEL)))
+			take_cancel(scheduler, id, &items[i]);
+	if (!scheduler->is_loaded)
+		log_event(EV_SCHEDULER_LOADED, "epoch=%lld records=%zu",
+			  (long long)scheduler->epoch, count);
+	scheduler->is_loaded = 1;
+	json_decref(scheduler->states);
+	scheduler->states = NULL;
+	scheduler_wake(scheduler);
+}
+
+static void on_submission(void *arg, const struct kv_item *item)
+{
+	struct scheduler *scheduler = arg;
+	const char *id;
+
+	if ((id = job_key_id(item->key, SUBMITTED_JOB)))
+		take_job(scheduler, id, item);
+	else if ((id = job_key_id(item->key, SUBMITTED_CANCEL)))
+		take_cancel(scheduler, id, item);
+	scheduler_wake(scheduler);
+}
+
+static const struct follow_handlers submitted_handlers = {
+	.on_list = on_submitted,
+	.on_change = on_submission,
+};
+
+static void on_states(void *arg, const struct kv_result *result)
+{
+	struct scheduler *scheduler = *(struct scheduler **)arg;
+	size_t i;
+
+	if (result->err) {
+		log_event(EV_STATE_UNSETTLED, "epoch=%lld load err=%s",
+			  (long long)scheduler->epoch,
+			  error_name(result->err));
+		loop_timer_start(scheduler->load_retry, 200);
+		return;
+	}
+	scheduler->states = json_object();
+	for (i = 0; i < result->count; i++) {
+		const struct kv_item *item = &result->items[i];
+		const char *id = job_key_id(item->key, STATE_PREFIX);
+
+		if (id && item->value)
+			json_object_set_new(
+				scheduler->states, id,
+				json_pack("[s,I]", item->value,
+					  (json_int_t)item->revision));
+	}
+	scheduler->submitted =
+		follow_new(scheduler->daemon->loop, scheduler->kv,
+			   SUBMITTED_PREFIX, &submitted_handlers, scheduler);
+}
+
+static void apply_config(struct scheduler *scheduler,
+			 const struct platform_config *config)
+{
+	struct list *pos;
+	size_t i;
+
+	list_for_each (pos, dispatch_workflows(scheduler->dispatch)) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		for (i = 0; i < config->queue_count; i++)
+			if (!strcmp(config->queues[i].queue.name,
+				    workflow->queue.name))
+				workflow->queue = config->queues[i].queue;
+	}
+}
+
+static void on_config(void *arg, const struct kv_item *item)
+{
+	struct scheduler *scheduler = arg;
+	struct platform_config config = { 0 };
+
+	if (strcmp(item->key, PLATFORM_CONFIG_KEY) != 0 || !item->value)
+		return;
+	if (platform_decode_config(item->value, item->len, &config)) {
+		log_event(EV_QUEUES_REJECTED, "revision=%lld",
+			  (long long)item->revision);
+		return;
+	}
+	log_event(EV_QUEUES_APPLIED, "version=%lld queues=%zu revision=%lld",
+		  (long long)config.version, config.queue_count,
+		  (long long)item->revision);
+	apply_config(scheduler, &config);
+	platform_config_clear(&config);
+}
+
+static void on_configs(void *arg, const struct kv_item *items, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		on_config(arg, &items[i]);
+}
+
+void scheduler_load_start(struct scheduler *scheduler)
+{
+	static const struct follow_handlers handlers = {
+		.on_list = on_configs,
+		.on_change = on_config,
+	};
+
+	kv_list(scheduler->kv, STATE_PREFIX, on_states, &scheduler->self);
+	scheduler->config =
+		follow_new(scheduler->daemon->loop, scheduler->kv,
+			   PLATFORM_OPERATOR_PREFIX, &handlers, scheduler);
+}
+
+void scheduler_load_stop(struct scheduler *scheduler)
+{
+	loop_timer_stop(scheduler->load_retry);
+	follow_delete(scheduler->submitted);
+	follow_delete(scheduler->config);
+	scheduler->submitted = NULL;
+	scheduler->config = NULL;
+	json_decref(scheduler->states);
+	scheduler->states = NULL;
+	scheduler->is_loaded = 0;
+}
--- a/packages/io/include/settings.h
+++ b/packages/io/include/settings.h
@@ -19,7 +19,10 @@
  */
 enum role {
 	ROLE_ENTRY,
-	ROLE_AGENT
+	ROLE_AGENT,
+	ROLE_GATEWAY, /* entry for workflows of the users' platform */
+	ROLE_RUNNER,  /* agent beside a worker of that platform */
+	ROLE_COUNT
 };
 
 #define SEEDS_MAX 8
@@ -36,7 +39,9 @@
 
 	/* [listen], each ip:port */
 	char callers[ID_SIZE]; /* entry: HTTP for callers */
-	char peers[ID_SIZE];   /* entry: ZeroMQ for agents */
+	char peers[ID_SIZE];   /* ZeroMQ for agents or schedulers */
+	char probe[ID_SIZE];   /* gateway: probes of the balancer */
+	char announcements[ID_SIZE]; /* runner: HTTP for its worker */
 	char admin[ID_SIZE];   /* both: metrics, health, operator API */
 
 	/* [store] */
@@ -60,6 +65,9 @@
 	int64_t cpu_milli;
 	int64_t mem_mb;
 	int64_t accel;
+
+	/* [runner] */
+	char worker[ID_SIZE]; /* orders to the worker, ip:port */
 };
 
 /*
@@ -75,4 +83,6 @@
 /* Prints the table of keys, for --help-settings and docs. */
 char *settings_describe(void);
 
+const char *role_name(enum role role);
+
 #endif
--- /dev/null
+++ b/packages/io/src/httpd.c
@@ -0,0 +1,207 @@
+#include "httpd.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include "list.h"
+#include "mem.h"
+#include "tcp.h"
+
+#define HEADERS_SIZE_MAX (32 * 1024)
+#define IDLE_TIMEOUT_S 60
+#define HOST_SIZE 64
+#define METHODS                                                                \
+	(EVHTTP_REQ_GET | EVHTTP_REQ_HEAD | EVHTTP_REQ_POST | EVHTTP_REQ_PUT | \
+	 EVHTTP_REQ_DELETE | EVHTTP_REQ_OPTIONS | EVHTTP_REQ_PATCH)
+
+struct httpd {
+	struct evhttp *http;
+	struct evhttp_bound_socket *socket;
+	httpd_fn fn;
+	void *arg;
+	struct list pending;
+	size_t pending_count;
+	int closes;
+};
+
+struct httpd_request {
+	struct list node;
+	struct httpd *httpd;
+	struct evhttp_request *http;
+	char *path;
+	char *body;
+	size_t len;
+};
+
+static const struct {
+	enum evhttp_cmd_type type;
+	const char *name;
+} methods[] = {
+	{ EVHTTP_REQ_GET, "GET" },	 { EVHTTP_REQ_HEAD, "HEAD" },
+	{ EVHTTP_REQ_POST, "POST" },	 { EVHTTP_REQ_PUT, "PUT" },
+	{ EVHTTP_REQ_DELETE, "DELETE" }, { EVHTTP_REQ_OPTIONS, "OPTIONS" },
+	{ EVHTTP_REQ_PATCH, "PATCH" },
+};
+
+static void request_free(struct httpd_request *request)
+{
+	list_del(&request->node);
+	request->httpd->pending_count--;
+	free(request->path);
+	free(request->body);
+	free(request);
+}
+
+static void read_body(struct httpd_request *request)
+{
+	struct evbuffer *in = evhttp_request_get_input_buffer(request->http);
+
+	request->len = evbuffer_get_length(in);
+	request->body = xmalloc(request->len + 1);
+	evbuffer_remove(in, request->body, request->len);
+	request->body[request->len] = '\0';
+}
+
+static void on_request(struct evhttp_request *http, void *arg)
+{
+	const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri(http);
+	const char *path = uri ? evhttp_uri_get_path(uri) : NULL;
+	struct evhttp_connection *conn = evhttp_request_get_connection(http);
+	struct httpd *httpd = arg;
+	struct httpd_request *request = xcalloc(1, sizeof(*request));
+
+	tcp_no_delay(bufferevent_getfd(
+		evhttp_connection_get_bufferevent(conn)));
+	request->httpd = httpd;
+	request->http = http;
+	request->path = xstrdup(path ? path : "");
+	read_body(request);
+	list_add_tail(&httpd->pending, &request->node);
+	httpd->pending_count++;
+	httpd->fn(httpd->arg, request);
+}
+
+static int bind_address(struct httpd *httpd, const char *address)
+{
+	char host[HOST_SIZE];
+	const char *colon = strrchr(address, ':');
+
+	if (!colon || (size_t)(colon - address) >= sizeof(host))
+		return -1;
+	memcpy(host, address, (size_t)(colon - address));
+	host[colon - address] = '\0';
+	httpd->socket = evhttp_bind_socket_with_handle(
+		httpd->http, host, (ev_uint16_t)atoi(colon + 1));
+	return httpd->socket ? 0 : -1;
+}
+
+struct httpd *httpd_new(struct loop *loop, const char *address, size_t body_max,
+			httpd_fn fn, void *arg)
+{
+	struct httpd *httpd = xcalloc(1, sizeof(*httpd));
+
+	httpd->fn = fn;
+	httpd->arg = arg;
+	list_init(&httpd->pending);
+	httpd->http = evhttp_new(loop_base(loop));
+	if (!httpd->http)
+		abort();
+	if (bind_address(httpd, address)) {
+		httpd_delete(httpd);
+		return NULL;
+	}
+	evhttp_set_allowed_methods(httpd->http, METHODS);
+	evhttp_set_max_body_size(httpd->http, (ev_ssize_t)body_max);
+	evhttp_set_max_headers_size(httpd->http, HEADERS_SIZE_MAX);
+	evhttp_set_timeout(httpd->http, IDLE_TIMEOUT_S);
+	evhttp_set_gencb(httpd->http, on_request, httpd);
+	return httpd;
+}
+
+void httpd_delete(struct httpd *httpd)
+{
+	struct list *pos, *tmp;
+
+	if (!httpd)
+		return;
+	list_for_each_safe (pos, tmp, &httpd->pending)
+		request_free(list_entry(pos, struct httpd_request, node));
+	evhttp_free(httpd->http);
+	free(httpd);
+}
+
+void httpd_stop_listening(struct httpd *httpd)
+{
+	if (!httpd->socket)
+		return;
+	evhttp_del_accept_socket(httpd->http, httpd->socket);
+	httpd->socket = NULL;
+}
+
+void httpd_close_connections(struct httpd *httpd)
+{
+	httpd->closes = 1;
+}
+
+size_t httpd_pending(const struct httpd *httpd)
+{
+	return httpd->pending_count;
+}
+
+const char *httpd_method(const struct httpd_request *request)
+{
+	enum evhttp_cmd_type type = evhttp_request_get_command(request->http);
+	size_t i;
+
+	for (i = 0; i < sizeof(methods) / sizeof(methods[0]); i++)
+		if (methods[i].type == type)
+			return methods[i].name;
+	return "";
+}
+
+const char *httpd_path(const struct httpd_request *request)
+{
+	return request->path;
+}
+
+const char *httpd_header(const struct httpd_request *request, const char *name)
+{
+	return evhttp_find_header(
+		evhttp_request_get_input_headers(request->http), name);
+}
+
+const char *httpd_body(const struct httpd_request *request, size_t *len)
+{
+	*len = request->len;
+	return request->body;
+}
+
+void httpd_add_header(struct httpd_request *request, const char *name,
+		      const char *value)
+{
+	evhttp_add_header(evhttp_request_get_output_headers(request->http),
+			  name, value);
+}
+
+void httpd_reply(struct httpd_request *request, int status, const char *body)
+{
+	struct evbuffer *out = evbuffer_new();
+
+	if (!out)
+		abort();
+	if (body) {
+		evbuffer_add(out, body, strlen(body));
+		httpd_add_header(request, "Content-Type", "application/json");
+	}
+	if (request->httpd->closes)
+		httpd_add_header(request, "Connection", "close");
+	evhttp_send_reply(request->http, status, NULL, out);
+	evbuffer_free(out);
+	request_free(request);
+}
--- a/packages/io/src/settings.c
+++ b/packages/io/src/settings.c
@@ -173,7 +173,8 @@
 		     "not a section, key = value or comment");
 	if (!parser->seen_at[settings_key_find("daemon", "role")])
 		fail(parser, 0,
-		     "daemon.role: missing; allowed: entry or agent");
+		     "daemon.role: missing; allowed: entry, agent, "
+		     "gateway or runner");
 	check_roles(parser);
 }
 
@@ -199,18 +200,25 @@
 	return parser.failed ? ERR_INVALID : 0;
 }
 
-static const char *roles_text(unsigned roles)
+static const char *roles_text(unsigned roles, char *buf, size_t size)
 {
-	if (roles == FOR_BOTH)
-		return "entry, agent";
-	return roles == FOR_ENTRY ? "entry" : "agent";
+	size_t used = 0;
+	int role;
+
+	buf[0] = '\0';
+	for (role = 0; role < ROLE_COUNT && used < size; role++)
+		if (roles & (1u << role))
+			used += (size_t)snprintf(buf + used, size - used,
+						 "%s%s", used ? ", " : "",
+						 role_name((enum role)role));
+	return buf;
 }
 
 char *settings_describe(void)
 {
 	char *text = NULL;
 	size_t len = 0, i;
-	char buf[128];
+	char buf[128], roles[128];
 	FILE *out = open_memstream(&text, &len);
 
 	if (!out)
@@ -222,7 +230,8 @@
 		fprintf(out, "    %s\n", key->meaning);
 		fprintf(out, "    allowed: %s\n",
 			settings_key_allowed(key, buf, sizeof(buf)));
-		fprintf(out, "    roles: %s; %s%s\n", roles_text(key->allowed),
+		fprintf(out, "    roles: %s; %s%s\n",
+			roles_text(key->allowed, roles, sizeof(roles)),
 			key->required  ? "required"
 			: key->initial ? "default: "
 				       : "optional",
--- a/packages/io/src/settingskeys.c
+++ b/packages/io/src/settingskeys.c
@@ -16,32 +16,39 @@
 #define PORT_MAX 65535
 
 const struct key_info settings_keys[] = {
-	{ "daemon", "role", KEY_ROLE, FIELD(role), .allowed = FOR_BOTH,
-	  .required = FOR_BOTH, .meaning = "What this process does." },
-	{ "daemon", "id", KEY_NAME, TEXT(id), .allowed = FOR_BOTH,
-	  .required = FOR_BOTH,
+	{ "daemon", "role", KEY_ROLE, FIELD(role), .allowed = FOR_ALL,
+	  .required = FOR_ALL, .meaning = "What this process does." },
+	{ "daemon", "id", KEY_NAME, TEXT(id), .allowed = FOR_ALL,
+	  .required = FOR_ALL,
 	  .meaning = "Identifier, different for each process." },
-	{ "daemon", "region", KEY_NAME, TEXT(region), .allowed = FOR_BOTH,
-	  .required = FOR_BOTH, .meaning = "Region of the VM." },
-	{ "daemon", "domain", KEY_NAME, TEXT(domain), .allowed = FOR_BOTH,
-	  .required = FOR_BOTH, .meaning = "Failure domain of the VM." },
-	{ "daemon", "rack", KEY_NAME, TEXT(rack), .allowed = FOR_BOTH,
+	{ "daemon", "region", KEY_NAME, TEXT(region), .allowed = FOR_ALL,
+	  .required = FOR_ALL, .meaning = "Region of the VM." },
+	{ "daemon", "domain", KEY_NAME, TEXT(domain), .allowed = FOR_ALL,
+	  .required = FOR_ALL, .meaning = "Failure domain of the VM." },
+	{ "daemon", "rack", KEY_NAME, TEXT(rack), .allowed = FOR_ALL,
 	  .initial = "none", .meaning = "Rack of the VM." },
 	{ "daemon", "log_level", KEY_LEVEL, FIELD(log_level),
-	  .allowed = FOR_BOTH, .initial = "info",
+	  .allowed = FOR_ALL, .initial = "info",
 	  .meaning = "Least important level that is logged." },
-	{ "daemon", "stop_ms", KEY_NUMBER, FIELD(stop_ms), .allowed = FOR_BOTH,
+	{ "daemon", "stop_ms", KEY_NUMBER, FIELD(stop_ms), .allowed = FOR_ALL,
 	  .unit = "ms", .min = 0, .max = 600000, .initial = "30000",
 	  .meaning = "Bound of a graceful stop." },
-	{ "listen", "callers", KEY_ADDRESS, TEXT(callers), .allowed = FOR_ENTRY,
-	  .required = FOR_ENTRY, .meaning = "HTTP for callers." },
-	{ "listen", "peers", KEY_ADDRESS, TEXT(peers), .allowed = FOR_ENTRY,
-	  .required = FOR_ENTRY, .meaning = "ZeroMQ for agents." },
-	{ "listen", "admin", KEY_ADDRESS, TEXT(admin), .allowed = FOR_BOTH,
-	  .required = FOR_BOTH,
+	{ "listen", "callers", KEY_ADDRESS, TEXT(callers), .allowed = FOR_ENTRY | FOR_GATEWAY,
+	  .required = FOR_ENTRY | FOR_GATEWAY, .meaning = "HTTP for callers." },
+	{ "listen", "peers", KEY_ADDRESS, TEXT(peers), .allowed = FOR_ENTRY | FOR_RUNNER,
+	  .required = FOR_ENTRY | FOR_RUNNER,
+	  .meaning = "ZeroMQ for agents or schedulers." },
+	{ "listen", "admin", KEY_ADDRESS, TEXT(admin), .allowed = FOR_ALL,
+	  .required = FOR_ALL,
 	  .meaning = "HTTP for metrics, health and operators." },
+	{ "listen", "probe", KEY_ADDRESS, TEXT(probe), .allowed = FOR_GATEWAY,
+	  .required = FOR_GATEWAY,
+	  .meaning = "HTTP for probes of the platform's balancer." },
+	{ "listen", "announcements", KEY_ADDRESS, TEXT(announcements),
+	  .allowed = FOR_RUNNER, .required = FOR_RUNNER,
+	  .meaning = "HTTP for announcements of the worker." },
 	{ "store", "address", KEY_ADDRESS, TEXT(store_address),
-	  .allowed = FOR_BOTH,
+	  .allowed = FOR_ALL, .required = FOR_WORKFLOWS,
 	  .meaning = "Key-value store; an entry without one has no batch "
 		     "work, no configuration changes and no keyed requests." },
 	{ "store", "timeout_ms", KEY_NUMBER, FIELD(store_timeout_ms),
@@ -87,6 +94,8 @@
 	{ "agent", "accel", KEY_NUMBER, FIELD(accel), .allowed = FOR_AGENT,
 	  .unit = "accelerators", .min = 0, .max = 1024, .initial = "0",
 	  .meaning = "Accelerators for batch tasks." },
+	{ "runner", "worker", KEY_ADDRESS, TEXT(worker), .allowed = FOR_RUNNER,
+	  .required = FOR_RUNNER, .meaning = "Orders to the worker." },
 };
 
 const size_t settings_key_count =
@@ -95,6 +104,8 @@
 static const char *const role_names[] = {
 	[ROLE_ENTRY] = "entry",
 	[ROLE_AGENT] = "agent",
+	[ROLE_GATEWAY] = "gateway",
+	[ROLE_RUNNER] = "runner",
 };
 
 const char *role_name(enum role role)
@@ -119,7 +130,7 @@
 {
 	switch (key->type) {
 	case KEY_ROLE:
-		return "entry or agent";
+		return "entry, agent, gateway or runner";
 	case KEY_LEVEL:
 		return "error, warn, info or debug";
 	case KEY_NAME:
--- a/packages/io/src/settingskeys.h
+++ b/packages/io/src/settingskeys.h
@@ -19,6 +19,10 @@
 #define FOR_ENTRY (1u << ROLE_ENTRY)
 #define FOR_AGENT (1u << ROLE_AGENT)
 #define FOR_BOTH (FOR_ENTRY | FOR_AGENT)
+#define FOR_GATEWAY (1u << ROLE_GATEWAY)
+#define FOR_RUNNER (1u << ROLE_RUNNER)
+#define FOR_WORKFLOWS (FOR_GATEWAY | FOR_RUNNER)
+#define FOR_ALL (FOR_BOTH | FOR_WORKFLOWS)
 
 struct key_info {
 	const char *section;
@@ -47,6 +51,4 @@
 const char *settings_key_allowed(const struct key_info *key, char *buf,
 				 size_t size);
 
-const char *role_name(enum role role);
-
 #endif
--- /dev/null
+++ b/packages/platform/include/kv.h
@@ -0,0 +1,112 @@
+#ifndef CATKINHILL_KV_H
+#define CATKINHILL_KV_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "loop.h"
+
+/*
+ * NAME
+ *	kv - client of the platform's metadata store
+ *
+ * NOTES
+ *	Every call ends in exactly one callback, never inside the function
+ *	that started it, unless kv_delete() or kv_forget() comes first.
+ *	Outcomes passed as err:
+ *	0		 done
+ *	ERR_CONFLICT	 a comparison failed; nothing was written
+ *	ERR_UNAVAILABLE	 nothing was done: not sent, or turned away
+ *	ERR_UNKNOWN	 sent, no answer: a write may take effect, even later
+ *	ERR_NOT_FOUND	 no such key or lease; history that a watch needs is
+ *			 gone
+ *	ERR_INVALID	 rejected; nothing was written
+ *	ERR_MALFORMED	 the answer to a read cannot be understood
+ */
+struct kv;
+
+struct kv_item {
+	const char *key;
+	const char *value; /* terminated; NULL: the key was deleted */
+	size_t len;
+	int64_t revision;   /* of its last change; 0: there is no such key */
+	int64_t created_ms; /* clock of the store, ms since 1970 */
+};
+
+/* Items are valid during the callback. */
+struct kv_result {
+	int err;
+	int64_t revision; /* of the store, or of the write */
+	int64_t lease;
+	int64_t ttl_ms; /* granted for the lease */
+	const struct kv_item *items;
+	size_t count;
+};
+
+typedef void (*kv_fn)(void *arg, const struct kv_result *result);
+
+struct kv_compare {
+	const char *key;
+	int64_t revision; /* 0: there is no such key */
+};
+
+struct kv_put {
+	const char *key;
+	const char *value;
+	size_t len;
+	int64_t lease; /* 0: none */
+};
+
+/* Comparisons, puts and removals of one transaction. */
+#define KV_TXN_MAX 32
+
+struct kv_txn {
+	struct kv_compare compares[KV_TXN_MAX];
+	size_t compare_count;
+	struct kv_put puts[KV_TXN_MAX];
+	size_t put_count;
+	const char *removals[KV_TXN_MAX];
+	size_t removal_count;
+};
+
+/* RETURN VALUE: NULL when the address is not "ip:port". */
+struct kv *kv_new(struct loop *loop, const char *address, int64_t timeout_ms);
+void kv_delete(struct kv *kv);
+
+/* No callback follows for any call that was started with arg. */
+void kv_forget(struct kv *kv, const void *arg);
+
+void kv_get(struct kv *kv, const char *key, kv_fn fn, void *arg);
+
+/*
+ * All keys that start with prefix. The pages are not a snapshot; revision is
+ * that of the first page, so that a watch from there misses nothing.
+ */
+void kv_list(struct kv *kv, const char *prefix, kv_fn fn, void *arg);
+
+/*
+ * Changes after a revision, once there are any; after wait_ms, an answer
+ * without items. Continue from the revision of the answer.
+ */
+void kv_watch(struct kv *kv, const char *prefix, int64_t after, int64_t wait_ms,
+	      kv_fn fn, void *arg);
+
+/*
+ * All changes if all comparisons hold, and none otherwise. With ERR_CONFLICT
+ * items are those compared, as they are now. ERR_NOT_FOUND: a lease is gone.
+ */
+void kv_txn(struct kv *kv, const struct kv_txn *txn, kv_fn fn, void *arg);
+
+void kv_lease_grant(struct kv *kv, int64_t ttl_ms, kv_fn fn, void *arg);
+void kv_lease_keep(struct kv *kv, int64_t lease, kv_fn fn, void *arg);
+void kv_lease_end(struct kv *kv, int64_t lease, kv_fn fn, void *arg);
+
+/* Average time of an answer in ms, of calls that do not wait; 0: none yet. */
+int64_t kv_latency_ms(const struct kv *kv);
+
+/* Milliseconds since the last answer; 0 after the start. */
+int64_t kv_silent_ms(const struct kv *kv);
+
+int64_t kv_calls(const struct kv *kv);
+
+#endif
--- /dev/null
+++ b/packages/platform/include/platformjson.h
@@ -0,0 +1,92 @@
+#ifndef CATKINHILL_PLATFORMJSON_H
+#define CATKINHILL_PLATFORMJSON_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "message.h"
+#include "workflow.h"
+
+/*
+ * NAME
+ *	platformjson - documents that callers, workers and operators write
+ *
+ * NOTES
+ *	Decoders accept fields that they do not know and refuse fields of
+ *	another type than expected.
+ */
+
+/* Prefix under which operators write, and the key of the configuration. */
+#define PLATFORM_OPERATOR_PREFIX "op/"
+#define PLATFORM_CONFIG_KEY "op/config"
+
+/*
+ * Decodes a submitted workflow. ERR_MALFORMED or ERR_TOO_LARGE: spec is empty
+ * and *reason is a text of static storage.
+ */
+int platform_decode_workflow(const char *json, size_t len, const char *id,
+			     struct workflow_spec *spec, const char **reason);
+
+/* What a worker says of itself. */
+struct announcement {
+	char service[ID_SIZE];
+	enum worker_state state;
+	int64_t remaining_ms; /* of a worker that leaves; 0: not told */
+	struct resources capacity;
+	char labels[LABELS_MAX][NAME_SIZE];
+	size_t label_count;
+	uint64_t born; /* start of the worker, ms since 1970 */
+	uint64_t sequence;
+	int64_t clock_ms; /* of the worker */
+};
+
+/* ERR_MALFORMED: it is to be ignored. */
+int platform_decode_announcement(const char *json, size_t len,
+				 struct announcement *announcement);
+
+struct platform_queue {
+	char host[128];
+	char prefix[128];
+	struct queue_config queue;
+};
+
+struct platform_config {
+	int64_t version;
+	struct platform_queue *queues;
+	size_t queue_count;
+	int64_t body_max; /* bytes of a request; 0: not limited */
+};
+
+/* ERR_MALFORMED: config is unchanged. */
+int platform_decode_config(const char *json, size_t len,
+			   struct platform_config *config);
+void platform_config_clear(struct platform_config *config);
+
+/*
+ * The queue of a request: the host must be equal, and the longest prefix of
+ * the path wins. NULL when there is none.
+ */
+const struct platform_queue *platform_queue_find(
+	const struct platform_config *config, const char *host,
+	const char *path);
+
+/* Bodies of answers to callers; newly allocated. */
+char *platform_state_body(enum workflow_state state);
+char *platform_pending_body(uint32_t pending);
+
+/* Calls that arrive at a runner or at the probe of a gateway. */
+enum platform_call {
+	PLATFORM_CALL_NONE,
+	PLATFORM_CALL_PROBE,
+	PLATFORM_CALL_ANNOUNCE,
+	PLATFORM_CALL_DEREGISTER
+};
+
+/* id receives the worker's identifier, "" without one. */
+enum platform_call platform_call_parse(const char *method, const char *path,
+				       char *id, size_t size);
+
+/* Header with the time that a caller waits. */
+#define PLATFORM_DEADLINE_HEADER "X-Deadline-Ms"
+
+#endif
--- /dev/null
+++ b/packages/platform/src/kv.c
@@ -0,0 +1,398 @@
+#include "kv.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <event2/http.h>
+
+#include "errors.h"
+#include "httpc.h"
+#include "kv_json.h"
+#include "list.h"
+#include "mem.h"
+#include "sysclock.h"
+
+#define IDLE_CONNECTIONS 8
+#define ANSWER_MAX (8 * 1024 * 1024)
+#define PATH_SIZE 512
+/* A watch that waits is answered within its time and this much more. */
+#define WATCH_SLACK_MS 700
+
+enum call_kind {
+	CALL_GET,
+	CALL_LIST,
+	CALL_WATCH,
+	CALL_TXN,
+	CALL_LEASE
+};
+
+struct call {
+	struct list node;
+	struct kv *kv;
+	enum call_kind kind;
+	kv_fn fn;
+	void *arg;
+	struct httpc_call *http;
+	struct loop_timer *later; /* a call that could not be started */
+	struct mstime started;
+	char *body;
+	size_t len, size;
+	char *prefix;
+	struct kv_items items;
+	int64_t revision;
+};
+
+struct kv {
+	struct loop *loop;
+	char *address;
+	int64_t timeout_ms;
+	struct httpc_pool *pool;
+	struct list calls;
+	int64_t latency_ms;
+	int64_t call_count;
+	struct mstime answered_at;
+};
+
+static void call_free(struct call *call)
+{
+	list_del(&call->node);
+	if (call->http)
+		httpc_cancel(call->http);
+	loop_timer_delete(call->later);
+	kv_items_clear(&call->items);
+	free(call->body);
+	free(call->prefix);
+	free(call);
+}
+
+static void call_finish(struct call *call, struct kv_result *result)
+{
+	kv_fn fn = call->fn;
+	void *arg = call->arg;
+
+	call->http = NULL;
+	list_del(&call->node);
+	fn(arg, result);
+	call_free(call);
+}
+
+static void call_fail(struct call *call, int err)
+{
+	struct kv_result result = { .err = err };
+
+	call_finish(call, &result);
+}
+
+/* Outcome of a call by status, when the answer is whole. */
+static int status_error(const struct call *call, int status)
+{
+	switch (status) {
+	case 200:
+		return 0;
+	case 429:
+	case 503:
+		return ERR_UNAVAILABLE;
+	case 404:
+	case 410:
+		return ERR_NOT_FOUND;
+	case 412:
+		return ERR_CONFLICT;
+	case 400:
+	case 403:
+	case 413:
+		return ERR_INVALID;
+	}
+	return call->kind == CALL_TXN ? ERR_UNKNOWN : ERR_UNAVAILABLE;
+}
+
+static void start(struct call *call, const char *method, const char *path,
+		  const char *body, int64_t timeout_ms);
+
+static void list_start(struct call *call, const char *after)
+{
+	char *prefix = evhttp_uriencode(call->prefix, -1, 0);
+	char *from = evhttp_uriencode(after, -1, 0);
+	char *path = xstrfmt("/catkinhill/kv-range?prefix=%s%s%s", prefix,
+			     *after ? "&after=" : "", from);
+
+	start(call, "GET", path, NULL, call->kv->timeout_ms);
+	free(path);
+	free(prefix);
+	free(from);
+}
+
+static void note_answer(struct call *call)
+{
+	struct kv *kv = call->kv;
+	struct mstime now = sysclock_now();
+	int64_t took = mstime_diff(now, call->started);
+
+	kv->answered_at = now;
+	if (call->kind == CALL_WATCH)
+		return;
+	kv->latency_ms = kv->latency_ms ? (kv->latency_ms * 3 + took) / 4
+					: took;
+	if (!kv->latency_ms)
+		kv->latency_ms = 1;
+}
+
+static int next_page(struct call *call, const json_t *root)
+{
+	if (call->kind != CALL_LIST || !call->items.count ||
+	    !json_is_true(json_object_get(root, "truncated")))
+		return 0;
+	call->len = 0;
+	list_start(call, call->items.items[call->items.count - 1].key);
+	return 1;
+}
+
+static void take_items(struct call *call, const json_t *root)
+{
+	const char *field = call->kind == CALL_WATCH ? "events" : "items";
+	json_t *rows;
+
+	if (call->kind != CALL_GET) {
+		kv_json_items(&call->items, json_object_get(root, field));
+		return;
+	}
+	rows = json_array();
+	json_array_append(rows, (json_t *)root);
+	kv_json_items(&call->items, rows);
+	json_decref(rows);
+}
+
+static void call_succeed(struct call *call, int err)
+{
+	json_t *root = json_loadb(call->body ? call->body : "", call->len, 0,
+				  NULL);
+	struct kv_result result = { .err = err };
+	const json_t *at;
+
+	if (!root && !err && call->kind != CALL_LEASE) {
+		call_fail(call, call->kind == CALL_TXN ? ERR_UNKNOWN
+						       : ERR_MALFORMED);
+		return;
+	}
+	take_items(call, root);
+	at = json_object_get(root, call->kind == CALL_TXN ? "revision"
+							  : "storeRevision");
+	if (!call->revision)
+		call->revision = json_integer_value(at);
+	if (next_page(call, root)) {
+		json_decref(root);
+		return;
+	}
+	result.revision = call->revision;
+	result.lease = json_integer_value(json_object_get(root, "lease"));
+	result.ttl_ms = json_integer_value(json_object_get(root, "ttlMs"));
+	result.items = call->items.items;
+	result.count = call->items.count;
+	json_decref(root);
+	call_finish(call, &result);
+}
+
+static void on_data(void *arg, const void *data, size_t len)
+{
+	struct call *call = arg;
+
+	if (call->len + len > call->size) {
+		call->size = (call->len + len) * 2;
+		call->body = xrealloc(call->body, call->size);
+	}
+	memcpy(call->body + call->len, data, len);
+	call->len += len;
+}
+
+static void on_end(void *arg, int err, int status)
+{
+	struct call *call = arg;
+
+	call->http = NULL;
+	if (err) {
+		call_fail(call, err == ERR_UNAVAILABLE ? ERR_UNAVAILABLE
+						       : ERR_UNKNOWN);
+		return;
+	}
+	note_answer(call);
+	err = status_error(call, status);
+	if (err && err != ERR_CONFLICT)
+		call_fail(call, err);
+	else
+		call_succeed(call, err);
+}
+
+static void on_later(void *arg)
+{
+	call_fail(arg, ERR_INVALID);
+}
+
+static void start(struct call *call, const char *method, const char *path,
+		  const char *body, int64_t timeout_ms)
+{
+	static const struct httpc_handlers handlers = { .on_data = on_data,
+							.on_end = on_end };
+	struct http_header type = { "Content-Type", "application/json" };
+	struct header_list headers = { &type, body ? 1 : 0 };
+	struct httpc_request request = { .method = method,
+					 .path = path,
+					 .headers = &headers,
+					 .body = body,
+					 .body_len = body ? strlen(body) : 0,
+					 .timeout_ms = timeout_ms,
+					 .max_answer = ANSWER_MAX };
+
+	call->kv->call_count++;
+	call->started = sysclock_now();
+	call->http = httpc_start(call->kv->pool, &request, &handlers, call);
+	if (call->http)
+		return;
+	call->later = loop_timer_new(call->kv->loop, on_later, call);
+	loop_timer_start(call->later, 0);
+}
+
+static struct call *call_new(struct kv *kv, enum call_kind kind, kv_fn fn,
+			     void *arg)
+{
+	struct call *call = xcalloc(1, sizeof(*call));
+
+	call->kv = kv;
+	call->kind = kind;
+	call->fn = fn;
+	call->arg = arg;
+	list_add_tail(&kv->calls, &call->node);
+	return call;
+}
+
+struct kv *kv_new(struct loop *loop, const char *address, int64_t timeout_ms)
+{
+	struct httpc_pool *pool =
+		httpc_pool_new(loop, address, IDLE_CONNECTIONS);
+	struct kv *kv;
+
+	if (!pool)
+		return NULL;
+	kv = xcalloc(1, sizeof(*kv));
+	kv->loop = loop;
+	kv->address = xstrdup(address);
+	kv->timeout_ms = timeout_ms;
+	kv->pool = pool;
+	kv->answered_at = sysclock_now();
+	list_init(&kv->calls);
+	return kv;
+}
+
+static void drop_calls(struct kv *kv, const void *arg)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &kv->calls) {
+		struct call *call = list_entry(pos, struct call, node);
+
+		if (!arg || call->arg == arg)
+			call_free(call);
+	}
+}
+
+void kv_delete(struct kv *kv)
+{
+	if (!kv)
+		return;
+	drop_calls(kv, NULL);
+	httpc_pool_delete(kv->pool);
+	free(kv->address);
+	free(kv);
+}
+
+void kv_forget(struct kv *kv, const void *arg)
+{
+	drop_calls(kv, arg);
+}
+
+void kv_get(struct kv *kv, const char *key, kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_GET, fn, arg);
+	char *encoded = evhttp_uriencode(key, -1, 0);
+	char path[PATH_SIZE];
+
+	snprintf(path, sizeof(path), "/catkinhill/kv-key?key=%s", encoded);
+	free(encoded);
+	start(call, "GET", path, NULL, kv->timeout_ms);
+}
+
+void kv_list(struct kv *kv, const char *prefix, kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_LIST, fn, arg);
+
+	call->prefix = xstrdup(prefix);
+	list_start(call, "");
+}
+
+void kv_watch(struct kv *kv, const char *prefix, int64_t after, int64_t wait_ms,
+	      kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_WATCH, fn, arg);
+	char *encoded = evhttp_uriencode(prefix, -1, 0);
+	char path[PATH_SIZE];
+
+	snprintf(path, sizeof(path),
+		 "/catkinhill/kv-watch?prefix=%s&after=%" PRId64
+		 "&waitMs=%" PRId64,
+		 encoded, after, wait_ms);
+	free(encoded);
+	start(call, "GET", path, NULL, wait_ms + WATCH_SLACK_MS);
+}
+
+void kv_txn(struct kv *kv, const struct kv_txn *txn, kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_TXN, fn, arg);
+	char *body = kv_json_txn(txn);
+
+	start(call, "POST", "/catkinhill/kv-txn", body, kv->timeout_ms);
+	free(body);
+}
+
+void kv_lease_grant(struct kv *kv, int64_t ttl_ms, kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_LEASE, fn, arg);
+	char body[64];
+
+	snprintf(body, sizeof(body), "{\"ttlMs\":%" PRId64 "}", ttl_ms);
+	start(call, "POST", "/catkinhill/kv-lease", body, kv->timeout_ms);
+}
+
+static void lease_call(struct kv *kv, const char *method, const char *name,
+		       int64_t lease, kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_LEASE, fn, arg);
+	char path[PATH_SIZE];
+
+	snprintf(path, sizeof(path), "/catkinhill/%s/%" PRId64, name, lease);
+	start(call, method, path, NULL, kv->timeout_ms);
+}
+
+void kv_lease_keep(struct kv *kv, int64_t lease, kv_fn fn, void *arg)
+{
+	lease_call(kv, "POST", "kv-keep", lease, fn, arg);
+}
+
+void kv_lease_end(struct kv *kv, int64_t lease, kv_fn fn, void *arg)
+{
+	lease_call(kv, "DELETE", "kv-lease-end", lease, fn, arg);
+}
+
+int64_t kv_latency_ms(const struct kv *kv)
+{
+	return kv->latency_ms;
+}
+
+int64_t kv_silent_ms(const struct kv *kv)
+{
+	return mstime_diff(sysclock_now(), kv->answered_at);
+}
+
+int64_t kv_calls(const struct kv *kv)
+{
+	return kv->call_count;
+}
--- /dev/null
+++ b/packages/platform/src/platformjson.c
@@ -0,0 +1,375 @@
+#include "platformjson.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "errors.h"
+#include "mem.h"
+#include "tasknames.h"
+
+#define CALL_PREFIX "/catkinhill/instances/"
+#define CPU_MAX 100000000
+
+/* Reads typed fields and keeps the first error. */
+struct reader {
+	int err;
+	const char *reason;
+};
+
+static void reject(struct reader *reader, const char *reason)
+{
+	if (reader->err)
+		return;
+	reader->err = ERR_MALFORMED;
+	reader->reason = reason;
+}
+
+static int64_t read_number(struct reader *reader, const json_t *object,
+			   const char *key, int64_t max)
+{
+	const json_t *value = json_object_get(object, key);
+	double number;
+
+	if (!value || json_is_null(value))
+		return 0;
+	number = json_number_value(value);
+	if (!json_is_number(value) || number < 0 || number > (double)max) {
+		reject(reader, key);
+		return 0;
+	}
+	return (int64_t)number;
+}
+
+static unsigned read_flag(struct reader *reader, const json_t *object,
+			  const char *key)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (value && !json_is_boolean(value))
+		reject(reader, key);
+	return json_is_true(value);
+}
+
+/* NULL for a missing or empty text. */
+static char *read_text(struct reader *reader, const json_t *object,
+		       const char *key)
+{
+	const json_t *value = json_object_get(object, key);
+
+	if (value && !json_is_string(value))
+		reject(reader, key);
+	if (!json_string_length(value))
+		return NULL;
+	return xstrdup(json_string_value(value));
+}
+
+static void read_fixed(struct reader *reader, const json_t *object,
+		       const char *key, char *dst, size_t size)
+{
+	const char *value = json_string_value(json_object_get(object, key));
+
+	if (!value || str_copy(dst, value, size))
+		reject(reader, key);
+}
+
+static void read_resources(struct reader *reader, const json_t *object,
+			   struct resources *dst)
+{
+	dst->cpu_milli =
+		(uint32_t)read_number(reader, object, "cpu", CPU_MAX);
+	dst->mem_mb = (uint32_t)read_number(reader, object, "memMb", CPU_MAX);
+	dst->accel = (uint32_t)read_number(reader, object, "gpu", CPU_MAX);
+}
+
+static void read_after(struct reader *reader, const json_t *object,
+		       struct workflow_step *step)
+{
+	const json_t *list = json_object_get(object, "after");
+	size_t i, count = json_array_size(list);
+
+	if (list && !json_is_array(list))
+		reject(reader, "after");
+	if (count > STEPS_MAX)
+		reject(reader, "after");
+	if (reader->err || !count)
+		return;
+	step->after = xcalloc(count, sizeof(*step->after));
+	for (i = 0; i < count; i++) {
+		const json_t *item = json_array_get(list, i);
+
+		if (!json_is_integer(item) || json_integer_value(item) < 0 ||
+		    json_integer_value(item) >= STEPS_MAX)
+			reject(reader, "after");
+		step->after[step->after_count++] =
+			(uint32_t)json_integer_value(item);
+	}
+}
+
+static void read_step(struct reader *reader, const json_t *object,
+		      struct workflow_step *step)
+{
+	if (!json_is_object(object)) {
+		reject(reader, "steps");
+		return;
+	}
+	step->count = (uint32_t)read_number(reader, object, "count",
+					    TASKS_PER_WORKFLOW_MAX);
+	read_resources(reader, object, &step->need);
+	step->estimate_ms =
+		read_number(reader, object, "estimateMs", INT32_MAX);
+	step->max_per_worker = (uint32_t)read_number(
+		reader, object, "maxPerServer", TASKS_PER_WORKFLOW_MAX);
+	step->may_miss = (uint32_t)read_number(reader, object, "mayMiss",
+					       TASKS_PER_WORKFLOW_MAX);
+	step->latency_target_ms =
+		read_number(reader, object, "latencyTargetMs", INT32_MAX);
+	step->gang = read_flag(reader, object, "gang");
+	step->same_rack = read_flag(reader, object, "sameRack");
+	step->checkpointing = read_flag(reader, object, "checkpointing");
+	step->concurrent = read_flag(reader, object, "concurrent");
+	step->long_running = read_flag(reader, object, "longRunning");
+	step->fills = read_flag(reader, object, "fills");
+	step->required_label = read_text(reader, object, "requiredLabel");
+	step->data_rack = read_text(reader, object, "dataRack");
+	step->image = read_text(reader, object, "image");
+	read_after(reader, object, step);
+}
+
+static void read_spec(struct reader *reader, const json_t *root,
+		      struct workflow_spec *spec)
+{
+	const json_t *steps = json_object_get(root, "steps");
+	size_t i, count = json_array_size(steps);
+
+	if (!json_is_array(steps) || !count || count > STEPS_MAX) {
+		reject(reader, "steps");
+		return;
+	}
+	spec->payload = read_text(reader, root, "spec");
+	if (!spec->payload)
+		spec->payload = xstrdup("");
+	spec->occurrences = (uint32_t)read_number(reader, root, "repeatCount",
+						  OCCURRENCES_MAX);
+	spec->first_ms = read_number(reader, root, "firstMs", INT64_MAX / 4);
+	spec->interval_ms =
+		read_number(reader, root, "intervalMs", INT64_MAX / 4);
+	spec->steps = xcalloc(count, sizeof(*spec->steps));
+	spec->step_count = count;
+	for (i = 0; i < count; i++)
+		read_step(reader, json_array_get(steps, i), &spec->steps[i]);
+}
+
+int platform_decode_workflow(const char *json, size_t len, const char *id,
+			     struct workflow_spec *spec, const char **reason)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	struct reader reader = { 0, "" };
+
+	memset(spec, 0, sizeof(*spec));
+	if (!job_id_valid(id))
+		reject(&reader, "identifier");
+	else if (!json_is_object(root))
+		reject(&reader, "not a JSON object");
+	else
+		read_spec(&reader, root, spec);
+	json_decref(root);
+	if (!reader.err) {
+		str_copy(spec->id, id, sizeof(spec->id));
+		reader.err = workflow_spec_check(spec, &reader.reason);
+	}
+	*reason = reader.reason;
+	if (reader.err)
+		workflow_spec_clear(spec);
+	return reader.err;
+}
+
+static enum worker_state read_state(struct reader *reader, const json_t *root)
+{
+	const char *state = json_string_value(json_object_get(root, "state"));
+
+	if (state && !strcmp(state, "ready"))
+		return WORKER_READY;
+	if (state && !strcmp(state, "draining"))
+		return WORKER_LEAVING;
+	reject(reader, "state");
+	return WORKER_ABSENT;
+}
+
+static void read_labels(struct reader *reader, const json_t *root,
+			struct announcement *announcement)
+{
+	const json_t *list = json_object_get(root, "labels");
+	size_t i;
+
+	if (list && !json_is_array(list))
+		reject(reader, "labels");
+	for (i = 0; i < json_array_size(list) &&
+		    announcement->label_count < LABELS_MAX;
+	     i++) {
+		const char *label = json_string_value(json_array_get(list, i));
+
+		if (label &&
+		    !str_copy(announcement->labels[announcement->label_count],
+			      label, NAME_SIZE))
+			announcement->label_count++;
+	}
+}
+
+int platform_decode_announcement(const char *json, size_t len,
+				 struct announcement *announcement)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	struct reader reader = { 0, "" };
+
+	memset(announcement, 0, sizeof(*announcement));
+	if (!json_is_object(root))
+		reject(&reader, "not a JSON object");
+	read_fixed(&reader, root, "service", announcement->service,
+		   sizeof(announcement->service));
+	announcement->state = read_state(&reader, root);
+	announcement->remaining_ms =
+		read_number(&reader, root, "remainingMs", INT32_MAX);
+	read_resources(&reader, json_object_get(root, "capacity"),
+		       &announcement->capacity);
+	read_labels(&reader, root, announcement);
+	announcement->born = (uint64_t)read_number(&reader, root, "born",
+						   INT64_MAX / 4);
+	announcement->sequence = (uint64_t)read_number(
+		&reader, root, "sequence", INT64_MAX / 4);
+	announcement->clock_ms =
+		read_number(&reader, root, "clockMs", INT64_MAX / 4);
+	json_decref(root);
+	return reader.err;
+}
+
+static void read_queue(struct reader *reader, const json_t *route,
+		       struct platform_queue *queue)
+{
+	read_fixed(reader, route, "host", queue->host, sizeof(queue->host));
+	read_fixed(reader, route, "prefix", queue->prefix,
+		   sizeof(queue->prefix));
+	read_fixed(reader, route, "name", queue->queue.name,
+		   sizeof(queue->queue.name));
+	read_fixed(reader, route, "service", queue->queue.service,
+		   sizeof(queue->queue.service));
+	queue->queue.priority =
+		(uint32_t)read_number(reader, route, "priority", INT32_MAX);
+	queue->queue.max_attempts =
+		(uint32_t)read_number(reader, route, "maxAttempts", INT32_MAX);
+	queue->queue.stretch =
+		json_number_value(json_object_get(route, "stretch"));
+	queue->queue.extra_ms = read_number(reader, route,
+					    "completionTargetMs", INT32_MAX);
+	queue->queue.has_advice =
+		json_is_object(json_object_get(route, "advice"));
+}
+
+int platform_decode_config(const char *json, size_t len,
+			   struct platform_config *config)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	const json_t *routes = json_object_get(root, "routes");
+	struct platform_config decoded = { 0 };
+	struct reader reader = { 0, "" };
+	size_t i;
+
+	if (!json_is_array(routes))
+		reject(&reader, "routes");
+	decoded.version =
+		read_number(&reader, root, "version", INT64_MAX / 4);
+	decoded.body_max =
+		read_number(&reader, json_object_get(root, "limits"),
+			    "maxBodyBytes", INT32_MAX);
+	decoded.queue_count = json_array_size(routes);
+	decoded.queues =
+		xcalloc(decoded.queue_count + 1, sizeof(*decoded.queues));
+	for (i = 0; i < decoded.queue_count; i++)
+		read_queue(&reader, json_array_get(routes, i),
+			   &decoded.queues[i]);
+	json_decref(root);
+	if (reader.err) {
+		platform_config_clear(&decoded);
+		return reader.err;
+	}
+	platform_config_clear(config);
+	*config = decoded;
+	return 0;
+}
+
+void platform_config_clear(struct platform_config *config)
+{
+	free(config->queues);
+	memset(config, 0, sizeof(*config));
+}
+
+static int host_equal(const char *host, const char *configured)
+{
+	size_t len = strcspn(host, ":");
+
+	return strlen(configured) == len && !strncmp(host, configured, len);
+}
+
+const struct platform_queue *platform_queue_find(
+	const struct platform_config *config, const char *host,
+	const char *path)
+{
+	const struct platform_queue *best = NULL;
+	size_t i, best_len = 0;
+
+	for (i = 0; host && i < config->queue_count; i++) {
+		const struct platform_queue *queue = &config->queues[i];
+		size_t len = strlen(queue->prefix);
+
+		if (!host_equal(host, queue->host) || len < best_len ||
+		    strncmp(path, queue->prefix, len) != 0)
+			continue;
+		best = queue;
+		best_len = len;
+	}
+	return best;
+}
+
+char *platform_state_body(enum workflow_state state)
+{
+	static const char *const words[WORKFLOW_STATE_COUNT] = {
+		[WORKFLOW_QUEUED] = "queued",
+		[WORKFLOW_RUNNING] = "running",
+		[WORKFLOW_COMPLETE] = "complete",
+		[WORKFLOW_FAILED] = "failed",
+		[WORKFLOW_CANCELLED] = "cancelled",
+	};
+
+	return xstrfmt("{\"state\":\"%s\"}", words[state]);
+}
+
+char *platform_pending_body(uint32_t pending)
+{
+	return xstrfmt("{\"pending\":%u}", pending);
+}
+
+enum platform_call platform_call_parse(const char *method, const char *path,
+				       char *id, size_t size)
+{
+	const char *rest, *slash;
+	int is_post = !strcmp(method, "POST");
+
+	*id = '\0';
+	if (!strcmp(path, "/catkinhill/readyz"))
+		return PLATFORM_CALL_PROBE;
+	if (!is_post || strncmp(path, CALL_PREFIX, strlen(CALL_PREFIX)) != 0)
+		return PLATFORM_CALL_NONE;
+	rest = path + strlen(CALL_PREFIX);
+	slash = strchr(rest, '/');
+	if (!slash || slash == rest || (size_t)(slash - rest) >= size)
+		return PLATFORM_CALL_NONE;
+	memcpy(id, rest, (size_t)(slash - rest));
+	id[slash - rest] = '\0';
+	if (!strcmp(slash, "/heartbeat"))
+		return PLATFORM_CALL_ANNOUNCE;
+	if (!strcmp(slash, "/deregister"))
+		return PLATFORM_CALL_DEREGISTER;
+	return PLATFORM_CALL_NONE;
+}
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -23,6 +23,10 @@
 #define HEADERS_MAX 64
 #define TASKS_MAX 256
 #define ENTRIES_MAX 64
+#define JOB_ID_SIZE 24
+#define RUNS_MAX 1024
+#define ORDER_STARTS_MAX 24 /* each with a payload of up to 4,000 bytes */
+#define LABELS_MAX 16
 
 /* What is known about a request. */
 enum outcome {
@@ -145,9 +149,49 @@
 	MSG_TASK_REPORT,
 	MSG_TASK_REPORT_ACK,
 	MSG_OWNER,
+	MSG_WORK_HELLO,
+	MSG_WORK_REPORT,
+	MSG_WORK_ORDERS,
 	MSG_TYPE_COUNT
 };
 
+/* One task of a workflow; the numbers count from 0. */
+struct task_id {
+	char job[JOB_ID_SIZE];
+	uint32_t occurrence;
+	uint32_t step;
+	uint32_t index;
+};
+
+/* How a run ended at its worker. */
+enum run_end {
+	RUN_END_DONE,
+	RUN_END_FAILED,
+	RUN_END_STOPPED, /* by an order */
+	RUN_END_LAPSED,	 /* its lease expired */
+	RUN_END_BROKEN,	 /* another member of its gang ended */
+	RUN_END_ALONE,	 /* the other members of its gang did not come */
+	RUN_END_COUNT
+};
+
+/* What a runner knows of a run that has not ended. */
+enum run_phase {
+	RUN_PENDING, /* ordered; the worker has not confirmed the start */
+	RUN_ACTIVE,  /* listed by the worker */
+	RUN_GONE,    /* started, but neither listed nor ended */
+	RUN_REFUSED, /* the worker proved that it was not started */
+	RUN_PHASE_COUNT
+};
+
+enum worker_state {
+	WORKER_ABSENT, /* no worker has announced itself to the runner */
+	WORKER_READY,
+	WORKER_LEAVING,
+	WORKER_STATE_COUNT
+};
+
+const char *run_end_name(enum run_end end);
+
 struct msg_announce {
 	char agent[ID_SIZE];
 	uint64_t incarnation;
@@ -296,6 +340,106 @@
 	char entry[ID_SIZE];
 };
 
+/* Tells a runner which scheduler to report to. */
+struct msg_work_hello {
+	uint64_t epoch;
+	char scheduler[ID_SIZE];
+};
+
+struct text_item {
+	const char *text;
+};
+
+struct text_list {
+	struct text_item *items;
+	size_t count;
+};
+
+struct run_status {
+	struct task_id task;
+	uint32_t run;
+	uint32_t phase;	  /* enum run_phase */
+	uint32_t percent; /* share at which it is allowed to work */
+	uint32_t load;	  /* tail latency in ms, or cpu in use; see image */
+	const char *checkpoint;
+	const char *detail; /* why a start was refused, or "" */
+};
+
+struct run_status_list {
+	struct run_status *items;
+	size_t count;
+};
+
+struct run_ended {
+	uint64_t number; /* grows by one in each incarnation of a worker */
+	struct task_id task;
+	uint32_t run;
+	uint32_t how; /* enum run_end */
+	const char *checkpoint;
+};
+
+struct run_ended_list {
+	struct run_ended *items;
+	size_t count;
+};
+
+struct msg_work_report {
+	uint64_t epoch;	  /* of the scheduler that is reported to */
+	uint64_t seq;	  /* grows by one in each session */
+	uint64_t session; /* incarnation of the runner */
+	char worker[ID_SIZE];
+	uint64_t born;	/* start of the worker, ms since 1970 */
+	uint64_t fence; /* under which the worker was listed; 0: not yet */
+	uint32_t state; /* enum worker_state */
+	uint32_t remaining_ms;
+	uint32_t lists_old; /* ms since the lists were read */
+	char service[ID_SIZE];
+	struct resources capacity;
+	struct text_list labels;
+	struct run_status_list runs;
+	struct run_ended_list ends;
+};
+
+struct run_order {
+	struct task_id task;
+	uint32_t run;
+	const char *payload;
+	const char *checkpoint;
+	uint32_t fills;		    /* works on what other tasks leave unused */
+	uint32_t latency_target_ms; /* 0: the task serves nobody */
+};
+
+struct run_order_list {
+	struct run_order *items;
+	size_t count;
+};
+
+struct run_name {
+	struct task_id task;
+	uint32_t run;
+};
+
+struct run_name_list {
+	struct run_name *items;
+	size_t count;
+};
+
+/*
+ * Answers a report. The lease of everything at the worker is extended to
+ * lease_ms after the report with report_seq was sent; 0 extends nothing.
+ */
+struct msg_work_orders {
+	uint64_t epoch;
+	uint64_t report_seq;
+	uint64_t fence;
+	char worker[ID_SIZE];
+	uint64_t born;
+	uint32_t lease_ms;
+	uint64_t ends_seen; /* ends up to this number are stored */
+	struct run_order_list starts;
+	struct run_name_list stops;
+};
+
 struct message {
 	enum message_type type;
 	union {
@@ -316,6 +460,9 @@
 		struct msg_task_report task_report;
 		struct msg_task_report_ack task_report_ack;
 		struct msg_owner owner;
+		struct msg_work_hello work_hello;
+		struct msg_work_report work_report;
+		struct msg_work_orders work_orders;
 	} u;
 	void *storage; /* of a decoded message; NULL in one that is sent */
 };
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -78,6 +78,8 @@
 #define COMMAND_MAX (4 * 1024)
 #define DETAIL_MAX 256
 #define STATUS_MAX 1000
+#define PAYLOAD_MAX 4000
+#define LABEL_MAX 64
 
 static const struct field resources_fields[] = {
 	U32(struct resources, cpu_milli),
@@ -250,6 +252,88 @@
 	ID(struct msg_owner, entry),
 };
 
+static const struct field task_id_fields[] = {
+	ID(struct task_id, job),
+	U32(struct task_id, occurrence),
+	U32(struct task_id, step),
+	U32(struct task_id, index),
+};
+
+static const struct field text_item_fields[] = {
+	TEXT(struct text_item, text, LABEL_MAX),
+};
+
+static const struct field run_status_fields[] = {
+	NESTED(struct run_status, task, task_id_fields),
+	U32(struct run_status, run),
+	ENUM(struct run_status, phase, RUN_PHASE_COUNT),
+	U32(struct run_status, percent),
+	U32(struct run_status, load),
+	TEXT(struct run_status, checkpoint, CHECKPOINT_MAX),
+	TEXT(struct run_status, detail, DETAIL_MAX),
+};
+
+static const struct field run_ended_fields[] = {
+	U64(struct run_ended, number),
+	NESTED(struct run_ended, task, task_id_fields),
+	U32(struct run_ended, run),
+	ENUM(struct run_ended, how, RUN_END_COUNT),
+	TEXT(struct run_ended, checkpoint, CHECKPOINT_MAX),
+};
+
+static const struct field run_order_fields[] = {
+	NESTED(struct run_order, task, task_id_fields),
+	U32(struct run_order, run),
+	TEXT(struct run_order, payload, PAYLOAD_MAX),
+	TEXT(struct run_order, checkpoint, CHECKPOINT_MAX),
+	ENUM(struct run_order, fills, 2),
+	U32(struct run_order, latency_target_ms),
+};
+
+static const struct field run_name_fields[] = {
+	NESTED(struct run_name, task, task_id_fields),
+	U32(struct run_name, run),
+};
+
+static const struct field work_hello_fields[] = {
+	U64(struct msg_work_hello, epoch),
+	ID(struct msg_work_hello, scheduler),
+};
+
+static const struct field work_report_fields[] = {
+	U64(struct msg_work_report, epoch),
+	U64(struct msg_work_report, seq),
+	U64(struct msg_work_report, session),
+	ID(struct msg_work_report, worker),
+	U64(struct msg_work_report, born),
+	U64(struct msg_work_report, fence),
+	ENUM(struct msg_work_report, state, WORKER_STATE_COUNT),
+	U32(struct msg_work_report, remaining_ms),
+	U32(struct msg_work_report, lists_old),
+	ID(struct msg_work_report, service),
+	NESTED(struct msg_work_report, capacity, resources_fields),
+	LIST(struct msg_work_report, labels, LABELS_MAX, struct text_item,
+	     text_item_fields),
+	LIST(struct msg_work_report, runs, RUNS_MAX, struct run_status,
+	     run_status_fields),
+	LIST(struct msg_work_report, ends, RUNS_MAX, struct run_ended,
+	     run_ended_fields),
+};
+
+static const struct field work_orders_fields[] = {
+	U64(struct msg_work_orders, epoch),
+	U64(struct msg_work_orders, report_seq),
+	U64(struct msg_work_orders, fence),
+	ID(struct msg_work_orders, worker),
+	U64(struct msg_work_orders, born),
+	U32(struct msg_work_orders, lease_ms),
+	U64(struct msg_work_orders, ends_seen),
+	LIST(struct msg_work_orders, starts, ORDER_STARTS_MAX, struct run_order,
+	     run_order_fields),
+	LIST(struct msg_work_orders, stops, RUNS_MAX, struct run_name,
+	     run_name_fields),
+};
+
 #define ROW(type, name) [type] = { #name, name##_fields, COUNT(name##_fields) }
 
 static const struct {
@@ -274,6 +358,9 @@
 	ROW(MSG_TASK_REPORT, task_report),
 	ROW(MSG_TASK_REPORT_ACK, task_report_ack),
 	ROW(MSG_OWNER, owner),
+	ROW(MSG_WORK_HELLO, work_hello),
+	ROW(MSG_WORK_REPORT, work_report),
+	ROW(MSG_WORK_ORDERS, work_orders),
 };
 
 static int known_type(uint64_t type)
--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -206,7 +206,8 @@
         with open(self.folder + "/agent.log", "a") as log:
             self.agent = spawn(
                 [self.build + "/catkinhilld", "--config",
-                 self.folder + "/agent.ini"], stderr=log)
+                 self.folder + "/agent.ini"], stdout=log,
+                stderr=subprocess.STDOUT)
         self.processes.append(self.agent)
 
     def record(self):
--- a/tests/e2e/entry_rig.py
+++ b/tests/e2e/entry_rig.py
@@ -43,7 +43,8 @@
         self.log = open(os.path.join(folder, name + ".log"), "w+")
         self.process = spawn(
             [os.path.join(BUILD, "catkinhilld"), "--config", path],
-            stderr=self.log)
+            stdout=self.log,
+            stderr=subprocess.STDOUT)
         wait_for("entry", self.ready)
 
     def stop(self):
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -26,6 +26,16 @@
 static struct entry_address entries[] = { { "e1", "127.0.0.1:7001" } };
 
 /* One message of each type with a field that must survive. */
+static struct run_status run_statuses[] = {
+	{ { "j1", 0, 1, 2 }, 3, RUN_ACTIVE, 100, 7, "c", "" },
+};
+static struct run_ended run_ends[] = {
+	{ 9, { "j1", 0, 1, 3 }, 1, RUN_END_DONE, "" },
+};
+static struct run_order run_orders[] = {
+	{ { "j1", 0, 1, 4 }, 1, "payload", "", 1, 0 },
+};
+
 static const struct message samples[] = {
 	{ MSG_ANNOUNCE,
 	  { .announce = { .agent = "a1",
@@ -65,6 +75,20 @@
 	{ MSG_TASK_REPORT, { .task_report = { 1, 2, 3, "a1", { tasks, 1 } } } },
 	{ MSG_TASK_REPORT_ACK, { .task_report_ack = { 1, 2, 3, 1 } } },
 	{ MSG_OWNER, { .owner = { 1, 2, "e1" } } },
+	{ MSG_WORK_HELLO, { .work_hello = { 7, "s1" } } },
+	{ MSG_WORK_REPORT,
+	  { .work_report = { .epoch = 7,
+			     .seq = 2,
+			     .worker = "w1",
+			     .state = WORKER_READY,
+			     .runs = { run_statuses, 1 },
+			     .ends = { run_ends, 1 } } } },
+	{ MSG_WORK_ORDERS,
+	  { .work_orders = { .epoch = 7,
+			     .report_seq = 2,
+			     .worker = "w1",
+			     .lease_ms = 5000,
+			     .starts = { run_orders, 1 } } } },
 };
 
 #define SAMPLES (sizeof(samples) / sizeof(samples[0]))
