dispatch: let filling runs use what others leave, ask for a pace once

Cause: filling steps were limited to cpu that no other task declares, and the fourth column of the worker's list was read as the pace; it is progress, so each list caused a new pace call.

Change: a filling step fits while its cpu fits beside 55% of what the others declare; the pace that was asked for is kept apart from the listed progress.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -35,7 +35,7 @@
 	int64_t keep_final_ms;	   /* a final workflow stays known */
 	int64_t worker_silent_ms;  /* without a report: no new runs */
 	int64_t worker_penalty_ms; /* no new runs after repeated failures */
-	uint32_t fill_percent;	   /* cpu of filling tasks over spare cpu */
+	uint32_t usage_percent;	   /* cpu in use, of what other tasks declare */
 };
 
 extern const struct dispatch_limits dispatch_defaults;
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -24,7 +24,8 @@
 	/* Three reports. */
 	.worker_silent_ms = 1600,
 	.worker_penalty_ms = 2000,
-	.fill_percent = 100,
+	/* Declared sizes are well above what is used on average. */
+	.usage_percent = 55,
 };
 
 int task_id_equal(const struct task_id *a, const struct task_id *b)
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -49,14 +49,14 @@
 		    const struct worker *worker,
 		    const struct workflow_step *step)
 {
-	uint64_t spare = spare_cpu(worker);
+	uint64_t unused;
 
 	if (!step->fills)
-		return step->need.cpu_milli <= spare;
-	if (!worker->fill_cpu)
-		return spare * 2 >= step->need.cpu_milli;
-	return (uint64_t)worker->fill_cpu + step->need.cpu_milli <=
-	       spare * dispatch->limits.fill_percent / 100;
+		return step->need.cpu_milli <= spare_cpu(worker);
+	unused = worker->capacity.cpu_milli -
+		 (uint64_t)worker->used.cpu_milli *
+			 dispatch->limits.usage_percent / 100;
+	return (uint64_t)worker->fill_cpu + step->need.cpu_milli <= unused;
 }
 
 static int fits(const struct dispatch *dispatch, const struct worker *worker,
--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -63,6 +63,7 @@
 	local->run = run;
 	local->phase = phase;
 	local->percent = 100;
+	local->pace = 100;
 	list_add_tail(&runner->runs, &local->node);
 	runner->run_count++;
 	return local;
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -31,7 +31,8 @@
 	char *detail;
 	uint32_t fills;
 	uint32_t latency_target_ms;
-	uint32_t percent;
+	uint32_t percent;   /* as the worker lists it */
+	uint32_t pace;	    /* as last asked for */
 	uint32_t load;
 	int attempts;
 	int unsettled;	    /* start calls without an answer */
--- a/packages/daemon/src/runner_pace.c
+++ b/packages/daemon/src/runner_pace.c
@@ -72,10 +72,10 @@
 		struct local_run *run = list_entry(pos, struct local_run, node);
 
 		if (!run->fills || run->phase != RUN_ACTIVE ||
-		    !differs(percent, run->percent))
+		    !differs(percent, run->pace))
 			continue;
 		runner->paces.value++;
-		run->percent = percent;
+		run->pace = percent;
 		workercall_pace(runner->calls, &runner->target, &run->task,
 				run->run, percent, on_paced,
 				&runner->pace_marker);
