dispatch: learn which images disturb which, and keep them apart

Data of a run at full pace show that few pairs of images matter, each by a factor of ten, and that the rest is harmless.

Change: colocation weighs each latency figure for or against the neighbours; filling runs avoid images that they disturb, guilty ones are slowed and moved, serving runs of one image share workers. The scheduler sets the pace; a runner without it slows all that fills.

--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -105,6 +105,8 @@
 	EV_RUNNER_HEARD = 3116,
 	EV_RUNNER_SILENT = 3117,
 	EV_RUNNER_UNREACHABLE = 3118,
+	EV_RUN_SLOWED = 3119,
+	EV_RUN_EVICTED = 3120,
 
 	/* 4000: operators and configuration */
 	EV_CONFIG_APPLIED = 4001,
--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -170,6 +170,10 @@
 	  "A runner has stopped reporting." },
 	{ EV_RUNNER_UNREACHABLE, LOG_WARN, "runner-unreachable",
 	  "A message to a runner could not be queued." },
+	{ EV_RUN_SLOWED, LOG_INFO, "run-slowed",
+	  "The pace of a filling run was changed for what serves beside it." },
+	{ EV_RUN_EVICTED, LOG_INFO, "run-evicted",
+	  "A run is stopped to go on at another worker." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -62,11 +62,18 @@
 	uint64_t seen;		  /* report that named it last */
 	struct mstime ordered_at; /* last time that the start was sent */
 	struct mstime active_at;  /* first time that it was listed */
-	uint32_t percent;
+	uint32_t progress;	 /* percent */
+	uint32_t load;		 /* latency in ms, or cpu in use */
+	uint32_t latency_target; /* ms; 0: serves nobody */
+	int image;		 /* see colocation; -1: not known */
+	uint32_t pace;		 /* percent */
+	uint32_t pace_sent;	 /* PACE_UNKNOWN: has to be sent */
+	struct mstime slowed_at; /* since when below full pace */
 	unsigned fills : 1;
 	unsigned is_ordered : 1;
 	unsigned is_active : 1;
 	unsigned is_stopping : 1;
+	unsigned is_evicted : 1; /* is stopped to run elsewhere */
 	unsigned is_orphan : 1; /* listed, but not the task's current run */
 	struct mstime stop_at;	/* last time that the stop was sent */
 };
@@ -107,6 +114,7 @@
 	uint64_t ends_stored;
 	uint32_t failures_in_row;
 	struct mstime shunned_until;
+	struct mstime figures_at; /* last time that latencies were weighed */
 	unsigned needs_answer : 1;
 };
 
@@ -118,7 +126,9 @@
 	NOTE_WORKER_NEW,
 	NOTE_WORKER_LAPSED,
 	NOTE_WORKFLOW_ENDED,
-	NOTE_ORPHAN
+	NOTE_ORPHAN,
+	NOTE_SLOWED,
+	NOTE_EVICTED
 };
 
 struct dispatch_note {
@@ -128,6 +138,7 @@
 	const struct task_id *task;	 /* may be NULL */
 	uint32_t run;
 	const char *reason;
+	uint32_t value; /* of NOTE_SLOWED: new pace, percent */
 };
 
 typedef void (*dispatch_note_fn)(void *arg, const struct dispatch_note *note);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -38,8 +38,12 @@
 		   const struct workflow *workflow, const struct worker *worker,
 		   const struct task_id *task, uint32_t run, const char *reason)
 {
-	struct dispatch_note note = { kind, workflow, worker,
-				      task, run,      reason };
+	struct dispatch_note note = { .kind = kind,
+				      .workflow = workflow,
+				      .worker = worker,
+				      .task = task,
+				      .run = run,
+				      .reason = reason };
 
 	if (dispatch->note_fn)
 		dispatch->note_fn(dispatch->note_arg, &note);
@@ -56,6 +60,7 @@
 	dispatch->started = now;
 	dispatch->note_fn = fn;
 	dispatch->note_arg = arg;
+	dispatch->colocation = colocation_new();
 	list_init(&dispatch->workflows);
 	list_init(&dispatch->finals);
 	list_init(&dispatch->workers);
@@ -111,6 +116,7 @@
 		worker_delete(list_entry(pos, struct worker, node));
 	forget_all(dispatch, &dispatch->workflows);
 	forget_all(dispatch, &dispatch->finals);
+	colocation_delete(dispatch->colocation);
 	free(dispatch);
 }
 
@@ -190,9 +196,11 @@
 					worker->born = task->place->born;
 				}
 				task->current = dispatch_run_new(
-					worker, workflow, &id, task->run);
+					dispatch, worker, workflow, &id, task->run);
 				task->current->state = RUN_SAVED;
 				task->current->is_ordered = 1;
+				task->current->pace_sent =
+					PACE_UNKNOWN;
 				task->current->born =
 					task->place->born;
 			}
@@ -272,7 +280,7 @@
 	return worker;
 }
 
-struct run *dispatch_run_new(struct worker *worker, struct workflow *workflow,
+struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker, struct workflow *workflow,
 			     const struct task_id *id, uint32_t number)
 {
 	const struct workflow_step *step = &workflow->spec.steps[id->step];
@@ -285,7 +293,10 @@
 	run->number = number;
 	run->need = step->need;
 	run->fills = step->fills;
-	run->percent = 100;
+	run->latency_target = (uint32_t)step->latency_target_ms;
+	run->image = colocation_image(dispatch->colocation, step->image);
+	run->pace = 100;
+	run->pace_sent = 100;
 	list_add_tail(&worker->runs, &run->node);
 	worker->run_count++;
 	worker->used.mem_mb += run->need.mem_mb;
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -10,8 +10,19 @@
 	struct workflow *workflow;
 	const struct workflow_step *step;
 	uint32_t occurrence, step_index;
+	int image;
 };
 
+/* Filling work goes nowhere where it is likely to do harm. */
+#define HARM_MAX 0.5
+/* Cost of certain harm, in shares of a worker's load. */
+#define HARM_WEIGHT 1.5
+/* Cost of a serving image beside others, and of one more worker for it. */
+#define MIXED_COST 1.0
+#define FRESH_COST 0.4
+/* Gain of a full worker over an empty one for a serving run. */
+#define PACK_WEIGHT 0.1
+
 static int has_label(const struct worker *worker, const char *label)
 {
 	size_t i;
@@ -101,11 +112,39 @@
 	return used / (worker->capacity.cpu_milli + 1.0);
 }
 
+/*
+ * Serving runs of one image share workers, so that an image that disturbs it
+ * finds workers where it does not run.
+ */
+static double mixture(const struct worker *worker,
+		      const struct request *request)
+{
+	const struct list *pos;
+	int others = 0, same = 0;
+
+	list_for_each (pos, &worker->runs) {
+		const struct run *run = list_entry(pos, struct run, node);
+
+		if (!run->latency_target)
+			continue;
+		if (run->image == request->image)
+			same++;
+		else
+			others++;
+	}
+	if (others)
+		return same ? MIXED_COST / 2 : MIXED_COST;
+	return same ? 0 : FRESH_COST;
+}
+
 static double score(const struct worker *worker, const struct request *request)
 {
 	const struct workflow_step *step = request->step;
 	double value = load_with(worker, step);
 
+	if (step->latency_target_ms)
+		value = mixture(worker, request) - value * PACK_WEIGHT;
+
 	if (step->data_rack && !has_label(worker, step->data_rack))
 		value += 1;
 	if (step->same_rack && !siblings_at(worker, request))
@@ -113,6 +152,31 @@
 	return value;
 }
 
+/* Harm between the task and its neighbours to be, 0 to 1. */
+static double harm_at(struct dispatch *dispatch, const struct worker *worker,
+		      const struct request *request, struct mstime now)
+{
+	const struct list *pos;
+	double worst = 0;
+
+	if (request->step->fills)
+		return dispatch_harm(dispatch, worker, request->image, now);
+	if (!request->step->latency_target_ms)
+		return 0;
+	list_for_each (pos, &worker->runs) {
+		const struct run *run = list_entry(pos, struct run, node);
+		double harm;
+
+		if (!run->fills)
+			continue;
+		harm = colocation_harm(dispatch->colocation, run->image,
+				       request->image, now);
+		if (harm > worst)
+			worst = harm;
+	}
+	return worst;
+}
+
 static struct worker *choose(struct dispatch *dispatch,
 			     const struct request *request, struct mstime now)
 {
@@ -122,11 +186,14 @@
 
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
-		double value;
+		double value, harm;
 
 		if (!may_take(dispatch, worker, request, now))
 			continue;
-		value = score(worker, request);
+		harm = harm_at(dispatch, worker, request, now);
+		if (request->step->fills && harm > HARM_MAX)
+			continue;
+		value = score(worker, request) + harm * HARM_WEIGHT;
 		if (best && value >= best_score)
 			continue;
 		best = worker;
@@ -135,7 +202,8 @@
 	return best;
 }
 
-static struct run *assign(const struct request *request, uint32_t index,
+static struct run *assign(struct dispatch *dispatch,
+			  const struct request *request, uint32_t index,
 			  struct worker *worker, uint32_t number)
 {
 	struct workflow *workflow = request->workflow;
@@ -152,7 +220,8 @@
 	str_copy(task->place->node, worker->runner, sizeof(task->place->node));
 	str_copy(task->place->worker, worker->id, sizeof(task->place->worker));
 	task->place->born = worker->born;
-	task->current = dispatch_run_new(worker, workflow, &id, number);
+	task->current =
+		dispatch_run_new(dispatch, worker, workflow, &id, number);
 	task->current->born = worker->born;
 	workflow->occurrences[id.occurrence].assigned[id.step]++;
 	return task->current;
@@ -201,7 +270,8 @@
 
 		if (!worker)
 			break;
-		runs[placed++] = assign(request, i, worker, number + 1);
+		runs[placed++] = assign(dispatch, request, i, worker,
+					number + 1);
 	}
 	for (i = 0; i < (uint32_t)placed; i++) {
 		if ((uint32_t)placed == count)
@@ -233,7 +303,8 @@
 		if (!worker)
 			break;
 		commit_run(dispatch,
-			   assign(request, i, worker, task->run + 1));
+			   assign(dispatch, request, i, worker,
+				  task->run + 1));
 		placed++;
 	}
 	return placed;
@@ -272,12 +343,15 @@
 			break;
 		for (step = 0; step < workflow->spec.step_count; step++) {
 			struct request request = {
-				workflow, &workflow->spec.steps[step], k, step
+				workflow, &workflow->spec.steps[step], k, step,
+				-1
 			};
 
 			if (!step_has_waiting(workflow, k, step) ||
 			    !workflow_step_open(workflow, k, step))
 				continue;
+			request.image = colocation_image(dispatch->colocation,
+							 request.step->image);
 			placed += assign_step(dispatch, &request, now);
 		}
 	}
@@ -294,3 +368,15 @@
 			dispatch, list_entry(pos, struct workflow, node), now);
 	return placed;
 }
+
+int dispatch_has_place(struct dispatch *dispatch, const struct run *run,
+		       struct mstime now)
+{
+	struct request request = {
+		run->workflow, &run->workflow->spec.steps[run->id.step],
+		run->id.occurrence, run->id.step, run->image
+	};
+	const struct worker *worker = choose(dispatch, &request, now);
+
+	return worker && worker != run->worker;
+}
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -1,6 +1,7 @@
 #ifndef CATKINHILL_DISPATCH_INTERNAL_H
 #define CATKINHILL_DISPATCH_INTERNAL_H
 
+#include "colocation.h"
 #include "dispatch.h"
 
 /*
@@ -28,6 +29,8 @@
 	void *note_arg;
 	struct run_order starts[ORDER_STARTS_MAX];
 	struct run_name stops[RUNS_MAX];
+	struct run_pace paces[RUNS_MAX];
+	struct colocation *colocation;
 };
 
 void dispatch_note(struct dispatch *dispatch, enum dispatch_note_kind kind,
@@ -39,7 +42,7 @@
 void dispatch_touch(struct dispatch *dispatch, struct workflow *workflow);
 
 /* Takes room at the worker. */
-struct run *dispatch_run_new(struct worker *worker, struct workflow *workflow,
+struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker, struct workflow *workflow,
 			     const struct task_id *id, uint32_t number);
 
 /* Gives the room back; the task, if this is its run, waits again. */
@@ -55,4 +58,18 @@
 
 int task_id_equal(const struct task_id *a, const struct task_id *b);
 
+/* Weighs the latencies of a report and sets the paces of what fills. */
+void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
+		   struct mstime now);
+
+/* Highest harm that an image that fills does to what serves at a worker. */
+double dispatch_harm(struct dispatch *dispatch, const struct worker *worker,
+		     int image, struct mstime now);
+
+/* Whether the task could be moved to another worker without harm. */
+int dispatch_has_place(struct dispatch *dispatch, const struct run *run,
+		       struct mstime now);
+
+#define PACE_UNKNOWN 255
+
 #endif
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -10,7 +10,8 @@
 
 static int is_unwanted(const struct run *run)
 {
-	return run->is_orphan || workflow_is_final(run->workflow);
+	return run->is_orphan || run->is_evicted ||
+	       workflow_is_final(run->workflow);
 }
 
 static int is_due(const struct dispatch *dispatch, struct mstime last,
@@ -68,6 +69,22 @@
 	run->stop_at = now;
 }
 
+static int wants_pace(const struct run *run)
+{
+	return run->fills && run->is_active && run->pace != run->pace_sent;
+}
+
+static void add_pace(struct dispatch *dispatch, struct run *run,
+		     struct msg_work_orders *orders)
+{
+	struct run_pace *pace = &dispatch->paces[orders->paces.count++];
+
+	pace->task = run->id;
+	pace->run = run->number;
+	pace->percent = run->pace;
+	run->pace_sent = run->pace;
+}
+
 int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
 			struct mstime now)
 {
@@ -80,7 +97,8 @@
 
 		if ((worker->is_listed &&
 		     wants_start(dispatch, run, now)) ||
-		    wants_stop(dispatch, run, now) || never_ordered(run))
+		    wants_stop(dispatch, run, now) || never_ordered(run) ||
+		    wants_pace(run))
 			return 1;
 	}
 	return 0;
@@ -113,6 +131,7 @@
 	orders->ends_seen = worker->ends_stored;
 	orders->starts.items = dispatch->starts;
 	orders->stops.items = dispatch->stops;
+	orders->paces.items = dispatch->paces;
 	if (may_extend && worker->lists_old <= LISTS_OLD_MAX_MS)
 		extend_lease(dispatch, worker, orders);
 	worker->needs_answer = 0;
@@ -128,6 +147,8 @@
 			 wants_start(dispatch, run, now) &&
 			 orders->starts.count < ORDER_STARTS_MAX)
 			add_start(dispatch, run, orders, now);
+		else if (wants_pace(run) && orders->paces.count < RUNS_MAX)
+			add_pace(dispatch, run, orders);
 	}
 	return 1;
 }
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -62,6 +62,7 @@
 		run->is_active = 0;
 		if (run->state == RUN_CONFIRMED)
 			run->state = RUN_SAVED;
+		run->pace_sent = PACE_UNKNOWN;
 	}
 }
 
@@ -203,7 +204,8 @@
 	struct run *run;
 
 	if (workflow && workflow_find(workflow, &status->task)) {
-		run = dispatch_run_new(worker, workflow, &status->task,
+		run = dispatch_run_new(dispatch, worker, workflow,
+				       &status->task,
 				       status->run);
 	} else {
 		run = xcalloc(1, sizeof(*run));
@@ -262,7 +264,8 @@
 		run->is_active = 1;
 		run->active_at = now;
 	}
-	run->percent = status->percent;
+	run->progress = status->progress;
+	run->load = status->load;
 	if (run->workflow && !run->is_orphan)
 		keep_checkpoint(workflow_find(run->workflow, &run->id),
 				status->checkpoint);
@@ -301,6 +304,7 @@
 		take_status(dispatch, worker, &report->runs.items[i],
 			    report->seq, now);
 	drop_unnamed(dispatch, worker, report->seq, now);
+	dispatch_pace(dispatch, worker, now);
 }
 
 int dispatch_report(struct dispatch *dispatch, const char *runner,
--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -62,8 +62,8 @@
 	local->task = *task;
 	local->run = run;
 	local->phase = phase;
-	local->percent = 100;
 	local->pace = 100;
+	local->pace_set = 100;
 	list_add_tail(&runner->runs, &local->node);
 	runner->run_count++;
 	return local;
@@ -94,7 +94,6 @@
 		  announcement->service, announcement->capacity.cpu_milli,
 		  announcement->capacity.mem_mb, runner->target.id);
 	workercall_forget(runner->calls, &runner->hold_marker);
-	workercall_forget(runner->calls, &runner->pace_marker);
 	runner->hold_is_open = 0;
 	forget_lists(runner);
 	str_copy(runner->target.id, id, sizeof(runner->target.id));
@@ -218,7 +217,7 @@
 		status->task = run->task;
 		status->run = run->run;
 		status->phase = run->phase;
-		status->percent = run->percent;
+		status->progress = run->progress;
 		status->load = run->load;
 		status->checkpoint = run->checkpoint;
 		status->detail = run->detail;
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -19,6 +19,8 @@
 /* Reports whose time of sending is remembered, for the leases they get. */
 #define REPORT_RING 64
 
+#define PACE_UNKNOWN 255
+
 /* A run that the worker lists, or that was ordered. */
 struct local_run {
 	struct list node;
@@ -31,8 +33,10 @@
 	char *detail;
 	uint32_t fills;
 	uint32_t latency_target_ms;
-	uint32_t percent;   /* as the worker lists it */
-	uint32_t pace;	    /* as last asked for */
+	uint32_t progress;  /* percent */
+	uint32_t pace;	    /* wanted, percent */
+	uint32_t pace_set;  /* confirmed by the worker */
+	int pace_is_open;   /* a pace call is in progress */
 	uint32_t load;
 	int attempts;
 	int unsettled;	    /* start calls without an answer */
@@ -92,7 +96,7 @@
 	/* Pace of filling runs. */
 	uint32_t pace_percent;
 	struct mstime paced_at;
-	int pace_marker; /* names the pace calls */
+	struct mstime ordered_at; /* last orders of the scheduler */
 
 	struct loop_timer *tick;
 	struct loop_timer *stop_timer;
@@ -128,7 +132,10 @@
 				enum run_phase phase);
 void local_run_delete(struct local_run *run);
 
-/* Adapts the pace of filling runs to the latency of serving ones. */
+/* Sends paces that differ from those in force. */
 void runner_pace(struct runner *runner);
 
+/* Share of its target of the slowest serving run, percent; -1: none. */
+int64_t runner_worst_latency(const struct runner *runner);
+
 #endif
--- a/packages/daemon/src/runner_pace.c
+++ b/packages/daemon/src/runner_pace.c
@@ -4,17 +4,12 @@
 
 /* The figures of the worker cover half a second. */
 #define PACE_INTERVAL_MS 500
+/* Without orders for so long, the runner decides by itself. */
+#define SCHEDULER_SILENT_MS 1500
 /* Share of the latency target above which filling runs are slowed down. */
 #define SLOW_PERCENT 90
-/* Share of the target below which they may work faster again. */
-#define FAST_PERCENT 65
-#define PACE_MIN 5
-#define PACE_STEP 15
-/* Smaller differences are not worth a call. */
-#define PACE_DIFFERENCE 4
 
-/* Highest latency of a serving run, in percent of its target; -1: none. */
-static int64_t worst_share(const struct runner *runner)
+int64_t runner_worst_latency(const struct runner *runner)
 {
 	int64_t worst = -1;
 	const struct list *pos;
@@ -33,51 +28,59 @@
 	return worst;
 }
 
-static uint32_t next_percent(uint32_t percent, int64_t worst)
+static void on_paced(void *arg, const struct worker_answer *answer)
 {
-	if (worst > SLOW_PERCENT)
-		return percent / 2 > PACE_MIN ? percent / 2 : PACE_MIN;
-	if (worst < FAST_PERCENT)
-		return percent + PACE_STEP < 100 ? percent + PACE_STEP : 100;
-	return percent;
+	struct local_run *run = arg;
+
+	run->pace_is_open = 0;
+	if (answer->err)
+		run->pace_set = PACE_UNKNOWN;
 }
 
-static void on_paced(void *arg, const struct worker_answer *answer)
+static void send_pace(struct local_run *run)
 {
+	struct runner *runner = run->runner;
+
+	runner->paces.value++;
+	run->pace_is_open = 1;
+	run->pace_set = run->pace;
+	workercall_pace(runner->calls, &runner->target, &run->task, run->run,
+			run->pace, on_paced, run);
 }
 
-static int differs(uint32_t a, uint32_t b)
+/* Without the scheduler, all that fills gives way to what serves. */
+static void slow_all(struct runner *runner, int64_t worst)
 {
-	uint32_t difference = a > b ? a - b : b - a;
+	struct list *pos;
 
-	return difference >= PACE_DIFFERENCE || (difference && a == 100);
+	log_event(EV_PACE_CHANGED, "worker=%s worst_percent=%lld reason="
+		  "scheduler-silent",
+		  runner->target.id, (long long)worst);
+	list_for_each (pos, &runner->runs) {
+		struct local_run *run = list_entry(pos, struct local_run, node);
+
+		if (run->fills)
+			run->pace /= 2;
+	}
 }
 
 void runner_pace(struct runner *runner)
 {
 	struct mstime now = sysclock_now();
-	int64_t worst = worst_share(runner);
-	uint32_t percent = runner->pace_percent;
+	int64_t worst = runner_worst_latency(runner);
 	struct list *pos;
 
-	if (mstime_diff(now, runner->paced_at) >= PACE_INTERVAL_MS) {
-		percent = worst < 0 ? 100 : next_percent(percent, worst);
+	if (worst > SLOW_PERCENT &&
+	    mstime_diff(now, runner->ordered_at) > SCHEDULER_SILENT_MS &&
+	    mstime_diff(now, runner->paced_at) >= PACE_INTERVAL_MS) {
 		runner->paced_at = now;
+		slow_all(runner, worst);
 	}
-	if (percent != runner->pace_percent)
-		log_event(EV_PACE_CHANGED, "worker=%s percent=%u worst=%lld",
-			  runner->target.id, percent, (long long)worst);
-	runner->pace_percent = percent;
 	list_for_each (pos, &runner->runs) {
 		struct local_run *run = list_entry(pos, struct local_run, node);
 
-		if (!run->fills || run->phase != RUN_ACTIVE ||
-		    !differs(percent, run->pace))
-			continue;
-		runner->paces.value++;
-		run->pace = percent;
-		workercall_pace(runner->calls, &runner->target, &run->task,
-				run->run, percent, on_paced,
-				&runner->pace_marker);
+		if (run->phase == RUN_ACTIVE && !run->is_calling &&
+		    !run->pace_is_open && run->pace != run->pace_set)
+			send_pace(run);
 	}
 }
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -13,6 +13,9 @@
 #define HOLD_PAUSE_MS 40
 /* The clock of a worker may be this much slow, in thousandths. */
 #define CLOCK_DRIFT 20
+/* A latency above this share of its target is reported this often. */
+#define REPORT_LATENCY_PERCENT 90
+#define REPORT_LATENCY_MS 150
 /* Pause before a start is sent again. */
 #define START_RETRY_MS 250
 
@@ -59,7 +62,7 @@
 	run->phase = RUN_ACTIVE;
 	run->is_settled = 1;
 	run->settled_at = runner->hold_sent;
-	run->percent = status->percent;
+	run->progress = status->progress;
 	run->load = status->load;
 	set_text(&run->checkpoint, status->checkpoint);
 }
@@ -135,6 +138,10 @@
 	for (i = 0; i < answer->run_count; i++)
 		take_run(runner, &answer->runs[i], &changes);
 	find_gone(runner, answer, &changes);
+	if (runner_worst_latency(runner) > REPORT_LATENCY_PERCENT &&
+	    mstime_diff(runner->listed_at, runner->reported_at) >
+		    REPORT_LATENCY_MS)
+		changes++;
 	if (changes)
 		runner_report(runner);
 	runner_pace(runner);
@@ -354,6 +361,18 @@
 	run->retry_at = mstime_from(0);
 }
 
+static void take_pace(struct runner *runner, const struct run_pace *pace)
+{
+	struct local_run *run = local_run_find(runner, &pace->task, pace->run);
+
+	if (!run)
+		return;
+	run->pace = pace->percent;
+	/* The pace in force is not listed; a restarted runner asks again. */
+	if (run->pace == run->pace_set)
+		run->pace_set = PACE_UNKNOWN;
+}
+
 static void drop_seen_ends(struct runner *runner, uint64_t seen)
 {
 	size_t i, dropped = 0;
@@ -402,6 +421,10 @@
 		take_start(runner, &orders->starts.items[i]);
 	for (i = 0; i < orders->stops.count; i++)
 		take_stop(runner, &orders->stops.items[i]);
+	for (i = 0; i < orders->paces.count; i++)
+		take_pace(runner, &orders->paces.items[i]);
+	runner->ordered_at = sysclock_now();
+	runner_pace(runner);
 	runner_work(runner);
 	runner_hold(runner);
 }
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -81,6 +81,14 @@
 			  note->worker->runner, note->worker->id,
 			  note->worker->run_count);
 		break;
+	case NOTE_SLOWED:
+		log_event(EV_RUN_SLOWED, "task=%s runner=%s percent=%u", task,
+			  note->worker->runner, note->value);
+		break;
+	case NOTE_EVICTED:
+		log_event(EV_RUN_EVICTED, "task=%s runner=%s reason=%s", task,
+			  note->worker->runner, note->reason);
+		break;
 	case NOTE_WORKFLOW_ENDED:
 		note_ended(scheduler, note);
 		break;
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -11,7 +11,8 @@
 #include "mem.h"
 #include "tasknames.h"
 
-#define IDLE_CONNECTIONS 4
+/* Starts come in bursts; a worker takes 64 connections. */
+#define IDLE_CONNECTIONS 24
 #define ANSWER_MAX (4 * 1024 * 1024)
 
 struct call {
@@ -115,7 +116,7 @@
 	run->run = (uint32_t)json_integer_value(json_array_get(row, 1));
 	run->phase = RUN_ACTIVE;
 	run->checkpoint = saved ? saved : "";
-	run->percent = (uint32_t)json_integer_value(json_array_get(row, 3));
+	run->progress = (uint32_t)json_number_value(json_array_get(row, 3));
 	run->load = (uint32_t)json_number_value(json_array_get(row, 4));
 	run->detail = "";
 	return 1;
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -359,8 +359,8 @@
 	struct task_id task;
 	uint32_t run;
 	uint32_t phase;	  /* enum run_phase */
-	uint32_t percent; /* share at which it is allowed to work */
-	uint32_t load;	  /* tail latency in ms, or cpu in use; see image */
+	uint32_t progress; /* percent */
+	uint32_t load;	   /* latency in ms of a serving run, else cpu */
 	const char *checkpoint;
 	const char *detail; /* why a start was refused, or "" */
 };
@@ -424,6 +424,17 @@
 	size_t count;
 };
 
+struct run_pace {
+	struct task_id task;
+	uint32_t run;
+	uint32_t percent; /* share at which the run may work */
+};
+
+struct run_pace_list {
+	struct run_pace *items;
+	size_t count;
+};
+
 /*
  * Answers a report. The lease of everything at the worker is extended to
  * lease_ms after the report with report_seq was sent; 0 extends nothing.
@@ -438,6 +449,7 @@
 	uint64_t ends_seen; /* ends up to this number are stored */
 	struct run_order_list starts;
 	struct run_name_list stops;
+	struct run_pace_list paces;
 };
 
 struct message {
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -267,7 +267,7 @@
 	NESTED(struct run_status, task, task_id_fields),
 	U32(struct run_status, run),
 	ENUM(struct run_status, phase, RUN_PHASE_COUNT),
-	U32(struct run_status, percent),
+	U32(struct run_status, progress),
 	U32(struct run_status, load),
 	TEXT(struct run_status, checkpoint, CHECKPOINT_MAX),
 	TEXT(struct run_status, detail, DETAIL_MAX),
@@ -295,6 +295,12 @@
 	U32(struct run_name, run),
 };
 
+static const struct field run_pace_fields[] = {
+	NESTED(struct run_pace, task, task_id_fields),
+	U32(struct run_pace, run),
+	ENUM(struct run_pace, percent, 101),
+};
+
 static const struct field work_hello_fields[] = {
 	U64(struct msg_work_hello, epoch),
 	ID(struct msg_work_hello, scheduler),
@@ -332,6 +338,8 @@
 	     run_order_fields),
 	LIST(struct msg_work_orders, stops, RUNS_MAX, struct run_name,
 	     run_name_fields),
+	LIST(struct msg_work_orders, paces, RUNS_MAX, struct run_pace,
+	     run_pace_fields),
 };
 
 #define ROW(type, name) [type] = { #name, name##_fields, COUNT(name##_fields) }
