dispatch: halt what certainly disturbs, move what is slowed

Cause: a guilty neighbour was slowed in three steps of half a second and was raised again as soon as the latency fell, so the harm came back.

Change: an image with a harm of 0.5 or more is halted at once and stays so while it is held guilty; up to three slowed runs of a worker move at a time.

--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -11,12 +11,18 @@
 /* Neighbours held less to blame than the worst one by this factor go on. */
 #define GUILT_FACTOR 0.5
 #define PACE_FACTOR 0.35
+/* Runs that are this likely to do harm are halted, not slowed. */
+#define GUILT_CERTAIN 0.5
 #define PACE_STEP 25
 /* A run that is slowed for so long is moved if another worker can take it. */
 #define EVICT_AFTER_MS 800
 #define EVICT_PACE 60
 /* Work without a checkpoint up to this progress is given up. */
 #define EVICT_PROGRESS_MAX 15
+/* After so long, any work without a checkpoint is given up. */
+#define RESTART_AFTER_MS 3000
+/* Moves at once from one worker. */
+#define EVICT_AT_ONCE 3
 
 static double latency_share(const struct run *run)
 {
@@ -134,10 +140,14 @@
 	}
 	list_for_each (pos, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
+		double share;
 
-		if (run->fills && run->pace &&
-		    guilt(dispatch, worker, run->image, now) >=
-			    worst * GUILT_FACTOR)
+		if (!run->fills || !run->pace)
+			continue;
+		share = guilt(dispatch, worker, run->image, now);
+		if (share >= GUILT_CERTAIN)
+			set_pace(dispatch, run, 0, now);
+		else if (share >= worst * GUILT_FACTOR)
 			set_pace(dispatch, run,
 				 (uint32_t)(run->pace * PACE_FACTOR), now);
 	}
@@ -152,38 +162,42 @@
 		struct run *run = list_entry(pos, struct run, node);
 		uint32_t pace = run->pace + PACE_STEP;
 
-		if (run->fills)
+		if (run->fills && dispatch_harm(dispatch, worker, run->image,
+						now) < GUILT_CERTAIN)
 			set_pace(dispatch, run, pace < 100 ? pace : 100, now);
 	}
 }
 
-static int can_move(const struct run *run)
+static int can_move(const struct run *run, struct mstime now)
 {
 	const struct workflow_step *step;
 
 	if (!run->workflow || run->is_orphan || run->is_evicted)
 		return 0;
 	step = &run->workflow->spec.steps[run->id.step];
-	return !step->gang && (step->checkpointing ||
-			       run->progress <= EVICT_PROGRESS_MAX);
+	return !step->gang &&
+	       (step->checkpointing || run->progress <= EVICT_PROGRESS_MAX ||
+		mstime_diff(now, run->slowed_at) > RESTART_AFTER_MS);
 }
 
 static void evict_slowed(struct dispatch *dispatch, struct worker *worker,
 			 struct mstime now)
 {
 	struct list *pos;
+	int count = 0;
 
 	list_for_each (pos, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
 
 		if (!run->fills || run->pace > EVICT_PACE ||
 		    mstime_diff(now, run->slowed_at) < EVICT_AFTER_MS ||
-		    !can_move(run) || !dispatch_has_place(dispatch, run, now))
+		    !can_move(run, now) || !dispatch_has_place(dispatch, run, now))
 			continue;
 		run->is_evicted = 1;
 		dispatch_note(dispatch, NOTE_EVICTED, run->workflow, worker,
 			      &run->id, run->number, "latency");
-		return;
+		if (++count == EVICT_AT_ONCE)
+			return;
 	}
 }
 
