dispatch: model latency as pressure, with a weight for each pair of images

Change: latency is base / (1 - pressure); own load is followed for each serving run, weights of pairs are corrected by factors; paces take just the excess from what presses most; all that fills is halted after 2 s over a target; a workflow without a run for 1.5 s gets one.

--- a/packages/core/include/colocation.h
+++ b/packages/core/include/colocation.h
@@ -1,36 +1,34 @@
 #ifndef CATKINHILL_COLOCATION_H
 #define CATKINHILL_COLOCATION_H
 
-#include "mstime.h"
-
 /*
  * NAME
- *	colocation - which images slow down which serving images
+ *	colocation - how much images that fill slow down images that serve
  *
  * NOTES
- *	Latency figures of serving tasks lag by half a second and name no
- *	cause. Each figure is evidence about all pairs of an image that fills
- *	and the image that serves beside it: a latency well below its target
- *	clears every neighbour that was using processors, one above blames
- *	the neighbours in proportion to what is held against them already.
- *	Evidence loses half of its weight every COLOCATION_HALF_LIFE_MS,
- *	because the effect changes with load.
+ *	The latency of a serving task is taken as that of a single queue: with
+ *	pressure p from 0 to 1 it is base / (1 - p). The pressure is what the
+ *	task's own load causes, which changes within seconds and is followed
+ *	for each task, and a weight for each core that a neighbour uses, which
+ *	is learned for each pair of images. Latencies are given in shares of
+ *	the task's target.
  *
  * SOURCE
- *	The idea of pairwise estimates from sparse observations is that of
- *	Paragon, Delimitrou and Kozyrakis, ASPLOS 2013.
+ *	Pairwise estimates from sparse observations: Paragon, Delimitrou and
+ *	Kozyrakis, ASPLOS 2013. Weights are corrected by factors, as in
+ *	Littlestone's Winnow (1988), because few pairs matter.
  */
-#define COLOCATION_HALF_LIFE_MS 20000
 #define COLOCATION_NEIGHBOURS_MAX 64
 
+/* Pressure of a task's own load until it has been observed. */
+#define COLOCATION_OWN_PRESSURE 0.3
+
 struct colocation;
 
 struct colocation *colocation_new(void);
 void colocation_delete(struct colocation *colocation);
 
-/*
- * Number of an image; -1 for NULL, or when the table is full.
- */
+/* Number of an image; -1 for NULL, or when the table is full. */
 int colocation_image(struct colocation *colocation, const char *name);
 
 struct neighbour {
@@ -38,17 +36,20 @@
 	double cores; /* in use */
 };
 
-/* A figure of a serving image: its latency in shares of its target. */
-void colocation_observe(struct colocation *colocation, int serving,
-			double latency_share, const struct neighbour *fills,
-			int count, struct mstime now);
-
 /*
- * RETURN VALUE
- *	0 to 1: how likely it is that the latency is over its target because of
- *	this neighbour.
+ * A figure of a serving task beside these neighbours. own is the pressure of
+ * its own load, which is brought up to date.
  */
-double colocation_harm(struct colocation *colocation, int filling, int serving,
-		       struct mstime now);
+void colocation_observe(struct colocation *colocation, int serving,
+			double latency, const struct neighbour *fills,
+			int count, double *own);
+
+/* Pressure on a serving image for each core that a neighbour uses. */
+double colocation_weight(const struct colocation *colocation, int filling,
+			 int serving);
+
+/* Pressure at which a serving image has this latency. */
+double colocation_pressure(const struct colocation *colocation, int serving,
+			   double latency);
 
 #endif
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -66,7 +66,9 @@
 	uint32_t load;		 /* latency in ms, or cpu in use */
 	uint32_t latency_target; /* ms; 0: serves nobody */
 	int image;		 /* see colocation; -1: not known */
+	double own_pressure;	 /* of a serving run; see colocation */
 	uint32_t pace;		 /* percent */
+	uint32_t pace_planned;
 	uint32_t pace_sent;	 /* PACE_UNKNOWN: has to be sent */
 	struct mstime slowed_at; /* since when below full pace */
 	unsigned fills : 1;
@@ -115,6 +117,7 @@
 	uint32_t failures_in_row;
 	struct mstime shunned_until;
 	struct mstime figures_at; /* last time that latencies were weighed */
+	struct mstime over_since; /* a serving run is over its target */
 	unsigned needs_answer : 1;
 };
 
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -119,6 +119,7 @@
 	uint64_t saved_version;
 	int64_t stored_revision; /* 0: the state has never been stored */
 	struct mstime ended_at;
+	struct mstime idle_since; /* without a run, since */
 	unsigned cancelled : 1;
 	unsigned started : 1; /* a task has been assigned */
 	unsigned saving : 1;  /* part of the commit in progress */
--- a/packages/core/src/colocation.c
+++ b/packages/core/src/colocation.c
@@ -1,6 +1,5 @@
 #include "colocation.h"
 
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,27 +7,33 @@
 
 #define IMAGES_MAX 256
 
-/* Assumed of a pair without evidence. */
-#define PRIOR_HARM 0.15
-#define PRIOR_WEIGHT 1.0
-/* Below this share of the target a figure clears the neighbours. */
-#define CLEAR_SHARE 0.70
-/* Above this share it blames them. */
-#define BLAME_SHARE 0.95
-/* A neighbour that uses fewer cores tells nothing. */
-#define CORES_MIN 1.5
-/* Older and newer evidence together weigh at most this many figures. */
-#define EVIDENCE_MAX 12.0
-
-struct pair {
-	double harmful, harmless;
-	struct mstime updated;
-};
+/* Weight of a pair that has not been observed: mild, so that it is tried. */
+#define WEIGHT_INITIAL 0.010
+#define WEIGHT_MAX 0.5
+/* Latency without load, until a lower one is seen, and its lower bound. */
+#define BASE_INITIAL 0.25
+#define BASE_MIN 0.05
+#define PRESSURE_MAX 0.98
+#define OWN_MAX 0.85
+#define WEIGHT_MIN 0.002
+/* Share of an error that one figure corrects: in the weights, ... */
+#define WEIGHT_RATE 0.8
+/* ... and in the own load, beside neighbours and without. */
+#define OWN_RATE 0.08
+#define OWN_RATE_ALONE 0.5
+/* Bounds of the correction of a weight by one figure. */
+#define FACTOR_MIN 0.3
+#define FACTOR_MAX 4.0
+/* Pressure below which neighbours tell nothing. */
+#define PRESSURE_MIN 0.01
+/* A neighbour that uses less is not blamed. */
+#define CORES_MIN 0.5
 
 struct colocation {
 	char *names[IMAGES_MAX];
 	int count;
-	struct pair *pairs[IMAGES_MAX]; /* of a filling image, by serving */
+	double base[IMAGES_MAX];     /* of a serving image; 0: not seen */
+	double *weights[IMAGES_MAX]; /* of a filling image, by serving */
 };
 
 struct colocation *colocation_new(void)
@@ -44,7 +49,7 @@
 		return;
 	for (i = 0; i < colocation->count; i++) {
 		free(colocation->names[i]);
-		free(colocation->pairs[i]);
+		free(colocation->weights[i]);
 	}
 	free(colocation);
 }
@@ -64,78 +69,81 @@
 	return colocation->count++;
 }
 
-static struct pair *pair_get(struct colocation *colocation, int filling,
-			     int serving, struct mstime now)
+static double clamp(double value, double low, double high)
 {
-	struct pair *pair;
-	double age, weight;
-
-	if (!colocation->pairs[filling])
-		colocation->pairs[filling] =
-			xcalloc(IMAGES_MAX, sizeof(struct pair));
-	pair = &colocation->pairs[filling][serving];
-	age = (double)mstime_diff(now, pair->updated);
-	if (!pair->updated.ms || age <= 0) {
-		pair->updated = now;
-		return pair;
-	}
-	weight = exp2(-age / COLOCATION_HALF_LIFE_MS);
-	pair->harmful *= weight;
-	pair->harmless *= weight;
-	pair->updated = now;
-	return pair;
+	if (value < low)
+		return low;
+	return value > high ? high : value;
 }
 
-static void add(struct pair *pair, double harmful, double harmless)
+static double base_of(const struct colocation *colocation, int serving)
 {
-	double sum;
+	double base = serving < 0 ? 0 : colocation->base[serving];
 
-	pair->harmful += harmful;
-	pair->harmless += harmless;
-	sum = pair->harmful + pair->harmless;
-	if (sum <= EVIDENCE_MAX)
-		return;
-	pair->harmful *= EVIDENCE_MAX / sum;
-	pair->harmless *= EVIDENCE_MAX / sum;
+	return base > 0 ? base : BASE_INITIAL;
 }
 
-double colocation_harm(struct colocation *colocation, int filling, int serving,
-		       struct mstime now)
+double colocation_pressure(const struct colocation *colocation, int serving,
+			   double latency)
 {
-	const struct pair *pair;
+	double base = base_of(colocation, serving);
 
-	if (filling < 0 || serving < 0)
-		return PRIOR_HARM;
-	pair = pair_get(colocation, filling, serving, now);
-	return (pair->harmful + PRIOR_HARM * PRIOR_WEIGHT) /
-	       (pair->harmful + pair->harmless + PRIOR_WEIGHT);
+	if (latency <= base)
+		return 0;
+	return clamp(1 - base / latency, 0, PRESSURE_MAX);
+}
+
+double colocation_weight(const struct colocation *colocation, int filling,
+			 int serving)
+{
+	if (filling < 0 || serving < 0 || !colocation->weights[filling])
+		return WEIGHT_INITIAL;
+	return colocation->weights[filling][serving];
+}
+
+static double *weight_get(struct colocation *colocation, int filling,
+			  int serving)
+{
+	double **row = &colocation->weights[filling];
+	int i;
+
+	if (!*row) {
+		*row = xcalloc(IMAGES_MAX, sizeof(**row));
+		for (i = 0; i < IMAGES_MAX; i++)
+			(*row)[i] = WEIGHT_INITIAL;
+	}
+	return &(*row)[serving];
 }
 
 void colocation_observe(struct colocation *colocation, int serving,
-			double latency_share, const struct neighbour *fills,
-			int count, struct mstime now)
+			double latency, const struct neighbour *fills,
+			int count, double *own)
 {
-	double harm[COLOCATION_NEIGHBOURS_MAX], sum = 0;
+	double error, sum = 0, factor;
 	int i;
 
-	if (serving < 0 || count > COLOCATION_NEIGHBOURS_MAX)
+	if (serving < 0 || latency <= 0)
+		return;
+	if (latency < base_of(colocation, serving))
+		colocation->base[serving] =
+			clamp(latency, BASE_MIN, BASE_INITIAL);
+	for (i = 0; i < count; i++)
+		sum += fills[i].cores * colocation_weight(colocation,
+							  fills[i].image,
+							  serving);
+	error = colocation_pressure(colocation, serving, latency) - *own - sum;
+	*own = clamp(*own + (sum < PRESSURE_MIN ? OWN_RATE_ALONE : OWN_RATE) *
+				    error,
+		     0, OWN_MAX);
+	if (sum < PRESSURE_MIN)
 		return;
+	factor = clamp(1 + WEIGHT_RATE * error / sum, FACTOR_MIN, FACTOR_MAX);
 	for (i = 0; i < count; i++) {
-		harm[i] = 0;
+		double *weight;
+
 		if (fills[i].image < 0 || fills[i].cores < CORES_MIN)
 			continue;
-		harm[i] = colocation_harm(colocation, fills[i].image, serving,
-					  now);
-		sum += harm[i];
-	}
-	for (i = 0; i < count; i++) {
-		if (harm[i] <= 0)
-			continue;
-		if (latency_share > BLAME_SHARE)
-			add(pair_get(colocation, fills[i].image, serving, now),
-			    harm[i] / sum, 0);
-		else if (latency_share < CLEAR_SHARE)
-			add(pair_get(colocation, fills[i].image, serving, now),
-			    0, 1);
+		weight = weight_get(colocation, fills[i].image, serving);
+		*weight = clamp(*weight * factor, WEIGHT_MIN, WEIGHT_MAX);
 	}
 }
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -295,6 +295,7 @@
 	run->fills = step->fills;
 	run->latency_target = (uint32_t)step->latency_target_ms;
 	run->image = colocation_image(dispatch->colocation, step->image);
+	run->own_pressure = COLOCATION_OWN_PRESSURE;
 	run->pace = 100;
 	run->pace_sent = 100;
 	list_add_tail(&worker->runs, &run->node);
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -11,12 +11,16 @@
 	const struct workflow_step *step;
 	uint32_t occurrence, step_index;
 	int image;
+	int is_forced; /* the workflow waits for too long */
 };
 
-/* Filling work goes nowhere where it is likely to do harm. */
-#define HARM_MAX 0.5
-/* Cost of certain harm, in shares of a worker's load. */
-#define HARM_WEIGHT 1.5
+/* Cost of pressure on what serves, in shares of a worker's load. */
+#define PRESSURE_WEIGHT 0.5
+/*
+ * A workflow that may run and has no run for so long gets one whatever it
+ * presses on; its pace is then the protection.
+ */
+#define STARVED_MS 1500
 /* Cost of a serving image beside others, and of one more worker for it. */
 #define MIXED_COST 1.0
 #define FRESH_COST 0.4
@@ -71,9 +75,12 @@
 }
 
 static int fits(const struct dispatch *dispatch, const struct worker *worker,
-		const struct workflow_step *step)
+		const struct request *request)
 {
-	return cpu_fits(dispatch, worker, step) &&
+	const struct workflow_step *step = request->step;
+
+	return (cpu_fits(dispatch, worker, step) ||
+		(step->fills && request->is_forced)) &&
 	       worker->used.mem_mb + step->need.mem_mb <=
 		       worker->capacity.mem_mb &&
 	       worker->used.accel + step->need.accel <= worker->capacity.accel;
@@ -96,7 +103,9 @@
 		return 0;
 	if (step->required_label && !has_label(worker, step->required_label))
 		return 0;
-	if (!fits(dispatch, worker, step))
+	if (step->fills && worker->over_since.ms && !request->is_forced)
+		return 0;
+	if (!fits(dispatch, worker, request))
 		return 0;
 	return !step->max_per_worker ||
 	       siblings_at(worker, request) < step->max_per_worker;
@@ -152,31 +161,6 @@
 	return value;
 }
 
-/* Harm between the task and its neighbours to be, 0 to 1. */
-static double harm_at(struct dispatch *dispatch, const struct worker *worker,
-		      const struct request *request, struct mstime now)
-{
-	const struct list *pos;
-	double worst = 0;
-
-	if (request->step->fills)
-		return dispatch_harm(dispatch, worker, request->image, now);
-	if (!request->step->latency_target_ms)
-		return 0;
-	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
-		double harm;
-
-		if (!run->fills)
-			continue;
-		harm = colocation_harm(dispatch->colocation, run->image,
-				       request->image, now);
-		if (harm > worst)
-			worst = harm;
-	}
-	return worst;
-}
-
 static struct worker *choose(struct dispatch *dispatch,
 			     const struct request *request, struct mstime now)
 {
@@ -186,14 +170,19 @@
 
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
-		double value, harm;
+		double value, excess;
 
 		if (!may_take(dispatch, worker, request, now))
 			continue;
-		harm = harm_at(dispatch, worker, request, now);
-		if (request->step->fills && harm > HARM_MAX)
-			continue;
-		value = score(worker, request) + harm * HARM_WEIGHT;
+		value = score(worker, request);
+		if (request->step->fills) {
+			excess = dispatch_excess(
+				dispatch, worker, request->image,
+				request->step->need.cpu_milli / 1000.0);
+			if (excess > 0 && !request->is_forced)
+				continue;
+			value += excess * PRESSURE_WEIGHT;
+		}
 		if (best && value >= best_score)
 			continue;
 		best = worker;
@@ -283,6 +272,29 @@
 	return (uint32_t)placed == count ? placed : 0;
 }
 
+/* One task, so that the workflow runs. */
+static int assign_starved(struct dispatch *dispatch,
+			  const struct request *request, struct mstime now)
+{
+	uint32_t i;
+
+	for (i = 0; i < request->step->count; i++) {
+		struct workflow_task *task =
+			workflow_task(request->workflow, request->occurrence,
+				      request->step_index, i);
+		struct worker *worker;
+
+		if (!task_ready(task, now))
+			continue;
+		worker = choose(dispatch, request, now);
+		if (worker)
+			commit_run(dispatch, assign(dispatch, request, i,
+						    worker, task->run + 1));
+		return worker ? 1 : 0;
+	}
+	return 0;
+}
+
 static int assign_step(struct dispatch *dispatch, const struct request *request,
 		       struct mstime now)
 {
@@ -291,6 +303,8 @@
 
 	if (request->step->gang)
 		return assign_gang(dispatch, request, now);
+	if (request->is_forced)
+		return assign_starved(dispatch, request, now);
 	for (i = 0; i < request->step->count; i++) {
 		struct workflow_task *task =
 			workflow_task(request->workflow, request->occurrence,
@@ -332,6 +346,21 @@
 	       workflow->spec.steps[step].count;
 }
 
+/* Notes since when the workflow has had no run. */
+static int is_starved(struct workflow *workflow, struct mstime now)
+{
+	uint32_t k, step, count = 0;
+
+	for (k = 0; k < workflow->spec.occurrences; k++)
+		for (step = 0; workflow->occurrences[k].tasks &&
+			       step < workflow->spec.step_count;
+		     step++)
+			count += workflow->occurrences[k].assigned[step];
+	if (count || !workflow->idle_since.ms)
+		workflow->idle_since = now;
+	return mstime_diff(now, workflow->idle_since) >= STARVED_MS;
+}
+
 static int assign_workflow(struct dispatch *dispatch, struct workflow *workflow,
 			   struct mstime now)
 {
@@ -344,7 +373,7 @@
 		for (step = 0; step < workflow->spec.step_count; step++) {
 			struct request request = {
 				workflow, &workflow->spec.steps[step], k, step,
-				-1
+				-1, is_starved(workflow, now)
 			};
 
 			if (!step_has_waiting(workflow, k, step) ||
@@ -374,7 +403,7 @@
 {
 	struct request request = {
 		run->workflow, &run->workflow->spec.steps[run->id.step],
-		run->id.occurrence, run->id.step, run->image
+		run->id.occurrence, run->id.step, run->image, 0
 	};
 	const struct worker *worker = choose(dispatch, &request, now);
 
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -62,9 +62,12 @@
 void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
 		   struct mstime now);
 
-/* Highest harm that an image that fills does to what serves at a worker. */
-double dispatch_harm(struct dispatch *dispatch, const struct worker *worker,
-		     int image, struct mstime now);
+/*
+ * Pressure above the aim on what serves at a worker, with all that fills at
+ * full pace and an image that uses these cores besides; negative: room left.
+ */
+double dispatch_excess(struct dispatch *dispatch, const struct worker *worker,
+		       int image, double cores);
 
 /* Whether the task could be moved to another worker without harm. */
 int dispatch_has_place(struct dispatch *dispatch, const struct run *run,
--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -4,16 +4,20 @@
 /* A figure of the worker covers half a second. */
 #define FIGURES_INTERVAL_MS 400
 /* Until then the figure of a run covers time before its start. */
-#define SETTLE_MS 700
-/* Shares of the latency target. */
-#define SLOW_SHARE 0.90
-#define FAST_SHARE 0.70
-/* Neighbours held less to blame than the worst one by this factor go on. */
-#define GUILT_FACTOR 0.5
-#define PACE_FACTOR 0.35
-/* Runs that are this likely to do harm are halted, not slowed. */
-#define GUILT_CERTAIN 0.5
-#define PACE_STEP 25
+#define SETTLE_MS 600
+/* Latency that is aimed at beside filling runs, in shares of the target. */
+#define LATENCY_AIM 0.85
+/* Above this share the target is about to be missed. */
+#define LATENCY_HIGH 0.95
+/*
+ * After so long, all that fills is halted: a target must not be missed for 4 s
+ * beside filling work, and figures and orders take up to 1 s.
+ */
+#define HALT_ALL_MS 2000
+/* Raised in steps, because the model may be wrong. */
+#define PACE_STEP 30
+/* Smaller differences are not worth an order. */
+#define PACE_DIFFERENCE 8
 /* A run that is slowed for so long is moved if another worker can take it. */
 #define EVICT_AFTER_MS 800
 #define EVICT_PACE 60
@@ -29,14 +33,12 @@
 	return (double)run->load / run->latency_target;
 }
 
-static int is_serving(const struct run *run, struct mstime now)
+static int is_settled(const struct run *run, struct mstime now)
 {
-	return run->latency_target && run->is_active &&
-	       mstime_diff(now, run->active_at) > SETTLE_MS;
+	return run->is_active && mstime_diff(now, run->active_at) > SETTLE_MS;
 }
 
-static int collect_fills(const struct worker *worker, struct neighbour *fills,
-			 struct mstime now)
+static int collect_fills(const struct worker *worker, struct neighbour *fills)
 {
 	const struct list *pos;
 	int i, count = 0;
@@ -44,8 +46,7 @@
 	list_for_each (pos, &worker->runs) {
 		const struct run *run = list_entry(pos, struct run, node);
 
-		if (!run->fills || !run->is_active ||
-		    mstime_diff(now, run->active_at) < SETTLE_MS)
+		if (!run->fills || !run->is_active)
 			continue;
 		for (i = 0; i < count && fills[i].image != run->image; i++)
 			;
@@ -60,111 +61,166 @@
 	return count;
 }
 
-double dispatch_harm(struct dispatch *dispatch, const struct worker *worker,
-		     int image, struct mstime now)
+/* Pressure of a filling run on a serving one at a pace in percent. */
+static double pressure_of(const struct dispatch *dispatch,
+			  const struct run *fill, const struct run *serving,
+			  uint32_t pace)
 {
-	const struct list *pos;
-	double worst = 0;
+	return colocation_weight(dispatch->colocation, fill->image,
+				 serving->image) *
+	       fill->need.cpu_milli / 1000.0 * pace / 100.0;
+}
+
+static double pressure_aim(const struct dispatch *dispatch,
+			   const struct run *serving)
+{
+	return colocation_pressure(dispatch->colocation, serving->image,
+				   LATENCY_AIM);
+}
+
+double dispatch_excess(struct dispatch *dispatch, const struct worker *worker,
+		       int image, double cores)
+{
+	const struct list *pos, *at;
+	double worst = -1;
 
 	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
-		double harm;
+		const struct run *serving = list_entry(pos, struct run, node);
+		double sum;
 
-		if (!run->latency_target)
+		if (!serving->latency_target)
 			continue;
-		harm = colocation_harm(dispatch->colocation, image, run->image,
-				       now);
-		if (harm > worst)
-			worst = harm;
+		sum = serving->own_pressure -
+		      pressure_aim(dispatch, serving) +
+		      cores * colocation_weight(dispatch->colocation, image,
+						serving->image);
+		list_for_each (at, &worker->runs) {
+			const struct run *fill =
+				list_entry(at, struct run, node);
+
+			if (fill->fills)
+				sum += pressure_of(dispatch, fill, serving,
+						   100);
+		}
+		if (sum > worst)
+			worst = sum;
 	}
 	return worst;
 }
 
-/* Harm of an image to the serving runs that are over their target. */
-static double guilt(struct dispatch *dispatch, const struct worker *worker,
-		    int image, struct mstime now)
+static double excess_on(const struct dispatch *dispatch,
+			const struct worker *worker, const struct run *serving)
 {
 	const struct list *pos;
-	double worst = 0;
+	double sum = serving->own_pressure - pressure_aim(dispatch, serving);
 
 	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
-		double harm;
+		const struct run *fill = list_entry(pos, struct run, node);
+
+		if (fill->fills)
+			sum += pressure_of(dispatch, fill, serving,
+					   fill->pace_planned);
+	}
+	return sum;
+}
+
+/* Takes the excess from the run that presses most, core for core. */
+static int slow_one(struct dispatch *dispatch, struct worker *worker,
+		    const struct run *serving, double excess)
+{
+	struct run *worst = NULL;
+	struct list *pos;
+	double weight = 0, pressure;
 
-		if (!is_serving(run, now) || latency_share(run) < SLOW_SHARE)
+	list_for_each (pos, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+		double at;
+
+		if (!run->fills || !run->pace_planned)
+			continue;
+		at = colocation_weight(dispatch->colocation, run->image,
+				       serving->image);
+		if (worst && at <= weight)
 			continue;
-		harm = colocation_harm(dispatch->colocation, image, run->image,
-				       now);
-		if (harm > worst)
-			worst = harm;
+		worst = run;
+		weight = at;
+	}
+	if (!worst)
+		return 0;
+	pressure = pressure_of(dispatch, worst, serving, worst->pace_planned);
+	if (pressure <= excess)
+		worst->pace_planned = 0;
+	else
+		worst->pace_planned = (uint32_t)(worst->pace_planned *
+						 (1 - excess / pressure));
+	return 1;
+}
+
+static void plan_paces(struct dispatch *dispatch, struct worker *worker)
+{
+	struct list *pos;
+
+	list_for_each (pos, &worker->runs)
+		list_entry(pos, struct run, node)->pace_planned = 100;
+	list_for_each (pos, &worker->runs) {
+		struct run *serving = list_entry(pos, struct run, node);
+		double excess;
+
+		if (!serving->latency_target)
+			continue;
+		while ((excess = excess_on(dispatch, worker, serving)) > 0.001)
+			if (!slow_one(dispatch, worker, serving, excess))
+				break;
 	}
-	return worst;
 }
 
 static void set_pace(struct dispatch *dispatch, struct run *run, uint32_t pace,
 		     struct mstime now)
 {
+	struct dispatch_note note = { .kind = NOTE_SLOWED,
+				      .workflow = run->workflow,
+				      .worker = run->worker,
+				      .task = &run->id,
+				      .run = run->number,
+				      .reason = "latency",
+				      .value = pace };
+
 	if (run->pace == pace)
 		return;
 	if (run->pace == 100)
 		run->slowed_at = now;
 	run->pace = pace;
-	if (dispatch->note_fn) {
-		struct dispatch_note note = { .kind = NOTE_SLOWED,
-					      .workflow = run->workflow,
-					      .worker = run->worker,
-					      .task = &run->id,
-					      .run = run->number,
-					      .reason = "latency",
-					      .value = pace };
-
+	if (dispatch->note_fn)
 		dispatch->note_fn(dispatch->note_arg, &note);
-	}
 }
 
-static void slow_guilty(struct dispatch *dispatch, struct worker *worker,
-			struct mstime now)
+static void apply_pace(struct dispatch *dispatch, struct run *run,
+		       struct mstime now)
 {
-	struct list *pos;
-	double worst = 0;
-
-	list_for_each (pos, &worker->runs) {
-		struct run *run = list_entry(pos, struct run, node);
-		double share;
-
-		if (!run->fills || !run->pace)
-			continue;
-		share = guilt(dispatch, worker, run->image, now);
-		if (share > worst)
-			worst = share;
-	}
-	list_for_each (pos, &worker->runs) {
-		struct run *run = list_entry(pos, struct run, node);
-		double share;
+	uint32_t pace = run->pace_planned;
 
-		if (!run->fills || !run->pace)
-			continue;
-		share = guilt(dispatch, worker, run->image, now);
-		if (share >= GUILT_CERTAIN)
-			set_pace(dispatch, run, 0, now);
-		else if (share >= worst * GUILT_FACTOR)
-			set_pace(dispatch, run,
-				 (uint32_t)(run->pace * PACE_FACTOR), now);
-	}
+	if (pace > run->pace + PACE_STEP)
+		pace = run->pace + PACE_STEP;
+	if (pace + PACE_DIFFERENCE > run->pace &&
+	    pace < run->pace + PACE_DIFFERENCE && pace && pace != 100)
+		return;
+	set_pace(dispatch, run, pace, now);
 }
 
-static void raise_all(struct dispatch *dispatch, struct worker *worker,
-		      struct mstime now)
+static void apply_paces(struct dispatch *dispatch, struct worker *worker,
+			int halt, struct mstime now)
 {
 	struct list *pos;
 
 	list_for_each (pos, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
-		uint32_t pace = run->pace + PACE_STEP;
 
-		if (run->fills && dispatch_harm(dispatch, worker, run->image,
-						now) < GUILT_CERTAIN)
-			set_pace(dispatch, run, pace < 100 ? pace : 100, now);
+		if (!run->fills)
+			continue;
+		if (halt)
+			set_pace(dispatch, run, 0, now);
+		else
+			apply_pace(dispatch, run, now);
 	}
 }
 
@@ -191,7 +247,8 @@
 
 		if (!run->fills || run->pace > EVICT_PACE ||
 		    mstime_diff(now, run->slowed_at) < EVICT_AFTER_MS ||
-		    !can_move(run, now) || !dispatch_has_place(dispatch, run, now))
+		    !can_move(run, now) ||
+		    !dispatch_has_place(dispatch, run, now))
 			continue;
 		run->is_evicted = 1;
 		dispatch_note(dispatch, NOTE_EVICTED, run->workflow, worker,
@@ -201,31 +258,47 @@
 	}
 }
 
-void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
-		   struct mstime now)
+/* RETURN VALUE: the highest latency, in shares of its target. */
+static double observe(struct dispatch *dispatch, struct worker *worker,
+		      struct mstime now)
 {
 	struct neighbour fills[COLOCATION_NEIGHBOURS_MAX];
-	const struct list *pos;
+	int count = collect_fills(worker, fills);
 	double worst = 0;
-	int count;
+	struct list *pos;
 
-	if (mstime_diff(now, worker->figures_at) < FIGURES_INTERVAL_MS)
-		return;
-	worker->figures_at = now;
-	count = collect_fills(worker, fills, now);
 	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
+		struct run *run = list_entry(pos, struct run, node);
 
-		if (!is_serving(run, now))
+		if (!run->latency_target || !is_settled(run, now))
 			continue;
 		colocation_observe(dispatch->colocation, run->image,
-				   latency_share(run), fills, count, now);
+				   latency_share(run), fills, count,
+				   &run->own_pressure);
 		if (latency_share(run) > worst)
 			worst = latency_share(run);
 	}
-	if (worst > SLOW_SHARE)
-		slow_guilty(dispatch, worker, now);
-	else if (worst < FAST_SHARE)
-		raise_all(dispatch, worker, now);
+	return worst;
+}
+
+void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
+		   struct mstime now)
+{
+	double worst;
+
+	if (mstime_diff(now, worker->figures_at) < FIGURES_INTERVAL_MS)
+		return;
+	worker->figures_at = now;
+	worst = observe(dispatch, worker, now);
+	if (worst <= LATENCY_HIGH)
+		worker->over_since = mstime_from(0);
+	else if (!worker->over_since.ms)
+		worker->over_since = now;
+	plan_paces(dispatch, worker);
+	apply_paces(dispatch, worker,
+		    worker->over_since.ms &&
+			    mstime_diff(now, worker->over_since) >=
+				    HALT_ALL_MS,
+		    now);
 	evict_slowed(dispatch, worker, now);
 }
