dispatch: order workflows by whether and when they are due

Cause: under overload all batch work was late, because the oldest went first.

Change: within a priority, workflows that can still meet their objective come first, by due time; then late ones and overdue ones, by what is left of them.

--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -108,6 +108,13 @@
 	uint32_t steps_done;
 };
 
+/* Whether a workflow can still meet its objective. */
+enum urgency {
+	URGENCY_IN_TIME,
+	URGENCY_LATE,	/* but still of some use */
+	URGENCY_OVERDUE
+};
+
 struct workflow {
 	struct list node; /* of dispatch */
 	struct workflow_spec spec;
@@ -115,6 +122,11 @@
 	enum workflow_state state;
 	struct occurrence *occurrences;
 	int64_t submitted_ms; /* clock of the store, ms since 1970 */
+	struct mstime submitted_at;
+	int64_t chain_ms;     /* longest chain of estimates */
+	int64_t remaining_ms; /* of the chain */
+	enum urgency urgency;
+	int64_t order_ms; /* among workflows of equal urgency */
 	uint64_t version;     /* of the last change */
 	uint64_t saved_version;
 	int64_t stored_revision; /* 0: the state has never been stored */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -147,24 +147,6 @@
 	dispatch->wall_ms = wall_ms;
 }
 
-/* Priority first, then age. */
-static int goes_before(const struct workflow *a, const struct workflow *b)
-{
-	if (a->queue.priority != b->queue.priority)
-		return a->queue.priority < b->queue.priority;
-	return a->submitted_ms < b->submitted_ms;
-}
-
-static void insert_sorted(struct list *head, struct workflow *workflow)
-{
-	struct list *pos = head->prev;
-
-	while (pos != head &&
-	       goes_before(workflow, list_entry(pos, struct workflow, node)))
-		pos = pos->prev;
-	list_add_head(pos, &workflow->node);
-}
-
 /* Runs that a former scheduler has ordered take their room again. */
 static void adopt_runs(struct dispatch *dispatch, struct workflow *workflow,
 		       struct mstime now)
@@ -208,6 +190,18 @@
 	}
 }
 
+/* The store's clock and this one may differ by a little. */
+static void take_age(const struct dispatch *dispatch,
+		     struct workflow *workflow, struct mstime now)
+{
+	int64_t age_ms = dispatch->wall_ms - workflow->submitted_ms;
+
+	if (age_ms < 0 || !dispatch->wall_ms)
+		age_ms = 0;
+	workflow->submitted_at = mstime_add(now, -age_ms);
+	workflow->chain_ms = workflow_chain_ms(workflow);
+}
+
 int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
 		 struct mstime now)
 {
@@ -219,13 +213,14 @@
 	}
 	*slot = xcalloc(1, sizeof(**slot));
 	(*slot)->workflow = workflow;
+	take_age(dispatch, workflow, now);
 	adopt_runs(dispatch, workflow, now);
 	if (workflow_is_final(workflow)) {
 		workflow->ended_at = now;
 		list_add_tail(&dispatch->finals, &workflow->node);
 		return 0;
 	}
-	insert_sorted(&dispatch->workflows, workflow);
+	dispatch_insert(&dispatch->workflows, workflow);
 	return 0;
 }
 
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -392,6 +392,7 @@
 	struct list *pos;
 	int placed = 0;
 
+	dispatch_order(dispatch, now);
 	list_for_each (pos, &dispatch->workflows)
 		placed += assign_workflow(
 			dispatch, list_entry(pos, struct workflow, node), now);
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -73,6 +73,13 @@
 int dispatch_has_place(struct dispatch *dispatch, const struct run *run,
 		       struct mstime now);
 
+/* Sorts the workflows by priority, urgency and due time. */
+void dispatch_order(struct dispatch *dispatch, struct mstime now);
+void dispatch_insert(struct list *head, struct workflow *workflow);
+
+/* Time from submission within which a workflow should end. */
+int64_t dispatch_objective_ms(const struct workflow *workflow);
+
 #define PACE_UNKNOWN 255
 
 #endif
--- /dev/null
+++ b/packages/core/src/dispatch_order.c
@@ -0,0 +1,110 @@
+#include "dispatch.h"
+#include "dispatch_internal.h"
+
+/* A workflow that ends later than this many objectives is worth nothing. */
+#define LATE_OBJECTIVES 3
+
+int64_t dispatch_objective_ms(const struct workflow *workflow)
+{
+	double stretch = workflow->queue.stretch;
+
+	if (stretch < 1)
+		stretch = 1;
+	return (int64_t)(stretch * (double)workflow->chain_ms) +
+	       workflow->queue.extra_ms;
+}
+
+/* Longest chain of the steps that are not done, of the first occurrence. */
+static int64_t remaining_ms(const struct workflow *workflow)
+{
+	const struct workflow_spec *spec = &workflow->spec;
+	const struct occurrence *state = &workflow->occurrences[0];
+	int64_t ends[STEPS_MAX], longest = 0;
+	size_t i, k;
+
+	for (i = 0; i < spec->step_count; i++) {
+		const struct workflow_step *step = &spec->steps[i];
+		int64_t start = 0;
+
+		for (k = 0; k < step->after_count; k++)
+			if (ends[step->after[k]] > start)
+				start = ends[step->after[k]];
+		ends[i] = start;
+		if (!state->done || state->done[i] < step->count)
+			ends[i] += step->estimate_ms;
+		if (ends[i] > longest)
+			longest = ends[i];
+	}
+	return longest;
+}
+
+static enum urgency urgency_of(const struct workflow *workflow,
+			       int64_t objective_ms, struct mstime now)
+{
+	int64_t age_ms = mstime_diff(now, workflow->submitted_at);
+	int64_t end_ms = age_ms + workflow->remaining_ms;
+
+	if (end_ms <= objective_ms)
+		return URGENCY_IN_TIME;
+	if (end_ms <= objective_ms * LATE_OBJECTIVES)
+		return URGENCY_LATE;
+	return URGENCY_OVERDUE;
+}
+
+static void rate(struct workflow *workflow, struct mstime now)
+{
+	int64_t objective_ms = dispatch_objective_ms(workflow);
+
+	/* Occurrences and lasting tasks have no single end. */
+	if (workflow->spec.occurrences > 1 ||
+	    workflow->spec.steps[0].long_running) {
+		workflow->urgency = URGENCY_IN_TIME;
+		workflow->order_ms = workflow->submitted_at.ms;
+		return;
+	}
+	workflow->remaining_ms = remaining_ms(workflow);
+	workflow->urgency = urgency_of(workflow, objective_ms, now);
+	workflow->order_ms =
+		workflow->urgency == URGENCY_IN_TIME
+			? workflow->submitted_at.ms + objective_ms
+			: workflow->remaining_ms;
+}
+
+static int goes_before(const struct workflow *a, const struct workflow *b)
+{
+	if (a->queue.priority != b->queue.priority)
+		return a->queue.priority < b->queue.priority;
+	if (a->urgency != b->urgency)
+		return a->urgency < b->urgency;
+	return a->order_ms < b->order_ms;
+}
+
+void dispatch_insert(struct list *head, struct workflow *workflow)
+{
+	struct list *pos = head->prev;
+
+	while (pos != head &&
+	       goes_before(workflow, list_entry(pos, struct workflow, node)))
+		pos = pos->prev;
+	list_add_head(pos, &workflow->node);
+}
+
+void dispatch_order(struct dispatch *dispatch, struct mstime now)
+{
+	struct list *pos, *tmp, sorted;
+
+	list_for_each (pos, &dispatch->workflows)
+		rate(list_entry(pos, struct workflow, node), now);
+	list_init(&sorted);
+	list_for_each_safe (pos, tmp, &dispatch->workflows) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		list_del(&workflow->node);
+		dispatch_insert(&sorted, workflow);
+	}
+	list_for_each_safe (pos, tmp, &sorted) {
+		list_del(pos);
+		list_add_tail(&dispatch->workflows, pos);
+	}
+}
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -51,6 +51,7 @@
 		  workflow->spec.step_count, workflow->spec.task_count,
 		  workflow_state_name(workflow->state),
 		  (long long)item->revision);
+	dispatch_set_wall(scheduler->dispatch, sysclock_wall_ms());
 	dispatch_add(scheduler->dispatch, workflow, now);
 }
 
