--- /dev/null
+++ b/tests/unit/test_workflow.c
@@ -0,0 +1,229 @@
+#include "workflow.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "mem.h"
+
+#define COUNT(table) (sizeof(table) / sizeof((table)[0]))
+
+static struct workflow_spec spec_new(size_t steps, uint32_t count)
+{
+	struct workflow_spec spec = { .id = "0123456789abcdef" };
+	size_t i;
+
+	spec.payload = xstrdup("payload");
+	spec.step_count = steps;
+	spec.steps = xcalloc(steps + 1, sizeof(*spec.steps));
+	for (i = 0; i < steps; i++) {
+		spec.steps[i].count = count;
+		spec.steps[i].estimate_ms = 100;
+	}
+	return spec;
+}
+
+static void wait_for_step(struct workflow_step *step, uint32_t before)
+{
+	step->after = xcalloc(1, sizeof(*step->after));
+	step->after[0] = before;
+	step->after_count = 1;
+}
+
+static struct workflow *build(struct workflow_spec *spec)
+{
+	struct queue_config queue = { .name = "q", .max_attempts = 2 };
+	const char *reason;
+
+	assert_int_equal(workflow_spec_check(spec, &reason), 0);
+	return workflow_new(spec, &queue, 1000);
+}
+
+/* Guards against workflows that can never end or exhaust memory. */
+static void test_spec_bounds(void **state)
+{
+	static const struct {
+		size_t steps;
+		uint32_t count, occurrences;
+		int64_t interval_ms;
+		int after; /* step 0 waits for this step; -1: for none */
+		int err;
+	} cases[] = {
+		{ 1, 1, 0, 0, -1, 0 },
+		{ STEPS_MAX, 1, 1, 0, -1, 0 },
+		{ 0, 1, 1, 0, -1, ERR_INVALID },
+		{ STEPS_MAX + 1, 1, 1, 0, -1, ERR_TOO_LARGE },
+		{ 1, 0, 1, 0, -1, ERR_INVALID },
+		{ 2, TASKS_PER_WORKFLOW_MAX / 2, 1, 0, -1, 0 },
+		{ 2, TASKS_PER_WORKFLOW_MAX / 2 + 1, 1, 0, -1, ERR_TOO_LARGE },
+		{ 1, 1, OCCURRENCES_MAX + 1, 10, -1, ERR_TOO_LARGE },
+		{ 1, 1, 2, 0, -1, ERR_INVALID },
+		{ 2, 1, 1, 0, 0, ERR_INVALID },
+		{ 2, 1, 1, 0, 1, ERR_INVALID },
+	};
+	const char *reason;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct workflow_spec spec =
+			spec_new(cases[i].steps, cases[i].count);
+
+		spec.occurrences = cases[i].occurrences;
+		spec.interval_ms = cases[i].interval_ms;
+		if (cases[i].after >= 0)
+			wait_for_step(&spec.steps[0],
+				      (uint32_t)cases[i].after);
+		assert_int_equal(workflow_spec_check(&spec, &reason),
+				 cases[i].err);
+		workflow_spec_clear(&spec);
+	}
+}
+
+/* Guards against a step that starts before an earlier one is done. */
+static void test_step_order(void **state)
+{
+	struct workflow_spec spec = spec_new(2, 2);
+	struct workflow *workflow;
+
+	wait_for_step(&spec.steps[1], 0);
+	workflow = build(&spec);
+	assert_true(workflow_step_open(workflow, 0, 0));
+	assert_false(workflow_step_open(workflow, 0, 1));
+	workflow_task_done(workflow, 0, 0, 0);
+	workflow_task_done(workflow, 0, 0, 0);
+	assert_false(workflow_step_open(workflow, 0, 1));
+	workflow_task_done(workflow, 0, 0, 1);
+	assert_true(workflow_step_open(workflow, 0, 1));
+	assert_int_equal(workflow_chain_ms(workflow), 200);
+	workflow_delete(workflow);
+}
+
+/* Guards against "complete" while a task of any occurrence is not done. */
+static void test_complete(void **state)
+{
+	struct workflow_spec spec = spec_new(1, 2);
+	struct workflow *workflow;
+
+	spec.occurrences = 2;
+	spec.interval_ms = 10;
+	workflow = build(&spec);
+	workflow_task_done(workflow, 0, 0, 0);
+	workflow_task_done(workflow, 0, 0, 1);
+	workflow_task_done(workflow, 1, 0, 1);
+	assert_false(workflow_is_final(workflow));
+	workflow_task_done(workflow, 1, 0, 0);
+	assert_int_equal(workflow->state, WORKFLOW_COMPLETE);
+	workflow_delete(workflow);
+}
+
+/* One end of a gang stands for all of its members. */
+static void test_gang_done(void **state)
+{
+	struct workflow_spec spec = spec_new(1, 3);
+	struct workflow *workflow;
+
+	spec.steps[0].gang = 1;
+	workflow = build(&spec);
+	workflow_task_done(workflow, 0, 0, 1);
+	assert_int_equal(workflow->state, WORKFLOW_COMPLETE);
+	workflow_delete(workflow);
+}
+
+static void assign(struct workflow *workflow, uint32_t index, uint64_t born)
+{
+	struct workflow_task *task = workflow_task(workflow, 0, 1, index);
+
+	task->phase = TASK_ASSIGNED;
+	task->run = 7;
+	task->failures = 1;
+	task->checkpoint = xstrdup("c\"1");
+	task->place = xcalloc(1, sizeof(*task->place));
+	str_copy(task->place->node, "node-1", ID_SIZE);
+	str_copy(task->place->worker, "w-1", ID_SIZE);
+	task->place->born = born;
+	workflow->occurrences[0].assigned[1]++;
+}
+
+/* Guards against progress that the next scheduler does not find again. */
+static void test_codec(void **state)
+{
+	struct workflow_spec spec = spec_new(2, 3), copy = spec_new(2, 3);
+	struct workflow *workflow = build(&spec), *read = build(&copy);
+	enum workflow_state stored;
+	struct workflow_task *task;
+	char *json;
+
+	workflow_task_done(workflow, 0, 0, 2);
+	assign(workflow, 1, 12345678901234);
+	workflow->state = WORKFLOW_RUNNING;
+	workflow->started = 1;
+	json = workflow_encode(workflow);
+	assert_int_equal(workflow_decode(read, json, strlen(json)), 0);
+	assert_int_equal(read->state, WORKFLOW_RUNNING);
+	assert_true(read->started);
+	assert_int_equal(workflow_task(read, 0, 0, 2)->phase, TASK_DONE);
+	assert_int_equal(read->occurrences[0].done[0], 1);
+	task = workflow_task(read, 0, 1, 1);
+	assert_int_equal(task->phase, TASK_ASSIGNED);
+	assert_int_equal(task->run, 7);
+	assert_int_equal(task->failures, 1);
+	assert_string_equal(task->checkpoint, "c\"1");
+	assert_string_equal(task->place->node, "node-1");
+	assert_true(task->place->born == 12345678901234);
+	assert_int_equal(workflow_decode_state(json, strlen(json), &stored),
+			 0);
+	assert_int_equal(stored, WORKFLOW_RUNNING);
+	free(json);
+	workflow_delete(workflow);
+	workflow_delete(read);
+}
+
+/* Guards against a crash on records that another writer has damaged. */
+static void test_codec_malformed(void **state)
+{
+	static const char *const cases[] = {
+		"",
+		"[]",
+		"{\"format\":2,\"state\":\"queued\"}",
+		"{\"format\":1,\"state\":\"odd\"}",
+		"{\"format\":1,\"state\":\"running\",\"tasks\":[[0,0]]}",
+		"{\"format\":1,\"state\":\"running\",\"tasks\":"
+		"[[0,9,0,1,1,0,0,\"\"]]}",
+		"{\"format\":1,\"state\":\"running\",\"tasks\":"
+		"[[0,0,0,1,1,0,5,\"\"]]}",
+		"{\"format\":1,\"state\":\"running\",\"tasks\":"
+		"[[0,0,0,7,1,0,0,\"\"]]}",
+		"{\"format\":1,\"state\":\"running\",\"tasks\":"
+		"[[-1,0,0,1,1,0,0,\"\"]]}",
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct workflow_spec spec = spec_new(2, 2);
+		struct workflow *workflow = build(&spec);
+
+		assert_int_equal(workflow_decode(workflow, cases[i],
+						 strlen(cases[i])),
+				 ERR_MALFORMED);
+		workflow_delete(workflow);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_spec_bounds),
+		cmocka_unit_test(test_step_order),
+		cmocka_unit_test(test_complete),
+		cmocka_unit_test(test_gang_done),
+		cmocka_unit_test(test_codec),
+		cmocka_unit_test(test_codec_malformed),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
