--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -62,12 +62,12 @@
 	uint64_t seen;		  /* report that named it last */
 	struct mstime ordered_at; /* last time that the start was sent */
 	struct mstime active_at;  /* first time that it was listed */
-	uint32_t progress;	 /* percent */
-	uint32_t load;		 /* latency in ms, or cpu in use */
-	uint32_t latency_target; /* ms; 0: serves nobody */
-	int image;		 /* see colocation; -1: not known */
-	double own_pressure;	 /* of a serving run; see colocation */
-	uint32_t pace;		 /* percent */
+	uint32_t progress;	  /* percent */
+	uint32_t load;		  /* latency in ms, or cpu in use */
+	uint32_t latency_target;  /* ms; 0: serves nobody */
+	int image;		  /* see colocation; -1: not known */
+	double own_pressure;	  /* of a serving run; see colocation */
+	uint32_t pace;		  /* percent */
 	uint32_t pace_planned;
 	uint32_t pace_sent;	 /* PACE_UNKNOWN: has to be sent */
 	struct mstime slowed_at; /* since when below full pace */
@@ -76,8 +76,8 @@
 	unsigned is_active : 1;
 	unsigned is_stopping : 1;
 	unsigned is_evicted : 1; /* is stopped to run elsewhere */
-	unsigned is_orphan : 1; /* listed, but not the task's current run */
-	struct mstime stop_at;	/* last time that the stop was sent */
+	unsigned is_orphan : 1;	 /* listed, but not the task's current run */
+	struct mstime stop_at;	 /* last time that the stop was sent */
 };
 
 struct ended_run {
@@ -89,10 +89,11 @@
 /* A worker as its runner reports it; one for each runner. */
 struct worker {
 	struct list node;
-	char runner[ID_SIZE];  /* node name */
+	char runner[ID_SIZE]; /* node name */
 	char id[ID_SIZE];
 	uint64_t born;
-	uint64_t session; /* of the runner */
+	uint64_t session; /* of the runner; random, in no order */
+	uint64_t former_session;
 	char service[ID_SIZE];
 	char rack[NAME_SIZE];
 	char labels[LABELS_MAX][NAME_SIZE];
@@ -103,10 +104,10 @@
 	uint32_t fill_cpu;
 	uint32_t run_count;
 	struct list runs;
-	uint64_t incarnations;	/* workers and sessions seen; part of fence */
+	uint64_t incarnations; /* workers and sessions seen; part of fence */
 	uint64_t fence;
-	int is_listed;		/* its lists were read under this fence */
-	uint32_t lists_old;	/* ms, at the time of the last report */
+	int is_listed;	    /* its lists were read under this fence */
+	uint32_t lists_old; /* ms, at the time of the last report */
 	uint64_t report_seq;
 	struct mstime reported_at;
 	struct mstime lease_end; /* after which all its runs have ended */
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -111,7 +111,7 @@
 /* Whether a workflow can still meet its objective. */
 enum urgency {
 	URGENCY_IN_TIME,
-	URGENCY_LATE,	/* but still of some use */
+	URGENCY_LATE, /* but still of some use */
 	URGENCY_OVERDUE
 };
 
@@ -127,7 +127,7 @@
 	int64_t remaining_ms; /* of the chain */
 	enum urgency urgency;
 	int64_t order_ms; /* among workflows of equal urgency */
-	uint64_t version;     /* of the last change */
+	uint64_t version; /* of the last change */
 	uint64_t saved_version;
 	int64_t stored_revision; /* 0: the state has never been stored */
 	struct mstime ended_at;
--- a/packages/core/src/colocation.c
+++ b/packages/core/src/colocation.c
@@ -128,12 +128,11 @@
 		colocation->base[serving] =
 			clamp(latency, BASE_MIN, BASE_INITIAL);
 	for (i = 0; i < count; i++)
-		sum += fills[i].cores * colocation_weight(colocation,
-							  fills[i].image,
-							  serving);
+		sum += fills[i].cores *
+		       colocation_weight(colocation, fills[i].image, serving);
 	error = colocation_pressure(colocation, serving, latency) - *own - sum;
 	*own = clamp(*own + (sum < PRESSURE_MIN ? OWN_RATE_ALONE : OWN_RATE) *
-				    error,
+				     error,
 		     0, OWN_MAX);
 	if (sum < PRESSURE_MIN)
 		return;
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -160,8 +160,8 @@
 			uint32_t count = workflow->spec.steps[step].count;
 
 			for (index = 0; index < count; index++) {
-				struct workflow_task *task = workflow_task(
-					workflow, k, step, index);
+				struct workflow_task *task =
+					workflow_task(workflow, k, step, index);
 				struct task_id id = { "", k, step, index };
 				struct worker *worker;
 
@@ -178,21 +178,20 @@
 					worker->born = task->place->born;
 				}
 				task->current = dispatch_run_new(
-					dispatch, worker, workflow, &id, task->run);
+					dispatch, worker, workflow, &id,
+					task->run);
 				task->current->state = RUN_SAVED;
 				task->current->is_ordered = 1;
-				task->current->pace_sent =
-					PACE_UNKNOWN;
-				task->current->born =
-					task->place->born;
+				task->current->pace_sent = PACE_UNKNOWN;
+				task->current->born = task->place->born;
 			}
 		}
 	}
 }
 
 /* The store's clock and this one may differ by a little. */
-static void take_age(const struct dispatch *dispatch,
-		     struct workflow *workflow, struct mstime now)
+static void take_age(const struct dispatch *dispatch, struct workflow *workflow,
+		     struct mstime now)
 {
 	int64_t age_ms = dispatch->wall_ms - workflow->submitted_ms;
 
@@ -275,7 +274,8 @@
 	return worker;
 }
 
-struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker, struct workflow *workflow,
+struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker,
+			     struct workflow *workflow,
 			     const struct task_id *id, uint32_t number)
 {
 	const struct workflow_step *step = &workflow->spec.steps[id->step];
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -196,9 +196,8 @@
 			  struct worker *worker, uint32_t number)
 {
 	struct workflow *workflow = request->workflow;
-	struct workflow_task *task =
-		workflow_task(workflow, request->occurrence,
-			      request->step_index, index);
+	struct workflow_task *task = workflow_task(
+		workflow, request->occurrence, request->step_index, index);
 	struct task_id id = { "", request->occurrence, request->step_index,
 			      index };
 
@@ -259,8 +258,8 @@
 
 		if (!worker)
 			break;
-		runs[placed++] = assign(dispatch, request, i, worker,
-					number + 1);
+		runs[placed++] =
+			assign(dispatch, request, i, worker, number + 1);
 	}
 	for (i = 0; i < (uint32_t)placed; i++) {
 		if ((uint32_t)placed == count)
@@ -317,8 +316,7 @@
 		if (!worker)
 			break;
 		commit_run(dispatch,
-			   assign(dispatch, request, i, worker,
-				  task->run + 1));
+			   assign(dispatch, request, i, worker, task->run + 1));
 		placed++;
 	}
 	return placed;
@@ -373,7 +371,7 @@
 		for (step = 0; step < workflow->spec.step_count; step++) {
 			struct request request = {
 				workflow, &workflow->spec.steps[step], k, step,
-				-1, is_starved(workflow, now)
+				-1,	  is_starved(workflow, now)
 			};
 
 			if (!step_has_waiting(workflow, k, step) ||
@@ -403,8 +401,9 @@
 		       struct mstime now)
 {
 	struct request request = {
-		run->workflow, &run->workflow->spec.steps[run->id.step],
-		run->id.occurrence, run->id.step, run->image, 0
+		run->workflow,	    &run->workflow->spec.steps[run->id.step],
+		run->id.occurrence, run->id.step,
+		run->image,	    0
 	};
 	const struct worker *worker = choose(dispatch, &request, now);
 
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -42,7 +42,8 @@
 void dispatch_touch(struct dispatch *dispatch, struct workflow *workflow);
 
 /* Takes room at the worker. */
-struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker, struct workflow *workflow,
+struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker,
+			     struct workflow *workflow,
 			     const struct task_id *id, uint32_t number);
 
 /* Gives the room back; the task, if this is its run, waits again. */
--- a/packages/core/src/dispatch_order.c
+++ b/packages/core/src/dispatch_order.c
@@ -64,10 +64,9 @@
 	}
 	workflow->remaining_ms = remaining_ms(workflow);
 	workflow->urgency = urgency_of(workflow, objective_ms, now);
-	workflow->order_ms =
-		workflow->urgency == URGENCY_IN_TIME
-			? workflow->submitted_at.ms + objective_ms
-			: workflow->remaining_ms;
+	workflow->order_ms = workflow->urgency == URGENCY_IN_TIME
+				     ? workflow->submitted_at.ms + objective_ms
+				     : workflow->remaining_ms;
 }
 
 static int goes_before(const struct workflow *a, const struct workflow *b)
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -17,8 +17,7 @@
 static int is_due(const struct dispatch *dispatch, struct mstime last,
 		  struct mstime now)
 {
-	return !last.ms ||
-	       mstime_diff(now, last) >= dispatch->limits.resend_ms;
+	return !last.ms || mstime_diff(now, last) >= dispatch->limits.resend_ms;
 }
 
 static int wants_start(const struct dispatch *dispatch, const struct run *run,
@@ -44,8 +43,7 @@
 		      struct msg_work_orders *orders, struct mstime now)
 {
 	struct workflow *workflow = run->workflow;
-	const struct workflow_step *step =
-		&workflow->spec.steps[run->id.step];
+	const struct workflow_step *step = &workflow->spec.steps[run->id.step];
 	struct run_order *order = &dispatch->starts[orders->starts.count++];
 
 	order->task = run->id;
@@ -95,8 +93,7 @@
 	list_for_each (pos, &worker->runs) {
 		const struct run *run = list_entry(pos, struct run, node);
 
-		if ((worker->is_listed &&
-		     wants_start(dispatch, run, now)) ||
+		if ((worker->is_listed && wants_start(dispatch, run, now)) ||
 		    wants_stop(dispatch, run, now) || never_ordered(run) ||
 		    wants_pace(run))
 			return 1;
@@ -109,8 +106,8 @@
 {
 	orders->lease_ms = (uint32_t)dispatch->limits.lease_ms;
 	worker->lease_end = mstime_max(
-		worker->lease_end, mstime_add(worker->reported_at,
-					      dispatch->limits.lease_max_ms));
+		worker->lease_end,
+		mstime_add(worker->reported_at, dispatch->limits.lease_max_ms));
 }
 
 int dispatch_orders(struct dispatch *dispatch, struct worker *worker,
--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -90,8 +90,7 @@
 
 		if (!serving->latency_target)
 			continue;
-		sum = serving->own_pressure -
-		      pressure_aim(dispatch, serving) +
+		sum = serving->own_pressure - pressure_aim(dispatch, serving) +
 		      cores * colocation_weight(dispatch->colocation, image,
 						serving->image);
 		list_for_each (at, &worker->runs) {
@@ -297,8 +296,7 @@
 	plan_paces(dispatch, worker);
 	apply_paces(dispatch, worker,
 		    worker->over_since.ms &&
-			    mstime_diff(now, worker->over_since) >=
-				    HALT_ALL_MS,
+			    mstime_diff(now, worker->over_since) >= HALT_ALL_MS,
 		    now);
 	evict_slowed(dispatch, worker, now);
 }
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -54,6 +54,7 @@
 {
 	struct list *pos;
 
+	worker->former_session = worker->session;
 	worker->session = session;
 	worker->report_seq = 0;
 	list_for_each (pos, &worker->runs) {
@@ -133,8 +134,7 @@
 {
 	struct workflow *workflow = run->workflow;
 	struct workflow_task *task = workflow_find(workflow, &run->id);
-	const struct workflow_step *step =
-		&workflow->spec.steps[run->id.step];
+	const struct workflow_step *step = &workflow->spec.steps[run->id.step];
 	struct task_id id = run->id;
 
 	keep_checkpoint(task, end->checkpoint);
@@ -205,8 +205,7 @@
 
 	if (workflow && workflow_find(workflow, &status->task)) {
 		run = dispatch_run_new(dispatch, worker, workflow,
-				       &status->task,
-				       status->run);
+				       &status->task, status->run);
 	} else {
 		run = xcalloc(1, sizeof(*run));
 		run->worker = worker;
@@ -228,8 +227,8 @@
 {
 	struct workflow_task *task;
 
-	dispatch_note(dispatch, NOTE_LOST, run->workflow, run->worker,
-		      &run->id, run->number, status->detail);
+	dispatch_note(dispatch, NOTE_LOST, run->workflow, run->worker, &run->id,
+		      run->number, status->detail);
 	if (status->phase == RUN_REFUSED)
 		count_failure(dispatch, run->worker, now);
 	if (run->workflow && !run->is_orphan) {
@@ -243,10 +242,9 @@
 			const struct run_status *status, uint64_t seq,
 			struct mstime now)
 {
-	struct run *run =
-		dispatch_run_find(worker, &status->task, status->run);
-	int exists = status->phase == RUN_PENDING ||
-		     status->phase == RUN_ACTIVE;
+	struct run *run = dispatch_run_find(worker, &status->task, status->run);
+	int exists =
+		status->phase == RUN_PENDING || status->phase == RUN_ACTIVE;
 
 	if (!run && !exists)
 		return;
@@ -315,7 +313,7 @@
 
 	if (report->epoch != dispatch->epoch)
 		return ERR_FENCED;
-	if (report->session < worker->session ||
+	if (report->session == worker->former_session ||
 	    (report->session == worker->session &&
 	     report->seq <= worker->report_seq))
 		return ERR_FENCED;
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -100,8 +100,8 @@
 	workflow->spec = *spec;
 	workflow->queue = *queue;
 	workflow->submitted_ms = submitted_ms;
-	workflow->occurrences = xcalloc(spec->occurrences,
-					sizeof(*workflow->occurrences));
+	workflow->occurrences =
+		xcalloc(spec->occurrences, sizeof(*workflow->occurrences));
 	memset(spec, 0, sizeof(*spec));
 	return workflow;
 }
@@ -147,8 +147,8 @@
 
 	if (occurrence->tasks)
 		return occurrence;
-	occurrence->tasks = xcalloc(workflow->spec.task_count,
-				    sizeof(*occurrence->tasks));
+	occurrence->tasks =
+		xcalloc(workflow->spec.task_count, sizeof(*occurrence->tasks));
 	occurrence->done = xcalloc(steps, sizeof(*occurrence->done));
 	occurrence->assigned = xcalloc(steps, sizeof(*occurrence->assigned));
 	return occurrence;
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -39,9 +39,9 @@
 		if (place_equal(known[i], place))
 			return (int)i;
 	known[*count] = place;
-	json_array_append_new(rows, json_pack("[s,s,I]", place->node,
-					      place->worker,
-					      (json_int_t)place->born));
+	json_array_append_new(rows,
+			      json_pack("[s,s,I]", place->node, place->worker,
+					(json_int_t)place->born));
 	return (int)(*count)++;
 }
 
@@ -80,9 +80,8 @@
 			if (task->place)
 				place = place_index(places, known, known_count,
 						    task->place);
-			json_array_append_new(tasks,
-					      encode_task(task, k, step, index,
-							  place));
+			json_array_append_new(tasks, encode_task(task, k, step,
+								 index, place));
 		}
 	}
 }
@@ -165,8 +164,7 @@
 	if (!node || !worker)
 		return ERR_MALFORMED;
 	copy = xcalloc(1, sizeof(*copy));
-	copy->born =
-		(uint64_t)json_integer_value(json_array_get(row, 2));
+	copy->born = (uint64_t)json_integer_value(json_array_get(row, 2));
 	if (str_copy(copy->node, node, sizeof(copy->node)) ||
 	    str_copy(copy->worker, worker, sizeof(copy->worker))) {
 		free(copy);
@@ -228,8 +226,7 @@
 	if (err)
 		return err;
 	workflow->state = state;
-	workflow->cancelled =
-		json_is_true(json_object_get(root, "cancelled"));
+	workflow->cancelled = json_is_true(json_object_get(root, "cancelled"));
 	workflow->started = json_is_true(json_object_get(root, "started"));
 	return 0;
 }
--- a/packages/daemon/src/election.c
+++ b/packages/daemon/src/election.c
@@ -25,7 +25,7 @@
 
 enum state {
 	STATE_WATCHING,
-	STATE_WAITING,	 /* the key is free; the delay runs */
+	STATE_WAITING,	  /* the key is free; the delay runs */
 	STATE_REQUESTING, /* lease or key are being requested */
 	STATE_LEADING,
 	STATE_RESIGNED
@@ -144,8 +144,8 @@
 	if (!result->err)
 		election->valid_until = mstime_add(
 			election->sent_at, election->ttl_ms - MARGIN_MS);
-	loop_timer_start(election->timer, result->err ? RENEW_MS / 4
-						      : RENEW_MS);
+	loop_timer_start(election->timer,
+			 result->err ? RENEW_MS / 4 : RENEW_MS);
 }
 
 static void on_timer(void *arg)
@@ -182,8 +182,8 @@
 
 static void take_key(struct election *election, const struct kv_item *item)
 {
-	int is_mine = item && item->value &&
-		      !strcmp(item->value, election->value);
+	int is_mine =
+		item && item->value && !strcmp(item->value, election->value);
 
 	election->is_free = !item || !item->value;
 	if (election->state == STATE_LEADING && !is_mine &&
--- a/packages/daemon/src/gateway.c
+++ b/packages/daemon/src/gateway.c
@@ -41,9 +41,8 @@
 	log_event(EV_WORKFLOW_ANSWERED,
 		  "job=%s method=%s queue=%s status=%d took_ms=%lld "
 		  "attempts=%d config=%lld detail=%s",
-		  call->job, httpd_method(call->request),
-		  call->queue.name, status, (long long)took_ms,
-		  call->attempts,
+		  call->job, httpd_method(call->request), call->queue.name,
+		  status, (long long)took_ms, call->attempts,
 		  (long long)call->gateway->config.version, detail);
 	httpd_reply(call->request, status, body);
 	job_call_free(call);
@@ -59,14 +58,13 @@
 int job_call_retry(struct job_call *call, loop_fn retry, int64_t limit_ms)
 {
 	struct mstime now = sysclock_now();
-	struct mstime end = mstime_min(
-		call->deadline, mstime_add(call->started, limit_ms));
+	struct mstime end =
+		mstime_min(call->deadline, mstime_add(call->started, limit_ms));
 
 	if (!mstime_before(mstime_add(now, RETRY_PAUSE_MS), end))
 		return 0;
 	loop_timer_delete(call->timer);
-	call->timer = loop_timer_new(call->gateway->daemon->loop,
-					 retry, call);
+	call->timer = loop_timer_new(call->gateway->daemon->loop, retry, call);
 	loop_timer_start(call->timer, RETRY_PAUSE_MS);
 	return 1;
 }
@@ -78,8 +76,7 @@
 
 	if (ms <= 0)
 		ms = DEADLINE_DEFAULT_MS;
-	return ms > DEADLINE_RESERVE_MS * 2 ? ms - DEADLINE_RESERVE_MS
-					    : ms / 2;
+	return ms > DEADLINE_RESERVE_MS * 2 ? ms - DEADLINE_RESERVE_MS : ms / 2;
 }
 
 static void dispatch_request(struct job_call *call)
@@ -110,8 +107,7 @@
 	call->gateway = gateway;
 	call->request = request;
 	call->started = sysclock_now();
-	call->deadline =
-		mstime_add(call->started, deadline_ms(request));
+	call->deadline = mstime_add(call->started, deadline_ms(request));
 	list_add_tail(&gateway->job_calls, &call->node);
 	if (!gateway->has_config) {
 		job_call_refuse(call, 503, "no-configuration");
@@ -240,8 +236,8 @@
 	gateway->daemon = daemon;
 	list_init(&gateway->job_calls);
 	add_counters(gateway);
-	gateway->kv = kv_new(daemon->loop, settings->store_address,
-			     STORE_TIMEOUT_MS);
+	gateway->kv =
+		kv_new(daemon->loop, settings->store_address, STORE_TIMEOUT_MS);
 	if (!gateway->kv)
 		return failed(gateway, "store.address",
 			      settings->store_address);
@@ -253,9 +249,9 @@
 				   on_probe, gateway);
 	if (!gateway->probe)
 		return failed(gateway, "listen.probe", settings->probe);
-	gateway->follow = follow_new(daemon->loop, gateway->kv,
-				     PLATFORM_OPERATOR_PREFIX, &handlers,
-				     gateway);
+	gateway->follow =
+		follow_new(daemon->loop, gateway->kv, PLATFORM_OPERATOR_PREFIX,
+			   &handlers, gateway);
 	return gateway;
 }
 
@@ -296,7 +292,7 @@
 	gateway->stopped_arg = arg;
 	gateway->stop_until = mstime_add(sysclock_now(), LAME_DUCK_MS);
 	httpd_close_connections(gateway->callers);
-	gateway->stop_timer = loop_timer_new(gateway->daemon->loop,
-					     on_stop_timer, gateway);
+	gateway->stop_timer =
+		loop_timer_new(gateway->daemon->loop, on_stop_timer, gateway);
 	loop_timer_start(gateway->stop_timer, STOP_POLL_MS);
 }
--- a/packages/daemon/src/gateway_internal.h
+++ b/packages/daemon/src/gateway_internal.h
@@ -39,7 +39,7 @@
 	struct httpd_request *request;
 	struct queue_config queue;
 	char job[JOB_ID_SIZE];
-	char *record;	       /* of a submission */
+	char *record;		  /* of a submission */
 	struct loop_timer *timer; /* next attempt */
 	struct mstime started;
 	struct mstime deadline;
@@ -52,8 +52,7 @@
 		    const char *detail);
 
 /* Not done and not to be done: names the time to come back. */
-void job_call_refuse(struct job_call *call, int status,
-		     const char *detail);
+void job_call_refuse(struct job_call *call, int status, const char *detail);
 
 /*
  * Calls retry(call) after a pause if the deadline allows; otherwise 0 and
--- a/packages/daemon/src/gateway_jobs.c
+++ b/packages/daemon/src/gateway_jobs.c
@@ -72,8 +72,7 @@
 	struct workflow_spec spec;
 	const char *reason;
 
-	if (platform_decode_workflow(body, len, call->job, &spec,
-				     &reason)) {
+	if (platform_decode_workflow(body, len, call->job, &spec, &reason)) {
 		job_call_reply(call, 400, "{}", reason);
 		return;
 	}
@@ -208,8 +207,8 @@
 		state_failed(call, result->err, state_read);
 		return;
 	}
-	if (workflow_decode_state(result->items[0].value,
-				  result->items[0].len, &state)) {
+	if (workflow_decode_state(result->items[0].value, result->items[0].len,
+				  &state)) {
 		log_event(EV_WORKFLOW_INVALID, "job=%s reason=state",
 			  call->job);
 		job_call_refuse(call, 503, "state-unreadable");
--- a/packages/daemon/src/jobstore.c
+++ b/packages/daemon/src/jobstore.c
@@ -24,13 +24,13 @@
 char *job_record_encode(const struct queue_config *queue, const char *body,
 			size_t len)
 {
-	json_t *root = json_pack(
-		"{s:s, s:s, s:i, s:i, s:f, s:I, s:b, s:s%}", "queue",
-		queue->name, "service", queue->service, "priority",
-		(int)queue->priority, "max_attempts", (int)queue->max_attempts,
-		"stretch", queue->stretch, "extra_ms",
-		(json_int_t)queue->extra_ms, "has_advice",
-		(int)queue->has_advice, "body", body, len);
+	json_t *root =
+		json_pack("{s:s, s:s, s:i, s:i, s:f, s:I, s:b, s:s%}", "queue",
+			  queue->name, "service", queue->service, "priority",
+			  (int)queue->priority, "max_attempts",
+			  (int)queue->max_attempts, "stretch", queue->stretch,
+			  "extra_ms", (json_int_t)queue->extra_ms, "has_advice",
+			  (int)queue->has_advice, "body", body, len);
 	char *text;
 
 	if (!root)
@@ -51,15 +51,13 @@
 	    str_copy(queue->name, name, sizeof(queue->name)) ||
 	    str_copy(queue->service, service, sizeof(queue->service)))
 		return -1;
-	queue->priority = (uint32_t)json_integer_value(
-		json_object_get(root, "priority"));
+	queue->priority =
+		(uint32_t)json_integer_value(json_object_get(root, "priority"));
 	queue->max_attempts = (uint32_t)json_integer_value(
 		json_object_get(root, "max_attempts"));
 	queue->stretch = json_number_value(json_object_get(root, "stretch"));
-	queue->extra_ms =
-		json_integer_value(json_object_get(root, "extra_ms"));
-	queue->has_advice =
-		json_is_true(json_object_get(root, "has_advice"));
+	queue->extra_ms = json_integer_value(json_object_get(root, "extra_ms"));
+	queue->has_advice = json_is_true(json_object_get(root, "has_advice"));
 	return 0;
 }
 
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -168,9 +168,8 @@
 		return EXIT_FAILED;
 	log_event(EV_DAEMON_START,
 		  "role=%s region=%s domain=%s incarnation=%016llx admin=%s",
-		  role_name(settings->role), settings->region,
-		  settings->domain, (unsigned long long)daemon->incarnation,
-		  settings->admin);
+		  role_name(settings->role), settings->region, settings->domain,
+		  (unsigned long long)daemon->incarnation, settings->admin);
 	loop_run(daemon->loop);
 	log_event(EV_DAEMON_STOPPED, "reason=stopped");
 	return EXIT_OK;
@@ -238,8 +237,8 @@
 		  "Print the version and end", NULL },
 		{ NULL }
 	};
-	GOptionContext *context =
-		g_option_context_new("- daemon of catkinhill, in the role of its settings");
+	GOptionContext *context = g_option_context_new(
+		"- daemon of catkinhill, in the role of its settings");
 	GError *error = NULL;
 	int ok;
 
--- a/packages/daemon/src/registration.c
+++ b/packages/daemon/src/registration.c
@@ -49,8 +49,7 @@
 	registration->kv = kv;
 	registration->key = xstrfmt("%s%s", NODE_PREFIX, node);
 	registration->value = xstrfmt("{\"address\":\"%s\"}", address);
-	registration->retry =
-		loop_timer_new(loop, write_record, registration);
+	registration->retry = loop_timer_new(loop, write_record, registration);
 	write_record(registration);
 	return registration;
 }
--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -88,7 +88,8 @@
 static void bind_worker(struct runner *runner, const char *id,
 			const struct announcement *announcement)
 {
-	log_event(EV_WORKER_BOUND, "worker=%s born=%llu service=%s cpu=%u "
+	log_event(EV_WORKER_BOUND,
+		  "worker=%s born=%llu service=%s cpu=%u "
 		  "mem_mb=%u former=%s",
 		  id, (unsigned long long)announcement->born,
 		  announcement->service, announcement->capacity.cpu_milli,
@@ -131,7 +132,8 @@
 	int changed;
 
 	if (is_outdated(runner, id, announcement)) {
-		log_event(EV_ANNOUNCEMENT_DROPPED, "worker=%s born=%llu "
+		log_event(EV_ANNOUNCEMENT_DROPPED,
+			  "worker=%s born=%llu "
 			  "sequence=%llu reason=outdated",
 			  id, (unsigned long long)announcement->born,
 			  (unsigned long long)announcement->sequence);
@@ -141,8 +143,9 @@
 	if (changed)
 		bind_worker(runner, id, announcement);
 	if (!changed && announcement->state != runner->worker.state)
-		log_event(EV_WORKER_STATE, "worker=%s state=%d remaining_ms=%lld",
-			  id, (int)announcement->state,
+		log_event(EV_WORKER_STATE,
+			  "worker=%s state=%d remaining_ms=%lld", id,
+			  (int)announcement->state,
 			  (long long)announcement->remaining_ms);
 	changed |= announcement->state != runner->worker.state;
 	runner->worker = *announcement;
@@ -159,8 +162,8 @@
 
 	if (strlen(id) >= sizeof(runner->target.id) ||
 	    platform_decode_announcement(body, len, &announcement)) {
-		log_event(EV_ANNOUNCEMENT_DROPPED,
-			  "worker=%s reason=malformed", id);
+		log_event(EV_ANNOUNCEMENT_DROPPED, "worker=%s reason=malformed",
+			  id);
 		httpd_reply(request, 400, "{}");
 		return;
 	}
@@ -407,10 +410,9 @@
 	runner->calls = workercall_new(daemon->loop, settings->worker,
 				       WORKER_TIMEOUT_MS);
 	if (!runner->calls)
-		return listen_failed(runner, "runner.worker",
-				     settings->worker);
-	runner->kv = kv_new(daemon->loop, settings->store_address,
-			    STORE_TIMEOUT_MS);
+		return listen_failed(runner, "runner.worker", settings->worker);
+	runner->kv =
+		kv_new(daemon->loop, settings->store_address, STORE_TIMEOUT_MS);
 	if (!runner->kv)
 		return listen_failed(runner, "store.address",
 				     settings->store_address);
@@ -423,8 +425,8 @@
 	if (!runner->httpd)
 		return listen_failed(runner, "listen.announcements",
 				     settings->announcements);
-	runner->registration = registration_new(
-		daemon->loop, runner->kv, settings->id, settings->peers);
+	runner->registration = registration_new(daemon->loop, runner->kv,
+						settings->id, settings->peers);
 	runner->scheduler = scheduler_new(daemon, runner->kv);
 	loop_timer_start(runner->tick, TICK_MS);
 	loop_timer_start(runner->report_timer, REPORT_INTERVAL_MS);
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -33,16 +33,16 @@
 	char *detail;
 	uint32_t fills;
 	uint32_t latency_target_ms;
-	uint32_t progress;  /* percent */
-	uint32_t pace;	    /* wanted, percent */
-	uint32_t pace_set;  /* confirmed by the worker */
-	int pace_is_open;   /* a pace call is in progress */
+	uint32_t progress; /* percent */
+	uint32_t pace;	   /* wanted, percent */
+	uint32_t pace_set; /* confirmed by the worker */
+	int pace_is_open;  /* a pace call is in progress */
 	uint32_t load;
 	int attempts;
-	int unsettled;	    /* start calls without an answer */
-	int is_calling;	    /* a start or stop is in progress */
+	int unsettled;	/* start calls without an answer */
+	int is_calling; /* a start or stop is in progress */
 	int wants_stop;
-	int is_settled;	    /* a later list without it proves its absence */
+	int is_settled; /* a later list without it proves its absence */
 	struct mstime settled_at;
 	struct mstime retry_at;
 	struct mstime ended_at; /* gone or refused; reported for a while */
@@ -60,7 +60,7 @@
 	/* The worker; id is "" until it announces itself. */
 	struct worker_target target;
 	struct announcement worker;
-	int is_bound; /* to the worker of this announcement */
+	int is_bound;	     /* to the worker of this announcement */
 	uint64_t ended_born; /* a worker born so or earlier has left */
 
 	/* The scheduler that is obeyed. */
--- a/packages/daemon/src/runner_pace.c
+++ b/packages/daemon/src/runner_pace.c
@@ -53,7 +53,8 @@
 {
 	struct list *pos;
 
-	log_event(EV_PACE_CHANGED, "worker=%s worst_percent=%lld reason="
+	log_event(EV_PACE_CHANGED,
+		  "worker=%s worst_percent=%lld reason="
 		  "scheduler-silent",
 		  runner->target.id, (long long)worst);
 	list_for_each (pos, &runner->runs) {
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -178,8 +178,7 @@
 {
 	int64_t wait_ms = runner->end_count ? 0 : HOLD_WAIT_MS;
 
-	if (runner->hold_is_open || !runner->is_bound ||
-	    !runner->target.fence)
+	if (runner->hold_is_open || !runner->is_bound || !runner->target.fence)
 		return;
 	loop_timer_stop(runner->hold_timer);
 	runner->hold_is_open = 1;
@@ -335,8 +334,7 @@
 		if (runner->ends[i].run == order->run &&
 		    runner->ends[i].task.index == order->task.index &&
 		    runner->ends[i].task.step == order->task.step &&
-		    runner->ends[i].task.occurrence ==
-			    order->task.occurrence &&
+		    runner->ends[i].task.occurrence == order->task.occurrence &&
 		    !strcmp(runner->ends[i].task.job, order->task.job))
 			return;
 	if (!run)
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -136,9 +136,8 @@
 	struct scheduler *scheduler = arg;
 
 	scheduler->epoch = epoch;
-	scheduler->dispatch =
-		dispatch_new(&dispatch_defaults, (uint64_t)epoch,
-			     sysclock_now(), on_note, scheduler);
+	scheduler->dispatch = dispatch_new(&dispatch_defaults, (uint64_t)epoch,
+					   sysclock_now(), on_note, scheduler);
 	scheduler_links_start(scheduler);
 	scheduler_load_start(scheduler);
 	loop_timer_start(scheduler->tick, TICK_MS);
--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -137,8 +137,7 @@
 	txn.compares[0].revision = scheduler->epoch;
 	for (i = 0; i < commit->count; i++) {
 		const struct commit_entry *entry = &commit->entries[i];
-		struct kv_compare *compare =
-			&txn.compares[txn.compare_count++];
+		struct kv_compare *compare = &txn.compares[txn.compare_count++];
 		struct kv_put *put = &txn.puts[txn.put_count++];
 
 		compare->key = entry->key;
@@ -244,8 +243,7 @@
 	    mstime_diff(now, scheduler->pending_at) < PENDING_INTERVAL_MS)
 		return;
 	text = pending_text(scheduler);
-	if (scheduler->pending_text &&
-	    !strcmp(text, scheduler->pending_text)) {
+	if (scheduler->pending_text && !strcmp(text, scheduler->pending_text)) {
 		free(text);
 		return;
 	}
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -68,9 +68,8 @@
 
 	transport_delete(link->transport);
 	str_copy(link->address, address, sizeof(link->address));
-	link->transport = transport_client_new(scheduler->daemon->loop,
-					       address, routing_id, on_message,
-					       link);
+	link->transport = transport_client_new(scheduler->daemon->loop, address,
+					       routing_id, on_message, link);
 	free(routing_id);
 	if (link->transport)
 		say_hello(link, sysclock_now());
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -113,8 +113,7 @@
 
 	if (result->err) {
 		log_event(EV_STATE_UNSETTLED, "epoch=%lld load err=%s",
-			  (long long)scheduler->epoch,
-			  error_name(result->err));
+			  (long long)scheduler->epoch, error_name(result->err));
 		loop_timer_start(scheduler->load_retry, 200);
 		return;
 	}
--- a/packages/io/include/httpd.h
+++ b/packages/io/include/httpd.h
@@ -38,8 +38,9 @@
 
 const char *httpd_method(const struct httpd_request *request);
 const char *httpd_path(const struct httpd_request *request); /* no query */
-const char *httpd_header(const struct httpd_request *request,
-			 const char *name);
+/* The part after '?', not decoded; "" without one. */
+const char *httpd_query(const struct httpd_request *request);
+const char *httpd_header(const struct httpd_request *request, const char *name);
 const char *httpd_body(const struct httpd_request *request, size_t *len);
 
 /*
--- a/packages/io/include/settings.h
+++ b/packages/io/include/settings.h
@@ -38,11 +38,11 @@
 	int64_t stop_ms; /* bound of a graceful stop */
 
 	/* [listen], each ip:port */
-	char callers[ID_SIZE]; /* entry: HTTP for callers */
-	char peers[ID_SIZE];   /* ZeroMQ for agents or schedulers */
-	char probe[ID_SIZE];   /* gateway: probes of the balancer */
+	char callers[ID_SIZE];	     /* entry: HTTP for callers */
+	char peers[ID_SIZE];	     /* ZeroMQ for agents or schedulers */
+	char probe[ID_SIZE];	     /* gateway: probes of the balancer */
 	char announcements[ID_SIZE]; /* runner: HTTP for its worker */
-	char admin[ID_SIZE];   /* both: metrics, health, operator API */
+	char admin[ID_SIZE];	     /* both: metrics, health, operator API */
 
 	/* [store] */
 	char store_address[ID_SIZE];
--- a/packages/io/src/httpd.c
+++ b/packages/io/src/httpd.c
@@ -76,8 +76,8 @@
 	struct httpd *httpd = arg;
 	struct httpd_request *request = xcalloc(1, sizeof(*request));
 
-	tcp_no_delay(bufferevent_getfd(
-		evhttp_connection_get_bufferevent(conn)));
+	tcp_no_delay(
+		bufferevent_getfd(evhttp_connection_get_bufferevent(conn)));
 	request->httpd = httpd;
 	request->http = http;
 	request->path = xstrdup(path ? path : "");
@@ -170,6 +170,15 @@
 	return request->path;
 }
 
+const char *httpd_query(const struct httpd_request *request)
+{
+	const struct evhttp_uri *uri =
+		evhttp_request_get_evhttp_uri(request->http);
+	const char *query = uri ? evhttp_uri_get_query(uri) : NULL;
+
+	return query ? query : "";
+}
+
 const char *httpd_header(const struct httpd_request *request, const char *name)
 {
 	return evhttp_find_header(
--- a/packages/platform/src/kv.c
+++ b/packages/platform/src/kv.c
@@ -132,8 +132,8 @@
 	kv->answered_at = now;
 	if (call->kind == CALL_WATCH)
 		return;
-	kv->latency_ms = kv->latency_ms ? (kv->latency_ms * 3 + took) / 4
-					: took;
+	kv->latency_ms =
+		kv->latency_ms ? (kv->latency_ms * 3 + took) / 4 : took;
 	if (!kv->latency_ms)
 		kv->latency_ms = 1;
 }
@@ -165,14 +165,14 @@
 
 static void call_succeed(struct call *call, int err)
 {
-	json_t *root = json_loadb(call->body ? call->body : "", call->len, 0,
-				  NULL);
+	json_t *root =
+		json_loadb(call->body ? call->body : "", call->len, 0, NULL);
 	struct kv_result result = { .err = err };
 	const json_t *at;
 
 	if (!root && !err && call->kind != CALL_LEASE) {
-		call_fail(call, call->kind == CALL_TXN ? ERR_UNKNOWN
-						       : ERR_MALFORMED);
+		call_fail(call,
+			  call->kind == CALL_TXN ? ERR_UNKNOWN : ERR_MALFORMED);
 		return;
 	}
 	take_items(call, root);
--- a/packages/platform/src/kv_json.c
+++ b/packages/platform/src/kv_json.c
@@ -97,8 +97,8 @@
 
 	if (items->count + rows_count > items->size) {
 		items->size = items->count + rows_count;
-		items->items = xrealloc(items->items, items->size *
-							      sizeof(*items->items));
+		items->items = xrealloc(items->items,
+					items->size * sizeof(*items->items));
 	}
 	for (i = 0; i < rows_count; i++) {
 		if (decode_item(&items->items[items->count],
--- a/packages/platform/src/platformjson.c
+++ b/packages/platform/src/platformjson.c
@@ -78,8 +78,7 @@
 static void read_resources(struct reader *reader, const json_t *object,
 			   struct resources *dst)
 {
-	dst->cpu_milli =
-		(uint32_t)read_number(reader, object, "cpu", CPU_MAX);
+	dst->cpu_milli = (uint32_t)read_number(reader, object, "cpu", CPU_MAX);
 	dst->mem_mb = (uint32_t)read_number(reader, object, "memMb", CPU_MAX);
 	dst->accel = (uint32_t)read_number(reader, object, "gpu", CPU_MAX);
 }
@@ -235,10 +234,10 @@
 	read_resources(&reader, json_object_get(root, "capacity"),
 		       &announcement->capacity);
 	read_labels(&reader, root, announcement);
-	announcement->born = (uint64_t)read_number(&reader, root, "born",
-						   INT64_MAX / 4);
-	announcement->sequence = (uint64_t)read_number(
-		&reader, root, "sequence", INT64_MAX / 4);
+	announcement->born =
+		(uint64_t)read_number(&reader, root, "born", INT64_MAX / 4);
+	announcement->sequence =
+		(uint64_t)read_number(&reader, root, "sequence", INT64_MAX / 4);
 	announcement->clock_ms =
 		read_number(&reader, root, "clockMs", INT64_MAX / 4);
 	json_decref(root);
@@ -261,8 +260,8 @@
 		(uint32_t)read_number(reader, route, "maxAttempts", INT32_MAX);
 	queue->queue.stretch =
 		json_number_value(json_object_get(route, "stretch"));
-	queue->queue.extra_ms = read_number(reader, route,
-					    "completionTargetMs", INT32_MAX);
+	queue->queue.extra_ms =
+		read_number(reader, route, "completionTargetMs", INT32_MAX);
 	queue->queue.has_advice =
 		json_is_object(json_object_get(route, "advice"));
 }
@@ -278,11 +277,9 @@
 
 	if (!json_is_array(routes))
 		reject(&reader, "routes");
-	decoded.version =
-		read_number(&reader, root, "version", INT64_MAX / 4);
-	decoded.body_max =
-		read_number(&reader, json_object_get(root, "limits"),
-			    "maxBodyBytes", INT32_MAX);
+	decoded.version = read_number(&reader, root, "version", INT64_MAX / 4);
+	decoded.body_max = read_number(&reader, json_object_get(root, "limits"),
+				       "maxBodyBytes", INT32_MAX);
 	decoded.queue_count = json_array_size(routes);
 	decoded.queues =
 		xcalloc(decoded.queue_count + 1, sizeof(*decoded.queues));
--- a/packages/platform/src/tasknames.c
+++ b/packages/platform/src/tasknames.c
@@ -26,8 +26,8 @@
 	char job[JOB_ID_DIGITS + 1];
 	int used = 0;
 
-	if (sscanf(text, "%16[0-9a-fA-F].%9" SCNu32 ".%9" SCNu32 ".%9" SCNu32
-			 "%n",
+	if (sscanf(text,
+		   "%16[0-9a-fA-F].%9" SCNu32 ".%9" SCNu32 ".%9" SCNu32 "%n",
 		   job, &task->occurrence, &task->step, &task->index,
 		   &used) != 4 ||
 	    text[used] || !job_id_valid(job))
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -45,8 +45,8 @@
 	const char *reason;
 	int err;
 } refusals[] = {
-	{ "fence", ERR_FENCED }, { "old", ERR_EXISTS },
-	{ "late", ERR_TIMEOUT }, { "room", ERR_FULL },
+	{ "fence", ERR_FENCED },   { "old", ERR_EXISTS },
+	{ "late", ERR_TIMEOUT },   { "room", ERR_FULL },
 	{ "ticket", ERR_INVALID },
 };
 
@@ -136,8 +136,7 @@
 		;
 	if (i == RUN_END_COUNT)
 		return 0;
-	end->number =
-		(uint64_t)json_integer_value(json_array_get(row, 0));
+	end->number = (uint64_t)json_integer_value(json_array_get(row, 0));
 	end->run = (uint32_t)json_integer_value(json_array_get(row, 2));
 	end->how = (uint32_t)i;
 	end->checkpoint = saved ? saved : "";
@@ -153,19 +152,19 @@
 	lists->runs = xcalloc(json_array_size(runs) + 1, sizeof(*lists->runs));
 	lists->ends = xcalloc(json_array_size(ends) + 1, sizeof(*lists->ends));
 	for (i = 0; i < json_array_size(runs); i++)
-		lists->run_count += (size_t)take_run(
-			&lists->runs[lists->run_count],
-			json_array_get(runs, i));
+		lists->run_count +=
+			(size_t)take_run(&lists->runs[lists->run_count],
+					 json_array_get(runs, i));
 	for (i = 0; i < json_array_size(ends); i++)
-		lists->end_count += (size_t)take_end(
-			&lists->ends[lists->end_count],
-			json_array_get(ends, i));
+		lists->end_count +=
+			(size_t)take_end(&lists->ends[lists->end_count],
+					 json_array_get(ends, i));
 }
 
 static void answer_call(struct call *call, int status)
 {
-	json_t *root = json_loadb(call->body ? call->body : "", call->len, 0,
-				  NULL);
+	json_t *root =
+		json_loadb(call->body ? call->body : "", call->len, 0, NULL);
 	const json_t *clock = json_object_get(root, "clockMs");
 	const json_t *born = json_object_get(root, "born");
 	struct worker_answer answer = { .clock_ms = -1 };
@@ -355,10 +354,10 @@
 		     uint64_t ends_seen, int64_t wait_ms, workercall_fn fn,
 		     void *arg)
 {
-	json_t *body = json_pack("{s:I, s:I, s:I}", "fencingToken",
-				 (json_int_t)target->fence, "lastSeen",
-				 (json_int_t)ends_seen, "waitMs",
-				 (json_int_t)wait_ms);
+	json_t *body =
+		json_pack("{s:I, s:I, s:I}", "fencingToken",
+			  (json_int_t)target->fence, "lastSeen",
+			  (json_int_t)ends_seen, "waitMs", (json_int_t)wait_ms);
 
 	if (until_ms > 0)
 		json_object_set_new(body, "untilMs", json_integer(until_ms));
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -358,7 +358,7 @@
 struct run_status {
 	struct task_id task;
 	uint32_t run;
-	uint32_t phase;	  /* enum run_phase */
+	uint32_t phase;	   /* enum run_phase */
 	uint32_t progress; /* percent */
 	uint32_t load;	   /* latency in ms of a serving run, else cpu */
 	const char *checkpoint;
--- /dev/null
+++ b/tests/e2e/test_workflows.py
@@ -0,0 +1,228 @@
+#!/usr/bin/env python3
+"""Workflows from callers to workers, with the platform's stand-ins.
+
+Each scenario names the failure that it guards against.
+"""
+
+import json
+import os
+import signal
+import sys
+import time
+
+from workflow_rig import CONFIG, check, run_scenarios
+from cluster import http_call, wait_for  # noqa: E402
+
+TWO_STEPS = [{"count": 3, "cpu": 500, "memMb": 10, "estimateMs": 200},
+             {"count": 2, "cpu": 500, "memMb": 10, "estimateMs": 200,
+              "after": [0]}]
+LONG_STEP = [{"count": 4, "cpu": 1000, "memMb": 10, "estimateMs": 3000}]
+
+
+def calm_day(rig):
+    """A job that is accepted and not run, or run twice for two submissions."""
+    job, status = rig.submit(rig.gateways[0], TWO_STEPS)
+    check(status == 200, "accepted: %s" % status)
+    check(rig.submit(rig.gateways[1], TWO_STEPS, job=job)[1] == 200, "again")
+    rig.wait_state(job, "complete")
+    check(len(rig.check_records()) == 5, "five tasks are done")
+    check(rig.submit(rig.gateways[1], TWO_STEPS, job=job)[1] == 200, "late")
+    time.sleep(0.5)
+    check(len(rig.check_records()) == 5, "no task runs again")
+
+
+def bad_requests(rig):
+    """A caller's mistake that is answered otherwise than by a clear status."""
+    gateway = rig.gateways[0]
+    good = "0123456789abcdef"
+    step = {"count": 1, "cpu": 100}
+    cases = [
+        ("POST", "/nowhere/" + good, {"steps": [step]}, 404),
+        ("POST", "/fast/short", {"steps": [step]}, 400),
+        ("POST", "/fast/" + good, {"steps": []}, 400),
+        ("POST", "/fast/" + good, {"steps": "many"}, 400),
+        ("POST", "/fast/" + good, {"steps": [{"count": 0}]}, 400),
+        ("POST", "/fast/" + good, {"steps": [{"count": 1, "after": [0]}]},
+         400),
+        ("POST", "/fast/" + good, {"spec": "x" * 5000, "steps": [step]}, 400),
+        ("GET", "/fast/" + good, None, 410),
+        ("DELETE", "/fast/" + good, None, 410),
+        ("PUT", "/fast/" + good, {}, 405),
+    ]
+    for method, path, body, expected in cases:
+        status = rig.call(gateway, method, path, "fast.example", body)[0]
+        check(status == expected, "%s %s %.60s: %s, not %s" %
+              (method, path, body, status, expected))
+    check(rig.call(gateway, "GET", "/fast/" + good, "odd.example")[0] == 404,
+          "unknown host")
+
+
+def failing_task(rig):
+    """A job that cannot be done and is tried for ever, or shown as done."""
+    job, _ = rig.submit(rig.gateways[0],
+                        [{"count": 1, "cpu": 100, "estimateMs": 10}],
+                        payload="50 fail")
+    rig.wait_state(job, "failed")
+    starts = [row for _, row in rig.records() if row["event"] == "start"]
+    check(len(starts) == 3, "three attempts: %s" % starts)
+
+
+def cancelled_job(rig):
+    """A cancelled job whose tasks go on."""
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="60000")
+    rig.wait_state(job, "running")
+    wait_for("starts", lambda: len(rig.records()) >= 4)
+    status = rig.call(rig.gateways[1], "DELETE", "/fast/" + job,
+                      "fast.example")[0]
+    check(status == 200, "cancelled: %s" % status)
+    wait_for("stops", lambda: sum(row["how"] == "stopped" for _, row
+                                  in rig.records()) == 4)
+    rig.wait_state(job, "cancelled")
+
+
+def lasting_tasks(rig):
+    """A task that lasts and is not started again after its end."""
+    job, _ = rig.submit(rig.gateways[0],
+                        [{"count": 2, "cpu": 100, "longRunning": True}],
+                        payload="300")
+    wait_for("several runs", lambda: sum(row["event"] == "start" for _, row
+                                         in rig.records()) >= 6)
+    check(rig.state(rig.gateways[0], job) == "running", "still running")
+
+
+def scheduler_killed(rig):
+    """A takeover that loses tasks, or starts them while they run."""
+    jobs = [rig.submit(rig.gateways[0], LONG_STEP, payload="2500")[0]
+            for _ in range(3)]
+    for _ in range(2):
+        time.sleep(0.7)
+        leader = rig.leader()
+        rig.kill(leader)
+        runner = next(r for r in rig.runners if r["name"] == leader)
+        rig.restart(runner)
+        wait_for("another scheduler", lambda: rig.leader() not in
+                 (None, leader) or len(rig.processes[leader].lines(3101)))
+    for job in jobs:
+        rig.wait_state(job, "complete")
+    check(len(rig.check_records()) == 12, "all tasks are done")
+
+
+def scheduler_frozen(rig):
+    """A former scheduler that wakes and acts on what it knew."""
+    jobs = [rig.submit(rig.gateways[0], LONG_STEP, payload="1500")[0]
+            for _ in range(2)]
+    leader = rig.leader()
+    rig.processes[leader].signal(signal.SIGSTOP)
+    wait_for("another scheduler", lambda: rig.leader() != leader)
+    jobs += [rig.submit(rig.gateways[1], TWO_STEPS)[0] for _ in range(2)]
+    time.sleep(1)
+    rig.processes[leader].signal(signal.SIGCONT)
+    for job in jobs:
+        rig.wait_state(job, "complete")
+    check(len(rig.check_records()) == 18, "all tasks are done")
+
+
+def runner_killed(rig):
+    """Runs that go on beside a new runner and are started once more."""
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="2500")
+    wait_for("starts", lambda: len(rig.records()) >= 4)
+    for runner in rig.runners:
+        if runner["name"] != rig.leader():
+            rig.kill(runner["name"])
+            rig.restart(runner)
+    rig.wait_state(job, "complete")
+    check(len(rig.check_records()) == 4, "all tasks are done")
+
+
+def worker_killed(rig):
+    """Runs that are lost with their worker and not started again."""
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="1500")
+    wait_for("starts", lambda: len(rig.records()) >= 4)
+    runner = rig.runners[0]
+    rig.kill("w-" + runner["name"])
+    rig.start_worker(runner)
+    rig.wait_state(job, "complete")
+    rig.check_records(gone=["w-%s#0" % runner["name"]])
+
+
+def store_troubles(rig):
+    """Work that is refused without need, lost or doubled by the store."""
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="2000")
+    wait_for("starts", lambda: len(rig.records()) >= 4)
+    rig.fake("mode?name=busy")
+    status = rig.submit(rig.gateways[0], TWO_STEPS)[1]
+    check(status == 503, "refused while the store is busy: %s" % status)
+    rig.fake("mode?name=none")
+    rig.fake("mode?name=forget")
+    rig.wait_state(job, "complete")
+    rig.fake("mode?name=lost")
+    late, _ = rig.submit(rig.gateways[0], TWO_STEPS)
+    rig.fake("mode?name=none")
+    rig.wait_state(late, "complete")
+    check(len(rig.check_records()) == 9, "all tasks are done")
+
+
+def configuration(rig):
+    """A change of the configuration that is not in force within 3 s."""
+    changed = dict(CONFIG, version=9, routes=CONFIG["routes"] + [
+        {"name": "q-new", "host": "new.example", "prefix": "/new/",
+         "service": "work", "priority": 1, "maxAttempts": 2,
+         "stretch": 1.0, "completionTargetMs": 100}])
+    rig.put_config(changed)
+    for gateway in rig.gateways:
+        wait_for("the new queue", lambda: rig.call(
+            gateway, "GET", "/new/", "new.example")[0] == 200)
+    older = dict(changed, version=8, routes=CONFIG["routes"])
+    rig.put_config(older)
+    time.sleep(0.5)
+    for gateway in rig.gateways:
+        check(rig.call(gateway, "GET", "/new/", "new.example")[0] == 200,
+              "an older version is not taken")
+
+
+def graceful_stop(rig):
+    """A stop that cuts a request, or a reload that ends the process."""
+    gateway = rig.gateways[0]
+    process = rig.processes[gateway["name"]]
+    process.signal(signal.SIGHUP)
+    wait_for("reload", lambda: process.lines(6007))
+    process.signal(signal.SIGTERM)
+    wait_for("not ready", lambda: rig.probe(gateway) == 503)
+    check(rig.submit(gateway, TWO_STEPS)[1] == 200, "served while it stops")
+    check(process.popen.wait(timeout=10) == 0, "ends by itself")
+    leader = rig.leader()
+    rig.processes[leader].signal(signal.SIGTERM)
+    check(rig.processes[leader].popen.wait(timeout=10) == 0, "runner ends")
+    wait_for("another scheduler", lambda: rig.leader() not in (None, leader))
+
+
+def strangers(rig):
+    """A heartbeat of a stranger that ends or misleads a runner."""
+    runner = rig.runners[0]
+    path = "/catkinhill/instances/odd/heartbeat"
+    for body in ("", "{", "[]", "{}", json.dumps(
+            {"service": "work", "state": "odd"}), json.dumps(
+            {"service": 7, "state": "ready", "born": 1})):
+        status = http_call(runner["announcements"], "POST", path, body)[0]
+        check(status == 400, "%s: %s" % (body, status))
+    rig.fake("put?key=node/odd", "!!")
+    rig.fake("put?key=submitted/job/odd", "!!")
+    job, _ = rig.submit(rig.gateways[0], TWO_STEPS)
+    rig.wait_state(job, "complete")
+
+
+SCENARIOS = [calm_day, bad_requests, failing_task, cancelled_job,
+             lasting_tasks, scheduler_killed, scheduler_frozen, runner_killed,
+             worker_killed, store_troubles, configuration, graceful_stop,
+             strangers]
+
+
+def main():
+    build = os.path.abspath(sys.argv[1])
+    names = sys.argv[2:]
+    run_scenarios([s for s in SCENARIOS if not names or s.__name__ in names],
+                  build)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/e2e/workflow_rig.py
@@ -0,0 +1,237 @@
+"""Gateways, runners, and the stand-ins of the platform's store and workers."""
+
+import base64
+import collections
+import json
+import os
+import signal
+import shutil
+import sys
+import tempfile
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../tools/pylib"))
+
+from cluster import Failed, Process, http_call, wait_for  # noqa: E402
+from ports import free_address  # noqa: E402
+
+GATEWAY = """[daemon]
+role = gateway
+id = {name}
+region = r1
+domain = z1
+stop_ms = 5000
+[listen]
+callers = {callers}
+probe = {probe}
+admin = {admin}
+[store]
+address = {store}
+"""
+
+RUNNER = """[daemon]
+role = runner
+id = {name}
+region = r1
+domain = z1
+stop_ms = 2000
+[listen]
+peers = {peers}
+admin = {admin}
+announcements = {announcements}
+[store]
+address = {store}
+[runner]
+worker = {worker}
+"""
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {"name": "q-fast", "host": "fast.example", "prefix": "/fast/",
+         "service": "work", "priority": 0, "maxAttempts": 3, "stretch": 2.0,
+         "completionTargetMs": 500},
+        {"name": "q-slow", "host": "slow.example", "prefix": "/slow/",
+         "service": "work", "priority": 2, "maxAttempts": 3, "stretch": 2.0,
+         "completionTargetMs": 500},
+    ],
+    "services": [{"name": "work"}],
+    "limits": {"maxBodyBytes": 262144},
+}
+
+
+def check(condition, what):
+    if not condition:
+        raise AssertionError(what)
+
+
+class Rig:
+    def __init__(self, build, gateways=2, runners=3):
+        self.build = build
+        self.folder = tempfile.mkdtemp(prefix="catkinhill-workflows-")
+        self.processes = {}
+        self.files = {}
+        self.store = free_address()
+        self.start("store", ["fakeplatform", "store", self.store])
+        wait_for("store", lambda: self.fake("mode?name=none") == 200)
+        self.put_config(CONFIG)
+        self.gateways = [self.add_gateway("g%d" % i) for i in range(gateways)]
+        self.runners = [self.add_runner("r%d" % i) for i in range(runners)]
+        self.jobs = 0
+
+    def start(self, name, argv):
+        argv = [os.path.join(self.build, argv[0])] + argv[1:]
+        starts = sum(n.startswith(name + "#") for n in self.files)
+        log_name = "%s#%d" % (name, starts)
+        process = Process(log_name, argv, self.folder)
+        self.processes[name] = process
+        self.files[log_name] = process.log
+        return process
+
+    def settings(self, name, text, **fields):
+        path = os.path.join(self.folder, name + ".ini")
+        with open(path, "w") as out:
+            out.write(text.format(name=name, store=self.store, **fields))
+        return path
+
+    def add_gateway(self, name):
+        fields = {key: free_address() for key in ("callers", "probe", "admin")}
+        path = self.settings(name, GATEWAY, **fields)
+        self.start(name, ["catkinhilld", "--config", path])
+        return {"name": name, "path": path, **fields}
+
+    def add_runner(self, name):
+        fields = {key: free_address() for key in
+                  ("peers", "admin", "announcements", "worker")}
+        path = self.settings(name, RUNNER, **fields)
+        runner = {"name": name, "path": path, **fields}
+        self.start(name, ["catkinhilld", "--config", path])
+        self.start_worker(runner)
+        return runner
+
+    def start_worker(self, runner):
+        self.start("w-" + runner["name"],
+                   ["fakeplatform", "worker", "w-" + runner["name"],
+                    runner["worker"], runner["announcements"]])
+
+    def restart(self, part):
+        self.start(part["name"], ["catkinhilld", "--config", part["path"]])
+
+    def fake(self, path, body=""):
+        try:
+            return http_call(self.store, "POST", "/fake/" + path, body)[0]
+        except OSError:
+            return 0
+
+    def put_config(self, config):
+        value = base64.b64encode(json.dumps(config).encode()).decode()
+        check(self.fake("put?key=op/config", value) == 200, "config written")
+
+    def call(self, gateway, method, path, host, body=None):
+        headers = {"Host": host, "X-Deadline-Ms": "3000"}
+        return http_call(gateway["callers"], method, path,
+                         json.dumps(body) if body is not None else None,
+                         headers)
+
+    def new_id(self):
+        self.jobs += 1
+        return "%016x" % (0xabc000 + self.jobs)
+
+    def submit(self, gateway, steps, payload="200", queue="fast", job=None):
+        job = job or self.new_id()
+        status = self.call(gateway, "POST", "/%s/%s" % (queue, job),
+                           queue + ".example",
+                           {"spec": payload, "steps": steps})[0]
+        return job, status
+
+    def state(self, gateway, job, queue="fast"):
+        status, _, body = self.call(gateway, "GET",
+                                    "/%s/%s" % (queue, job),
+                                    queue + ".example")
+        return json.loads(body)["state"] if status == 200 else status
+
+    def wait_state(self, job, state, queue="fast"):
+        gateway = self.gateways[0]
+        wait_for("%s of %s" % (state, job),
+                 lambda: self.state(gateway, job, queue) == state)
+
+    def wait_ready(self):
+        for gateway in self.gateways:
+            wait_for("probe of " + gateway["name"],
+                     lambda: self.probe(gateway) == 200)
+        wait_for("a scheduler", self.leader)
+
+    def probe(self, gateway):
+        try:
+            return http_call(gateway["probe"], "GET",
+                             "/catkinhill/readyz")[0]
+        except OSError:
+            return 0
+
+    def leader(self):
+        """Name of the runner that was elected last and still runs."""
+        best = (0, None)
+        for name, process in self.processes.items():
+            if process.popen.poll() is not None:
+                continue
+            for line in process.lines(3101):
+                epoch = int(line.split("epoch=")[1].split()[0])
+                best = max(best, (epoch, name))
+        return best[1]
+
+    def kill(self, name):
+        self.processes[name].signal(signal.SIGKILL)
+        self.processes[name].popen.wait()
+
+    def records(self):
+        rows = []
+        for name, log in self.files.items():
+            if not name.startswith("w-"):
+                continue
+            with open(log) as lines:
+                for line in lines:
+                    if line.startswith("{"):
+                        rows.append((name, json.loads(line)))
+        return sorted(rows, key=lambda row: row[1]["at"])
+
+    def check_records(self, gone=()):
+        """No task runs twice at once, or again after it was done.
+
+        gone: processes of workers that were killed with what they ran."""
+        running = collections.defaultdict(dict)
+        done = set()
+        for process, row in self.records():
+            task = row["task"]
+            if row["event"] == "start":
+                others = [p for p in running[task] if p not in gone]
+                check(not others, "%s runs at %s and %s" %
+                      (task, others, process))
+                check(task not in done, task + " starts after its end")
+                running[task][process] = row["run"]
+            else:
+                running[task].pop(process, None)
+                if row["how"] == "done" and process not in gone:
+                    done.add(task)
+        return done
+
+    def close(self):
+        for process in self.processes.values():
+            process.signal(signal.SIGKILL)
+            process.popen.wait()
+        shutil.rmtree(self.folder)
+
+
+def run_scenarios(scenarios, build):
+    for scenario in scenarios:
+        rig = Rig(build)
+        try:
+            rig.wait_ready()
+            scenario(rig)
+            print("%s: passed" % scenario.__name__, flush=True)
+        except (AssertionError, Failed):
+            for name, log in rig.files.items():
+                with open(log, errors="replace") as text:
+                    sys.stderr.write("==== %s\n%s\n" %
+                                     (name, text.read()[-3000:]))
+            raise
+        finally:
+            rig.close()
--- /dev/null
+++ b/tests/fakes/fakeplatform.c
@@ -0,0 +1,38 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "fakeplatform/kvserver.h"
+#include "fakeplatform/workerserver.h"
+#include "loop.h"
+
+static void on_stop(void *arg)
+{
+	loop_break(arg);
+}
+
+/* Runs the stand-in of the store, or of one worker. */
+int main(int argc, char **argv)
+{
+	struct loop *loop = loop_new();
+	struct kvserver *store = NULL;
+	struct workerserver *worker = NULL;
+
+	if (argc == 3 && !strcmp(argv[1], "store"))
+		store = kvserver_new(loop, argv[2]);
+	else if (argc == 5 && !strcmp(argv[1], "worker"))
+		worker = workerserver_new(loop, argv[2], argv[3], argv[4]);
+	if (!store && !worker) {
+		fprintf(stderr, "usage: fakeplatform store ADDRESS\n"
+				"       fakeplatform worker ID ADDRESS "
+				"RUNNER\n");
+		loop_delete(loop);
+		return 2;
+	}
+	loop_on_signal(loop, SIGTERM, on_stop, loop);
+	loop_run(loop);
+	kvserver_delete(store);
+	workerserver_delete(worker);
+	loop_delete(loop);
+	return 0;
+}
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -85,7 +85,7 @@
 		char *text;
 		uint64_t version;
 	} commit[JOBS];
-	size_t commit_count; /* in progress */
+	size_t commit_count;		  /* in progress */
 	int failures[JOBS][STEPS][TASKS]; /* ends that were acknowledged */
 	int done[JOBS][STEPS][TASKS];	  /* has ended so, at least once */
 	int noted[JOBS][STEPS][TASKS];	  /* and this was acknowledged */
@@ -105,8 +105,7 @@
 
 static int chance(struct model *model, int percent)
 {
-	return model->trouble &&
-	       (int)rng_below(&model->rng, 100) < percent;
+	return model->trouble && (int)rng_below(&model->rng, 100) < percent;
 }
 
 static struct workflow *job_new(int job)
@@ -143,9 +142,8 @@
 
 	drop_commit(model);
 	dispatch_delete(model->dispatch);
-	model->dispatch =
-		dispatch_new(&dispatch_defaults, ++model->epoch, now, NULL,
-			     NULL);
+	model->dispatch = dispatch_new(&dispatch_defaults, ++model->epoch, now,
+				       NULL, NULL);
 	dispatch_set_wall(model->dispatch, model->now_ms);
 	for (job = 0; job < JOBS; job++) {
 		struct workflow *workflow = job_new(job);
@@ -164,8 +162,7 @@
 		    uint32_t run)
 {
 	return a->run == run && a->task.step == task->step &&
-	       a->task.index == task->index &&
-	       !strcmp(a->task.job, task->job);
+	       a->task.index == task->index && !strcmp(a->task.job, task->job);
 }
 
 static void worker_end(struct model *model, struct model_worker *worker,
@@ -217,8 +214,8 @@
 				fail_msg("two runs of one task");
 	}
 	for (i = 0; i < worker->run_count; i++)
-		cpu += 2000 + 500 * (uint32_t)job_index(
-					    worker->runs[i].task.job);
+		cpu += 2000 +
+		       500 * (uint32_t)job_index(worker->runs[i].task.job);
 	if (cpu > CPU)
 		fail_msg("a worker is over its capacity");
 	if (model->noted[job][run->task.step][run->task.index])
@@ -510,7 +507,7 @@
 	if (chance(model, 1))
 		worker_crash(model, worker);
 	if (chance(model, 1)) {
-		worker->session++;
+		worker->session = rng_next(&model->rng) | 1;
 		worker->seq = 0;
 		worker->listed_fence = 0;
 	}
--- /dev/null
+++ b/tests/unit/test_platformjson.c
@@ -0,0 +1,262 @@
+#include "platformjson.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "mem.h"
+#include "tasknames.h"
+
+#define COUNT(table) (sizeof(table) / sizeof((table)[0]))
+#define JOB "0123456789abcdef"
+
+/* Guards against a step that runs otherwise than its caller asked. */
+static void test_workflow(void **state)
+{
+	static const char body[] =
+		"{\"spec\":\"text\",\"repeatCount\":2,\"firstMs\":5,"
+		"\"intervalMs\":7,\"new\":{},\"steps\":[{\"count\":4,"
+		"\"cpu\":500,\"memMb\":256,\"gpu\":1,\"estimateMs\":900,"
+		"\"dataRack\":\"r1-3\"},{\"count\":20,\"after\":[0],"
+		"\"checkpointing\":true,\"gang\":true,\"sameRack\":true,"
+		"\"concurrent\":true,\"longRunning\":true,\"fills\":true,"
+		"\"maxPerServer\":3,\"mayMiss\":2,\"latencyTargetMs\":25,"
+		"\"requiredLabel\":\"a\",\"image\":\"i\"}]}";
+	struct workflow_spec spec;
+	const char *reason;
+
+	assert_int_equal(platform_decode_workflow(body, strlen(body), JOB,
+						  &spec, &reason),
+			 0);
+	assert_string_equal(spec.id, JOB);
+	assert_string_equal(spec.payload, "text");
+	assert_int_equal(spec.occurrences, 2);
+	assert_int_equal(spec.first_ms, 5);
+	assert_int_equal(spec.interval_ms, 7);
+	assert_int_equal(spec.task_count, 24);
+	assert_int_equal(spec.steps[0].need.cpu_milli, 500);
+	assert_int_equal(spec.steps[0].need.mem_mb, 256);
+	assert_int_equal(spec.steps[0].need.accel, 1);
+	assert_int_equal(spec.steps[0].estimate_ms, 900);
+	assert_string_equal(spec.steps[0].data_rack, "r1-3");
+	assert_false(spec.steps[0].fills);
+	assert_int_equal(spec.steps[1].after_count, 1);
+	assert_int_equal(spec.steps[1].max_per_worker, 3);
+	assert_int_equal(spec.steps[1].may_miss, 2);
+	assert_int_equal(spec.steps[1].latency_target_ms, 25);
+	assert_true(spec.steps[1].gang && spec.steps[1].same_rack &&
+		    spec.steps[1].checkpointing &&
+		    spec.steps[1].concurrent &&
+		    spec.steps[1].long_running && spec.steps[1].fills);
+	assert_string_equal(spec.steps[1].required_label, "a");
+	assert_string_equal(spec.steps[1].image, "i");
+	workflow_spec_clear(&spec);
+}
+
+/* Guards against a crash, or a job that can never run, from bad input. */
+static void test_workflow_malformed(void **state)
+{
+	static const struct {
+		const char *id, *body;
+	} cases[] = {
+		{ JOB, "" },
+		{ JOB, "[]" },
+		{ JOB, "{\"steps\":{}}" },
+		{ JOB, "{\"steps\":[]}" },
+		{ JOB, "{\"steps\":[7]}" },
+		{ JOB, "{\"steps\":[{\"count\":\"4\"}]}" },
+		{ JOB, "{\"steps\":[{\"count\":-1}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1e30}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1,\"gang\":1}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1,\"image\":1}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1,\"after\":[0]}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1,\"after\":[-1]}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1,\"after\":[\"0\"]}]}" },
+		{ JOB, "{\"steps\":[{\"count\":1,\"after\":7}]}" },
+		{ JOB, "{\"spec\":7,\"steps\":[{\"count\":1}]}" },
+		{ "0123456789abcde", "{\"steps\":[{\"count\":1}]}" },
+		{ "0123456789abcdeg", "{\"steps\":[{\"count\":1}]}" },
+	};
+	struct workflow_spec spec;
+	const char *reason;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		assert_int_not_equal(
+			platform_decode_workflow(cases[i].body,
+						 strlen(cases[i].body),
+						 cases[i].id, &spec, &reason),
+			0);
+		assert_null(spec.steps);
+		assert_true(*reason != '\0');
+	}
+}
+
+/* Guards against work for a worker that another writer made up. */
+static void test_announcement(void **state)
+{
+	static const struct {
+		const char *body;
+		int err;
+	} cases[] = {
+		{ "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":"
+		  "{\"cpu\":16000,\"memMb\":5,\"gpu\":0},\"labels\":[\"a\","
+		  "\"r1\"],\"born\":7,\"sequence\":4,\"clockMs\":9}",
+		  0 },
+		{ "{\"service\":\"s\",\"state\":\"draining\","
+		  "\"remainingMs\":5}",
+		  0 },
+		{ "", ERR_MALFORMED },
+		{ "{}", ERR_MALFORMED },
+		{ "{\"service\":\"s\"}", ERR_MALFORMED },
+		{ "{\"service\":\"s\",\"state\":\"odd\"}", ERR_MALFORMED },
+		{ "{\"service\":7,\"state\":\"ready\"}", ERR_MALFORMED },
+		{ "{\"service\":\"s\",\"state\":\"ready\",\"labels\":7}",
+		  ERR_MALFORMED },
+		{ "{\"service\":\"s\",\"state\":\"ready\",\"born\":\"7\"}",
+		  ERR_MALFORMED },
+		{ "{\"service\":\"s\",\"state\":\"ready\",\"capacity\":"
+		  "{\"cpu\":-1}}",
+		  ERR_MALFORMED },
+	};
+	struct announcement announcement;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		assert_int_equal(platform_decode_announcement(
+					 cases[i].body, strlen(cases[i].body),
+					 &announcement),
+				 cases[i].err);
+	assert_int_equal(platform_decode_announcement(cases[0].body,
+						      strlen(cases[0].body),
+						      &announcement),
+			 0);
+	assert_int_equal(announcement.state, WORKER_READY);
+	assert_int_equal(announcement.capacity.cpu_milli, 16000);
+	assert_int_equal(announcement.label_count, 2);
+	assert_int_equal(announcement.born, 7);
+	assert_int_equal(announcement.sequence, 4);
+}
+
+/* Guards against a request that is taken for another queue. */
+static void test_queues(void **state)
+{
+	static const char body[] =
+		"{\"version\":7,\"limits\":{\"maxBodyBytes\":100},"
+		"\"routes\":["
+		"{\"name\":\"a\",\"host\":\"h1\",\"prefix\":\"/p/\","
+		"\"service\":\"s\",\"priority\":2,\"maxAttempts\":4,"
+		"\"stretch\":1.5,\"completionTargetMs\":600},"
+		"{\"name\":\"b\",\"host\":\"h1\",\"prefix\":\"/p/q/\","
+		"\"service\":\"s\"},"
+		"{\"name\":\"c\",\"host\":\"h2\",\"prefix\":\"/p/\","
+		"\"service\":\"s\"}]}";
+	static const struct {
+		const char *host, *path, *name;
+	} cases[] = {
+		{ "h1", "/p/x", "a" },	  { "h1:80", "/p/x", "a" },
+		{ "h1", "/p/q/x", "b" },  { "h2", "/p/q/x", "c" },
+		{ "h3", "/p/x", NULL },	  { "h1", "/o/x", NULL },
+		{ "h11", "/p/x", NULL },  { NULL, "/p/x", NULL },
+	};
+	struct platform_config config = { 0 };
+	size_t i;
+
+	assert_int_equal(platform_decode_config(body, strlen(body), &config),
+			 0);
+	assert_int_equal(config.version, 7);
+	assert_int_equal(config.body_max, 100);
+	for (i = 0; i < COUNT(cases); i++) {
+		const struct platform_queue *queue = platform_queue_find(
+			&config, cases[i].host, cases[i].path);
+
+		if (!cases[i].name) {
+			assert_null(queue);
+			continue;
+		}
+		assert_non_null(queue);
+		assert_string_equal(queue->queue.name, cases[i].name);
+	}
+	assert_int_equal(config.queues[0].queue.max_attempts, 4);
+	assert_int_equal(config.queues[0].queue.extra_ms, 600);
+	assert_int_equal(platform_decode_config("{", 1, &config),
+			 ERR_MALFORMED);
+	assert_int_equal(config.version, 7);
+	platform_config_clear(&config);
+}
+
+static void test_task_names(void **state)
+{
+	static const struct {
+		const char *text;
+		int err;
+	} cases[] = {
+		{ JOB ".0.1.17", 0 },
+		{ JOB ".0.1", ERR_MALFORMED },
+		{ JOB ".0.1.17.2", ERR_MALFORMED },
+		{ JOB ".0.1.x", ERR_MALFORMED },
+		{ "0123.0.1.17", ERR_MALFORMED },
+		{ "", ERR_MALFORMED },
+	};
+	char text[TASK_NAME_SIZE];
+	struct task_id task;
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		assert_int_equal(task_name_parse(cases[i].text, &task),
+				 cases[i].err);
+	assert_int_equal(task_name_parse(cases[0].text, &task), 0);
+	task_name_format(&task, text, sizeof(text));
+	assert_string_equal(text, cases[0].text);
+}
+
+static void test_calls(void **state)
+{
+	static const struct {
+		const char *method, *path;
+		enum platform_call call;
+		const char *id;
+	} cases[] = {
+		{ "GET", "/catkinhill/readyz", PLATFORM_CALL_PROBE, "" },
+		{ "POST", "/catkinhill/instances/i-1/heartbeat",
+		  PLATFORM_CALL_ANNOUNCE, "i-1" },
+		{ "POST", "/catkinhill/instances/i-1/deregister",
+		  PLATFORM_CALL_DEREGISTER, "i-1" },
+		{ "GET", "/catkinhill/instances/i-1/heartbeat",
+		  PLATFORM_CALL_NONE, "" },
+		{ "POST", "/catkinhill/instances//heartbeat",
+		  PLATFORM_CALL_NONE, "" },
+		{ "POST", "/catkinhill/instances/i-1", PLATFORM_CALL_NONE,
+		  "" },
+		{ "POST", "/other", PLATFORM_CALL_NONE, "" },
+	};
+	char id[ID_SIZE];
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		assert_int_equal(platform_call_parse(cases[i].method,
+						     cases[i].path, id,
+						     sizeof(id)),
+				 cases[i].call);
+		assert_string_equal(id, cases[i].id);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_workflow),
+		cmocka_unit_test(test_workflow_malformed),
+		cmocka_unit_test(test_announcement),
+		cmocka_unit_test(test_queues),
+		cmocka_unit_test(test_task_names),
+		cmocka_unit_test(test_calls),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -65,10 +65,11 @@
 		const char *line; /* "" when the whole file is at fault */
 		const char *names;
 	} cases[] = {
-		{ "", "", "daemon.role: missing; allowed: entry, agent, gateway "
-		      "or runner" },
-		{ "[daemon]\nrole = king\n", ":2:",
-		  "entry, agent, gateway or runner" },
+		{ "", "",
+		  "daemon.role: missing; allowed: entry, agent, gateway "
+		  "or runner" },
+		{ "[daemon]\nrole = king\n",
+		  ":2:", "entry, agent, gateway or runner" },
 		{ ENTRY "slots = 8\n", ":10:", "listen.slots: unknown key" },
 		{ ENTRY "[agents]\nslots = 8\n",
 		  ":11:", "unknown section [agents]" },
--- a/tests/unit/test_workflow.c
+++ b/tests/unit/test_workflow.c
@@ -76,8 +76,7 @@
 		spec.occurrences = cases[i].occurrences;
 		spec.interval_ms = cases[i].interval_ms;
 		if (cases[i].after >= 0)
-			wait_for_step(&spec.steps[0],
-				      (uint32_t)cases[i].after);
+			wait_for_step(&spec.steps[0], (uint32_t)cases[i].after);
 		assert_int_equal(workflow_spec_check(&spec, &reason),
 				 cases[i].err);
 		workflow_spec_clear(&spec);
@@ -175,8 +174,7 @@
 	assert_string_equal(task->checkpoint, "c\"1");
 	assert_string_equal(task->place->node, "node-1");
 	assert_true(task->place->born == 12345678901234);
-	assert_int_equal(workflow_decode_state(json, strlen(json), &stored),
-			 0);
+	assert_int_equal(workflow_decode_state(json, strlen(json), &stored), 0);
 	assert_int_equal(stored, WORKFLOW_RUNNING);
 	free(json);
 	workflow_delete(workflow);
@@ -207,9 +205,9 @@
 		struct workflow_spec spec = spec_new(2, 2);
 		struct workflow *workflow = build(&spec);
 
-		assert_int_equal(workflow_decode(workflow, cases[i],
-						 strlen(cases[i])),
-				 ERR_MALFORMED);
+		assert_int_equal(
+			workflow_decode(workflow, cases[i], strlen(cases[i])),
+			ERR_MALFORMED);
 		workflow_delete(workflow);
 	}
 }
