dispatch: move runs that make no progress

Change: a run whose progress has not changed for 2 s at half pace or more is stopped and runs elsewhere; its worker gets nothing new for 3 s. Lasting runs and gangs are left alone.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -35,6 +35,7 @@
 	int64_t keep_final_ms;	   /* a final workflow stays known */
 	int64_t worker_silent_ms;  /* without a report: no new runs */
 	int64_t worker_penalty_ms; /* no new runs after repeated failures */
+	int64_t stuck_ms;	   /* a run without progress is moved */
 	uint32_t usage_percent;	   /* cpu in use, of what other tasks declare */
 };
 
@@ -63,6 +64,7 @@
 	struct mstime ordered_at; /* last time that the start was sent */
 	struct mstime active_at;  /* first time that it was listed */
 	uint32_t progress;	  /* percent */
+	struct mstime progress_at; /* last time that it changed */
 	uint32_t load;		  /* latency in ms, or cpu in use */
 	uint32_t latency_target;  /* ms; 0: serves nobody */
 	int image;		  /* see colocation; -1: not known */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -23,11 +23,16 @@
 	.keep_final_ms = 130000,
 	/* Three reports. */
 	.worker_silent_ms = 1600,
-	.worker_penalty_ms = 2000,
+	.worker_penalty_ms = 3000,
+	/* Four reports; the work of one task takes about as long. */
+	.stuck_ms = 2000,
 	/* Declared sizes are well above what is used on average. */
 	.usage_percent = 55,
 };
 
+/* A run that is slowed further makes no progress that could be seen. */
+#define STUCK_PACE_MIN 50
+
 int task_id_equal(const struct task_id *a, const struct task_id *b)
 {
 	return a->index == b->index && a->step == b->step &&
@@ -375,13 +380,51 @@
 	}
 }
 
+static int is_stuck(const struct dispatch *dispatch, const struct run *run,
+		    struct mstime now)
+{
+	if (!run->workflow || run->is_orphan || run->is_evicted ||
+	    !run->is_active || run->pace < STUCK_PACE_MIN ||
+	    workflow_is_final(run->workflow) ||
+	    run->workflow->spec.steps[run->id.step].long_running ||
+	    run->workflow->spec.steps[run->id.step].gang)
+		return 0;
+	return mstime_diff(now, run->progress_at) > dispatch->limits.stuck_ms;
+}
+
+/* Only what the runner has reported lately can be said to stand still. */
+static void move_stuck(struct dispatch *dispatch, struct worker *worker,
+		       struct mstime now)
+{
+	struct list *pos;
+
+	if (mstime_diff(now, worker->reported_at) >
+		    dispatch->limits.worker_silent_ms ||
+	    worker->lists_old > dispatch->limits.worker_silent_ms)
+		return;
+	list_for_each (pos, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (!is_stuck(dispatch, run, now))
+			continue;
+		run->is_evicted = 1;
+		worker->shunned_until =
+			mstime_add(now, dispatch->limits.worker_penalty_ms);
+		dispatch_note(dispatch, NOTE_EVICTED, run->workflow, worker,
+			      &run->id, run->number, "no-progress");
+	}
+}
+
 void dispatch_expire(struct dispatch *dispatch, struct mstime now)
 {
 	struct list *pos, *tmp;
 
-	list_for_each (pos, &dispatch->workers)
-		expire_worker(dispatch, list_entry(pos, struct worker, node),
-			      now);
+	list_for_each (pos, &dispatch->workers) {
+		struct worker *worker = list_entry(pos, struct worker, node);
+
+		expire_worker(dispatch, worker, now);
+		move_stuck(dispatch, worker, now);
+	}
 	list_for_each_safe (pos, tmp, &dispatch->finals) {
 		struct workflow *workflow =
 			list_entry(pos, struct workflow, node);
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -262,6 +262,9 @@
 		run->is_active = 1;
 		run->active_at = now;
 	}
+	if (run->progress != status->progress || !run->progress_at.ms ||
+	    run->pace < 100)
+		run->progress_at = now;
 	run->progress = status->progress;
 	run->load = status->load;
 	if (run->workflow && !run->is_orphan)
