dispatch: plan for latencies up to 95% of the target, halt by run

Change: aim at 0.95; each serving run has its own time over the target, and all that fills is halted after 1.5 s.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -71,6 +71,7 @@
 	double own_pressure;	  /* of a serving run; see colocation */
 	uint32_t pace;		  /* percent */
 	uint32_t pace_planned;
+	struct mstime over_since; /* of a serving run, over its target */
 	uint32_t pace_sent;	 /* PACE_UNKNOWN: has to be sent */
 	struct mstime slowed_at; /* since when below full pace */
 	unsigned fills : 1;
--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -5,15 +5,15 @@
 #define FIGURES_INTERVAL_MS 400
 /* Until then the figure of a run covers time before its start. */
 #define SETTLE_MS 600
-/* Latency that is aimed at beside filling runs, in shares of the target. */
-#define LATENCY_AIM 0.85
-/* Above this share the target is about to be missed. */
-#define LATENCY_HIGH 0.95
+/* Highest latency to plan for beside filling runs, in shares of the target. */
+#define LATENCY_AIM 0.95
+/* Above this share a figure counts as a missed target, since it is rough. */
+#define LATENCY_HIGH 0.90
 /*
  * After so long, all that fills is halted: a target must not be missed for 4 s
  * beside filling work, and figures and orders take up to 1 s.
  */
-#define HALT_ALL_MS 2000
+#define HALT_ALL_MS 1500
 /* Raised in steps, because the model may be wrong. */
 #define PACE_STEP 30
 /* Smaller differences are not worth an order. */
@@ -257,15 +257,25 @@
 	}
 }
 
-/* RETURN VALUE: the highest latency, in shares of its target. */
-static double observe(struct dispatch *dispatch, struct worker *worker,
-		      struct mstime now)
+/* Since when a run has been over its target; 0: it is not. */
+static void watch_target(struct run *run, struct mstime now)
+{
+	if (latency_share(run) <= LATENCY_HIGH)
+		run->over_since = mstime_from(0);
+	else if (!run->over_since.ms)
+		run->over_since = now;
+}
+
+/* Brings the time up to date since when some run is over its target. */
+static void observe(struct dispatch *dispatch, struct worker *worker,
+		    struct mstime now)
 {
 	struct neighbour fills[COLOCATION_NEIGHBOURS_MAX];
 	int count = collect_fills(worker, fills);
-	double worst = 0;
 	struct list *pos;
 
+	worker->over_since = mstime_from(0);
+
 	list_for_each (pos, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
 
@@ -274,25 +284,22 @@
 		colocation_observe(dispatch->colocation, run->image,
 				   latency_share(run), fills, count,
 				   &run->own_pressure);
-		if (latency_share(run) > worst)
-			worst = latency_share(run);
+		watch_target(run, now);
+		if (!run->over_since.ms)
+			continue;
+		if (!worker->over_since.ms ||
+		    mstime_before(run->over_since, worker->over_since))
+			worker->over_since = run->over_since;
 	}
-	return worst;
 }
 
 void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
 		   struct mstime now)
 {
-	double worst;
-
 	if (mstime_diff(now, worker->figures_at) < FIGURES_INTERVAL_MS)
 		return;
 	worker->figures_at = now;
-	worst = observe(dispatch, worker, now);
-	if (worst <= LATENCY_HIGH)
-		worker->over_since = mstime_from(0);
-	else if (!worker->over_since.ms)
-		worker->over_since = now;
+	observe(dispatch, worker, now);
 	plan_paces(dispatch, worker);
 	apply_paces(dispatch, worker,
 		    worker->over_since.ms &&
