log: bounded and never blocking; docs: OPERATIONS, platform

Cause: lines went through stdio to a pipe that nobody may read, and had no bound on their rate.

Change: a line is written with one write(2) only when the pipe takes it, at most 400 lines a second of one event; a count follows. docs/OPERATIONS.md leads from a workflow's identifier to its cause for three kinds of failure, and a test brings them about and runs its commands. docs/platform.md is the note on the design.

--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -136,6 +136,7 @@
 	EV_LISTEN_FAILED = 6005,
 	EV_STOP_OVERDUE = 6006,
 	EV_SETTINGS_RELOADED = 6007,
+	EV_LOG_DROPPED = 6008,
 };
 
 struct event_info {
--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -224,6 +224,8 @@
 	  "A part missed the bound of the graceful stop; the daemon ends." },
 	{ EV_SETTINGS_RELOADED, LOG_INFO, "settings-reloaded",
 	  "The settings were read again; the log level applies at once." },
+	{ EV_LOG_DROPPED, LOG_WARN, "log-dropped",
+	  "Lines were left out: too many, or the reader does not keep up." },
 };
 
 #define TABLE_LENGTH (sizeof(table) / sizeof(table[0]))
--- /dev/null
+++ b/tests/e2e/test_operations_page.py
@@ -0,0 +1,92 @@
+#!/usr/bin/env python3
+"""Runs the commands of docs/OPERATIONS.md on logs of the failures it tells of.
+
+Guards against a page whose commands lead nowhere: each command has to print
+the text that the page promises in the comment behind it.
+"""
+
+import os
+import re
+import subprocess
+import sys
+
+from workflow_rig import Rig, check
+from cluster import wait_for  # noqa: E402
+
+PAGE = os.path.join(os.path.dirname(__file__), "../../docs/OPERATIONS.md")
+LONG_STEP = [{"count": 2, "cpu": 1000, "memMb": 10, "estimateMs": 1000}]
+
+
+def refused(rig):
+    rig.fake("mode?name=busy")
+    job, status = rig.submit(rig.gateways[0], LONG_STEP)
+    check(status == 503, "refused: %s" % status)
+    wait_for("both kinds of readers to notice", lambda: all(
+        rig.processes[name].lines(5002) for name in ("g0", "r0")))
+    rig.fake("mode?name=none")
+    return job
+
+
+def late(rig):
+    """The stand-in's progress never changes, so the run stands still."""
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="30000")
+    wait_for("a moved run", lambda: any(
+        process.lines(3120) for process in rig.processes.values()))
+    return job
+
+
+def lost(rig):
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="1500")
+    wait_for("starts", lambda: len(rig.records()) >= 2)
+    leader = rig.leader()
+    rig.fake("mode?name=silent")
+    for runner in rig.runners:
+        rig.kill("w-" + runner["name"])
+    rig.kill(leader)
+    wait_for("a reader to notice", lambda: rig.processes["g0"].lines(5002))
+    rig.fake("mode?name=none")
+    for runner in rig.runners:
+        rig.start_worker(runner)
+        if runner["name"] == leader:
+            rig.restart(runner)
+    rig.wait_state(job, "complete")
+    return job
+
+
+def commands(section):
+    """Lines of the section's shell blocks and the texts they have to print."""
+    with open(PAGE) as page:
+        text = page.read()
+    begin = text.index("<!-- begin %s -->" % section)
+    end = text.index("<!-- end %s -->" % section)
+    for block in re.findall(r"```sh\n(.*?)```", text[begin:end], re.S):
+        for line in block.strip().splitlines():
+            command, _, promised = line.partition("  # prints: ")
+            yield command, promised.split(", ")
+
+
+def check_commands(rig, section, job):
+    env = dict(os.environ, LOGS=rig.folder, JOB=job,
+               ADMIN=rig.gateways[0]["admin"])
+    for command, promised in commands(section):
+        done = subprocess.run(["bash", "-c", command], env=env,
+                              capture_output=True, text=True, timeout=60)
+        for text in promised:
+            check(text in done.stdout, "%s: '%s' prints\n%s%s" %
+                  (section, command, done.stdout[-2000:], done.stderr))
+
+
+def main():
+    build = os.path.abspath(sys.argv[1])
+    for scenario in (refused, late, lost):
+        rig = Rig(build)
+        try:
+            rig.wait_ready()
+            check_commands(rig, scenario.__name__, scenario(rig))
+            print("%s: passed" % scenario.__name__, flush=True)
+        finally:
+            rig.close()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/unit/test_log.c
@@ -0,0 +1,120 @@
+#include "log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+#define LINES 3000
+#define BUDGET 400 /* docs/OPERATIONS.md */
+#define BUFFER_SIZE (1024 * 1024)
+
+struct pipe_log {
+	int ends[2];
+	FILE *out;
+	char *buffer;
+};
+
+static void pipe_open(struct pipe_log *log)
+{
+	assert_int_equal(pipe(log->ends), 0);
+	log->out = fdopen(log->ends[1], "w");
+	log->buffer = calloc(1, BUFFER_SIZE);
+	log_init(log->out, LOG_INFO, "test");
+}
+
+static void pipe_close(struct pipe_log *log)
+{
+	log_init(stderr, LOG_INFO, "test");
+	fclose(log->out);
+	close(log->ends[0]);
+	free(log->buffer);
+}
+
+/* Reads what is in the pipe without waiting for more. */
+static const char *pipe_read(struct pipe_log *log)
+{
+	ssize_t len;
+
+	log_event(EV_DAEMON_STOPPED, "reason=end-of-test");
+	len = read(log->ends[0], log->buffer, BUFFER_SIZE - 1);
+	assert_true(len > 0);
+	log->buffer[len] = '\0';
+	return log->buffer;
+}
+
+static int count(const char *text, const char *part)
+{
+	int found = 0;
+
+	while ((text = strstr(text, part))) {
+		found++;
+		text += strlen(part);
+	}
+	return found;
+}
+
+/* Guards against a reader that stops the process (the test would hang). */
+static void test_full_pipe(void **state)
+{
+	struct pipe_log log;
+	char *text = calloc(1, 3000);
+	int i;
+
+	memset(text, 'x', 2999);
+	pipe_open(&log);
+	for (i = 0; i < LINES; i++)
+		log_event(EV_DAEMON_START, "text=%s", text);
+	assert_true(read(log.ends[0], log.buffer, BUFFER_SIZE - 1) > 0);
+	assert_true(count(pipe_read(&log), " log-dropped ") == 1);
+	free(text);
+	pipe_close(&log);
+}
+
+/* Guards against a log that grows without a bound under load. */
+static void test_budget(void **state)
+{
+	struct pipe_log log;
+	int i, lines;
+
+	pipe_open(&log);
+	for (i = 0; i < LINES; i++)
+		log_event(EV_DAEMON_STOPPING, "n=%d", i);
+	lines = count(pipe_read(&log), " daemon-stopping ");
+	/* The loop may pass from one second to the next. */
+	assert_in_range(lines, 1, 2 * BUDGET);
+	pipe_close(&log);
+}
+
+/* Guards against a long value that hides the next line. */
+static void test_long_line(void **state)
+{
+	struct pipe_log log;
+	char *text = calloc(1, 10000);
+	const char *read_text;
+
+	memset(text, 'x', 9999);
+	pipe_open(&log);
+	log_event(EV_SETTINGS_INVALID, "text=%s", text);
+	read_text = pipe_read(&log);
+	assert_int_equal(count(read_text, "\n"), 2);
+	assert_int_equal(count(read_text, " settings-invalid "), 1);
+	free(text);
+	pipe_close(&log);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_full_pipe),
+		cmocka_unit_test(test_budget),
+		cmocka_unit_test(test_long_line),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
