--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -59,21 +59,21 @@
 	enum run_state state;
 	uint64_t version; /* of the workflow that has to be stored first */
 	struct resources need;
-	uint64_t born;		  /* of the worker that it was ordered at */
-	uint64_t seen;		  /* report that named it last */
-	struct mstime ordered_at; /* last time that the start was sent */
-	struct mstime active_at;  /* first time that it was listed */
-	uint32_t progress;	  /* percent */
+	uint64_t born;		   /* of the worker that it was ordered at */
+	uint64_t seen;		   /* report that named it last */
+	struct mstime ordered_at;  /* last time that the start was sent */
+	struct mstime active_at;   /* first time that it was listed */
+	uint32_t progress;	   /* percent */
 	struct mstime progress_at; /* last time that it changed */
-	uint32_t load;		  /* latency in ms, or cpu in use */
-	uint32_t latency_target;  /* ms; 0: serves nobody */
-	int image;		  /* see colocation; -1: not known */
-	double own_pressure;	  /* of a serving run; see colocation */
-	uint32_t pace;		  /* percent */
+	uint32_t load;		   /* latency in ms, or cpu in use */
+	uint32_t latency_target;   /* ms; 0: serves nobody */
+	int image;		   /* see colocation; -1: not known */
+	double own_pressure;	   /* of a serving run; see colocation */
+	uint32_t pace;		   /* percent */
 	uint32_t pace_planned;
 	struct mstime over_since; /* of a serving run, over its target */
-	uint32_t pace_sent;	 /* PACE_UNKNOWN: has to be sent */
-	struct mstime slowed_at; /* since when below full pace */
+	uint32_t pace_sent;	  /* PACE_UNKNOWN: has to be sent */
+	struct mstime slowed_at;  /* since when below full pace */
 	unsigned fills : 1;
 	unsigned is_ordered : 1;
 	unsigned is_active : 1;
--- a/packages/daemon/src/election.c
+++ b/packages/daemon/src/election.c
@@ -59,7 +59,7 @@
 		return;
 	loop_timer_stop(election->timer);
 	kv_forget(election->kv, election);
-	if (election->lease)
+	if (was_leading)
 		log_event(EV_ELECTION_LOST, "epoch=%lld reason=%s",
 			  (long long)election->epoch, reason);
 	election->lease = 0;
--- a/packages/io/src/log.c
+++ b/packages/io/src/log.c
@@ -109,8 +109,8 @@
 
 static void report_dropped(void)
 {
-	if (dropped && write_event(event_find(EV_LOG_DROPPED), "lines=%ld",
-				   dropped))
+	if (dropped &&
+	    write_event(event_find(EV_LOG_DROPPED), "lines=%ld", dropped))
 		dropped = 0;
 }
 
--- a/tests/fakes/fakeplatform/kvserver.c
+++ b/tests/fakes/fakeplatform/kvserver.c
@@ -79,13 +79,13 @@
 		int64_t lease)
 {
 	const json_t *old = json_object_get(server->items, key);
-	json_int_t created = old ? json_integer_value(json_object_get(
-					   old, "createdAt"))
-				 : sysclock_wall_ms();
-	json_t *item = json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key,
-				 "value", value, "revision",
-				 (json_int_t)server->revision, "createdAt",
-				 created, "lease", (json_int_t)lease);
+	json_int_t created =
+		old ? json_integer_value(json_object_get(old, "createdAt"))
+		    : sysclock_wall_ms();
+	json_t *item =
+		json_pack("{s:s, s:s, s:I, s:I, s:I}", "key", key, "value",
+			  value, "revision", (json_int_t)server->revision,
+			  "createdAt", created, "lease", (json_int_t)lease);
 
 	add_event(server, item);
 	json_object_set_new(server->items, key, item);
@@ -114,8 +114,7 @@
 
 		if (json_integer_value(json_object_get(event, "revision")) >
 			    watcher->after &&
-		    has_prefix(json_string_value(json_object_get(event,
-								 "key")),
+		    has_prefix(json_string_value(json_object_get(event, "key")),
 			       watcher->prefix))
 			json_array_append(events, event);
 	}
@@ -138,8 +137,7 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &server->watchers) {
-		struct watcher *watcher =
-			list_entry(pos, struct watcher, node);
+		struct watcher *watcher = list_entry(pos, struct watcher, node);
 
 		watcher_answer(server, watcher,
 			       !mstime_before(now, watcher->until));
@@ -162,7 +160,8 @@
 	json_t *item;
 	void *tmp;
 
-	json_object_foreach_safe (server->items, tmp, key, item) {
+	json_object_foreach_safe(server->items, tmp, key, item)
+	{
 		char *copy;
 
 		if (json_integer_value(json_object_get(item, "lease")) !=
@@ -196,8 +195,7 @@
 static int compare_holds(struct kvserver *server, const json_t *row)
 {
 	const json_t *item = json_object_get(
-		server->items,
-		json_string_value(json_object_get(row, "key")));
+		server->items, json_string_value(json_object_get(row, "key")));
 	json_int_t now = json_integer_value(json_object_get(item, "revision"));
 
 	return now == json_integer_value(json_object_get(row, "revision"));
@@ -282,13 +280,15 @@
 
 static void on_range(struct kvserver *server, struct httpd_request *request)
 {
-	char *prefix = query(request, "prefix"), *after = query(request, "after");
+	char *prefix = query(request, "prefix"),
+	     *after = query(request, "after");
 	json_t *items = json_array(), *item;
 	const char *key;
 
-	json_object_foreach (server->items, key, item)
-		if (has_prefix(key, prefix) && strcmp(key, after) > 0)
-			json_array_append(items, item);
+	json_object_foreach(server->items, key,
+			    item) if (has_prefix(key, prefix) &&
+				      strcmp(key, after) > 0)
+		json_array_append(items, item);
 	reply(request, 200,
 	      json_pack("{s:o, s:b, s:I}", "items", items, "truncated", 0,
 			"storeRevision", (json_int_t)server->revision));
@@ -346,8 +346,8 @@
 	reply(request, lease ? 200 : 404, json_object());
 }
 
-static void on_lease_end(struct kvserver *server,
-			 struct httpd_request *request, const char *id)
+static void on_lease_end(struct kvserver *server, struct httpd_request *request,
+			 const char *id)
 {
 	struct lease *lease = lease_find(server, strtoll(id, NULL, 10));
 
@@ -370,8 +370,7 @@
 	free(key);
 }
 
-static void on_fake_mode(struct kvserver *server,
-			 struct httpd_request *request)
+static void on_fake_mode(struct kvserver *server, struct httpd_request *request)
 {
 	char *name = query(request, "name");
 
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -85,9 +85,9 @@
 		const struct task_run *run =
 			list_entry(pos, struct task_run, node);
 
-		json_array_append_new(active, json_pack("[s,I,s,i,i]",
-							run->task, run->run,
-							"", 50, 500));
+		json_array_append_new(active,
+				      json_pack("[s,I,s,i,i]", run->task,
+						run->run, "", 50, 500));
 	}
 	for (i = 0; i < json_array_size(server->ended); i++) {
 		json_t *row = json_array_get(server->ended, i);
@@ -110,8 +110,7 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &server->waiting) {
-		struct waiting *waiting =
-			list_entry(pos, struct waiting, node);
+		struct waiting *waiting = list_entry(pos, struct waiting, node);
 
 		if (!has_ends(server, waiting->seen) &&
 		    mstime_before(now, waiting->until))
@@ -147,8 +146,8 @@
 		"s:[s,s], s:I, s:I, s:I}",
 		"service", "work", "address", server->address, "zone", "z1",
 		"version", "v1", "slots", 8, "state", "ready", "coldLeftMs", 0,
-		"capacity", "cpu", 8000, "memMb", 8000, "gpu", 0, "labels",
-		"a", "r1", "clockMs", clock_ms(server), "sequence",
+		"capacity", "cpu", 8000, "memMb", 8000, "gpu", 0, "labels", "a",
+		"r1", "clockMs", clock_ms(server), "sequence",
 		++server->sequence, "born", server->born);
 	char *text = json_dumps(body, JSON_COMPACT);
 	char *path = xstrfmt("/catkinhill/instances/%s/heartbeat", server->id);
@@ -190,8 +189,7 @@
 	struct list *pos;
 
 	list_for_each (pos, &server->runs)
-		if (!strcmp(list_entry(pos, struct task_run, node)->task,
-			    task))
+		if (!strcmp(list_entry(pos, struct task_run, node)->task, task))
 			return list_entry(pos, struct task_run, node);
 	return NULL;
 }
@@ -204,9 +202,8 @@
 	if (left > HOLD_MAX_MS)
 		left = HOLD_MAX_MS;
 	if (until)
-		server->lease_end =
-			mstime_max(server->lease_end,
-				   mstime_add(sysclock_now(), left));
+		server->lease_end = mstime_max(
+			server->lease_end, mstime_add(sysclock_now(), left));
 }
 
 static const char *start_refusal(struct workerserver *server,
@@ -222,12 +219,10 @@
 	return NULL;
 }
 
-static void on_start(struct workerserver *server,
-		     struct httpd_request *request, const json_t *body,
-		     const char *task, json_int_t run)
+static void on_start(struct workerserver *server, struct httpd_request *request,
+		     const json_t *body, const char *task, json_int_t run)
 {
-	const char *payload =
-		json_string_value(json_object_get(body, "spec"));
+	const char *payload = json_string_value(json_object_get(body, "spec"));
 	const char *refusal;
 	struct task_run *at = run_find(server, task);
 	long work_ms = payload ? strtol(payload, NULL, 10) : 0;
@@ -301,8 +296,8 @@
 	return 0;
 }
 
-static void on_order(struct workerserver *server,
-		     struct httpd_request *request, const json_t *body)
+static void on_order(struct workerserver *server, struct httpd_request *request,
+		     const json_t *body)
 {
 	const char *path = httpd_path(request);
 	const char *task = json_string_value(json_object_get(body, "task"));
--- a/tests/unit/test_platformjson.c
+++ b/tests/unit/test_platformjson.c
@@ -50,8 +50,7 @@
 	assert_int_equal(spec.steps[1].may_miss, 2);
 	assert_int_equal(spec.steps[1].latency_target_ms, 25);
 	assert_true(spec.steps[1].gang && spec.steps[1].same_rack &&
-		    spec.steps[1].checkpointing &&
-		    spec.steps[1].concurrent &&
+		    spec.steps[1].checkpointing && spec.steps[1].concurrent &&
 		    spec.steps[1].long_running && spec.steps[1].fills);
 	assert_string_equal(spec.steps[1].required_label, "a");
 	assert_string_equal(spec.steps[1].image, "i");
@@ -159,10 +158,10 @@
 	static const struct {
 		const char *host, *path, *name;
 	} cases[] = {
-		{ "h1", "/p/x", "a" },	  { "h1:80", "/p/x", "a" },
-		{ "h1", "/p/q/x", "b" },  { "h2", "/p/q/x", "c" },
-		{ "h3", "/p/x", NULL },	  { "h1", "/o/x", NULL },
-		{ "h11", "/p/x", NULL },  { NULL, "/p/x", NULL },
+		{ "h1", "/p/x", "a" },	 { "h1:80", "/p/x", "a" },
+		{ "h1", "/p/q/x", "b" }, { "h2", "/p/q/x", "c" },
+		{ "h3", "/p/x", NULL },	 { "h1", "/o/x", NULL },
+		{ "h11", "/p/x", NULL }, { NULL, "/p/x", NULL },
 	};
 	struct platform_config config = { 0 };
 	size_t i;
@@ -231,8 +230,7 @@
 		  PLATFORM_CALL_NONE, "" },
 		{ "POST", "/catkinhill/instances//heartbeat",
 		  PLATFORM_CALL_NONE, "" },
-		{ "POST", "/catkinhill/instances/i-1", PLATFORM_CALL_NONE,
-		  "" },
+		{ "POST", "/catkinhill/instances/i-1", PLATFORM_CALL_NONE, "" },
 		{ "POST", "/other", PLATFORM_CALL_NONE, "" },
 	};
 	char id[ID_SIZE];
