scheduler: remove workflows that ended long ago, read complete ones briefly

Cause: a final workflow was forgotten after 130 s while its record stayed in the store; after a relist it would have been taken as new and run again.

Change: records of final workflows are removed from the store, and forgotten only then. A new scheduler does not decode complete workflows.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -175,9 +175,20 @@
 int dispatch_report(struct dispatch *dispatch, const char *runner,
 		    const struct msg_work_report *report, struct mstime now);
 
-/* Drops runs whose leases have expired; forgets old final workflows. */
+/* Drops runs whose leases have expired, and moves those that stand still. */
 void dispatch_expire(struct dispatch *dispatch, struct mstime now);
 
+/*
+ * The final workflow after another one (NULL: the first) that is old enough to
+ * be removed from the store; NULL when there is none.
+ */
+struct workflow *dispatch_old_final(struct dispatch *dispatch,
+				    const struct workflow *after,
+				    struct mstime now);
+
+/* To be called when its records are removed; else it would run again. */
+void dispatch_forget(struct dispatch *dispatch, const char *job);
+
 /* Milliseconds since 1970, for occurrences; see dispatch_assign(). */
 void dispatch_set_wall(struct dispatch *dispatch, int64_t wall_ms);
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -13,8 +13,8 @@
 	.lease_ms = 5500,
 	/* The lease, 2% of drift of the worker's clock and 300 ms. */
 	.lease_max_ms = 5910,
-	/* The scheduler's own lease of 2 s, and a call in flight. */
-	.takeover_ms = 3000,
+	/* The scheduler's own lease of 1.5 s, and a call in flight. */
+	.takeover_ms = 2500,
 	/* Several round trips between regions, below the cancel bound. */
 	.resend_ms = 400,
 	/* A failing worker must not consume all attempts in an instant. */
@@ -417,7 +417,7 @@
 
 void dispatch_expire(struct dispatch *dispatch, struct mstime now)
 {
-	struct list *pos, *tmp;
+	struct list *pos;
 
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
@@ -425,17 +425,31 @@
 		expire_worker(dispatch, worker, now);
 		move_stuck(dispatch, worker, now);
 	}
-	list_for_each_safe (pos, tmp, &dispatch->finals) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
+}
+
+struct workflow *dispatch_old_final(struct dispatch *dispatch,
+				    const struct workflow *after,
+				    struct mstime now)
+{
+	struct list *pos = after ? after->node.next : dispatch->finals.next;
+	struct workflow *workflow;
 
-		if (mstime_diff(now, workflow->ended_at) <
-			    dispatch->limits.keep_final_ms ||
-		    workflow->saving ||
-		    workflow->saved_version != workflow->version)
-			break;
+	if (pos == &dispatch->finals)
+		return NULL;
+	workflow = list_entry(pos, struct workflow, node);
+	if (mstime_diff(now, workflow->ended_at) <
+		    dispatch->limits.keep_final_ms ||
+	    workflow->saving || workflow->saved_version != workflow->version)
+		return NULL;
+	return workflow;
+}
+
+void dispatch_forget(struct dispatch *dispatch, const char *job)
+{
+	struct workflow *workflow = dispatch_find(dispatch, job);
+
+	if (workflow && workflow_is_final(workflow))
 		forget(dispatch, workflow);
-	}
 }
 
 static struct workflow *changed_in(struct list *head)
--- a/packages/daemon/src/election.c
+++ b/packages/daemon/src/election.c
@@ -13,9 +13,12 @@
 
 #define ELECTION_PREFIX "scheduler/"
 
-/* A lost scheduler is replaced within this time; four renewals fit. */
-#define LEASE_MS 2000
-#define RENEW_MS 500
+/*
+ * A lost scheduler is replaced after this time. Three renewals fit, each of
+ * which the store answers within 500 ms when it is slow.
+ */
+#define LEASE_MS 1500
+#define RENEW_MS 375
 /* Taken off the lease for the time between a check and its effect. */
 #define MARGIN_MS 100
 /* Candidates in the store's region try first, those far away much later. */
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -128,6 +128,7 @@
 		return;
 	dispatch_expire(scheduler->dispatch, now);
 	scheduler_publish_pending(scheduler, now);
+	scheduler_remove_old(scheduler, now);
 	scheduler_wake(scheduler);
 }
 
@@ -158,6 +159,7 @@
 	dispatch_delete(scheduler->dispatch);
 	scheduler->dispatch = NULL;
 	scheduler->epoch = 0;
+	scheduler->removal_count = 0;
 }
 
 static void on_lost(void *arg)
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -20,6 +20,9 @@
 /* Workflows of one commit: a comparison and a put for each, and the key. */
 #define COMMIT_WORKFLOWS 15
 
+/* Final workflows of one removal: three records each, and the key. */
+#define REMOVE_WORKFLOWS 10
+
 struct runner_link {
 	struct list node;
 	struct scheduler *scheduler;
@@ -74,6 +77,8 @@
 	struct mstime pending_at;
 	char *pending_text;
 	int pending_is_open;
+	char removal[REMOVE_WORKFLOWS][JOB_ID_SIZE]; /* in progress */
+	size_t removal_count;
 
 	struct counter commits, commits_failed, assigned, lost;
 	struct histogram commit_ms, job_ms;
@@ -90,6 +95,9 @@
 /* Publishes the number of pending workflows, at most once a second. */
 void scheduler_publish_pending(struct scheduler *scheduler, struct mstime now);
 
+/* Removes the records of workflows that ended long ago. */
+void scheduler_remove_old(struct scheduler *scheduler, struct mstime now);
+
 /* Connections to runners. */
 void scheduler_links_start(struct scheduler *scheduler);
 void scheduler_links_stop(struct scheduler *scheduler);
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -23,15 +23,52 @@
 	return workflow_decode(workflow, value, strlen(value));
 }
 
+/* RETURN VALUE: revision of the state of a complete workflow, otherwise 0. */
+static int64_t complete_revision(const struct scheduler *scheduler,
+				 const char *id)
+{
+	const json_t *record = json_object_get(scheduler->states, id);
+	const char *value = json_string_value(json_array_get(record, 0));
+	enum workflow_state state;
+
+	if (!value || workflow_decode_state(value, strlen(value), &state) ||
+	    state != WORKFLOW_COMPLETE)
+		return 0;
+	return json_integer_value(json_array_get(record, 1));
+}
+
+/* Nothing of a complete workflow can run, so its record is not decoded. */
+static struct workflow *complete_new(const char *id, int64_t revision)
+{
+	struct workflow_spec spec = { .step_count = 1, .occurrences = 1 };
+	struct queue_config queue = { .name = "" };
+	struct workflow *workflow;
+
+	str_copy(spec.id, id, sizeof(spec.id));
+	spec.steps = xcalloc(1, sizeof(*spec.steps));
+	spec.steps[0].count = 1;
+	spec.task_count = 1;
+	workflow = workflow_new(&spec, &queue, 0);
+	workflow->state = WORKFLOW_COMPLETE;
+	workflow->stored_revision = revision;
+	return workflow;
+}
+
 static void take_job(struct scheduler *scheduler, const char *id,
 		     const struct kv_item *item)
 {
 	struct mstime now = sysclock_now();
 	struct workflow *workflow;
+	int64_t revision = complete_revision(scheduler, id);
 	const char *reason;
 
 	if (!item->value || dispatch_find(scheduler->dispatch, id))
 		return;
+	if (revision) {
+		dispatch_add(scheduler->dispatch, complete_new(id, revision),
+			     now);
+		return;
+	}
 	workflow = job_record_decode(id, item->value, item->len,
 				     item->created_ms, &reason);
 	if (!workflow) {
--- /dev/null
+++ b/packages/daemon/src/scheduler_remove.c
@@ -0,0 +1,60 @@
+#include <string.h>
+
+#include "errors.h"
+#include "log.h"
+#include "mem.h"
+#include "scheduler_internal.h"
+
+static const char *const prefixes[] = { SUBMITTED_JOB, SUBMITTED_CANCEL,
+					STATE_PREFIX };
+
+#define PREFIXES (sizeof(prefixes) / sizeof(prefixes[0]))
+
+static void on_removed(void *arg, const struct kv_result *result)
+{
+	struct scheduler *scheduler = *(struct scheduler **)arg;
+	size_t i;
+
+	/* A repeated removal is harmless, so every outcome but 0 is tried again. */
+	if (result->err)
+		log_event(EV_STATE_UNSETTLED, "epoch=%lld removals=%zu err=%s",
+			  (long long)scheduler->epoch,
+			  scheduler->removal_count, error_name(result->err));
+	for (i = 0; !result->err && i < scheduler->removal_count; i++)
+		dispatch_forget(scheduler->dispatch, scheduler->removal[i]);
+	scheduler->removal_count = 0;
+}
+
+static void choose_old(struct scheduler *scheduler, struct mstime now)
+{
+	const struct workflow *workflow = NULL;
+
+	while (scheduler->removal_count < REMOVE_WORKFLOWS &&
+	       (workflow = dispatch_old_final(scheduler->dispatch, workflow,
+					      now)))
+		str_copy(scheduler->removal[scheduler->removal_count++],
+			 workflow->spec.id, JOB_ID_SIZE);
+}
+
+void scheduler_remove_old(struct scheduler *scheduler, struct mstime now)
+{
+	char keys[REMOVE_WORKFLOWS * PREFIXES][JOB_KEY_SIZE];
+	struct kv_txn txn = { .compare_count = 1 };
+	size_t i, k;
+
+	if (scheduler->removal_count)
+		return;
+	choose_old(scheduler, now);
+	if (!scheduler->removal_count)
+		return;
+	txn.compares[0].key = ELECTION_KEY;
+	txn.compares[0].revision = scheduler->epoch;
+	for (i = 0; i < scheduler->removal_count; i++)
+		for (k = 0; k < PREFIXES; k++) {
+			char *key = keys[txn.removal_count];
+
+			job_key(key, prefixes[k], scheduler->removal[i]);
+			txn.removals[txn.removal_count++] = key;
+		}
+	kv_txn(scheduler->kv, &txn, on_removed, &scheduler->self);
+}
