platform: one JSON call for store and worker, one reader of queues

Change: jsoncall, queues, workflow_remaining_ms, dispatch_run. No behaviour changes, but the scheduler too ignores a lower version of the configuration.

--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -172,6 +172,9 @@
 /* Longest chain of estimates, in ms. */
 int64_t workflow_chain_ms(const struct workflow *workflow);
 
+/* The same of the steps that are not done, of the first occurrence. */
+int64_t workflow_remaining_ms(const struct workflow *workflow);
+
 /*
  * Marks a task done; every member of a gang ends with it. The workflow is
  * complete when its last task is done.
--- a/packages/core/src/dispatch_order.c
+++ b/packages/core/src/dispatch_order.c
@@ -14,30 +14,6 @@
 	       workflow->queue.extra_ms;
 }
 
-/* Longest chain of the steps that are not done, of the first occurrence. */
-static int64_t remaining_ms(const struct workflow *workflow)
-{
-	const struct workflow_spec *spec = &workflow->spec;
-	const struct occurrence *state = &workflow->occurrences[0];
-	int64_t ends[STEPS_MAX], longest = 0;
-	size_t i, k;
-
-	for (i = 0; i < spec->step_count; i++) {
-		const struct workflow_step *step = &spec->steps[i];
-		int64_t start = 0;
-
-		for (k = 0; k < step->after_count; k++)
-			if (ends[step->after[k]] > start)
-				start = ends[step->after[k]];
-		ends[i] = start;
-		if (!state->done || state->done[i] < step->count)
-			ends[i] += step->estimate_ms;
-		if (ends[i] > longest)
-			longest = ends[i];
-	}
-	return longest;
-}
-
 static enum urgency urgency_of(const struct workflow *workflow,
 			       int64_t objective_ms, struct mstime now)
 {
@@ -62,7 +38,7 @@
 		workflow->order_ms = workflow->submitted_at.ms;
 		return;
 	}
-	workflow->remaining_ms = remaining_ms(workflow);
+	workflow->remaining_ms = workflow_remaining_ms(workflow);
 	workflow->urgency = urgency_of(workflow, objective_ms, now);
 	workflow->order_ms = workflow->urgency == URGENCY_IN_TIME
 				     ? workflow->submitted_at.ms + objective_ms
--- /dev/null
+++ b/packages/core/src/dispatch_run.c
@@ -0,0 +1,93 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch.h"
+#include "dispatch_internal.h"
+#include "mem.h"
+
+int task_id_equal(const struct task_id *a, const struct task_id *b)
+{
+	return a->index == b->index && a->step == b->step &&
+	       a->occurrence == b->occurrence && !strcmp(a->job, b->job);
+}
+
+struct run *dispatch_run_new(struct dispatch *dispatch, struct worker *worker,
+			     struct workflow *workflow,
+			     const struct task_id *id, uint32_t number)
+{
+	const struct workflow_step *step = &workflow->spec.steps[id->step];
+	struct run *run = xcalloc(1, sizeof(*run));
+
+	list_init(&run->node);
+	run->worker = worker;
+	run->workflow = workflow;
+	run->id = *id;
+	run->number = number;
+	run->need = step->need;
+	run->fills = step->fills;
+	run->latency_target = (uint32_t)step->latency_target_ms;
+	run->image = colocation_image(dispatch->colocation, step->image);
+	run->own_pressure = COLOCATION_OWN_PRESSURE;
+	run->pace = 100;
+	run->pace_sent = 100;
+	list_add_tail(&worker->runs, &run->node);
+	worker->run_count++;
+	worker->used.mem_mb += run->need.mem_mb;
+	worker->used.accel += run->need.accel;
+	if (run->fills)
+		worker->fill_cpu += run->need.cpu_milli;
+	else
+		worker->used.cpu_milli += run->need.cpu_milli;
+	return run;
+}
+
+struct run *dispatch_run_find(struct worker *worker, const struct task_id *id,
+			      uint32_t number)
+{
+	struct list *pos;
+
+	list_for_each (pos, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (run->number == number && task_id_equal(&run->id, id))
+			return run;
+	}
+	return NULL;
+}
+
+static void task_release(struct run *run, struct mstime now)
+{
+	struct workflow *workflow = run->workflow;
+	struct workflow_task *task = workflow_find(workflow, &run->id);
+
+	if (task->current != run)
+		return;
+	task->current = NULL;
+	task->waiting_from = now;
+	workflow->occurrences[run->id.occurrence].assigned[run->id.step]--;
+	if (task->phase != TASK_ASSIGNED)
+		return;
+	task->phase = TASK_WAITING;
+	free(task->place);
+	task->place = NULL;
+}
+
+void dispatch_run_end(struct dispatch *dispatch, struct run *run,
+		      struct mstime now)
+{
+	struct worker *worker = run->worker;
+
+	if (run->workflow && !run->is_orphan) {
+		task_release(run, now);
+		dispatch_touch(dispatch, run->workflow);
+	}
+	worker->run_count--;
+	worker->used.mem_mb -= run->need.mem_mb;
+	worker->used.accel -= run->need.accel;
+	if (run->fills)
+		worker->fill_cpu -= run->need.cpu_milli;
+	else
+		worker->used.cpu_milli -= run->need.cpu_milli;
+	list_del(&run->node);
+	free(run);
+}
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -189,26 +189,38 @@
 	return 1;
 }
 
-int64_t workflow_chain_ms(const struct workflow *workflow)
+/* Longest chain of estimates; done is NULL, or what is done of each step. */
+static int64_t longest_chain(const struct workflow_spec *spec,
+			     const uint32_t *done)
 {
-	const struct workflow_spec *spec = &workflow->spec;
 	int64_t ends[STEPS_MAX], longest = 0;
 	size_t i, k;
 
 	for (i = 0; i < spec->step_count; i++) {
 		const struct workflow_step *step = &spec->steps[i];
-		int64_t start = 0;
 
+		ends[i] = 0;
 		for (k = 0; k < step->after_count; k++)
-			if (ends[step->after[k]] > start)
-				start = ends[step->after[k]];
-		ends[i] = start + step->estimate_ms;
+			if (ends[step->after[k]] > ends[i])
+				ends[i] = ends[step->after[k]];
+		if (!done || done[i] < step->count)
+			ends[i] += step->estimate_ms;
 		if (ends[i] > longest)
 			longest = ends[i];
 	}
 	return longest;
 }
 
+int64_t workflow_chain_ms(const struct workflow *workflow)
+{
+	return longest_chain(&workflow->spec, NULL);
+}
+
+int64_t workflow_remaining_ms(const struct workflow *workflow)
+{
+	return longest_chain(&workflow->spec, workflow->occurrences[0].done);
+}
+
 static void mark_done(struct workflow_task *task)
 {
 	task->phase = TASK_DONE;
--- a/packages/daemon/src/gateway.c
+++ b/packages/daemon/src/gateway.c
@@ -41,6 +41,8 @@
 void job_call_reply(struct job_call *call, int status, const char *body,
 		    const char *detail)
 {
+	const struct platform_config *config =
+		queues_config(call->gateway->queues);
 	int64_t took_ms = mstime_diff(sysclock_now(), call->started);
 
 	log_event(EV_WORKFLOW_ANSWERED,
@@ -48,7 +50,7 @@
 		  "attempts=%d config=%lld detail=%s",
 		  call->job, httpd_method(call->request), call->queue.name,
 		  status, (long long)took_ms, call->attempts,
-		  (long long)call->gateway->config.version, detail);
+		  (long long)(config ? config->version : 0), detail);
 	httpd_reply(call->request, status, body);
 	job_call_free(call);
 }
@@ -107,6 +109,7 @@
 {
 	struct gateway *gateway = arg;
 	struct job_call *call = xcalloc(1, sizeof(*call));
+	const struct platform_config *config = queues_config(gateway->queues);
 	const struct platform_queue *queue;
 
 	call->gateway = gateway;
@@ -114,12 +117,11 @@
 	call->started = sysclock_now();
 	call->deadline = mstime_add(call->started, deadline_ms(request));
 	list_add_tail(&gateway->job_calls, &call->node);
-	if (!gateway->has_config) {
+	if (!config) {
 		job_call_refuse(call, 503, "no-configuration");
 		return;
 	}
-	queue = platform_queue_find(&gateway->config,
-				    httpd_header(request, "Host"),
+	queue = platform_queue_find(config, httpd_header(request, "Host"),
 				    httpd_path(request));
 	if (!queue) {
 		job_call_reply(call, 404, "{}", "no-queue");
@@ -137,8 +139,8 @@
 
 static int is_ready(const struct gateway *gateway)
 {
-	return gateway->has_config && !gateway->is_stopping &&
-	       follow_lost_ms(gateway->follow) < STORE_GONE_MS;
+	return queues_config(gateway->queues) && !gateway->is_stopping &&
+	       queues_lost_ms(gateway->queues) < STORE_GONE_MS;
 }
 
 static void on_probe(void *arg, struct httpd_request *request)
@@ -148,38 +150,6 @@
 	httpd_reply(request, is_ready(gateway) ? 200 : 503, "{}");
 }
 
-static void on_item(void *arg, const struct kv_item *item)
-{
-	struct gateway *gateway = arg;
-	struct platform_config config = { 0 };
-
-	if (strcmp(item->key, PLATFORM_CONFIG_KEY) != 0 || !item->value)
-		return;
-	if (platform_decode_config(item->value, item->len, &config)) {
-		log_event(EV_QUEUES_REJECTED, "revision=%lld",
-			  (long long)item->revision);
-		return;
-	}
-	if (gateway->has_config && config.version <= gateway->config.version) {
-		platform_config_clear(&config);
-		return;
-	}
-	platform_config_clear(&gateway->config);
-	gateway->config = config;
-	gateway->has_config = 1;
-	log_event(EV_QUEUES_APPLIED, "version=%lld queues=%zu revision=%lld",
-		  (long long)config.version, config.queue_count,
-		  (long long)item->revision);
-}
-
-static void on_list(void *arg, const struct kv_item *items, size_t count)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		on_item(arg, &items[i]);
-}
-
 static void add_counters(struct gateway *gateway)
 {
 	struct counter_set *set = &gateway->daemon->counters;
@@ -231,10 +201,6 @@
 
 struct gateway *gateway_new(struct daemon *daemon)
 {
-	static const struct follow_handlers handlers = {
-		.on_list = on_list,
-		.on_change = on_item,
-	};
 	const struct settings *settings = daemon->settings;
 	struct gateway *gateway = xcalloc(1, sizeof(*gateway));
 
@@ -254,9 +220,7 @@
 				   on_probe, gateway);
 	if (!gateway->probe)
 		return failed(gateway, "listen.probe", settings->probe);
-	gateway->follow =
-		follow_new(daemon->loop, gateway->kv, PLATFORM_OPERATOR_PREFIX,
-			   &handlers, gateway);
+	gateway->queues = queues_new(daemon->loop, gateway->kv, NULL, NULL);
 	return gateway;
 }
 
@@ -268,12 +232,11 @@
 		return;
 	list_for_each_safe (pos, tmp, &gateway->job_calls)
 		job_call_free(list_entry(pos, struct job_call, node));
-	follow_delete(gateway->follow);
+	queues_delete(gateway->queues);
 	httpd_delete(gateway->callers);
 	httpd_delete(gateway->probe);
 	loop_timer_delete(gateway->stop_timer);
 	kv_delete(gateway->kv);
-	platform_config_clear(&gateway->config);
 	free(gateway);
 }
 
--- a/packages/daemon/src/gateway_internal.h
+++ b/packages/daemon/src/gateway_internal.h
@@ -2,13 +2,13 @@
 #define CATKINHILL_GATEWAY_INTERNAL_H
 
 #include "counters.h"
-#include "follow.h"
 #include "gateway.h"
 #include "httpd.h"
 #include "jobstore.h"
 #include "kv.h"
 #include "list.h"
 #include "platformjson.h"
+#include "queues.h"
 
 /*
  * NAME
@@ -19,9 +19,7 @@
 	struct kv *kv;
 	struct httpd *callers;
 	struct httpd *probe;
-	struct follow *follow;
-	struct platform_config config;
-	int has_config;
+	struct queues *queues;
 	struct list job_calls;
 	struct loop_timer *stop_timer;
 	int is_stopping;
--- /dev/null
+++ b/packages/daemon/src/queues.c
@@ -0,0 +1,85 @@
+#include "queues.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "follow.h"
+#include "log.h"
+#include "mem.h"
+
+struct queues {
+	struct follow *follow;
+	struct platform_config config;
+	int is_known;
+	queues_fn fn;
+	void *arg;
+};
+
+static void on_change(void *arg, const struct kv_item *item)
+{
+	struct queues *queues = arg;
+	struct platform_config config = { 0 };
+
+	if (strcmp(item->key, PLATFORM_CONFIG_KEY) != 0 || !item->value)
+		return;
+	if (platform_decode_config(item->value, item->len, &config)) {
+		log_event(EV_QUEUES_REJECTED, "revision=%lld",
+			  (long long)item->revision);
+		return;
+	}
+	if (queues->is_known && config.version <= queues->config.version) {
+		platform_config_clear(&config);
+		return;
+	}
+	platform_config_clear(&queues->config);
+	queues->config = config;
+	queues->is_known = 1;
+	log_event(EV_QUEUES_APPLIED, "version=%lld queues=%zu revision=%lld",
+		  (long long)config.version, config.queue_count,
+		  (long long)item->revision);
+	if (queues->fn)
+		queues->fn(queues->arg, &queues->config);
+}
+
+static void on_list(void *arg, const struct kv_item *items, size_t count)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		on_change(arg, &items[i]);
+}
+
+struct queues *queues_new(struct loop *loop, struct kv *kv, queues_fn fn,
+			  void *arg)
+{
+	static const struct follow_handlers handlers = {
+		.on_list = on_list,
+		.on_change = on_change,
+	};
+	struct queues *queues = xcalloc(1, sizeof(*queues));
+
+	queues->fn = fn;
+	queues->arg = arg;
+	queues->follow = follow_new(loop, kv, PLATFORM_OPERATOR_PREFIX,
+				    &handlers, queues);
+	return queues;
+}
+
+void queues_delete(struct queues *queues)
+{
+	if (!queues)
+		return;
+	follow_delete(queues->follow);
+	platform_config_clear(&queues->config);
+	free(queues);
+}
+
+const struct platform_config *queues_config(const struct queues *queues)
+{
+	return queues->is_known ? &queues->config : NULL;
+}
+
+int64_t queues_lost_ms(const struct queues *queues)
+{
+	return follow_lost_ms(queues->follow);
+}
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -9,6 +9,7 @@
 #include "follow.h"
 #include "jobstore.h"
 #include "list.h"
+#include "queues.h"
 #include "scheduler.h"
 #include "transport.h"
 
@@ -64,7 +65,7 @@
 	int is_loaded; /* submitted workflows and their states are known */
 	struct follow *submitted;
 	struct follow *nodes;
-	struct follow *config;
+	struct queues *queues;
 	struct list links;
 	struct commit commit;
 	json_t *states; /* key -> {value, revision}, until loaded */
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -170,9 +170,9 @@
 			   SUBMITTED_PREFIX, &submitted_handlers, scheduler);
 }
 
-static void apply_config(struct scheduler *scheduler,
-			 const struct platform_config *config)
+static void on_queues(void *arg, const struct platform_config *config)
 {
+	struct scheduler *scheduler = arg;
 	struct list *pos;
 	size_t i;
 
@@ -187,53 +187,20 @@
 	}
 }
 
-static void on_config(void *arg, const struct kv_item *item)
-{
-	struct scheduler *scheduler = arg;
-	struct platform_config config = { 0 };
-
-	if (strcmp(item->key, PLATFORM_CONFIG_KEY) != 0 || !item->value)
-		return;
-	if (platform_decode_config(item->value, item->len, &config)) {
-		log_event(EV_QUEUES_REJECTED, "revision=%lld",
-			  (long long)item->revision);
-		return;
-	}
-	log_event(EV_QUEUES_APPLIED, "version=%lld queues=%zu revision=%lld",
-		  (long long)config.version, config.queue_count,
-		  (long long)item->revision);
-	apply_config(scheduler, &config);
-	platform_config_clear(&config);
-}
-
-static void on_configs(void *arg, const struct kv_item *items, size_t count)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++)
-		on_config(arg, &items[i]);
-}
-
 void scheduler_load_start(struct scheduler *scheduler)
 {
-	static const struct follow_handlers handlers = {
-		.on_list = on_configs,
-		.on_change = on_config,
-	};
-
 	kv_list(scheduler->kv, STATE_PREFIX, on_states, &scheduler->self);
-	scheduler->config =
-		follow_new(scheduler->daemon->loop, scheduler->kv,
-			   PLATFORM_OPERATOR_PREFIX, &handlers, scheduler);
+	scheduler->queues = queues_new(scheduler->daemon->loop, scheduler->kv,
+				       on_queues, scheduler);
 }
 
 void scheduler_load_stop(struct scheduler *scheduler)
 {
 	loop_timer_stop(scheduler->load_retry);
 	follow_delete(scheduler->submitted);
-	follow_delete(scheduler->config);
+	queues_delete(scheduler->queues);
 	scheduler->submitted = NULL;
-	scheduler->config = NULL;
+	scheduler->queues = NULL;
 	json_decref(scheduler->states);
 	scheduler->states = NULL;
 	scheduler->is_loaded = 0;
--- a/packages/daemon/src/scheduler_remove.c
+++ b/packages/daemon/src/scheduler_remove.c
@@ -15,11 +15,12 @@
 	struct scheduler *scheduler = *(struct scheduler **)arg;
 	size_t i;
 
-	/* A repeated removal is harmless, so every outcome but 0 is tried again. */
+	/* A repeated removal is harmless, so every outcome but 0 is tried
+	 * again. */
 	if (result->err)
 		log_event(EV_STATE_UNSETTLED, "epoch=%lld removals=%zu err=%s",
-			  (long long)scheduler->epoch,
-			  scheduler->removal_count, error_name(result->err));
+			  (long long)scheduler->epoch, scheduler->removal_count,
+			  error_name(result->err));
 	for (i = 0; !result->err && i < scheduler->removal_count; i++)
 		dispatch_forget(scheduler->dispatch, scheduler->removal[i]);
 	scheduler->removal_count = 0;
@@ -30,8 +31,8 @@
 	const struct workflow *workflow = NULL;
 
 	while (scheduler->removal_count < REMOVE_WORKFLOWS &&
-	       (workflow = dispatch_old_final(scheduler->dispatch, workflow,
-					      now)))
+	       (workflow =
+			dispatch_old_final(scheduler->dispatch, workflow, now)))
 		str_copy(scheduler->removal[scheduler->removal_count++],
 			 workflow->spec.id, JOB_ID_SIZE);
 }
--- /dev/null
+++ b/packages/platform/src/jsoncall.c
@@ -0,0 +1,126 @@
+#include "jsoncall.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "errors.h"
+#include "httpc.h"
+#include "mem.h"
+
+#define ANSWER_MAX (8 * 1024 * 1024)
+
+struct jsoncall_peer {
+	struct loop *loop;
+	struct httpc_pool *pool;
+};
+
+struct jsoncall {
+	jsoncall_fn fn;
+	void *arg;
+	struct httpc_call *http;
+	struct loop_timer *later; /* a call that cannot be sent */
+	char *body;
+	size_t len, size;
+};
+
+static void call_free(struct jsoncall *call)
+{
+	if (call->http)
+		httpc_cancel(call->http);
+	loop_timer_delete(call->later);
+	free(call->body);
+	free(call);
+}
+
+static void call_end(struct jsoncall *call, int err, int status)
+{
+	call->http = NULL;
+	if (call->body)
+		call->body[call->len] = '\0';
+	call->fn(call->arg, err, status, call->body ? call->body : "",
+		 call->len);
+	call_free(call);
+}
+
+static void on_data(void *arg, const void *data, size_t len)
+{
+	struct jsoncall *call = arg;
+
+	if (call->len + len + 1 > call->size) {
+		call->size = (call->len + len + 1) * 2;
+		call->body = xrealloc(call->body, call->size);
+	}
+	memcpy(call->body + call->len, data, len);
+	call->len += len;
+}
+
+static void on_end(void *arg, int err, int status)
+{
+	call_end(arg, err, status);
+}
+
+static void on_later(void *arg)
+{
+	call_end(arg, ERR_INVALID, 0);
+}
+
+struct jsoncall_peer *jsoncall_peer_new(struct loop *loop, const char *address,
+					int max_idle)
+{
+	struct httpc_pool *pool = httpc_pool_new(loop, address, max_idle);
+	struct jsoncall_peer *peer;
+
+	if (!pool)
+		return NULL;
+	peer = xcalloc(1, sizeof(*peer));
+	peer->loop = loop;
+	peer->pool = pool;
+	return peer;
+}
+
+void jsoncall_peer_delete(struct jsoncall_peer *peer)
+{
+	if (!peer)
+		return;
+	httpc_pool_delete(peer->pool);
+	free(peer);
+}
+
+struct jsoncall *jsoncall_start(struct jsoncall_peer *peer,
+				const struct jsoncall_request *request,
+				jsoncall_fn fn, void *arg)
+{
+	static const struct httpc_handlers handlers = { .on_data = on_data,
+							.on_end = on_end };
+	struct jsoncall *call = xcalloc(1, sizeof(*call));
+	struct http_header list[2];
+	struct header_list headers = { list, 0 };
+	struct httpc_request http = { .method = request->method,
+				      .path = request->path,
+				      .headers = &headers,
+				      .body = request->body,
+				      .timeout_ms = request->timeout_ms,
+				      .max_answer = ANSWER_MAX };
+
+	if (request->body) {
+		http.body_len = strlen(request->body);
+		list[headers.count].name = "Content-Type";
+		list[headers.count++].value = "application/json";
+	}
+	if (request->header.name)
+		list[headers.count++] = request->header;
+	call->fn = fn;
+	call->arg = arg;
+	call->http = httpc_start(peer->pool, &http, &handlers, call);
+	if (call->http)
+		return call;
+	call->later = loop_timer_new(peer->loop, on_later, call);
+	loop_timer_start(call->later, 0);
+	return call;
+}
+
+void jsoncall_cancel(struct jsoncall *call)
+{
+	if (call)
+		call_free(call);
+}
--- /dev/null
+++ b/packages/platform/src/jsoncall.h
@@ -0,0 +1,45 @@
+#ifndef CATKINHILL_JSONCALL_H
+#define CATKINHILL_JSONCALL_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "loop.h"
+#include "message.h"
+
+/*
+ * NAME
+ *	jsoncall - one call with a JSON body and its whole answer
+ *
+ * NOTES
+ *	Ends in one callback, never inside jsoncall_start(), unless
+ *	jsoncall_cancel() comes first; it is freed after the callback. err is
+ *	0, or one of httpc, or ERR_INVALID for a call that cannot be sent.
+ *	body is terminated and valid during the callback.
+ */
+struct jsoncall;
+struct jsoncall_peer;
+
+typedef void (*jsoncall_fn)(void *arg, int err, int status, const char *body,
+			    size_t len);
+
+struct jsoncall_request {
+	const char *method;
+	const char *path;
+	const char *body; /* NULL: none */
+	struct http_header header; /* besides the type; name NULL: none */
+	int64_t timeout_ms;
+};
+
+/* RETURN VALUE: NULL when the address is not "ip:port". */
+struct jsoncall_peer *jsoncall_peer_new(struct loop *loop, const char *address,
+					int max_idle);
+/* All calls must have ended. */
+void jsoncall_peer_delete(struct jsoncall_peer *peer);
+
+struct jsoncall *jsoncall_start(struct jsoncall_peer *peer,
+				const struct jsoncall_request *request,
+				jsoncall_fn fn, void *arg);
+void jsoncall_cancel(struct jsoncall *call);
+
+#endif
--- a/packages/platform/src/kv.c
+++ b/packages/platform/src/kv.c
@@ -8,14 +8,13 @@
 #include <event2/http.h>
 
 #include "errors.h"
-#include "httpc.h"
+#include "jsoncall.h"
 #include "kv_json.h"
 #include "list.h"
 #include "mem.h"
 #include "sysclock.h"
 
 #define IDLE_CONNECTIONS 8
-#define ANSWER_MAX (8 * 1024 * 1024)
 #define PATH_SIZE 512
 /* A watch that waits is answered within its time and this much more. */
 #define WATCH_SLACK_MS 700
@@ -34,21 +33,16 @@
 	enum call_kind kind;
 	kv_fn fn;
 	void *arg;
-	struct httpc_call *http;
-	struct loop_timer *later; /* a call that could not be started */
+	struct jsoncall *http;
 	struct mstime started;
-	char *body;
-	size_t len, size;
 	char *prefix;
 	struct kv_items items;
 	int64_t revision;
 };
 
 struct kv {
-	struct loop *loop;
-	char *address;
 	int64_t timeout_ms;
-	struct httpc_pool *pool;
+	struct jsoncall_peer *peer;
 	struct list calls;
 	int64_t latency_ms;
 	int64_t call_count;
@@ -57,11 +51,8 @@
 static void call_free(struct call *call)
 {
 	list_del(&call->node);
-	if (call->http)
-		httpc_cancel(call->http);
-	loop_timer_delete(call->later);
+	jsoncall_cancel(call->http);
 	kv_items_clear(&call->items);
-	free(call->body);
 	free(call->prefix);
 	free(call);
 }
@@ -140,7 +131,6 @@
 	if (call->kind != CALL_LIST || !call->items.count ||
 	    !json_is_true(json_object_get(root, "truncated")))
 		return 0;
-	call->len = 0;
 	list_start(call, call->items.items[call->items.count - 1].key);
 	return 1;
 }
@@ -160,10 +150,10 @@
 	json_decref(rows);
 }
 
-static void call_succeed(struct call *call, int err)
+static void call_succeed(struct call *call, int err, const char *body,
+			 size_t len)
 {
-	json_t *root =
-		json_loadb(call->body ? call->body : "", call->len, 0, NULL);
+	json_t *root = json_loadb(body, len, 0, NULL);
 	struct kv_result result = { .err = err };
 	const json_t *at;
 
@@ -190,26 +180,15 @@
 	call_finish(call, &result);
 }
 
-static void on_data(void *arg, const void *data, size_t len)
-{
-	struct call *call = arg;
-
-	if (call->len + len > call->size) {
-		call->size = (call->len + len) * 2;
-		call->body = xrealloc(call->body, call->size);
-	}
-	memcpy(call->body + call->len, data, len);
-	call->len += len;
-}
-
-static void on_end(void *arg, int err, int status)
+static void on_end(void *arg, int err, int status, const char *body, size_t len)
 {
 	struct call *call = arg;
 
 	call->http = NULL;
 	if (err) {
-		call_fail(call, err == ERR_UNAVAILABLE ? ERR_UNAVAILABLE
-						       : ERR_UNKNOWN);
+		call_fail(call, err == ERR_UNAVAILABLE || err == ERR_INVALID
+					? err
+					: ERR_UNKNOWN);
 		return;
 	}
 	note_answer(call);
@@ -217,36 +196,20 @@
 	if (err && err != ERR_CONFLICT)
 		call_fail(call, err);
 	else
-		call_succeed(call, err);
-}
-
-static void on_later(void *arg)
-{
-	call_fail(arg, ERR_INVALID);
+		call_succeed(call, err, body, len);
 }
 
 static void start(struct call *call, const char *method, const char *path,
 		  const char *body, int64_t timeout_ms)
 {
-	static const struct httpc_handlers handlers = { .on_data = on_data,
-							.on_end = on_end };
-	struct http_header type = { "Content-Type", "application/json" };
-	struct header_list headers = { &type, body ? 1 : 0 };
-	struct httpc_request request = { .method = method,
-					 .path = path,
-					 .headers = &headers,
-					 .body = body,
-					 .body_len = body ? strlen(body) : 0,
-					 .timeout_ms = timeout_ms,
-					 .max_answer = ANSWER_MAX };
+	struct jsoncall_request request = { .method = method,
+					    .path = path,
+					    .body = body,
+					    .timeout_ms = timeout_ms };
 
 	call->kv->call_count++;
 	call->started = sysclock_now();
-	call->http = httpc_start(call->kv->pool, &request, &handlers, call);
-	if (call->http)
-		return;
-	call->later = loop_timer_new(call->kv->loop, on_later, call);
-	loop_timer_start(call->later, 0);
+	call->http = jsoncall_start(call->kv->peer, &request, on_end, call);
 }
 
 static struct call *call_new(struct kv *kv, enum call_kind kind, kv_fn fn,
@@ -264,17 +227,15 @@
 
 struct kv *kv_new(struct loop *loop, const char *address, int64_t timeout_ms)
 {
-	struct httpc_pool *pool =
-		httpc_pool_new(loop, address, IDLE_CONNECTIONS);
+	struct jsoncall_peer *peer =
+		jsoncall_peer_new(loop, address, IDLE_CONNECTIONS);
 	struct kv *kv;
 
-	if (!pool)
+	if (!peer)
 		return NULL;
 	kv = xcalloc(1, sizeof(*kv));
-	kv->loop = loop;
-	kv->address = xstrdup(address);
 	kv->timeout_ms = timeout_ms;
-	kv->pool = pool;
+	kv->peer = peer;
 	list_init(&kv->calls);
 	return kv;
 }
@@ -296,8 +257,7 @@
 	if (!kv)
 		return;
 	drop_calls(kv, NULL);
-	httpc_pool_delete(kv->pool);
-	free(kv->address);
+	jsoncall_peer_delete(kv->peer);
 	free(kv);
 }
 
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -6,29 +6,24 @@
 #include <jansson.h>
 
 #include "errors.h"
-#include "httpc.h"
+#include "jsoncall.h"
 #include "list.h"
 #include "mem.h"
 #include "tasknames.h"
 
 /* Starts come in bursts; a worker takes 64 connections. */
 #define IDLE_CONNECTIONS 24
-#define ANSWER_MAX (4 * 1024 * 1024)
 
 struct call {
 	struct list node;
 	struct workercall *calls;
 	workercall_fn fn;
 	void *arg;
-	struct httpc_call *http;
-	struct loop_timer *later; /* a call that could not be started */
-	char *body;
-	size_t len, size;
+	struct jsoncall *http;
 };
 
 struct workercall {
-	struct loop *loop;
-	struct httpc_pool *pool;
+	struct jsoncall_peer *peer;
 	int64_t timeout_ms;
 	struct list calls;
 };
@@ -59,10 +54,7 @@
 static void call_free(struct call *call)
 {
 	list_del(&call->node);
-	if (call->http)
-		httpc_cancel(call->http);
-	loop_timer_delete(call->later);
-	free(call->body);
+	jsoncall_cancel(call->http);
 	free(call);
 }
 
@@ -161,10 +153,10 @@
 					 json_array_get(ends, i));
 }
 
-static void answer_call(struct call *call, int status)
+static void answer_call(struct call *call, int status, const char *body,
+			size_t len)
 {
-	json_t *root =
-		json_loadb(call->body ? call->body : "", call->len, 0, NULL);
+	json_t *root = json_loadb(body, len, 0, NULL);
 	const json_t *clock = json_object_get(root, "clockMs");
 	const json_t *born = json_object_get(root, "born");
 	struct worker_answer answer = { .clock_ms = -1 };
@@ -189,86 +181,56 @@
 	json_decref(root);
 }
 
-static void on_data(void *arg, const void *data, size_t len)
-{
-	struct call *call = arg;
-
-	if (call->len + len > call->size) {
-		call->size = (call->len + len) * 2;
-		call->body = xrealloc(call->body, call->size);
-	}
-	memcpy(call->body + call->len, data, len);
-	call->len += len;
-}
-
-static void on_end(void *arg, int err, int status)
+static void on_end(void *arg, int err, int status, const char *body, size_t len)
 {
 	struct worker_answer answer = { .clock_ms = -1 };
 	struct call *call = arg;
 
 	call->http = NULL;
 	if (!err) {
-		answer_call(call, status);
+		answer_call(call, status, body, len);
 		return;
 	}
-	answer.err = err == ERR_UNAVAILABLE ? err : ERR_UNKNOWN;
+	answer.err = err == ERR_UNAVAILABLE || err == ERR_INVALID ? err
+								  : ERR_UNKNOWN;
 	call_finish(call, &answer);
 }
 
-static void on_later(void *arg)
-{
-	struct worker_answer answer = { .err = ERR_INVALID, .clock_ms = -1 };
-
-	call_finish(arg, &answer);
-}
-
 /* Releases body. */
 static void start(struct workercall *calls, const struct worker_target *target,
 		  const char *path, json_t *body, int64_t timeout_ms,
 		  workercall_fn fn, void *arg)
 {
-	static const struct httpc_handlers handlers = { .on_data = on_data,
-							.on_end = on_end };
-	struct http_header list[] = {
-		{ "Content-Type", "application/json" },
-		{ "X-Expect-Instance", target->id },
+	char *text = json_dumps(body, JSON_COMPACT);
+	struct jsoncall_request request = {
+		.method = "POST",
+		.path = path,
+		.body = text ? text : "{}",
+		.header = { "X-Expect-Instance", target->id },
+		.timeout_ms = timeout_ms,
 	};
-	struct header_list headers = { list, 2 };
 	struct call *call = xcalloc(1, sizeof(*call));
-	char *text = json_dumps(body, JSON_COMPACT);
-	struct httpc_request request = { .method = "POST",
-					 .path = path,
-					 .headers = &headers,
-					 .timeout_ms = timeout_ms,
-					 .max_answer = ANSWER_MAX };
 
 	json_decref(body);
 	call->calls = calls;
 	call->fn = fn;
 	call->arg = arg;
 	list_add_tail(&calls->calls, &call->node);
-	request.body = text ? text : "{}";
-	request.body_len = strlen(request.body);
-	call->http = httpc_start(calls->pool, &request, &handlers, call);
+	call->http = jsoncall_start(calls->peer, &request, on_end, call);
 	free(text);
-	if (call->http)
-		return;
-	call->later = loop_timer_new(calls->loop, on_later, call);
-	loop_timer_start(call->later, 0);
 }
 
 struct workercall *workercall_new(struct loop *loop, const char *address,
 				  int64_t timeout_ms)
 {
-	struct httpc_pool *pool =
-		httpc_pool_new(loop, address, IDLE_CONNECTIONS);
+	struct jsoncall_peer *peer =
+		jsoncall_peer_new(loop, address, IDLE_CONNECTIONS);
 	struct workercall *calls;
 
-	if (!pool)
+	if (!peer)
 		return NULL;
 	calls = xcalloc(1, sizeof(*calls));
-	calls->loop = loop;
-	calls->pool = pool;
+	calls->peer = peer;
 	calls->timeout_ms = timeout_ms;
 	list_init(&calls->calls);
 	return calls;
@@ -291,7 +253,7 @@
 	if (!calls)
 		return;
 	drop_calls(calls, NULL);
-	httpc_pool_delete(calls->pool);
+	jsoncall_peer_delete(calls->peer);
 	free(calls);
 }
 
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -87,7 +87,7 @@
 		{ 9, 1, 0 },
 		{ 9, 1, ERR_FENCED }, /* again */
 		{ 9, 2, 0 },
-		{ 3, 1, 0 }, /* restarted, with a lower number */
+		{ 3, 1, 0 },	      /* restarted, with a lower number */
 		{ 9, 3, ERR_FENCED }, /* late, from before the restart */
 		{ 3, 2, 0 },
 	};
@@ -111,12 +111,12 @@
 	report(dispatch, 1, 1, NULL, 0, 1);
 	report(dispatch, 1, 2, NULL, 0, 2);
 	assert_int_equal(dispatch_assign(dispatch, at(3)), 2);
-	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1,
-				    &orders, at(3)));
+	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1, &orders,
+				    at(3)));
 	assert_int_equal(orders.starts.count, 0);
 	save_all(dispatch);
-	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1,
-				    &orders, at(4)));
+	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1, &orders,
+				    at(4)));
 	assert_int_equal(orders.starts.count, 2);
 	dispatch_delete(dispatch);
 }
@@ -128,8 +128,8 @@
 	struct msg_work_orders orders;
 
 	report(dispatch, 1, 1, NULL, 0, 1);
-	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 0,
-				    &orders, at(1)));
+	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 0, &orders,
+				    at(1)));
 	assert_int_equal(orders.lease_ms, 0);
 	dispatch_delete(dispatch);
 }
@@ -180,8 +180,8 @@
 	assert_int_equal(orders.stops.count, 0);
 	report(dispatch, 1, ++seq, &status, 1, 2200);
 	dispatch_expire(dispatch, at(2250));
-	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1,
-				    &orders, at(2260)));
+	assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1, &orders,
+				    at(2260)));
 	assert_int_equal(orders.stops.count, 1);
 	dispatch_delete(dispatch);
 }
@@ -199,10 +199,9 @@
 	assert_null(dispatch_old_final(dispatch, NULL, at(keep_ms + 10)));
 	save_all(dispatch);
 	assert_null(dispatch_old_final(dispatch, NULL, at(keep_ms)));
-	assert_string_equal(dispatch_old_final(dispatch, NULL,
-					       at(keep_ms + 10))
-				    ->spec.id,
-			    "j1");
+	assert_string_equal(
+		dispatch_old_final(dispatch, NULL, at(keep_ms + 10))->spec.id,
+		"j1");
 	assert_null(dispatch_old_final(dispatch, dispatch_find(dispatch, "j1"),
 				       at(keep_ms + 10)));
 	dispatch_forget(dispatch, "j1");
