dispatch: slowed runs go on at a least pace

Cause: a filling run that found no place without harm could stay halted for as long as its neighbour ran.

Change: after 3 s below full pace a run works at 10% at least, unless a target is being missed at its worker.

--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -14,6 +14,12 @@
  * beside filling work, and figures and orders take up to 1 s.
  */
 #define HALT_ALL_MS 1500
+/*
+ * Batch work finishes: a run that finds no other place goes on at a pace that
+ * hardly presses, unless a target is being missed.
+ */
+#define PACE_LEAST 10
+#define LEAST_AFTER_MS 3000
 /* Raised in steps, because the model may be wrong. */
 #define PACE_STEP 30
 /* Smaller differences are not worth an order. */
@@ -198,6 +204,10 @@
 {
 	uint32_t pace = run->pace_planned;
 
+	if (pace < PACE_LEAST && run->pace < 100 &&
+	    !run->worker->over_since.ms &&
+	    mstime_diff(now, run->slowed_at) > LEAST_AFTER_MS)
+		pace = PACE_LEAST;
 	if (pace > run->pace + PACE_STEP)
 		pace = run->pace + PACE_STEP;
 	if (pace + PACE_DIFFERENCE > run->pace &&
