--- a/packages/platform/src/jsoncall.h
+++ b/packages/platform/src/jsoncall.h
@@ -26,7 +26,7 @@
 struct jsoncall_request {
 	const char *method;
 	const char *path;
-	const char *body; /* NULL: none */
+	const char *body;	   /* NULL: none */
 	struct http_header header; /* besides the type; name NULL: none */
 	int64_t timeout_ms;
 };
--- /dev/null
+++ b/tests/fuzz/fuzz_platform.c
@@ -0,0 +1,94 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fuzz.h"
+#include "mem.h"
+#include "platformjson.h"
+#include "workflow.h"
+
+#define JOB "0123456789abcdef"
+
+static const char *const samples[] = {
+	"{\"spec\":\"text\",\"steps\":[{\"count\":4,\"cpu\":500,\"memMb\":256,"
+	"\"estimateMs\":900,\"dataRack\":\"r1-3\"},{\"count\":20,\"after\":[0],"
+	"\"checkpointing\":true,\"fills\":true,\"image\":\"i\"}]}",
+	"{\"steps\":[{\"count\":2,\"gang\":true}],\"repeatCount\":3,"
+	"\"firstMs\":5,\"intervalMs\":7}",
+	"{\"service\":\"s\",\"state\":\"ready\",\"capacity\":{\"cpu\":16000,"
+	"\"memMb\":5},\"labels\":[\"a\",\"r1\"],\"born\":7,\"sequence\":4}",
+	"{\"version\":7,\"routes\":[{\"name\":\"a\",\"host\":\"h\",\"prefix\":"
+	"\"/p/\",\"service\":\"s\",\"stretch\":1.5}],\"limits\":{}}",
+	"{\"format\":1,\"state\":\"running\",\"started\":true,\"places\":"
+	"[[\"n\",\"w\",5]],\"tasks\":[[0,0,1,2,1,0,-1,\"\"],"
+	"[0,1,2,1,3,1,0,\"c\"]]}",
+};
+
+static struct workflow *workflow_of(struct workflow_spec *spec)
+{
+	struct queue_config queue = { .name = "q" };
+
+	return workflow_new(spec, &queue, 0);
+}
+
+/* A decoded workflow has a state that decodes to itself. */
+static void check_workflow(struct workflow_spec *spec)
+{
+	struct workflow *workflow = workflow_of(spec);
+	char *text = workflow_encode(workflow);
+
+	if (workflow_decode(workflow, text, strlen(text)))
+		abort();
+	free(text);
+	workflow_delete(workflow);
+}
+
+static int decode_state(const char *text, size_t len)
+{
+	struct workflow_spec spec;
+	struct workflow *workflow;
+	const char *reason;
+	int err;
+
+	if (platform_decode_workflow(samples[0], strlen(samples[0]), JOB, &spec,
+				     &reason))
+		abort();
+	workflow = workflow_of(&spec);
+	err = workflow_decode(workflow, text, len);
+	workflow_delete(workflow);
+	return !err;
+}
+
+/* Documents of callers, workers, operators and the store: refused or sound. */
+int fuzz_one(const unsigned char *data, size_t len)
+{
+	char *copy = xmemdup(data, len);
+	struct platform_config config = { 0 };
+	struct announcement announcement;
+	struct workflow_spec spec;
+	const char *reason = "";
+	int accepted = 0;
+
+	if (!platform_decode_workflow(copy, len, JOB, &spec, &reason)) {
+		check_workflow(&spec);
+		accepted = 1;
+	} else if (!*reason) {
+		abort();
+	}
+	accepted |= !platform_decode_announcement(copy, len, &announcement);
+	accepted |= !platform_decode_config(copy, len, &config);
+	platform_config_clear(&config);
+	accepted |= decode_state(copy, len);
+	free(copy);
+	return accepted;
+}
+
+size_t fuzz_samples(struct fuzz_input *inputs, size_t max)
+{
+	size_t i, count = sizeof(samples) / sizeof(samples[0]);
+
+	for (i = 0; i < count && i < max; i++) {
+		inputs[i].len = strlen(samples[i]);
+		inputs[i].data = xmemdup(samples[i], inputs[i].len);
+	}
+	return i;
+}
