gateway: the store gets 40% of a caller's time, at most 1.1 s

Change: one timer a request ends all attempts after 40% of the caller's time; the answer is 503 when no write has been sent or all were turned away, else 504. The log names the last error.

--- a/packages/daemon/src/gateway.c
+++ b/packages/daemon/src/gateway.c
@@ -18,8 +18,13 @@
 #define BODY_MAX (1024 * 1024)
 /* Of a caller that names no deadline. */
 #define DEADLINE_DEFAULT_MS 3000
-/* Kept for the way of the answer back to the caller. */
-#define DEADLINE_RESERVE_MS 150
+/*
+ * The store gets so much of a caller's time, and never more than this, so that
+ * the caller can still try another gateway. Two attempts fit into the longer
+ * time.
+ */
+#define PATIENCE_PERCENT 40
+#define PATIENCE_MAX_MS 1100
 #define RETRY_PAUSE_MS 60
 /* Without it for so long, others serve better. */
 #define STORE_GONE_MS 1000
@@ -34,6 +39,7 @@
 	list_del(&call->node);
 	kv_forget(call->gateway->kv, call);
 	loop_timer_delete(call->timer);
+	loop_timer_delete(call->give_up);
 	free(call->record);
 	free(call);
 }
@@ -62,28 +68,37 @@
 	job_call_reply(call, status, "{}", detail);
 }
 
-int job_call_retry(struct job_call *call, loop_fn retry, int64_t limit_ms)
+void job_call_retry(struct job_call *call, int err, loop_fn retry)
 {
-	struct mstime now = sysclock_now();
-	struct mstime end =
-		mstime_min(call->deadline, mstime_add(call->started, limit_ms));
-
-	if (!mstime_before(mstime_add(now, RETRY_PAUSE_MS), end))
-		return 0;
+	call->last_err = err;
 	loop_timer_delete(call->timer);
 	call->timer = loop_timer_new(call->gateway->daemon->loop, retry, call);
 	loop_timer_start(call->timer, RETRY_PAUSE_MS);
-	return 1;
 }
 
-static int64_t deadline_ms(const struct httpd_request *request)
+static int64_t patience_ms(const struct httpd_request *request)
 {
 	const char *text = httpd_header(request, PLATFORM_DEADLINE_HEADER);
 	int64_t ms = text ? strtoll(text, NULL, 10) : 0;
 
 	if (ms <= 0)
 		ms = DEADLINE_DEFAULT_MS;
-	return ms > DEADLINE_RESERVE_MS * 2 ? ms - DEADLINE_RESERVE_MS : ms / 2;
+	ms = ms * PATIENCE_PERCENT / 100;
+	return ms < PATIENCE_MAX_MS ? ms : PATIENCE_MAX_MS;
+}
+
+static void on_give_up(void *arg)
+{
+	struct job_call *call = arg;
+
+	if (!call->may_exist && !call->write_is_open) {
+		job_call_refuse(call, 503,
+				error_name(call->last_err ? call->last_err
+							  : ERR_TIMEOUT));
+		return;
+	}
+	call->gateway->unknown.value++;
+	job_call_reply(call, 504, "{}", "store-silent");
 }
 
 static void dispatch_request(struct job_call *call)
@@ -115,7 +130,6 @@
 	call->gateway = gateway;
 	call->request = request;
 	call->started = sysclock_now();
-	call->deadline = mstime_add(call->started, deadline_ms(request));
 	list_add_tail(&gateway->job_calls, &call->node);
 	if (!config) {
 		job_call_refuse(call, 503, "no-configuration");
@@ -134,6 +148,8 @@
 		job_call_reply(call, 400, "{}", "identifier");
 		return;
 	}
+	call->give_up = loop_timer_new(gateway->daemon->loop, on_give_up, call);
+	loop_timer_start(call->give_up, patience_ms(request));
 	dispatch_request(call);
 }
 
--- a/packages/daemon/src/gateway_internal.h
+++ b/packages/daemon/src/gateway_internal.h
@@ -37,12 +37,14 @@
 	struct httpd_request *request;
 	struct queue_config queue;
 	char job[JOB_ID_SIZE];
-	char *record;		  /* of a submission */
-	struct loop_timer *timer; /* next attempt */
+	char *record;		    /* of a submission */
+	struct loop_timer *timer;   /* next attempt */
+	struct loop_timer *give_up; /* the store has taken too long */
 	struct mstime started;
-	struct mstime deadline;
 	int attempts;
-	int may_exist; /* an attempt without an answer may have stored it */
+	int last_err;	   /* of the last attempt, for the log */
+	int may_exist;	   /* an attempt without an answer may have stored it */
+	int write_is_open; /* an attempt to store is in progress */
 };
 
 /* Answers and frees the call. detail goes to the log. */
@@ -52,11 +54,8 @@
 /* Not done and not to be done: names the time to come back. */
 void job_call_refuse(struct job_call *call, int status, const char *detail);
 
-/*
- * Calls retry(call) after a pause if the deadline allows; otherwise 0 and
- * the caller has to answer.
- */
-int job_call_retry(struct job_call *call, loop_fn retry, int64_t limit_ms);
+/* Calls retry(call) after a pause; the call's own bound ends the attempts. */
+void job_call_retry(struct job_call *call, int err, loop_fn retry);
 
 /* Each answers the call in the end. */
 void gateway_submit(struct job_call *call, const char *body, size_t len);
--- a/packages/daemon/src/gateway_jobs.c
+++ b/packages/daemon/src/gateway_jobs.c
@@ -7,13 +7,6 @@
 #include "sysclock.h"
 #include "tasknames.h"
 
-/*
- * A request is answered within this time whatever the store does: a third of
- * the shortest deadline, so that the caller can try another gateway. It covers
- * two attempts.
- */
-#define GIVE_UP_MS 1100
-
 static void submit_again(void *arg);
 
 static void accepted(struct job_call *call, const char *detail)
@@ -28,20 +21,14 @@
 {
 	if (err == ERR_UNKNOWN)
 		call->may_exist = 1;
-	if (job_call_retry(call, submit_again, GIVE_UP_MS))
-		return;
-	if (!call->may_exist) {
-		job_call_refuse(call, 503, error_name(err));
-		return;
-	}
-	call->gateway->unknown.value++;
-	job_call_reply(call, 504, "{}", "store-silent");
+	job_call_retry(call, err, submit_again);
 }
 
 static void on_submitted(void *arg, const struct kv_result *result)
 {
 	struct job_call *call = arg;
 
+	call->write_is_open = 0;
 	if (!result->err)
 		accepted(call, "stored");
 	else if (result->err == ERR_CONFLICT)
@@ -52,9 +39,8 @@
 		submit_failed(call, result->err);
 }
 
-static void submit_again(void *arg)
+static void submit_write(struct job_call *call)
 {
-	struct job_call *call = arg;
 	struct kv_txn txn = { .compare_count = 1, .put_count = 1 };
 	char key[JOB_KEY_SIZE];
 
@@ -64,9 +50,42 @@
 	txn.puts[0].value = call->record;
 	txn.puts[0].len = strlen(call->record);
 	call->attempts++;
+	call->write_is_open = 1;
 	kv_txn(call->gateway->kv, &txn, on_submitted, call);
 }
 
+static void on_looked(void *arg, const struct kv_result *result)
+{
+	struct job_call *call = arg;
+
+	if (!result->err)
+		accepted(call, "known");
+	else if (result->err == ERR_NOT_FOUND)
+		submit_write(call);
+	else if (result->err == ERR_UNKNOWN)
+		submit_failed(call, ERR_UNAVAILABLE); /* only a read */
+	else
+		submit_failed(call, result->err);
+}
+
+/*
+ * A store that did not answer is asked with a read first, so that a caller can
+ * be told that nothing was stored when the silence goes on.
+ */
+static void submit_again(void *arg)
+{
+	struct job_call *call = arg;
+	char key[JOB_KEY_SIZE];
+
+	if (!kv_is_silent(call->gateway->kv)) {
+		submit_write(call);
+		return;
+	}
+	job_key(key, SUBMITTED_JOB, call->job);
+	call->attempts++;
+	kv_get(call->gateway->kv, key, on_looked, call);
+}
+
 void gateway_submit(struct job_call *call, const char *body, size_t len)
 {
 	struct workflow_spec spec;
@@ -88,20 +107,14 @@
 static void cancel_write(void *arg);
 static void cancel_read(void *arg);
 
-static void cancel_failed(struct job_call *call, int err, loop_fn again)
-{
-	if (job_call_retry(call, again, GIVE_UP_MS))
-		return;
-	call->gateway->unknown.value++;
-	job_call_reply(call, 504, "{}", error_name(err));
-}
-
 static void on_cancelled(void *arg, const struct kv_result *result)
 {
 	struct job_call *call = arg;
 
+	call->write_is_open = 0;
+	call->may_exist |= result->err == ERR_UNKNOWN;
 	if (result->err && result->err != ERR_CONFLICT) {
-		cancel_failed(call, result->err, cancel_write);
+		job_call_retry(call, result->err, cancel_write);
 		return;
 	}
 	call->gateway->cancels.value++;
@@ -120,6 +133,7 @@
 	txn.puts[0].value = "{}";
 	txn.puts[0].len = 2;
 	call->attempts++;
+	call->write_is_open = 1;
 	kv_txn(call->gateway->kv, &txn, on_cancelled, call);
 }
 
@@ -132,7 +146,7 @@
 	else if (result->err == ERR_NOT_FOUND)
 		job_call_reply(call, 410, "{}", "no-such-job");
 	else
-		cancel_failed(call, result->err, cancel_read);
+		job_call_retry(call, result->err, cancel_read);
 }
 
 static void cancel_read(void *arg)
@@ -157,12 +171,6 @@
 static void state_read(void *arg);
 static void queued_read(void *arg);
 
-static void state_failed(struct job_call *call, int err, loop_fn again)
-{
-	if (!job_call_retry(call, again, GIVE_UP_MS))
-		job_call_refuse(call, 503, error_name(err));
-}
-
 static void reply_state(struct job_call *call, enum workflow_state state)
 {
 	char *body = platform_state_body(state);
@@ -182,7 +190,7 @@
 	else if (result->err == ERR_NOT_FOUND)
 		job_call_reply(call, 410, "{}", "no-such-job");
 	else
-		state_failed(call, result->err, queued_read);
+		job_call_retry(call, result->err, queued_read);
 }
 
 static void queued_read(void *arg)
@@ -204,7 +212,7 @@
 		return;
 	}
 	if (result->err) {
-		state_failed(call, result->err, state_read);
+		job_call_retry(call, result->err, state_read);
 		return;
 	}
 	if (workflow_decode_state(result->items[0].value, result->items[0].len,
@@ -246,7 +254,7 @@
 	char *body;
 
 	if (result->err && result->err != ERR_NOT_FOUND) {
-		state_failed(call, result->err, pending_read);
+		job_call_retry(call, result->err, pending_read);
 		return;
 	}
 	if (!result->err)
--- a/packages/platform/include/kv.h
+++ b/packages/platform/include/kv.h
@@ -104,6 +104,9 @@
 /* Average time of an answer in ms, of calls that do not wait; 0: none yet. */
 int64_t kv_latency_ms(const struct kv *kv);
 
+/* Whether the last call to end got no answer. */
+int kv_is_silent(const struct kv *kv);
+
 int64_t kv_calls(const struct kv *kv);
 
 #endif
--- a/packages/platform/src/kv.c
+++ b/packages/platform/src/kv.c
@@ -46,6 +46,7 @@
 	struct list calls;
 	int64_t latency_ms;
 	int64_t call_count;
+	int is_silent;
 };
 
 static void call_free(struct call *call)
@@ -185,6 +186,7 @@
 	struct call *call = arg;
 
 	call->http = NULL;
+	call->kv->is_silent = err != 0;
 	if (err) {
 		call_fail(call, err == ERR_UNAVAILABLE || err == ERR_INVALID
 					? err
@@ -343,6 +345,11 @@
 	return kv->latency_ms;
 }
 
+int kv_is_silent(const struct kv *kv)
+{
+	return kv->is_silent;
+}
+
 int64_t kv_calls(const struct kv *kv)
 {
 	return kv->call_count;
