core: check the shape of stored partitions before msgpack reads them

Frames had the check already; fuzz_partition had only been run without sanitizers.

Functions that nothing uses are removed (kv_calls, dispatch_pending, httpd_stop_listening).

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -221,7 +221,4 @@
 int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
 			struct mstime now);
 
-/* Accepted workflows of a queue of which no task has started. */
-uint32_t dispatch_pending(struct dispatch *dispatch, const char *queue);
-
 #endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -429,18 +429,3 @@
 		}
 	}
 }
-
-uint32_t dispatch_pending(struct dispatch *dispatch, const char *queue)
-{
-	uint32_t count = 0;
-	struct list *pos;
-
-	list_for_each (pos, &dispatch->workflows) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
-
-		if (!workflow->started && !strcmp(workflow->queue.name, queue))
-			count++;
-	}
-	return count;
-}
--- a/packages/core/src/partition_codec.c
+++ b/packages/core/src/partition_codec.c
@@ -9,6 +9,7 @@
 #include "mem.h"
 #include "partition.h"
 #include "partition_internal.h"
+#include "shape.h"
 
 /*
  * Version 1 had no log and no clock of the writer. Its programs would miss the
@@ -200,7 +201,9 @@
 		cursor->err = ERR_MALFORMED;
 		return;
 	}
-	memcpy(dst, object->via.str.ptr, object->via.str.size);
+	/* msgpack-c gives NULL for a string of length 0. */
+	if (object->via.str.size)
+		memcpy(dst, object->via.str.ptr, object->via.str.size);
 	dst[object->via.str.size] = '\0';
 }
 
@@ -433,8 +436,9 @@
 	size_t offset = 0;
 
 	msgpack_unpacked_init(unpacked);
-	if (msgpack_unpack_next(unpacked, data, len, &offset) !=
-	    MSGPACK_UNPACK_SUCCESS)
+	if (shape_check(data, len) ||
+	    msgpack_unpack_next(unpacked, data, len, &offset) !=
+		    MSGPACK_UNPACK_SUCCESS)
 		return ERR_MALFORMED;
 	outer = (struct cursor){ &unpacked->data, &unpacked->data + 1, 0 };
 	*cursor = take_array(&outer);
--- a/packages/io/include/httpd.h
+++ b/packages/io/include/httpd.h
@@ -27,9 +27,6 @@
 /* Requests that are not answered yet are dropped with their connections. */
 void httpd_delete(struct httpd *httpd);
 
-/* No further connection is accepted. */
-void httpd_stop_listening(struct httpd *httpd);
-
 /* Answers close their connection from now on. */
 void httpd_close_connections(struct httpd *httpd);
 
--- a/packages/io/src/httpd.c
+++ b/packages/io/src/httpd.c
@@ -136,14 +136,6 @@
 	free(httpd);
 }
 
-void httpd_stop_listening(struct httpd *httpd)
-{
-	if (!httpd->socket)
-		return;
-	evhttp_del_accept_socket(httpd->http, httpd->socket);
-	httpd->socket = NULL;
-}
-
 void httpd_close_connections(struct httpd *httpd)
 {
 	httpd->closes = 1;
--- a/packages/platform/include/kv.h
+++ b/packages/platform/include/kv.h
@@ -107,6 +107,4 @@
 /* Whether the last call to end got no answer. */
 int kv_is_silent(const struct kv *kv);
 
-int64_t kv_calls(const struct kv *kv);
-
 #endif
--- a/packages/platform/src/kv.c
+++ b/packages/platform/src/kv.c
@@ -45,7 +45,6 @@
 	struct jsoncall_peer *peer;
 	struct list calls;
 	int64_t latency_ms;
-	int64_t call_count;
 	int is_silent;
 };
 
@@ -209,7 +208,6 @@
 					    .body = body,
 					    .timeout_ms = timeout_ms };
 
-	call->kv->call_count++;
 	call->started = sysclock_now();
 	call->http = jsoncall_start(call->kv->peer, &request, on_end, call);
 }
@@ -349,8 +347,3 @@
 {
 	return kv->is_silent;
 }
-
-int64_t kv_calls(const struct kv *kv)
-{
-	return kv->call_count;
-}
