daemon: take metrics out of the set before a part is freed

Change: the set is emptied before the part of the role is deleted.

Before: heap-use-after-free at each graceful end of a gateway or runner. After: graceful_stop, strangers and calm_day pass with sanitizers.

--- a/packages/base/include/counters.h
+++ b/packages/base/include/counters.h
@@ -51,6 +51,9 @@
 void counter_set_init(struct counter_set *set);
 void counter_add(struct counter_set *set, struct counter *counter);
 void histogram_add(struct counter_set *set, struct histogram *histogram);
+/* Takes all metrics out, so that their memory can be freed in any order. */
+void counter_set_clear(struct counter_set *set);
+
 void histogram_observe(struct histogram *histogram, int64_t value_ms);
 
 /*
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -23,6 +23,14 @@
 	list_init(&set->histograms);
 }
 
+void counter_set_clear(struct counter_set *set)
+{
+	while (!list_empty(&set->counters))
+		list_del(set->counters.next);
+	while (!list_empty(&set->histograms))
+		list_del(set->histograms.next);
+}
+
 void counter_add(struct counter_set *set, struct counter *counter)
 {
 	list_add_tail(&set->counters, &counter->node);
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -194,6 +194,7 @@
 	process->stop_timer =
 		loop_timer_new(process->daemon.loop, on_stop_overdue, process);
 	code = serve(process);
+	counter_set_clear(&process->daemon.counters);
 	if (process->instance)
 		process->part->destroy(process->instance);
 	loop_timer_delete(process->stop_timer);
