dispatch: drop stored runs of workers that have been replaced

A worker crashed and was replaced; the next scheduler heard the replacement before it read the workflow from the store, took the run for one of the present worker, and ordered it again under its old number. The scheduler after that found the former worker in the store, dropped the run, and took the end that the replacement listed for one without effect.

Ruled out: the lease (the end was acknowledged within it) and the stand-in (it lists what it was told to start).

Change: a run whose place names an earlier start than that of the worker that is known is dropped when it is read; a start is sent only to the worker that the run was assigned to; a late report of a former worker drops no run of its replacement.

Before and after: test_placed_at_former_worker fails (the run was ordered under its old number) and passes, in both orders of report and workflow, for workers older, equal and newer than the report's.

--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -146,46 +146,61 @@
 	dispatch->wall_ms = wall_ms;
 }
 
-/* Runs that a former scheduler has ordered take their room again. */
+/*
+ * A run that a former scheduler has ordered takes its room again, unless its
+ * worker is known to have been replaced since.
+ */
+static void adopt_run(struct dispatch *dispatch, struct workflow *workflow,
+		      struct workflow_task *task, struct task_id *id,
+		      struct mstime now)
+{
+	const struct place *place = task->place;
+	struct worker *worker = dispatch_worker(dispatch, place->node, now);
+	struct run *run;
+
+	if (!worker->id[0]) {
+		str_copy(worker->id, place->worker, sizeof(worker->id));
+		worker->born = place->born;
+	}
+	str_copy(id->job, workflow->spec.id, sizeof(id->job));
+	run = dispatch_run_new(dispatch, worker, workflow, id, task->run);
+	task->current = run;
+	run->state = RUN_SAVED;
+	run->is_ordered = 1;
+	run->pace_sent = PACE_UNKNOWN;
+	run->born = place->born;
+	if (run->born >= worker->born)
+		return;
+	dispatch_note(dispatch, NOTE_LOST, workflow, worker, id, run->number,
+		      "worker-restarted");
+	dispatch_run_end(dispatch, run, now);
+}
+
+static void adopt_step(struct dispatch *dispatch, struct workflow *workflow,
+		       uint32_t k, uint32_t step, struct mstime now)
+{
+	uint32_t index;
+
+	for (index = 0; index < workflow->spec.steps[step].count; index++) {
+		struct workflow_task *task =
+			workflow_task(workflow, k, step, index);
+		struct task_id id = { "", k, step, index };
+
+		if (task->phase == TASK_ASSIGNED)
+			adopt_run(dispatch, workflow, task, &id, now);
+	}
+}
+
 static void adopt_runs(struct dispatch *dispatch, struct workflow *workflow,
 		       struct mstime now)
 {
-	uint32_t k, step, index;
+	uint32_t k, step;
 
-	for (k = 0; k < workflow->spec.occurrences; k++) {
-		if (!workflow->occurrences[k].tasks)
-			continue;
-		for (step = 0; step < workflow->spec.step_count; step++) {
-			uint32_t count = workflow->spec.steps[step].count;
-
-			for (index = 0; index < count; index++) {
-				struct workflow_task *task =
-					workflow_task(workflow, k, step, index);
-				struct task_id id = { "", k, step, index };
-				struct worker *worker;
-
-				if (task->phase != TASK_ASSIGNED)
-					continue;
-				str_copy(id.job, workflow->spec.id,
-					 sizeof(id.job));
-				worker = dispatch_worker(
-					dispatch, task->place->node, now);
-				if (!worker->id[0]) {
-					str_copy(worker->id,
-						 task->place->worker,
-						 sizeof(worker->id));
-					worker->born = task->place->born;
-				}
-				task->current = dispatch_run_new(
-					dispatch, worker, workflow, &id,
-					task->run);
-				task->current->state = RUN_SAVED;
-				task->current->is_ordered = 1;
-				task->current->pace_sent = PACE_UNKNOWN;
-				task->current->born = task->place->born;
-			}
-		}
-	}
+	for (k = 0; k < workflow->spec.occurrences; k++)
+		for (step = 0; workflow->occurrences[k].tasks &&
+			       step < workflow->spec.step_count;
+		     step++)
+			adopt_step(dispatch, workflow, k, step, now);
 }
 
 /* The store's clock and this one may differ by a little. */
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -24,6 +24,7 @@
 		       struct mstime now)
 {
 	return run->state == RUN_SAVED && !is_unwanted(run) &&
+	       run->born == run->worker->born &&
 	       is_due(dispatch, run->ordered_at, now);
 }
 
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -28,7 +28,8 @@
 	list_for_each_safe (pos, tmp, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
 
-		if (run->born == worker->born)
+		/* A report of the former worker may arrive late. */
+		if (run->born >= worker->born)
 			continue;
 		dispatch_note(dispatch, NOTE_LOST, run->workflow, worker,
 			      &run->id, run->number, "worker-restarted");
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -186,6 +186,67 @@
 	dispatch_delete(dispatch);
 }
 
+/* A workflow whose only task was placed at r1 by a former scheduler. */
+static struct workflow *job_placed(uint64_t born)
+{
+	struct workflow *job = job_new("j1", 1, 0, 100);
+	struct workflow_task *task = workflow_task(job, 0, 0, 0);
+
+	job->state = WORKFLOW_RUNNING;
+	job->occurrences[0].assigned[0] = 1;
+	task->phase = TASK_ASSIGNED;
+	task->run = 1;
+	task->place = xcalloc(1, sizeof(*task->place));
+	str_copy(task->place->node, "r1", sizeof(task->place->node));
+	str_copy(task->place->worker, "w1", sizeof(task->place->worker));
+	task->place->born = born;
+	return job;
+}
+
+/*
+ * Guards against a run of a former worker that is ordered once more, under its
+ * old number, at the worker that has replaced it: the next scheduler would
+ * take its end for one of the former worker. The replacement may be known
+ * before or after the workflow is read from the store.
+ */
+static void test_placed_at_former_worker(void **state)
+{
+	/* The worker that reports was born at 5. */
+	static const struct {
+		uint64_t born;
+		int reports_first;
+		uint32_t first_run; /* 0: none may be ordered */
+	} cases[] = {
+		{ 4, 1, 2 }, { 4, 0, 2 }, { 5, 1, 1 },
+		{ 5, 0, 1 }, { 6, 1, 0 }, { 6, 0, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct msg_work_orders orders;
+
+		if (!cases[i].reports_first)
+			dispatch_add(dispatch, job_placed(cases[i].born),
+				     at(0));
+		report(dispatch, 1, 1, NULL, 0, 1);
+		report(dispatch, 1, 2, NULL, 0, 2);
+		if (cases[i].reports_first)
+			dispatch_add(dispatch, job_placed(cases[i].born),
+				     at(3));
+		dispatch_assign(dispatch, at(4));
+		save_all(dispatch);
+		assert_true(dispatch_orders(dispatch, only_worker(dispatch), 1,
+					    &orders, at(5)));
+		assert_int_equal(orders.starts.count,
+				 cases[i].first_run ? 1 : 0);
+		if (cases[i].first_run)
+			assert_int_equal(orders.starts.items[0].run,
+					 cases[i].first_run);
+		dispatch_delete(dispatch);
+	}
+}
+
 /* Guards against a final workflow that is forgotten while it is stored. */
 static void test_old_final(void **state)
 {
@@ -218,6 +279,7 @@
 		cmocka_unit_test(test_own_lease),
 		cmocka_unit_test(test_order),
 		cmocka_unit_test(test_stuck),
+		cmocka_unit_test(test_placed_at_former_worker),
 		cmocka_unit_test(test_old_final),
 	};
 
