dispatch: split pressures from paces

One serving image follows 96 loads and neighbours (48), so that one figure cannot name more than are followed.

--- a/packages/core/src/colocation.c
+++ b/packages/core/src/colocation.c
@@ -8,8 +8,11 @@
 
 #define IMAGES_MAX 256
 
-/* Loads and neighbours of one serving image that are followed at once. */
-#define STATES_MAX 48
+/*
+ * Loads and neighbours of one serving image that are followed at once; more
+ * than one figure can name.
+ */
+#define STATES_MAX 96
 
 /* Pressure of an own load that has not been observed; change in a second. */
 #define LOAD_INITIAL 0.4
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -59,13 +59,32 @@
 
 int task_id_equal(const struct task_id *a, const struct task_id *b);
 
-/* Weighs the latencies of a report and sets the paces of what fills. */
+/* Takes the figures of a report; since when which run is over its target. */
+void dispatch_observe(struct dispatch *dispatch, struct worker *worker,
+		      struct mstime now);
+
+/* Pressure of a filling run on a serving one at a pace in percent. */
+double dispatch_pressure(const struct dispatch *dispatch,
+			 const struct run *fill, const struct run *serving,
+			 uint32_t pace);
+
+/* Whether the run, at full pace, may slow the serving one noticeably. */
+int dispatch_may_press(const struct dispatch *dispatch, const struct run *fill,
+		       const struct run *serving);
+
+/* Pressure above the aim on a serving run, at the paces that are planned. */
+double dispatch_excess_on(const struct dispatch *dispatch,
+			  const struct worker *worker,
+			  const struct run *serving);
+
+/* Observes and then sets the paces of what fills, at most twice a second. */
 void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
 		   struct mstime now);
 
 /*
  * Pressure above the aim on what serves at a worker, with all that fills at
  * full pace and an image that uses these cores besides; negative: room left.
+ * What the image would hardly slow does not count.
  */
 double dispatch_excess(struct dispatch *dispatch, const struct worker *worker,
 		       int image, double cores);
--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -3,22 +3,13 @@
 
 /* A figure of the worker covers half a second. */
 #define FIGURES_INTERVAL_MS 400
-/* Until then the figure of a run covers time before its start. */
-#define SETTLE_MS 600
-/* Share of a figure that is carried over from the one before. */
-#define CARRIED 0.15
-/* Pressure that a figure does not show. */
-#define NEGLIGIBLE 0.02
-/* Highest latency to plan for beside filling runs, in shares of the target. */
-#define LATENCY_AIM 0.90
-/* Above this share a figure counts as a missed target, since it is rough. */
-#define LATENCY_HIGH 0.90
 /*
- * After so long, all that fills is halted: a target must not be missed for 4 s
- * beside filling work, and figures and orders take up to 1 s.
+ * After so long over a target, what may be the cause is halted, and then all
+ * that fills: a target must not be missed for 4 s beside filling work, and
+ * figures and orders take up to 1 s.
  */
-#define HALT_ALL_MS 1500
-#define HALT_REST_MS 2500
+#define HALT_SUSPECTS_MS 1500
+#define HALT_ALL_MS 2500
 /*
  * Batch work finishes: a run that finds no other place goes on at a pace that
  * hardly presses, unless a target is being missed.
@@ -39,134 +30,6 @@
 /* Moves at once from one worker. */
 #define EVICT_AT_ONCE 3
 
-static double latency_share(const struct run *run)
-{
-	return (double)run->load / run->latency_target;
-}
-
-/* A figure holds a part of the one before. */
-static double present_latency(const struct run *run)
-{
-	double share = ((double)run->load - CARRIED * run->former_load) /
-		       (1 - CARRIED) / run->latency_target;
-
-	return share > 0.05 ? share : 0.05;
-}
-
-static int is_settled(const struct run *run, struct mstime now)
-{
-	return run->is_active && mstime_diff(now, run->active_at) > SETTLE_MS;
-}
-
-static int collect_fills(const struct worker *worker, struct neighbour *fills)
-{
-	const struct list *pos;
-	int i, count = 0;
-
-	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
-
-		if (!run->fills || !run->is_active)
-			continue;
-		for (i = 0; i < count && fills[i].image != run->image; i++)
-			;
-		if (i == COLOCATION_NEIGHBOURS_MAX)
-			break;
-		if (i == count) {
-			fills[count].image = run->image;
-			fills[count++].cores = 0;
-		}
-		fills[i].cores += run->load / 1000.0;
-	}
-	return count;
-}
-
-static double own_pressure(const struct dispatch *dispatch,
-			   const struct run *serving)
-{
-	return colocation_own(dispatch->colocation, serving->image,
-			      serving->own_load);
-}
-
-/* Pressure of a filling run on a serving one at a pace in percent. */
-static double pressure_of(const struct dispatch *dispatch,
-			  const struct run *fill, const struct run *serving,
-			  uint32_t pace)
-{
-	return colocation_weight(dispatch->colocation, fill->image,
-				 serving->image) *
-	       fill->need.cpu_milli / 1000.0 * pace / 100.0;
-}
-
-static double pressure_aim(const struct dispatch *dispatch,
-			   const struct run *serving)
-{
-	return colocation_pressure(dispatch->colocation, serving->image,
-				   LATENCY_AIM);
-}
-
-/* Pressure that is left below the aim, with all that fills at full pace. */
-static double room_of(const struct dispatch *dispatch,
-		      const struct worker *worker, const struct run *serving)
-{
-	const struct list *pos;
-	double room = pressure_aim(dispatch, serving) -
-		      own_pressure(dispatch, serving);
-
-	list_for_each (pos, &worker->runs) {
-		const struct run *fill = list_entry(pos, struct run, node);
-
-		if (fill->fills)
-			room -= colocation_weight_upper(dispatch->colocation,
-							fill->image,
-							serving->image) *
-				fill->need.cpu_milli / 1000.0;
-	}
-	return room;
-}
-
-double dispatch_excess(struct dispatch *dispatch, const struct worker *worker,
-		       int image, double cores)
-{
-	const struct list *pos;
-	double worst = -1;
-
-	list_for_each (pos, &worker->runs) {
-		const struct run *serving = list_entry(pos, struct run, node);
-		double added, excess;
-
-		if (!serving->latency_target)
-			continue;
-		added = cores * colocation_weight_upper(dispatch->colocation,
-							image, serving->image);
-		if (added < NEGLIGIBLE)
-			continue;
-		excess = added - room_of(dispatch, worker, serving);
-		if (serving->over_since.ms && excess < added)
-			excess = added;
-		if (excess > worst)
-			worst = excess;
-	}
-	return worst;
-}
-
-static double excess_on(const struct dispatch *dispatch,
-			const struct worker *worker, const struct run *serving)
-{
-	const struct list *pos;
-	double sum = own_pressure(dispatch, serving) -
-		     pressure_aim(dispatch, serving);
-
-	list_for_each (pos, &worker->runs) {
-		const struct run *fill = list_entry(pos, struct run, node);
-
-		if (fill->fills)
-			sum += pressure_of(dispatch, fill, serving,
-					   fill->pace_planned);
-	}
-	return sum;
-}
-
 /* Takes the excess from the run that presses most, core for core. */
 static int slow_one(struct dispatch *dispatch, struct worker *worker,
 		    const struct run *serving, double excess)
@@ -190,7 +53,8 @@
 	}
 	if (!worst)
 		return 0;
-	pressure = pressure_of(dispatch, worst, serving, worst->pace_planned);
+	pressure = dispatch_pressure(dispatch, worst, serving,
+				     worst->pace_planned);
 	if (pressure <= excess)
 		worst->pace_planned = 0;
 	else
@@ -211,7 +75,8 @@
 
 		if (!serving->latency_target)
 			continue;
-		while ((excess = excess_on(dispatch, worker, serving)) > 0.001)
+		while ((excess = dispatch_excess_on(dispatch, worker,
+						    serving)) > 0.001)
 			if (!slow_one(dispatch, worker, serving, excess))
 				break;
 	}
@@ -268,13 +133,10 @@
 				? mstime_diff(now, serving->over_since)
 				: 0;
 
-		if (!serving->latency_target || over_ms < HALT_ALL_MS)
+		if (!serving->latency_target || over_ms < HALT_SUSPECTS_MS)
 			continue;
-		if (over_ms >= HALT_REST_MS ||
-		    colocation_weight_upper(dispatch->colocation, fill->image,
-					    serving->image) *
-				    fill->need.cpu_milli / 1000.0 >
-			    NEGLIGIBLE)
+		if (over_ms >= HALT_ALL_MS ||
+		    dispatch_may_press(dispatch, fill, serving))
 			return 1;
 	}
 	return 0;
@@ -331,50 +193,13 @@
 	}
 }
 
-/* Since when a run has been over its target; 0: it is not. */
-static void watch_target(struct run *run, struct mstime now)
-{
-	if (latency_share(run) <= LATENCY_HIGH)
-		run->over_since = mstime_from(0);
-	else if (!run->over_since.ms)
-		run->over_since = now;
-}
-
-/* Brings the time up to date since when some run is over its target. */
-static void observe(struct dispatch *dispatch, struct worker *worker,
-		    struct mstime now)
-{
-	struct neighbour fills[COLOCATION_NEIGHBOURS_MAX];
-	int count = collect_fills(worker, fills);
-	struct list *pos;
-
-	worker->over_since = mstime_from(0);
-
-	list_for_each (pos, &worker->runs) {
-		struct run *run = list_entry(pos, struct run, node);
-
-		if (!run->latency_target || !is_settled(run, now))
-			continue;
-		colocation_observe(dispatch->colocation, run->image,
-				   run->own_load, present_latency(run), fills,
-				   count, now);
-		run->former_load = run->load;
-		watch_target(run, now);
-		if (!run->over_since.ms)
-			continue;
-		if (!worker->over_since.ms ||
-		    mstime_before(run->over_since, worker->over_since))
-			worker->over_since = run->over_since;
-	}
-}
-
 void dispatch_pace(struct dispatch *dispatch, struct worker *worker,
 		   struct mstime now)
 {
 	if (mstime_diff(now, worker->figures_at) < FIGURES_INTERVAL_MS)
 		return;
 	worker->figures_at = now;
-	observe(dispatch, worker, now);
+	dispatch_observe(dispatch, worker, now);
 	plan_paces(dispatch, worker);
 	apply_paces(dispatch, worker, now);
 	evict_slowed(dispatch, worker, now);
