--- a/packages/core/src/dispatch_pressure.c
+++ b/packages/core/src/dispatch_pressure.c
@@ -139,7 +139,8 @@
 }
 
 double dispatch_excess_on(const struct dispatch *dispatch,
-			const struct worker *worker, const struct run *serving)
+			  const struct worker *worker,
+			  const struct run *serving)
 {
 	const struct list *pos;
 	double sum = own_pressure(dispatch, serving) -
@@ -150,7 +151,7 @@
 
 		if (fill->fills)
 			sum += dispatch_pressure(dispatch, fill, serving,
-					   fill->pace_planned);
+						 fill->pace_planned);
 	}
 	return sum;
 }
@@ -165,7 +166,7 @@
 }
 
 void dispatch_observe(struct dispatch *dispatch, struct worker *worker,
-		    struct mstime now)
+		      struct mstime now)
 {
 	struct neighbour fills[COLOCATION_NEIGHBOURS_MAX];
 	int count = collect_fills(worker, fills);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -247,6 +247,56 @@
 	}
 }
 
+/*
+ * Guards against batch work that waits although it would hardly disturb, and
+ * against more pressure on a run that misses its target.
+ */
+static void test_beside_missed_target(void **state)
+{
+	static const struct {
+		uint32_t cpu_milli, latency;
+		int placed;
+	} cases[] = {
+		{ 1000, 100, 1 }, /* adds less than a figure shows */
+		{ 3000, 100, 0 },
+		{ 3000, 10, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct workflow *serving = job_new("serving", 1, 0, 100);
+		struct workflow *filling = job_new("filling", 1, 0, 100);
+		struct run_status status = {
+			{ "serving", 0, 0, 0 }, 1, RUN_ACTIVE, 100
+		};
+		struct msg_work_orders orders;
+		uint64_t seq = 2;
+		int64_t ms;
+
+		serving->spec.steps[0].latency_target_ms = 50;
+		serving->spec.steps[0].long_running = 1;
+		serving->spec.steps[0].image = xstrdup("s");
+		filling->spec.steps[0].need.cpu_milli = cases[i].cpu_milli;
+		filling->spec.steps[0].fills = 1;
+		filling->spec.steps[0].image = xstrdup("f");
+		status.load = cases[i].latency;
+		dispatch_add(dispatch, serving, at(0));
+		report(dispatch, 1, 1, NULL, 0, 1);
+		report(dispatch, 1, 2, NULL, 0, 2);
+		dispatch_assign(dispatch, at(3));
+		save_all(dispatch);
+		dispatch_orders(dispatch, only_worker(dispatch), 1, &orders,
+				at(4));
+		for (ms = 100; ms <= 2100; ms += 500)
+			report(dispatch, 1, ++seq, &status, 1, ms);
+		dispatch_add(dispatch, filling, at(2110));
+		assert_int_equal(dispatch_assign(dispatch, at(2120)),
+				 cases[i].placed);
+		dispatch_delete(dispatch);
+	}
+}
+
 /* Guards against a final workflow that is forgotten while it is stored. */
 static void test_old_final(void **state)
 {
@@ -280,6 +330,7 @@
 		cmocka_unit_test(test_order),
 		cmocka_unit_test(test_stuck),
 		cmocka_unit_test(test_placed_at_former_worker),
+		cmocka_unit_test(test_beside_missed_target),
 		cmocka_unit_test(test_old_final),
 	};
 
