scheduler: log why a lease is extended and why a task has no worker

Adds three events: worker-lease when the extension of a worker's lease stops or goes on, with the report and the age of the lists that decided it and what is left of the lease; run-unconfirmed for an ordered run that a reporting runner does not confirm; task-unplaced for a task that no worker could take, with the number of workers for each reason.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -173,6 +173,14 @@
 	  "The pace of a filling run was changed for what serves beside it." },
 	{ EV_RUN_EVICTED, LOG_INFO, "run-evicted",
 	  "A run is stopped to go on at another worker." },
+	{ EV_WORKER_LEASE, LOG_INFO, "worker-lease",
+	  "The scheduler extends the lease of a worker's runs no longer, or "
+	  "again; the reason is given." },
+	{ EV_RUN_UNCONFIRMED, LOG_WARN, "run-unconfirmed",
+	  "A runner reports, but does not confirm a run that it was ordered." },
+	{ EV_TASK_UNPLACED, LOG_WARN, "task-unplaced",
+	  "No worker could take a task for 2 s; the workers are counted by "
+	  "the reason." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -63,6 +63,7 @@
 	uint64_t worker_start_ms;    /* start of its worker, ms since 1970 */
 	uint64_t last_report_seq;    /* last report that listed it */
 	struct mstime start_sent_at; /* last time */
+	struct mstime unconfirmed_since; /* while RUN_SAVED and ordered */
 	struct mstime active_at;    /* first time that it was reported active */
 	uint32_t progress;	    /* percent */
 	struct mstime progress_at;  /* last time that it changed */
@@ -82,7 +83,8 @@
 	unsigned is_stopping : 1;
 	unsigned is_evicted : 1; /* is being stopped to run elsewhere */
 	unsigned is_orphan : 1;	 /* reported, but not the task's current run */
-	struct mstime stop_sent_at; /* last time */
+	unsigned is_reported_late : 1; /* DISPATCH_RUN_UNCONFIRMED was sent */
+	struct mstime stop_sent_at;    /* last time */
 };
 
 /* A reported end of a run that is not yet acknowledged to the runner. */
@@ -92,6 +94,15 @@
 	uint64_t version;      /* of the workflow, to be stored first */
 };
 
+/* What the lease of a worker's runs was last decided by. */
+enum lease_basis {
+	LEASE_LISTED,	    /* recent lists of the worker */
+	LEASE_OLD_LISTS,    /* the runner reports, but not the worker */
+	LEASE_NO_WORKER,    /* the runner knows no worker */
+	LEASE_SILENT,	    /* the runner has stopped reporting */
+	LEASE_NOT_REPORTED, /* no report since the takeover */
+};
+
 /* A worker as its runner reports it; one for each runner. */
 struct worker {
 	struct list node;
@@ -116,8 +127,9 @@
 	uint32_t list_age_ms;  /* at the time of the last report */
 	uint64_t report_seq;
 	struct mstime reported_at;
-	struct mstime lease_end;  /* all its runs have ended by then */
-	uint64_t last_end_number; /* last one processed */
+	struct mstime lease_end; /* all its runs have ended by then */
+	enum lease_basis lease_basis;
+	uint64_t last_end_number;		   /* last one processed */
 	struct pending_end pending_ends[RUNS_MAX]; /* unacknowledged */
 	size_t pending_end_count;
 	uint64_t stored_end_number; /* last one acknowledged */
@@ -126,6 +138,23 @@
 	struct mstime paced_at;		 /* last update of the paces */
 	struct mstime over_target_since; /* of any serving run; 0: none */
 	unsigned needs_response : 1;
+	unsigned is_unbound : 1;      /* the last report named no worker */
+	unsigned lease_is_paused : 1; /* not extended at the last decision */
+};
+
+/* Why a worker cannot take a task. */
+enum placement_block {
+	PLACEMENT_POSSIBLE,
+	PLACEMENT_NOT_READY, /* draining, or not there */
+	PLACEMENT_NO_LISTS,  /* its lists were not read in this term */
+	PLACEMENT_NO_REPORT, /* no recent report, or old lists */
+	PLACEMENT_PENALTY,   /* runs failed there */
+	PLACEMENT_SERVICE,   /* of another service */
+	PLACEMENT_LABEL,
+	PLACEMENT_ROOM,
+	PLACEMENT_SPREAD,   /* enough tasks of the step are there */
+	PLACEMENT_PRESSURE, /* would slow serving runs */
+	PLACEMENT_BLOCK_COUNT
 };
 
 /* Events reported to the callback, for logs and counters. */
@@ -138,7 +167,10 @@
 	DISPATCH_WORKFLOW_ENDED,
 	DISPATCH_RUN_ORPHANED,
 	DISPATCH_PACE_CHANGED,
-	DISPATCH_RUN_EVICTED
+	DISPATCH_RUN_EVICTED,
+	DISPATCH_WORKER_LEASE,
+	DISPATCH_RUN_UNCONFIRMED,
+	DISPATCH_TASK_UNPLACED
 };
 
 struct dispatch_event {
@@ -148,9 +180,20 @@
 	const struct task_id *task;	 /* may be NULL */
 	uint32_t run;
 	const char *reason;
-	uint32_t value; /* new pace in percent, with DISPATCH_PACE_CHANGED */
+	/*
+	 * DISPATCH_PACE_CHANGED: new pace in percent; DISPATCH_WORKER_LEASE:
+	 * whether the lease is extended; DISPATCH_TASK_UNPLACED: time without
+	 * a worker in ms.
+	 */
+	uint32_t value;
+	int64_t lease_left_ms; /* DISPATCH_WORKER_LEASE */
+	/* DISPATCH_TASK_UNPLACED: number of workers for each block. */
+	const uint32_t *blocks;
 };
 
+/* Static string for logs. */
+const char *placement_block_name(enum placement_block block);
+
 typedef void (*dispatch_event_fn)(void *arg,
 				  const struct dispatch_event *event);
 
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -96,9 +96,10 @@
 	uint32_t failures; /* failed runs */
 	char *checkpoint;  /* NULL: none */
 	struct run_location *location;
-	struct run *current_run;    /* owned by dispatch */
-	struct mstime not_before;   /* delay after a failure */
-	struct mstime waiting_from; /* end of its last run */
+	struct run *current_run;      /* owned by dispatch */
+	struct mstime not_before;     /* delay after a failure */
+	struct mstime waiting_from;   /* end of its last run */
+	struct mstime unplaced_since; /* no worker could take it; 0: none */
 };
 
 /* Task states of one occurrence; the arrays are NULL until the first use. */
@@ -133,6 +134,7 @@
 	int64_t stored_revision;  /* 0: the state is not in the store */
 	struct mstime ended_at;	  /* when it became final; 0: it is not */
 	struct mstime idle_since; /* last time seen with a run */
+	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	unsigned cancelled : 1;
 	unsigned started : 1; /* a task has been assigned at least once */
 	unsigned saving : 1;  /* part of the commit in progress */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -172,6 +172,7 @@
 	task->current_run = run;
 	run->state = RUN_SAVED;
 	run->is_ordered = 1;
+	run->unconfirmed_since = now;
 	run->pace_sent = PACE_UNKNOWN;
 	run->worker_start_ms = location->worker_start_ms;
 	if (run->worker_start_ms >= worker->start_ms)
@@ -294,26 +295,6 @@
 	return worker;
 }
 
-static void expire_worker(struct dispatch *dispatch, struct worker *worker,
-			  struct mstime now)
-{
-	struct list *pos, *tmp;
-
-	if (mstime_before(now, worker->lease_end) || list_empty(&worker->runs))
-		return;
-	dispatch_emit(dispatch, DISPATCH_WORKER_LEASE_EXPIRED, NULL, worker,
-		      NULL, 0, "lease");
-	list_for_each_safe (pos, tmp, &worker->runs) {
-		struct run *run = list_entry(pos, struct run, node);
-
-		if (run->state == RUN_UNSAVED)
-			continue;
-		dispatch_emit(dispatch, DISPATCH_RUN_LOST, run->workflow,
-			      worker, &run->id, run->number, "lapsed");
-		dispatch_run_end(dispatch, run, now);
-	}
-}
-
 static int is_stuck(const struct dispatch *dispatch, const struct run *run,
 		    struct mstime now)
 {
@@ -350,6 +331,30 @@
 	}
 }
 
+/* A worker that reports, but does not confirm a run that it was ordered. */
+static void report_unconfirmed(struct dispatch *dispatch, struct worker *worker,
+			       struct mstime now)
+{
+	struct list *pos;
+
+	if (!worker->has_current_lists ||
+	    mstime_diff(now, worker->reported_at) >
+		    dispatch->limits.worker_report_timeout_ms)
+		return;
+	list_for_each (pos, &worker->runs) {
+		struct run *run = list_entry(pos, struct run, node);
+
+		if (run->state != RUN_SAVED || !run->is_ordered ||
+		    run->is_reported_late ||
+		    mstime_diff(now, run->unconfirmed_since) <=
+			    dispatch->limits.stuck_timeout_ms)
+			continue;
+		run->is_reported_late = 1;
+		dispatch_emit(dispatch, DISPATCH_RUN_UNCONFIRMED, run->workflow,
+			      worker, &run->id, run->number, "not-confirmed");
+	}
+}
+
 void dispatch_expire(struct dispatch *dispatch, struct mstime now)
 {
 	struct list *pos;
@@ -357,7 +362,8 @@
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
 
-		expire_worker(dispatch, worker, now);
+		dispatch_expire_lease(dispatch, worker, now);
+		report_unconfirmed(dispatch, worker, now);
 		evict_stuck(dispatch, worker, now);
 	}
 }
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -27,6 +27,28 @@
 /* Preference of a serving run for a full worker over an empty one. */
 #define PACKING_WEIGHT 0.1
 
+/* A task without a worker for so long is reported, at most so often. */
+#define UNPLACED_MS 2000
+#define UNPLACED_SPACING_MS 250
+
+const char *placement_block_name(enum placement_block block)
+{
+	static const char *const names[PLACEMENT_BLOCK_COUNT] = {
+		[PLACEMENT_POSSIBLE] = "possible",
+		[PLACEMENT_NOT_READY] = "not_ready",
+		[PLACEMENT_NO_LISTS] = "no_lists",
+		[PLACEMENT_NO_REPORT] = "no_report",
+		[PLACEMENT_PENALTY] = "penalty",
+		[PLACEMENT_SERVICE] = "service",
+		[PLACEMENT_LABEL] = "label",
+		[PLACEMENT_ROOM] = "room",
+		[PLACEMENT_SPREAD] = "spread",
+		[PLACEMENT_PRESSURE] = "pressure",
+	};
+
+	return names[block];
+}
+
 static int has_label(const struct worker *worker, const char *label)
 {
 	size_t i;
@@ -87,27 +109,34 @@
 	       worker->used.accel + step->need.accel <= worker->capacity.accel;
 }
 
-static int can_take(const struct dispatch *dispatch,
-		    const struct worker *worker,
-		    const struct placement_request *request, struct mstime now)
+static enum placement_block worker_block(
+	const struct dispatch *dispatch, const struct worker *worker,
+	const struct placement_request *request, struct mstime now)
 {
 	const struct workflow_step *step = request->step;
 	int64_t silent_ms = dispatch->limits.worker_report_timeout_ms;
 
-	if (worker->state != WORKER_READY || !worker->has_current_lists ||
-	    mstime_diff(now, worker->reported_at) > silent_ms ||
-	    worker->list_age_ms > silent_ms ||
-	    mstime_before(now, worker->penalty_until) ||
-	    worker->run_count >= RUNS_MAX / 2)
-		return 0;
-	if (strcmp(worker->service, request->workflow->queue.service))
-		return 0;
+	if (worker->service[0] &&
+	    strcmp(worker->service, request->workflow->queue.service))
+		return PLACEMENT_SERVICE;
+	if (worker->state != WORKER_READY || !worker->service[0])
+		return PLACEMENT_NOT_READY;
+	if (!worker->has_current_lists)
+		return PLACEMENT_NO_LISTS;
+	if (mstime_diff(now, worker->reported_at) > silent_ms ||
+	    worker->list_age_ms > silent_ms)
+		return PLACEMENT_NO_REPORT;
+	if (mstime_before(now, worker->penalty_until))
+		return PLACEMENT_PENALTY;
 	if (step->required_label && !has_label(worker, step->required_label))
-		return 0;
-	if (!fits(dispatch, worker, request))
-		return 0;
-	return !step->max_per_worker ||
-	       count_siblings(worker, request) < step->max_per_worker;
+		return PLACEMENT_LABEL;
+	if (worker->run_count >= RUNS_MAX / 2 ||
+	    !fits(dispatch, worker, request))
+		return PLACEMENT_ROOM;
+	if (step->max_per_worker &&
+	    count_siblings(worker, request) >= step->max_per_worker)
+		return PLACEMENT_SPREAD;
+	return PLACEMENT_POSSIBLE;
 }
 
 /* CPU load of the worker with the task; lower is better. */
@@ -161,6 +190,7 @@
 	return cost;
 }
 
+/* Also counts in dispatch->blocks what rules the workers out. */
 static struct worker *choose_worker(struct dispatch *dispatch,
 				    const struct placement_request *request,
 				    struct mstime now)
@@ -169,19 +199,25 @@
 	double best_cost = 0;
 	struct list *pos;
 
+	memset(dispatch->blocks, 0, sizeof(dispatch->blocks));
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
+		enum placement_block block =
+			worker_block(dispatch, worker, request, now);
 		double cost, excess;
 
-		if (!can_take(dispatch, worker, request, now))
+		dispatch->blocks[block]++;
+		if (block != PLACEMENT_POSSIBLE)
 			continue;
 		cost = placement_cost(worker, request);
 		if (request->step->best_effort) {
 			excess = dispatch_placement_excess(
 				dispatch, worker, request->image,
 				request->step->need.cpu_milli / 1000.0);
-			if (excess > 0 && !request->is_forced)
+			if (excess > 0 && !request->is_forced) {
+				dispatch->blocks[PLACEMENT_PRESSURE]++;
 				continue;
+			}
 			cost += excess * PRESSURE_WEIGHT;
 		}
 		if (best && cost >= best_cost)
@@ -192,6 +228,38 @@
 	return best;
 }
 
+/* Reports a task that waits for a worker, with what rules the workers out. */
+static void note_unplaced(struct dispatch *dispatch,
+			  const struct placement_request *request,
+			  uint32_t index, struct mstime now)
+{
+	struct workflow *workflow = request->workflow;
+	struct workflow_task *task = workflow_task(
+		workflow, request->occurrence, request->step_index, index);
+	struct task_id id = { "", request->occurrence, request->step_index,
+			      index };
+	struct dispatch_event event = {
+		.kind = DISPATCH_TASK_UNPLACED,
+		.workflow = workflow,
+		.task = &id,
+		.run = task->last_run,
+		.blocks = dispatch->blocks,
+	};
+
+	if (!task->unplaced_since.ms)
+		task->unplaced_since = now;
+	event.value = (uint32_t)mstime_diff(now, task->unplaced_since);
+	if (event.value < UNPLACED_MS ||
+	    mstime_diff(now, workflow->unplaced_noted_at) < UNPLACED_MS ||
+	    mstime_diff(now, dispatch->unplaced_noted_at) < UNPLACED_SPACING_MS)
+		return;
+	workflow->unplaced_noted_at = now;
+	dispatch->unplaced_noted_at = now;
+	str_copy(id.job, workflow->spec.id, sizeof(id.job));
+	if (dispatch->event_fn)
+		dispatch->event_fn(dispatch->event_arg, &event);
+}
+
 static struct run *assign_task(struct dispatch *dispatch,
 			       const struct placement_request *request,
 			       uint32_t index, struct worker *worker,
@@ -205,6 +273,7 @@
 
 	str_copy(id.job, workflow->spec.id, sizeof(id.job));
 	task->phase = TASK_ASSIGNED;
+	task->unplaced_since = mstime_from(0);
 	task->last_run = number;
 	task->location = xcalloc(1, sizeof(*task->location));
 	str_copy(task->location->node, worker->runner,
@@ -261,8 +330,10 @@
 	for (i = 0; i < count; i++) {
 		struct worker *worker = choose_worker(dispatch, request, now);
 
-		if (!worker)
+		if (!worker) {
+			note_unplaced(dispatch, request, i, now);
 			break;
+		}
 		runs[placed++] =
 			assign_task(dispatch, request, i, worker, number + 1);
 	}
@@ -292,11 +363,13 @@
 		if (!task_ready(task, now))
 			continue;
 		worker = choose_worker(dispatch, request, now);
-		if (worker)
-			commit_run(dispatch,
-				   assign_task(dispatch, request, i, worker,
-					       task->last_run + 1));
-		return worker ? 1 : 0;
+		if (!worker) {
+			note_unplaced(dispatch, request, i, now);
+			return 0;
+		}
+		commit_run(dispatch, assign_task(dispatch, request, i, worker,
+						 task->last_run + 1));
+		return 1;
 	}
 	return 0;
 }
@@ -321,8 +394,10 @@
 		if (!task_ready(task, now))
 			continue;
 		worker = choose_worker(dispatch, request, now);
-		if (!worker)
+		if (!worker) {
+			note_unplaced(dispatch, request, i, now);
 			break;
+		}
 		commit_run(dispatch, assign_task(dispatch, request, i, worker,
 						 task->last_run + 1));
 		placed++;
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -31,6 +31,8 @@
 	struct run_id stops[RUNS_MAX];
 	struct run_pace paces[RUNS_MAX];
 	struct colocation *colocation;
+	uint32_t blocks[PLACEMENT_BLOCK_COUNT]; /* of the last choice */
+	struct mstime unplaced_noted_at;
 };
 
 void dispatch_emit(struct dispatch *dispatch, enum dispatch_event_kind kind,
@@ -38,6 +40,15 @@
 		   const struct task_id *task, uint32_t run,
 		   const char *reason);
 
+/* Extends the lease of the worker's runs if the last report justifies it. */
+void dispatch_extend_lease(struct dispatch *dispatch, struct worker *worker,
+			   int may_extend, struct msg_work_orders *orders,
+			   struct mstime now);
+
+/* Ends the worker's runs if their lease has certainly expired. */
+void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
+			   struct mstime now);
+
 /* Marks the workflow's state as changed, so that it will be stored. */
 void dispatch_mark_changed(struct dispatch *dispatch,
 			   struct workflow *workflow);
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -5,9 +5,6 @@
 #include "dispatch_internal.h"
 #include "mem.h"
 
-/* Older lists extend no lease: the runner may not reach its worker. */
-#define LIST_AGE_MAX_MS 1500
-
 static int must_not_run(const struct run *run)
 {
 	return run->is_orphan || run->is_evicted ||
@@ -54,6 +51,8 @@
 	order->checkpoint = workflow_find_task(workflow, &run->id)->checkpoint;
 	order->best_effort = run->best_effort;
 	order->latency_target_ms = (uint32_t)step->latency_target_ms;
+	if (!run->is_ordered)
+		run->unconfirmed_since = now;
 	run->is_ordered = 1;
 	run->start_sent_at = now;
 }
@@ -105,15 +104,6 @@
 	return 0;
 }
 
-static void extend_lease(struct dispatch *dispatch, struct worker *worker,
-			 struct msg_work_orders *orders)
-{
-	orders->lease_ms = (uint32_t)dispatch->limits.lease_ms;
-	worker->lease_end = mstime_max(
-		worker->lease_end,
-		mstime_add(worker->reported_at, dispatch->limits.lease_max_ms));
-}
-
 int dispatch_build_orders(struct dispatch *dispatch, struct worker *worker,
 			  int may_extend, struct msg_work_orders *orders,
 			  struct mstime now)
@@ -133,8 +123,7 @@
 	orders->starts.items = dispatch->starts;
 	orders->stops.items = dispatch->stops;
 	orders->paces.items = dispatch->paces;
-	if (may_extend && worker->list_age_ms <= LIST_AGE_MAX_MS)
-		extend_lease(dispatch, worker, orders);
+	dispatch_extend_lease(dispatch, worker, may_extend, orders, now);
 	worker->needs_response = 0;
 	list_for_each_safe (pos, tmp, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -52,7 +52,8 @@
 	drop_previous_runs(dispatch, worker, now);
 }
 
-static void start_session(struct worker *worker, uint64_t session)
+static void start_session(struct worker *worker, uint64_t session,
+			  struct mstime now)
 {
 	struct list *pos;
 
@@ -65,6 +66,7 @@
 		run->is_active = 0;
 		if (run->state == RUN_CONFIRMED)
 			run->state = RUN_SAVED;
+		run->unconfirmed_since = now;
 		run->pace_sent = PACE_UNKNOWN;
 	}
 }
@@ -330,13 +332,14 @@
 	     report->seq <= worker->report_seq))
 		return ERR_FENCED;
 	if (report->session != worker->session) {
-		start_session(worker, report->session);
+		start_session(worker, report->session, now);
 		is_new = 1;
 	}
 	worker->report_seq = report->seq;
 	worker->reported_at = now;
 	worker->needs_response = 1;
 	worker->list_age_ms = report->list_age_ms;
+	worker->is_unbound = !report->worker[0];
 	if (!report->worker[0]) {
 		worker->state = WORKER_ABSENT;
 		return 0;
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -35,6 +35,22 @@
 		  (long long)age_ms);
 }
 
+static void log_task_unplaced(const struct dispatch_event *event,
+			      const char *task)
+{
+	char text[256] = "";
+	size_t i, len = 0;
+
+	for (i = 0; i < PLACEMENT_BLOCK_COUNT; i++)
+		if (event->blocks[i] && len < sizeof(text))
+			len += (size_t)snprintf(
+				text + len, sizeof(text) - len, " %s=%u",
+				placement_block_name((enum placement_block)i),
+				event->blocks[i]);
+	log_event(EV_TASK_UNPLACED, "task=%s waited_ms=%u%s", task,
+		  event->value, text);
+}
+
 static void on_dispatch_event(void *arg, const struct dispatch_event *event)
 {
 	struct scheduler *scheduler = arg;
@@ -79,9 +95,32 @@
 			  (unsigned long long)event->worker->fence);
 		break;
 	case DISPATCH_WORKER_LEASE_EXPIRED:
-		log_event(EV_WORKER_LAPSED, "runner=%s worker=%s runs=%u",
+		log_event(EV_WORKER_LAPSED,
+			  "runner=%s worker=%s runs=%u reason=%s",
+			  event->worker->runner, event->worker->id,
+			  event->worker->run_count, event->reason);
+		break;
+	case DISPATCH_WORKER_LEASE:
+		log_event(EV_WORKER_LEASE,
+			  "runner=%s worker=%s runs=%u extended=%u reason=%s "
+			  "report_seq=%llu report_age_ms=%lld list_age_ms=%u "
+			  "lease_left_ms=%lld",
 			  event->worker->runner, event->worker->id,
-			  event->worker->run_count);
+			  event->worker->run_count, event->value, event->reason,
+			  (unsigned long long)event->worker->report_seq,
+			  (long long)mstime_diff(sysclock_now(),
+						 event->worker->reported_at),
+			  event->worker->list_age_ms,
+			  (long long)event->lease_left_ms);
+		break;
+	case DISPATCH_RUN_UNCONFIRMED:
+		log_event(EV_RUN_UNCONFIRMED,
+			  "task=%s runner=%s worker=%s list_age_ms=%u", task,
+			  event->worker->runner, event->worker->id,
+			  event->worker->list_age_ms);
+		break;
+	case DISPATCH_TASK_UNPLACED:
+		log_task_unplaced(event, task);
 		break;
 	case DISPATCH_PACE_CHANGED:
 		log_event(EV_RUN_SLOWED, "task=%s runner=%s percent=%u", task,
