--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -184,6 +184,28 @@
         self.processes[name].signal(signal.SIGKILL)
         self.processes[name].popen.wait()
 
+    def submit_lasting(self):
+        """Submits tasks that last, and waits until each worker runs some."""
+        self.submit(self.gateways[0],
+                    [{"count": 6, "cpu": 1000, "longRunning": True}],
+                    payload="600000")
+        wait_for("a run at each worker", lambda: len(
+            {process for process, row in self.records()
+             if row["event"] == "start"}) == len(self.runners))
+
+    def lose_worker(self, runner):
+        """Kills the worker for good and returns the tasks that it ran."""
+        name = "w-" + runner["name"]
+        self.kill(name)
+        return {row["task"] for process, row in self.records()
+                if process.startswith(name + "#") and row["event"] == "start"}
+
+    def run_elsewhere(self, tasks):
+        """Whether each of the tasks has been started a second time."""
+        starts = collections.Counter(row["task"] for _, row in self.records()
+                                     if row["event"] == "start")
+        return all(starts[task] > 1 for task in tasks)
+
     def records(self):
         rows = []
         for name, log in self.log_paths.items():
