--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -215,6 +215,7 @@
 				dispatch, worker, request->image,
 				request->step->need.cpu_milli / 1000.0);
 			if (excess > 0 && !request->is_forced) {
+				dispatch->blocks[PLACEMENT_POSSIBLE]--;
 				dispatch->blocks[PLACEMENT_PRESSURE]++;
 				continue;
 			}
