dispatch: extend no lease on the word of a runner without a worker

Cause: after its worker is lost, a runner that restarts reports no worker and lists of age 0. The scheduler took over the age and extended the lease of the runs at the lost worker, because the age was low. Each report extended it again, so the runs were never dropped.

Change: only a report that names the worker, with recent lists, extends the lease. That is the one party that can know: a living worker announces itself to a restarted runner every 1.5 s, well within the lease.

--- a/packages/core/src/dispatch_lease.c
+++ b/packages/core/src/dispatch_lease.c
@@ -50,7 +50,8 @@
 			   int may_extend, struct msg_work_orders *orders,
 			   struct mstime now)
 {
-	int is_extended = may_extend && worker->list_age_ms <= LIST_AGE_MAX_MS;
+	enum lease_basis basis = report_basis(worker);
+	int is_extended = may_extend && basis == LEASE_LISTED;
 
 	if (is_extended) {
 		orders->lease_ms = (uint32_t)dispatch->limits.lease_ms;
@@ -59,7 +60,7 @@
 				   mstime_add(worker->reported_at,
 					      dispatch->limits.lease_max_ms));
 	}
-	note_decision(dispatch, worker, report_basis(worker), is_extended, now);
+	note_decision(dispatch, worker, basis, is_extended, now);
 }
 
 void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
--- /dev/null
+++ b/tests/unit/test_dispatch_lease.c
@@ -0,0 +1,160 @@
+/* Leases of runs: what extends them, and when they have certainly expired. */
+#include "dispatch.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "mem.h"
+
+#define EPOCH 7
+#define JOB "00000000000000aa"
+
+static struct mstime at(int64_t ms)
+{
+	return mstime_from(100000 + ms);
+}
+
+/* One task that lasts. */
+static struct workflow *new_lasting(void)
+{
+	struct queue_config queue = { .name = "q", .service = "s" };
+	struct workflow_spec spec = { .step_count = 1 };
+	const char *reason;
+
+	str_copy(spec.id, JOB, sizeof(spec.id));
+	spec.payload = xstrdup("p");
+	spec.steps = xcalloc(1, sizeof(*spec.steps));
+	spec.steps[0].task_count = 1;
+	spec.steps[0].need.cpu_milli = 1000;
+	spec.steps[0].long_running = 1;
+	assert_int_equal(workflow_spec_check(&spec, &reason), 0);
+	return workflow_new(&spec, &queue, 0);
+}
+
+/* Reports of runner r1. Without a worker id it knows no worker. */
+struct report {
+	int64_t ms;
+	uint64_t session, seq;
+	const char *worker;
+	uint32_t list_age_ms;
+};
+
+static void apply_report(struct dispatch *dispatch, const struct report *report)
+{
+	struct worker *worker =
+		dispatch_get_worker(dispatch, "r1", at(report->ms));
+	struct msg_work_report msg = { .epoch = EPOCH,
+				       .seq = report->seq,
+				       .session = report->session,
+				       .worker_start_ms = 5,
+				       .state = WORKER_READY,
+				       .service = "s",
+				       .capacity = { .cpu_milli = 4000 } };
+
+	str_copy(msg.worker, report->worker, sizeof(msg.worker));
+	if (!msg.worker[0]) {
+		msg.worker_start_ms = 0;
+		msg.state = WORKER_ABSENT;
+	}
+	msg.fence = worker->fence;
+	msg.list_age_ms = report->list_age_ms;
+	assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(report->ms)),
+			 0);
+}
+
+static void save_workflows(struct dispatch *dispatch)
+{
+	struct workflow *workflow;
+
+	while ((workflow = dispatch_next_unsaved(dispatch)))
+		dispatch_mark_saved(dispatch, workflow, workflow->version);
+}
+
+/* A scheduler that has ordered the task at worker w1 of runner r1. */
+static struct dispatch *start_with_run(void)
+{
+	struct dispatch *dispatch =
+		dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL, NULL);
+	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(0));
+	struct msg_work_orders orders;
+
+	dispatch_add(dispatch, new_lasting(), at(0));
+	apply_report(dispatch, &(struct report){ 1, 1, 1, "w1", 0 });
+	apply_report(dispatch, &(struct report){ 2, 1, 2, "w1", 0 });
+	assert_int_equal(dispatch_assign(dispatch, at(3)), 1);
+	save_workflows(dispatch);
+	assert_true(dispatch_build_orders(dispatch, worker, 1, &orders, at(4)));
+	assert_int_equal(orders.starts.count, 1);
+	return dispatch;
+}
+
+/*
+ * Guards against leases that never end: a restarted runner without a worker
+ * reports lists of age 0, which says nothing about the worker that is lost.
+ */
+static void test_report_that_extends(void **state)
+{
+	static const struct {
+		struct report report;
+		int is_extended;
+	} cases[] = {
+		{ { 4000, 1, 3, "w1", 0 }, 1 },
+		{ { 4000, 1, 3, "w1", 1500 }, 1 },
+		{ { 4000, 1, 3, "w1", 1501 }, 0 },
+		{ { 4000, 2, 1, "w1", 0 }, 1 },
+		{ { 4000, 2, 1, "", 0 }, 0 },
+		{ { 4000, 2, 1, "", 3000 }, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = start_with_run();
+		struct worker *worker =
+			dispatch_get_worker(dispatch, "r1", at(0));
+		struct mstime before = worker->lease_end;
+		struct msg_work_orders orders;
+
+		apply_report(dispatch, &cases[i].report);
+		assert_true(dispatch_build_orders(dispatch, worker, 1, &orders,
+						  at(4001)));
+		assert_int_equal(orders.lease_ms != 0, cases[i].is_extended);
+		assert_int_equal(mstime_before(before, worker->lease_end),
+				 cases[i].is_extended);
+		dispatch_delete(dispatch);
+	}
+}
+
+/* Guards against the same over time: the task must wait again at the end. */
+static void test_runner_without_worker(void **state)
+{
+	struct dispatch *dispatch = start_with_run();
+	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(0));
+	struct msg_work_orders orders;
+	int64_t ms, seq = 0;
+
+	for (ms = 1000; ms < 12000; ms += 500) {
+		struct report report = { ms, 2, (uint64_t)++seq, "", 0 };
+
+		apply_report(dispatch, &report);
+		dispatch_build_orders(dispatch, worker, 1, &orders, at(ms));
+		dispatch_expire(dispatch, at(ms));
+	}
+	assert_int_equal(worker->run_count, 0);
+	dispatch_delete(dispatch);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_report_that_extends),
+		cmocka_unit_test(test_runner_without_worker),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
