dispatch: take the end of a lease from the runner after a takeover

Cause: a new scheduler did not know which leases its predecessors had granted and waited 8.41 s from its election for the runs of each worker, however long the worker had been gone. Where terms were shorter, none reached the end of the wait.

No worker lapses before the last term ends its 8.41 s.

Change: a runner reports what is left of the leases that were granted to it. It follows one scheduler at a time, so once it reports to a new one no former one can extend them. A restarted runner assumes that its predecessor was granted a full lease just before the start. The report has a new field, so the message version is 3.

Ruled out: dropping runs on a report without a worker, as the worker may live and announce itself 1.5 s later; a shorter wait for runners that do not report, whose leases nobody knows.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -127,7 +127,12 @@
 	uint32_t list_age_ms;  /* at the time of the last report */
 	uint64_t report_seq;
 	struct mstime reported_at;
-	struct mstime lease_end; /* all its runs have ended by then */
+	/*
+	 * All its runs have ended by the later one of these: leases granted in
+	 * this term, and by earlier schedulers.
+	 */
+	struct mstime lease_end;
+	struct mstime inherited_lease_end;
 	enum lease_basis lease_basis;
 	uint64_t last_end_number;		   /* last one processed */
 	struct pending_end pending_ends[RUNS_MAX]; /* unacknowledged */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -288,8 +288,8 @@
 	list_init(&worker->runs);
 	str_copy(worker->runner, runner, sizeof(worker->runner));
 	worker->reported_at = now;
-	worker->lease_end = mstime_add(dispatch->takeover_at,
-				       dispatch->limits.takeover_grace_ms +
+	worker->inherited_lease_end = mstime_add(
+		dispatch->takeover_at, dispatch->limits.takeover_grace_ms +
 					       dispatch->limits.lease_max_ms);
 	list_add_tail(&dispatch->workers, &worker->node);
 	return worker;
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -45,6 +45,14 @@
 			   int may_extend, struct msg_work_orders *orders,
 			   struct mstime now);
 
+/*
+ * Bounds the leases of earlier terms by what the runner reports: since it
+ * follows this scheduler, no other one can extend them.
+ */
+void dispatch_bound_lease(struct dispatch *dispatch, struct worker *worker,
+			  const struct msg_work_report *report,
+			  struct mstime now);
+
 /* Ends the worker's runs if their lease has certainly expired. */
 void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
 			   struct mstime now);
--- a/packages/core/src/dispatch_lease.c
+++ b/packages/core/src/dispatch_lease.c
@@ -15,6 +15,11 @@
 	[LEASE_NOT_REPORTED] = "not-reported",
 };
 
+static struct mstime lease_end(const struct worker *worker)
+{
+	return mstime_max(worker->lease_end, worker->inherited_lease_end);
+}
+
 /* Reports a change of the decision, while there are runs that it affects. */
 static void note_decision(struct dispatch *dispatch, struct worker *worker,
 			  enum lease_basis basis, int is_extended,
@@ -25,7 +30,7 @@
 		.worker = worker,
 		.reason = basis_names[basis],
 		.value = (uint32_t)is_extended,
-		.lease_left_ms = mstime_diff(worker->lease_end, now),
+		.lease_left_ms = mstime_diff(lease_end(worker), now),
 	};
 
 	if (list_empty(&worker->runs) ||
@@ -63,6 +68,19 @@
 	note_decision(dispatch, worker, basis, is_extended, now);
 }
 
+void dispatch_bound_lease(struct dispatch *dispatch, struct worker *worker,
+			  const struct msg_work_report *report,
+			  struct mstime now)
+{
+	/* For the worker's clock, which may be slow, and calls in flight. */
+	int64_t slack_ms =
+		dispatch->limits.lease_max_ms - dispatch->limits.lease_ms;
+	struct mstime end = mstime_add(now, report->lease_left_ms + slack_ms);
+
+	if (mstime_before(end, worker->inherited_lease_end))
+		worker->inherited_lease_end = end;
+}
+
 void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
 			   struct mstime now)
 {
@@ -74,7 +92,7 @@
 			      worker->session ? LEASE_SILENT
 					      : LEASE_NOT_REPORTED,
 			      0, now);
-	if (mstime_before(now, worker->lease_end) || list_empty(&worker->runs))
+	if (mstime_before(now, lease_end(worker)) || list_empty(&worker->runs))
 		return;
 	dispatch_emit(dispatch, DISPATCH_WORKER_LEASE_EXPIRED, NULL, worker,
 		      NULL, 0, basis_names[worker->lease_basis]);
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -340,6 +340,7 @@
 	worker->needs_response = 1;
 	worker->list_age_ms = report->list_age_ms;
 	worker->is_unbound = !report->worker[0];
+	dispatch_bound_lease(dispatch, worker, report, now);
 	if (!report->worker[0]) {
 		worker->state = WORKER_ABSENT;
 		return 0;
--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "dispatch.h"
 #include "errors.h"
 #include "log.h"
 #include "mem.h"
@@ -239,6 +240,9 @@
 	report->session = runner->session;
 	report->state = worker->state;
 	report->remaining_ms = (uint32_t)worker->remaining_ms;
+	if (mstime_before(now, runner->granted_until))
+		report->lease_left_ms =
+			(uint32_t)mstime_diff(runner->granted_until, now);
 	if (!runner->is_bound)
 		return;
 	str_copy(report->worker, runner->target.id, ID_SIZE);
@@ -401,6 +405,8 @@
 	runner->daemon = daemon;
 	runner->session = daemon->incarnation;
 	runner->pace_percent = 100;
+	runner->granted_until =
+		mstime_add(sysclock_now(), dispatch_defaults.lease_ms);
 	list_init(&runner->runs);
 	runner->report_timer =
 		loop_timer_new(daemon->loop, runner_report_now, runner);
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -407,6 +407,8 @@
 	sent = runner->report_sent_at[orders->report_seq % REPORT_RING_SIZE];
 	runner->lease_end = mstime_max(runner->lease_end,
 				       mstime_add(sent, orders->lease_ms));
+	runner->granted_until =
+		mstime_max(runner->granted_until, runner->lease_end);
 }
 
 void runner_apply_orders(struct runner *runner,
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -37,9 +37,13 @@
 			    &msg->u.work_report, now))
 		return;
 	if (link->is_silent || !link->last_report_at.ms)
-		log_event(EV_RUNNER_HEARD, "runner=%s worker=%s state=%u",
+		log_event(EV_RUNNER_HEARD,
+			  "runner=%s worker=%s state=%u list_age_ms=%u "
+			  "lease_left_ms=%u",
 			  link->runner, msg->u.work_report.worker,
-			  msg->u.work_report.state);
+			  msg->u.work_report.state,
+			  msg->u.work_report.list_age_ms,
+			  msg->u.work_report.lease_left_ms);
 	link->is_silent = 0;
 	link->last_report_at = now;
 	scheduler_wake(scheduler);
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -16,7 +16,7 @@
  *	a decoded message points into its storage and is valid until
  *	message_clear().
  */
-#define MESSAGE_VERSION 2
+#define MESSAGE_VERSION 3
 #define FRAME_MAX_BYTES (128 * 1024)
 #define BODY_CHUNK_MAX_BYTES (64 * 1024)
 #define ID_SIZE 64
@@ -395,6 +395,8 @@
 	uint32_t state;		  /* enum worker_state */
 	uint32_t remaining_ms;
 	uint32_t list_age_ms; /* since the lists were read */
+	/* Of any lease granted for runs at this VM, by any scheduler. */
+	uint32_t lease_left_ms;
 	char service[ID_SIZE];
 	struct resources capacity;
 	struct text_list labels;
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -316,6 +316,7 @@
 	ENUM(struct msg_work_report, state, WORKER_STATE_COUNT),
 	U32(struct msg_work_report, remaining_ms),
 	U32(struct msg_work_report, list_age_ms),
+	U32(struct msg_work_report, lease_left_ms),
 	ID(struct msg_work_report, service),
 	NESTED(struct msg_work_report, capacity, resources_fields),
 	LIST(struct msg_work_report, labels, LABELS_MAX, struct text_item,
--- a/tests/unit/test_dispatch_lease.c
+++ b/tests/unit/test_dispatch_lease.c
@@ -42,7 +42,7 @@
 	int64_t ms;
 	uint64_t session, seq;
 	const char *worker;
-	uint32_t list_age_ms;
+	uint32_t list_age_ms, lease_left_ms;
 };
 
 static void apply_report(struct dispatch *dispatch, const struct report *report)
@@ -64,6 +64,7 @@
 	}
 	msg.fence = worker->fence;
 	msg.list_age_ms = report->list_age_ms;
+	msg.lease_left_ms = report->lease_left_ms;
 	assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(report->ms)),
 			 0);
 }
@@ -85,8 +86,8 @@
 	struct msg_work_orders orders;
 
 	dispatch_add(dispatch, new_lasting(), at(0));
-	apply_report(dispatch, &(struct report){ 1, 1, 1, "w1", 0 });
-	apply_report(dispatch, &(struct report){ 2, 1, 2, "w1", 0 });
+	apply_report(dispatch, &(struct report){ 1, 1, 1, "w1", 0, 0 });
+	apply_report(dispatch, &(struct report){ 2, 1, 2, "w1", 0, 0 });
 	assert_int_equal(dispatch_assign(dispatch, at(3)), 1);
 	save_workflows(dispatch);
 	assert_true(dispatch_build_orders(dispatch, worker, 1, &orders, at(4)));
@@ -104,12 +105,12 @@
 		struct report report;
 		int is_extended;
 	} cases[] = {
-		{ { 4000, 1, 3, "w1", 0 }, 1 },
-		{ { 4000, 1, 3, "w1", 1500 }, 1 },
-		{ { 4000, 1, 3, "w1", 1501 }, 0 },
-		{ { 4000, 2, 1, "w1", 0 }, 1 },
-		{ { 4000, 2, 1, "", 0 }, 0 },
-		{ { 4000, 2, 1, "", 3000 }, 0 },
+		{ { 4000, 1, 3, "w1", 0, 0 }, 1 },
+		{ { 4000, 1, 3, "w1", 1500, 0 }, 1 },
+		{ { 4000, 1, 3, "w1", 1501, 0 }, 0 },
+		{ { 4000, 2, 1, "w1", 0, 0 }, 1 },
+		{ { 4000, 2, 1, "", 0, 0 }, 0 },
+		{ { 4000, 2, 1, "", 3000, 0 }, 0 },
 	};
 	size_t i;
 
@@ -139,7 +140,7 @@
 	int64_t ms, seq = 0;
 
 	for (ms = 1000; ms < 12000; ms += 500) {
-		struct report report = { ms, 2, (uint64_t)++seq, "", 0 };
+		struct report report = { ms, 2, (uint64_t)++seq, "", 0, 0 };
 
 		apply_report(dispatch, &report);
 		dispatch_build_orders(dispatch, worker, 1, &orders, at(ms));
@@ -149,11 +150,77 @@
 	dispatch_delete(dispatch);
 }
 
+/* The time at which a scheduler that takes over drops the run of w1. */
+static int64_t inherited_run_dropped_ms(struct report report)
+{
+	struct dispatch *before = start_with_run();
+	struct dispatch *dispatch =
+		dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL, NULL);
+	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(0));
+	struct workflow *workflow = new_lasting();
+	char *state = workflow_encode(dispatch_find_workflow(before, JOB));
+	struct msg_work_orders orders;
+	int64_t ms;
+
+	assert_int_equal(workflow_decode(workflow, state, strlen(state)), 0);
+	free(state);
+	dispatch_delete(before);
+	dispatch_add(dispatch, workflow, at(0));
+	assert_int_equal(worker->run_count, 1);
+	for (ms = 0; ms < 30000 && worker->run_count; ms += 10) {
+		if (report.seq && ms >= report.ms && ms % 500 == 0) {
+			apply_report(dispatch, &report);
+			dispatch_build_orders(dispatch, worker, 1, &orders,
+					      at(ms));
+			report.ms += 500;
+			report.seq++;
+			if (report.worker[0])
+				report.list_age_ms += 500;
+			report.lease_left_ms -= report.lease_left_ms < 500
+							? report.lease_left_ms
+							: 500;
+		}
+		dispatch_expire(dispatch, at(ms));
+	}
+	dispatch_delete(dispatch);
+	return ms - 10;
+}
+
+/*
+ * Guards against a scheduler that waits anew for a worker that was lost before
+ * its term: its runner knows when the last lease ends.
+ */
+static void test_inherited_lease(void **state)
+{
+	static const struct {
+		struct report report;
+		int64_t dropped_ms;
+	} cases[] = {
+		/* Never heard of: 2.5 s of the former scheduler, 5.91 s. */
+		{ { 0, 0, 0, "", 0, 0 }, 8410 },
+		/* 410 ms for the worker's clock and calls in flight. */
+		{ { 500, 1, 1, "w1", 20000, 0 }, 910 },
+		{ { 500, 1, 1, "w1", 3000, 3200 }, 4110 },
+		{ { 500, 1, 1, "", 0, 0 }, 910 },
+		{ { 500, 2, 1, "", 0, 5500 }, 6410 },
+		/* The runner knows more than the bound without reports. */
+		{ { 4000, 2, 1, "", 0, 5500 }, 8410 },
+		/* Extended by this scheduler while the lists are recent. */
+		{ { 500, 1, 1, "w1", 0, 5000 }, 7910 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
+		assert_int_equal(inherited_run_dropped_ms(cases[i].report),
+				 cases[i].dropped_ms);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_report_that_extends),
 		cmocka_unit_test(test_runner_without_worker),
+		cmocka_unit_test(test_inherited_lease),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -55,6 +55,9 @@
 	uint64_t start_ms, session, seq, fence, listed_fence;
 	int64_t lease_end_ms;
 	int64_t disconnected_until_ms; /* no connection */
+	int64_t unbound_until_ms;      /* its runner does not know it */
+	int64_t runner_start_ms;
+	int64_t granted_until_ms; /* known to this process of the runner */
 	struct model_run runs[WORKER_RUNS_MAX];
 	size_t run_count;
 	struct ended_run ends[WORKER_ENDS_MAX];
@@ -381,6 +384,8 @@
 			       orders->lease_ms;
 	if (lease_end_ms > worker->lease_end_ms)
 		worker->lease_end_ms = lease_end_ms;
+	if (lease_end_ms > worker->granted_until_ms)
+		worker->granted_until_ms = lease_end_ms;
 	if (orders->stored_end_number > worker->stored_end_number)
 		worker->stored_end_number = orders->stored_end_number;
 	for (i = 0; i < worker->end_count;) {
@@ -409,6 +414,31 @@
 	}
 }
 
+/* A runner that has restarted knows only that no lease outlasts this bound. */
+static uint32_t lease_left_ms(const struct model *model,
+			      const struct model_worker *worker)
+{
+	int64_t end_ms = worker->runner_start_ms + dispatch_defaults.lease_ms;
+
+	if (end_ms < worker->granted_until_ms)
+		end_ms = worker->granted_until_ms;
+	return end_ms > model->now_ms ? (uint32_t)(end_ms - model->now_ms) : 0;
+}
+
+static void send_unbound_report(struct model *model,
+				struct model_worker *worker,
+				struct msg_work_report *msg, const char *node)
+{
+	struct msg_work_orders orders;
+
+	msg->state = WORKER_ABSENT;
+	dispatch_report(model->dispatch, node, msg, mstime_from(model->now_ms));
+	dispatch_build_orders(model->dispatch,
+			      dispatch_get_worker(model->dispatch, node,
+						  mstime_from(model->now_ms)),
+			      1, &orders, mstime_from(model->now_ms));
+}
+
 static void send_report(struct model *model, struct model_worker *worker)
 {
 	struct msg_work_report msg = { .epoch = model->epoch };
@@ -422,6 +452,11 @@
 	msg.seq = ++worker->seq;
 	worker->report_sent_ms[msg.seq % 16] = model->now_ms;
 	msg.session = worker->session;
+	msg.lease_left_ms = lease_left_ms(model, worker);
+	if (model->now_ms < worker->unbound_until_ms) {
+		send_unbound_report(model, worker, &msg, node);
+		return;
+	}
 	snprintf(msg.worker, sizeof(msg.worker), "w-%d", worker->index);
 	str_copy(msg.service, "s", sizeof(msg.service));
 	msg.worker_start_ms = worker->start_ms;
@@ -530,6 +565,11 @@
 		worker->session = rng_next(&model->rng) | 1;
 		worker->seq = 0;
 		worker->listed_fence = 0;
+		worker->runner_start_ms = model->now_ms;
+		worker->granted_until_ms = 0;
+		if (fault_occurs(model, 50))
+			worker->unbound_until_ms =
+				model->now_ms + rng_below(&model->rng, 9000);
 	}
 	if (fault_occurs(model, 1))
 		worker->disconnected_until_ms =
@@ -582,6 +622,7 @@
 	for (i = 0; i < WORKERS; i++) {
 		model->workers[i].index = i;
 		model->workers[i].session = 1;
+		model->workers[i].runner_start_ms = model->now_ms;
 		worker_crash(model, &model->workers[i]);
 	}
 	take_over(model);
--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -81,6 +81,8 @@
 			     .seq = 2,
 			     .worker = "w1",
 			     .state = WORKER_READY,
+			     .list_age_ms = 20,
+			     .lease_left_ms = 5000,
 			     .runs = { run_statuses, 1 },
 			     .ends = { run_ends, 1 } } } },
 	{ MSG_WORK_ORDERS,
@@ -208,19 +210,19 @@
 	} cases[] = {
 		{ "empty", "", 0, ERR_MALFORMED },
 		{ "not an array", "\x01", 1, ERR_MALFORMED },
-		{ "earlier version", "\x93\x01\x06\x91\x01", 5, ERR_MALFORMED },
-		{ "later version", "\x93\x03\x06\x91\x01", 5, ERR_MALFORMED },
-		{ "type 0", "\x93\x02\x00\x91\x01", 5, ERR_INVALID },
-		{ "type 99", "\x93\x02\x63\x91\x01", 5, ERR_INVALID },
-		{ "missing field", "\x93\x02\x06\x90", 4, ERR_MALFORMED },
-		{ "string for number", "\x93\x02\x06\x91\xa1x", 6,
+		{ "earlier version", "\x93\x02\x06\x91\x01", 5, ERR_MALFORMED },
+		{ "later version", "\x93\x04\x06\x91\x01", 5, ERR_MALFORMED },
+		{ "type 0", "\x93\x03\x00\x91\x01", 5, ERR_INVALID },
+		{ "type 99", "\x93\x03\x63\x91\x01", 5, ERR_INVALID },
+		{ "missing field", "\x93\x03\x06\x90", 4, ERR_MALFORMED },
+		{ "string for number", "\x93\x03\x06\x91\xa1x", 6,
 		  ERR_MALFORMED },
-		{ "trailing byte", "\x93\x02\x06\x91\x01\x00", 6,
+		{ "trailing byte", "\x93\x03\x06\x91\x01\x00", 6,
 		  ERR_MALFORMED },
 		{ "huge array", "\xdd\xff\xff\xff\xff", 5, ERR_MALFORMED },
-		{ "good cancel", "\x93\x02\x06\x91\x01", 5, 0 },
+		{ "good cancel", "\x93\x03\x06\x91\x01", 5, 0 },
 		/* msgpack-c gives NULL for an empty string before any other. */
-		{ "empty string first", "\x93\x02\x03\x92\x01\xa0", 6, 0 },
+		{ "empty string first", "\x93\x03\x03\x92\x01\xa0", 6, 0 },
 	};
 	size_t i;
 
