dispatch: name the reason for each lease that is not extended

A report that is too old now gives the basis silent, and a scheduler whose own lease may have expired has a reason of its own. Orders that answer no recent report carry no lease any more; the one for that report was sent before.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -94,9 +94,10 @@
 	uint64_t version;      /* of the workflow, to be stored first */
 };
 
-/* What the lease of a worker's runs was last decided by. */
+/* Why the lease of a worker's runs is extended or not. */
 enum lease_basis {
-	LEASE_LISTED,	    /* recent lists of the worker */
+	LEASE_LISTED,	    /* recent lists of the worker: it is extended */
+	LEASE_NOT_LEADER,   /* the scheduler's own lease may have expired */
 	LEASE_OLD_LISTS,    /* the runner reports, but not the worker */
 	LEASE_NO_WORKER,    /* the runner knows no worker */
 	LEASE_SILENT,	    /* the runner has stopped reporting */
@@ -143,8 +144,7 @@
 	struct mstime paced_at;		 /* last update of the paces */
 	struct mstime over_target_since; /* of any serving run; 0: none */
 	unsigned needs_response : 1;
-	unsigned is_unbound : 1;      /* the last report named no worker */
-	unsigned lease_is_paused : 1; /* not extended at the last decision */
+	unsigned is_unbound : 1; /* the last report named no worker */
 };
 
 /* Why a worker cannot take a task. */
--- a/packages/core/src/dispatch_lease.c
+++ b/packages/core/src/dispatch_lease.c
@@ -8,11 +8,9 @@
 #define LIST_AGE_MAX_MS 1500
 
 static const char *const basis_names[] = {
-	[LEASE_LISTED] = "listed",
-	[LEASE_OLD_LISTS] = "old-lists",
-	[LEASE_NO_WORKER] = "no-worker",
-	[LEASE_SILENT] = "silent",
-	[LEASE_NOT_REPORTED] = "not-reported",
+	[LEASE_LISTED] = "listed",	 [LEASE_NOT_LEADER] = "not-leader",
+	[LEASE_OLD_LISTS] = "old-lists", [LEASE_NO_WORKER] = "no-worker",
+	[LEASE_SILENT] = "silent",	 [LEASE_NOT_REPORTED] = "not-reported",
 };
 
 static struct mstime lease_end(const struct worker *worker)
@@ -20,31 +18,32 @@
 	return mstime_max(worker->lease_end, worker->inherited_lease_end);
 }
 
-/* Reports a change of the decision, while there are runs that it affects. */
-static void note_decision(struct dispatch *dispatch, struct worker *worker,
-			  enum lease_basis basis, int is_extended,
-			  struct mstime now)
+/* Reports a change of the basis while there are runs that it affects. */
+static void note_basis(struct dispatch *dispatch, struct worker *worker,
+		       enum lease_basis basis, struct mstime now)
 {
 	struct dispatch_event event = {
 		.kind = DISPATCH_WORKER_LEASE,
 		.worker = worker,
 		.reason = basis_names[basis],
-		.value = (uint32_t)is_extended,
+		.value = basis == LEASE_LISTED,
 		.lease_left_ms = mstime_diff(lease_end(worker), now),
 	};
 
-	if (list_empty(&worker->runs) ||
-	    (worker->lease_basis == basis &&
-	     worker->lease_is_paused == !is_extended))
+	if (list_empty(&worker->runs) || worker->lease_basis == basis)
 		return;
 	worker->lease_basis = basis;
-	worker->lease_is_paused = !is_extended;
 	if (dispatch->event_fn)
 		dispatch->event_fn(dispatch->event_arg, &event);
 }
 
-static enum lease_basis report_basis(const struct worker *worker)
+static enum lease_basis lease_basis(const struct dispatch *dispatch,
+				    const struct worker *worker,
+				    struct mstime now)
 {
+	if (mstime_diff(now, worker->reported_at) >
+	    dispatch->limits.worker_report_timeout_ms)
+		return worker->session ? LEASE_SILENT : LEASE_NOT_REPORTED;
 	if (worker->is_unbound)
 		return LEASE_NO_WORKER;
 	return worker->list_age_ms > LIST_AGE_MAX_MS ? LEASE_OLD_LISTS
@@ -55,17 +54,18 @@
 			   int may_extend, struct msg_work_orders *orders,
 			   struct mstime now)
 {
-	enum lease_basis basis = report_basis(worker);
-	int is_extended = may_extend && basis == LEASE_LISTED;
+	enum lease_basis basis = lease_basis(dispatch, worker, now);
 
-	if (is_extended) {
+	if (basis == LEASE_LISTED && !may_extend)
+		basis = LEASE_NOT_LEADER;
+	if (basis == LEASE_LISTED) {
 		orders->lease_ms = (uint32_t)dispatch->limits.lease_ms;
 		worker->lease_end =
 			mstime_max(worker->lease_end,
 				   mstime_add(worker->reported_at,
 					      dispatch->limits.lease_max_ms));
 	}
-	note_decision(dispatch, worker, basis, is_extended, now);
+	note_basis(dispatch, worker, basis, now);
 }
 
 void dispatch_bound_lease(struct dispatch *dispatch, struct worker *worker,
@@ -84,14 +84,11 @@
 void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
 			   struct mstime now)
 {
+	enum lease_basis basis = lease_basis(dispatch, worker, now);
 	struct list *pos, *tmp;
 
-	if (mstime_diff(now, worker->reported_at) >
-	    dispatch->limits.worker_report_timeout_ms)
-		note_decision(dispatch, worker,
-			      worker->session ? LEASE_SILENT
-					      : LEASE_NOT_REPORTED,
-			      0, now);
+	if (basis == LEASE_SILENT || basis == LEASE_NOT_REPORTED)
+		note_basis(dispatch, worker, basis, now);
 	if (mstime_before(now, lease_end(worker)) || list_empty(&worker->runs))
 		return;
 	dispatch_emit(dispatch, DISPATCH_WORKER_LEASE_EXPIRED, NULL, worker,
