--- a/tests/e2e/test_operations_page.py
+++ b/tests/e2e/test_operations_page.py
@@ -56,6 +56,14 @@
     return job
 
 
+def lasting(rig):
+    job, _ = rig.submit_lasting()
+    victim = next(r for r in rig.runners if r["name"] != rig.leader())
+    tasks = rig.lose_worker(victim)
+    wait_for("runs at other workers", lambda: rig.run_elsewhere(tasks))
+    return job
+
+
 def commands(section):
     """Commands of the section's shell blocks and the texts they must print."""
     with open(PAGE) as page:
@@ -81,7 +89,7 @@
 
 def main():
     build = os.path.abspath(sys.argv[1])
-    for scenario in (refused, late, lost):
+    for scenario in (refused, late, lost, lasting):
         rig = Rig(build)
         try:
             rig.wait_ready()
--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -186,12 +186,13 @@
 
     def submit_lasting(self):
         """Submits tasks that last, and waits until each worker runs some."""
-        self.submit(self.gateways[0],
-                    [{"count": 6, "cpu": 1000, "longRunning": True}],
-                    payload="600000")
+        job, status = self.submit(
+            self.gateways[0], [{"count": 6, "cpu": 1000, "longRunning": True}],
+            payload="600000")
         wait_for("a run at each worker", lambda: len(
             {process for process, row in self.records()
              if row["event"] == "start"}) == len(self.runners))
+        return job, status
 
     def lose_worker(self, runner):
         """Kills the worker for good and returns the tasks that it ran."""
