scheduler: hand over when leases end on resigning

Cause: the runner of a VM that has left tells a new scheduler nothing, so it waited 8.41 s from its election for the runs there, though the former scheduler, which resigned in an orderly way, knew that their leases ended sooner.

Scenario vm_lost of test_lost_worker_takeovers failed: no scheduler ever placed the tasks of a lost VM.

Change: a scheduler that resigns stores what is left of each lease, under the condition that it still leads, before it gives up its key. The next one counts it from its election and removes the record before it extends a lease, so a record is never older than the last scheduler's term. A scheduler that is killed leaves none, and the wait of 8.41 s stays.

Costs one read of the store an election and two writes a resignation, and one round trip each before election and loading.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -181,6 +181,9 @@
 	{ EV_TASK_UNPLACED, LOG_WARN, "task-unplaced",
 	  "No worker could take a task for 2 s; the workers are counted by "
 	  "the reason." },
+	{ EV_LEASES_INHERITED, LOG_INFO, "leases-inherited",
+	  "The scheduler knows from the last one, which resigned, when the "
+	  "leases of all runs end." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -240,6 +240,16 @@
 int dispatch_report(struct dispatch *dispatch, const char *runner,
 		    const struct msg_work_report *report, struct mstime now);
 
+/* Time in ms until all runs at the worker have certainly ended. */
+int64_t dispatch_lease_left_ms(const struct worker *worker, struct mstime now);
+
+/*
+ * Bounds the leases that earlier schedulers granted at a runner: left_ms was
+ * what was left of them when the last one resigned.
+ */
+void dispatch_inherit_lease(struct dispatch *dispatch, const char *runner,
+			    int64_t left_ms);
+
 /* Drops runs whose leases have expired and evicts runs without progress. */
 void dispatch_expire(struct dispatch *dispatch, struct mstime now);
 
--- a/packages/core/src/dispatch_lease.c
+++ b/packages/core/src/dispatch_lease.c
@@ -81,6 +81,24 @@
 		worker->inherited_lease_end = end;
 }
 
+int64_t dispatch_lease_left_ms(const struct worker *worker, struct mstime now)
+{
+	int64_t left_ms = mstime_diff(lease_end(worker), now);
+
+	return left_ms > 0 ? left_ms : 0;
+}
+
+void dispatch_inherit_lease(struct dispatch *dispatch, const char *runner,
+			    int64_t left_ms)
+{
+	struct worker *worker =
+		dispatch_get_worker(dispatch, runner, dispatch->takeover_at);
+	struct mstime end = mstime_add(dispatch->takeover_at, left_ms);
+
+	if (mstime_before(end, worker->inherited_lease_end))
+		worker->inherited_lease_end = end;
+}
+
 void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
 			   struct mstime now)
 {
--- a/packages/daemon/include/election.h
+++ b/packages/daemon/include/election.h
@@ -32,8 +32,12 @@
 /* No callback follows; a lease that is held is left to expire. */
 void election_delete(struct election *election);
 
-/* Revokes the lease, so that others need not wait until it expires. */
-void election_resign(struct election *election);
+/*
+ * Revokes the lease, so that others need not wait until it expires. Before
+ * that, while the candidate is elected, it writes last_put, unless that is
+ * NULL or the store does not answer soon.
+ */
+void election_resign(struct election *election, const struct kv_put *last_put);
 
 /*
  * Reads the key again after a write that failed its comparison; on_lost
--- a/packages/daemon/include/jobstore.h
+++ b/packages/daemon/include/jobstore.h
@@ -18,12 +18,15 @@
  *				workflow_encode()
  *	pending			number of workflows without a started task,
  *				by queue
+ *	handover		leases of runs when the last scheduler resigned;
+ *				removed by the next one
  */
 #define SUBMITTED_PREFIX "submitted/"
 #define SUBMITTED_JOB_PREFIX "submitted/job/"
 #define SUBMITTED_CANCEL_PREFIX "submitted/cancel/"
 #define STATE_PREFIX "state/"
 #define PENDING_KEY "pending"
+#define HANDOVER_KEY "handover"
 #define JOBSTORE_KEY_SIZE 64
 
 void jobstore_key(char *key, const char *prefix, const char *job);
--- a/packages/daemon/src/election.c
+++ b/packages/daemon/src/election.c
@@ -28,6 +28,8 @@
 #define DELAY_LATENCY_FACTOR 6
 #define DELAY_MAX_MS 600
 #define DELAY_JITTER_MS 40
+/* One call from another region; a stopping daemon waits 300 ms. */
+#define LAST_PUT_WAIT_MS 100
 
 enum state {
 	STATE_WATCHING,
@@ -56,6 +58,7 @@
 };
 
 static void schedule_attempt(struct election *election);
+static void revoke_lease(struct election *election);
 
 static void step_down(struct election *election, const char *reason)
 {
@@ -159,6 +162,10 @@
 	struct election *election = arg;
 
 	election->sent_at = sysclock_now();
+	if (election->state == STATE_RESIGNED) {
+		revoke_lease(election);
+		return;
+	}
 	if (election->state == STATE_LEADING) {
 		kv_lease_renew(election->kv, election->lease, on_lease_renewed,
 			       election);
@@ -262,18 +269,45 @@
 {
 }
 
-void election_resign(struct election *election)
+static void revoke_lease(struct election *election)
 {
 	int64_t lease = election->lease;
 
-	loop_timer_stop(election->timer);
-	kv_cancel(election->kv, election);
-	election->state = STATE_RESIGNED;
 	election->lease = 0;
 	if (lease)
 		kv_lease_end(election->kv, lease, on_lease_ended, election);
 }
 
+static void on_last_put(void *arg, const struct kv_result *result)
+{
+	struct election *election = arg;
+
+	if (result->err)
+		log_event(EV_STATE_UNSETTLED, "epoch=%lld handover err=%s",
+			  (long long)election->epoch, error_name(result->err));
+	loop_timer_stop(election->timer);
+	revoke_lease(election);
+}
+
+void election_resign(struct election *election, const struct kv_put *last_put)
+{
+	struct kv_txn txn = { .compare_count = 1, .put_count = 1 };
+	int was_leading = election->state == STATE_LEADING;
+
+	loop_timer_stop(election->timer);
+	kv_cancel(election->kv, election);
+	election->state = STATE_RESIGNED;
+	if (!was_leading || !last_put) {
+		revoke_lease(election);
+		return;
+	}
+	txn.compares[0].key = ELECTION_KEY;
+	txn.compares[0].revision = election->epoch;
+	txn.puts[0] = *last_put;
+	kv_txn(election->kv, &txn, on_last_put, election);
+	loop_timer_start(election->timer, LAST_PUT_WAIT_MS);
+}
+
 void election_verify(struct election *election)
 {
 	if (election->state == STATE_LEADING)
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -281,7 +281,7 @@
 
 void scheduler_resign(struct scheduler *scheduler)
 {
-	election_resign(scheduler->election);
+	scheduler_handover_write(scheduler);
 	end_term(scheduler);
 }
 
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -112,6 +112,18 @@
 void scheduler_links_stop(struct scheduler *scheduler);
 void scheduler_links_send(struct scheduler *scheduler, struct mstime now);
 
+/*
+ * Resigns and leaves for the next scheduler when the leases of all runs end.
+ * The record is valid for the next one only: it removes the record before it
+ * extends a lease.
+ */
+void scheduler_handover_write(struct scheduler *scheduler);
+
+/* Applies the record of the last scheduler, if any, then loads the states. */
+void scheduler_handover_read(struct scheduler *scheduler);
+
+void scheduler_load_states(struct scheduler *scheduler);
+
 /* Loads states, then watches submitted workflows and the configuration. */
 void scheduler_load_start(struct scheduler *scheduler);
 void scheduler_load_stop(struct scheduler *scheduler);
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -190,9 +190,14 @@
 	}
 }
 
-void scheduler_load_start(struct scheduler *scheduler)
+void scheduler_load_states(struct scheduler *scheduler)
 {
 	kv_list(scheduler->kv, STATE_PREFIX, on_states_read, &scheduler->self);
+}
+
+void scheduler_load_start(struct scheduler *scheduler)
+{
+	scheduler_handover_read(scheduler);
 	scheduler->queues = queues_new(scheduler->daemon->loop, scheduler->kv,
 				       on_queues, scheduler);
 }
--- a/tests/e2e/test_lost_worker_takeovers.py
+++ b/tests/e2e/test_lost_worker_takeovers.py
@@ -27,11 +27,7 @@
     wait_for("another scheduler", lambda: rig.leader() not in (None, leader))
 
 
-def schedulers_stopped(rig):
-    """Tasks of a lost worker that wait as long as schedulers change."""
-    rig.submit_lasting()
-    victim = next(r for r in rig.runners if r["name"] != rig.leader())
-    lost = rig.lose_worker(victim)
+def wait_through_terms(rig, victim, lost):
     for _ in range(TERMS):
         time.sleep(1)
         stop_leader(rig)
@@ -45,5 +41,21 @@
     rig.check_records(killed_workers=["w-%s#0" % victim["name"]])
 
 
+def schedulers_stopped(rig):
+    """Tasks of a lost worker that wait as long as schedulers change."""
+    rig.submit_lasting()
+    victim = next(r for r in rig.runners if r["name"] != rig.leader())
+    wait_through_terms(rig, victim, rig.lose_worker(victim))
+
+
+def vm_lost(rig):
+    """The same when the runner is lost as well and tells nobody."""
+    rig.submit_lasting()
+    victim = next(r for r in rig.runners if r["name"] != rig.leader())
+    lost = rig.lose_worker(victim)
+    rig.kill(victim["name"])
+    wait_through_terms(rig, victim, lost)
+
+
 if __name__ == "__main__":
-    run_scenarios([schedulers_stopped], os.path.abspath(sys.argv[1]))
+    run_scenarios([schedulers_stopped, vm_lost], os.path.abspath(sys.argv[1]))
--- a/tests/unit/test_dispatch_lease.c
+++ b/tests/unit/test_dispatch_lease.c
@@ -151,7 +151,8 @@
 }
 
 /* The time at which a scheduler that takes over drops the run of w1. */
-static int64_t inherited_run_dropped_ms(struct report report)
+static int64_t inherited_run_dropped_ms(struct report report,
+					int64_t handover_ms)
 {
 	struct dispatch *before = start_with_run();
 	struct dispatch *dispatch =
@@ -165,6 +166,8 @@
 	assert_int_equal(workflow_decode(workflow, state, strlen(state)), 0);
 	free(state);
 	dispatch_delete(before);
+	if (handover_ms >= 0)
+		dispatch_inherit_lease(dispatch, "r1", handover_ms);
 	dispatch_add(dispatch, workflow, at(0));
 	assert_int_equal(worker->run_count, 1);
 	for (ms = 0; ms < 30000 && worker->run_count; ms += 10) {
@@ -188,30 +191,40 @@
 
 /*
  * Guards against a scheduler that waits anew for a worker that was lost before
- * its term: its runner knows when the last lease ends.
+ * its term: its runner knows when the last lease ends, and so does the last
+ * scheduler if it resigns.
  */
 static void test_inherited_lease(void **state)
 {
 	static const struct {
 		struct report report;
+		int64_t handover_ms; /* -1: the last scheduler left none */
 		int64_t dropped_ms;
 	} cases[] = {
 		/* Never heard of: 2.5 s of the former scheduler, 5.91 s. */
-		{ { 0, 0, 0, "", 0, 0 }, 8410 },
+		{ { 0, 0, 0, "", 0, 0 }, -1, 8410 },
 		/* 410 ms for the worker's clock and calls in flight. */
-		{ { 500, 1, 1, "w1", 20000, 0 }, 910 },
-		{ { 500, 1, 1, "w1", 3000, 3200 }, 4110 },
-		{ { 500, 1, 1, "", 0, 0 }, 910 },
-		{ { 500, 2, 1, "", 0, 5500 }, 6410 },
+		{ { 500, 1, 1, "w1", 20000, 0 }, -1, 910 },
+		{ { 500, 1, 1, "w1", 3000, 3200 }, -1, 4110 },
+		{ { 500, 1, 1, "", 0, 0 }, -1, 910 },
+		{ { 500, 2, 1, "", 0, 5500 }, -1, 6410 },
 		/* The runner knows more than the bound without reports. */
-		{ { 4000, 2, 1, "", 0, 5500 }, 8410 },
+		{ { 4000, 2, 1, "", 0, 5500 }, -1, 8410 },
 		/* Extended by this scheduler while the lists are recent. */
-		{ { 500, 1, 1, "w1", 0, 5000 }, 7910 },
+		{ { 500, 1, 1, "w1", 0, 5000 }, -1, 7910 },
+		{ { 0, 0, 0, "", 0, 0 }, 0, 0 },
+		{ { 0, 0, 0, "", 0, 0 }, 2000, 2000 },
+		{ { 0, 0, 0, "", 0, 0 }, 9000, 8410 },
+		/* The earlier bound holds, whoever knows it. */
+		{ { 500, 2, 1, "", 0, 5500 }, 2000, 2000 },
+		{ { 500, 1, 1, "w1", 20000, 0 }, 5000, 910 },
+		{ { 500, 1, 1, "w1", 0, 5000 }, 5000, 7910 },
 	};
 	size_t i;
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
-		assert_int_equal(inherited_run_dropped_ms(cases[i].report),
+		assert_int_equal(inherited_run_dropped_ms(cases[i].report,
+							  cases[i].handover_ms),
 				 cases[i].dropped_ms);
 }
 
