--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -147,6 +147,20 @@
     rig.check_records(killed_workers=["w-%s#0" % runner["name"]])
 
 
+def worker_leaves(rig):
+    """Tasks that last and are lost with a worker that said that it leaves."""
+    rig.submit_lasting()
+    victim = next(r for r in rig.runners if r["name"] != rig.leader())
+    tasks = rig.tasks_at(victim)
+    rig.announce_leaving(victim)
+    wait_for("runs at other workers", lambda: rig.run_elsewhere(tasks))
+    stopped = {row["task"] for process, row in rig.records()
+               if process.startswith("w-%s#" % victim["name"]) and
+               row.get("how") == "stopped"}
+    check(stopped == tasks, "stopped: %s of %s" % (stopped, tasks))
+    rig.check_records()
+
+
 def store_faults(rig):
     """Work needlessly refused, lost or run twice because of the store."""
     job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="2000")
@@ -215,7 +229,7 @@
 
 SCENARIOS = [normal_operation, bad_requests, failing_task, cancelled_job,
              long_running_tasks, scheduler_killed, scheduler_frozen,
-             runner_killed, worker_killed, store_faults, configuration,
+             runner_killed, worker_killed, worker_leaves, store_faults, configuration,
              graceful_stop, malformed_heartbeats]
 
 
--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -194,12 +194,30 @@
              if row["event"] == "start"}) == len(self.runners))
         return job, status
 
+    def tasks_at(self, runner):
+        """Tasks that were started at the runner's worker."""
+        return {row["task"] for process, row in self.records()
+                if process.startswith("w-%s#" % runner["name"]) and
+                row["event"] == "start"}
+
     def lose_worker(self, runner):
         """Kills the worker for good and returns the tasks that it ran."""
-        name = "w-" + runner["name"]
-        self.kill(name)
-        return {row["task"] for process, row in self.records()
-                if process.startswith(name + "#") and row["event"] == "start"}
+        self.kill("w-" + runner["name"])
+        return self.tasks_at(runner)
+
+    def announce_leaving(self, runner):
+        """Announces in the worker's name, after all that it says itself."""
+        bound = self.processes[runner["name"]].lines(2101)[-1]
+        fields = {"service": "work", "address": runner["worker"],
+                  "zone": "z1", "version": "v1", "slots": 8,
+                  "state": "draining", "coldLeftMs": 0, "remainingMs": 5000,
+                  "capacity": {"cpu": int(bound.split("cpu=")[1].split()[0]),
+                               "memMb": 1, "gpu": 0},
+                  "labels": [], "sequence": 1 << 40, "clockMs": 0,
+                  "born": int(bound.split("born=")[1].split()[0])}
+        path = "/catkinhill/instances/w-%s/heartbeat" % runner["name"]
+        check(http_call(runner["announcements"], "POST", path,
+                        json.dumps(fields))[0] == 200, "announced")
 
     def run_elsewhere(self, tasks):
         """Whether each of the tasks has been started a second time."""
