dispatch: take a workflow for started on the word of its worker only

Cause: `started`, which the published count goes by, was set when a run was assigned. The worker of side-gyor-a-4 was lost at 10.000 s. None of these runs was ever confirmed; all were dropped at 18.508 s (run-dropped reason=lapsed). The flag was stored with the assignment, so that the next scheduler (elected at 13.501 s) took it over and published 0 as well. It was never cleared: a workflow whose only runs were lost before a start was not counted again, however long it waited afterwards. What the gateway read at 17.482 s was not old, it was wrong when it was written.

The flag now follows what the worker says: an active run, or an end that it lists, also of a run that was given up before. The first such report changes the workflow, so that the flag is stored and a later scheduler knows it even when the run is lost. That is one more row of a commit for each workflow.

Tests: test_started_by_worker (before: "0x1 != 0" in its first case) and the scenario worker_lost_before_start with real processes (before: "timed out waiting for the job to count as pending", after 60 s); both pass now.

--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -136,7 +136,7 @@
 	struct mstime idle_since; /* last time seen with a run */
 	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	unsigned cancelled : 1;
-	unsigned started : 1; /* a task has been assigned at least once */
+	unsigned started : 1; /* a worker has begun a task */
 	unsigned saving : 1;  /* part of the commit in progress */
 };
 
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -293,7 +293,6 @@
 {
 	struct workflow *workflow = run->workflow;
 
-	workflow->started = 1;
 	if (workflow->state == WORKFLOW_QUEUED)
 		workflow->state = WORKFLOW_RUNNING;
 	dispatch_mark_changed(dispatch, workflow);
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -133,6 +133,15 @@
 	task->checkpoint = xstrdup(checkpoint);
 }
 
+/* Only the worker tells that it has begun a task; an order may never start. */
+static void note_started(struct dispatch *dispatch, struct workflow *workflow)
+{
+	if (!workflow || workflow->started || workflow_is_final(workflow))
+		return;
+	workflow->started = 1;
+	dispatch_mark_changed(dispatch, workflow);
+}
+
 /* Handles the end of a known run. */
 static void handle_run_end(struct dispatch *dispatch, struct run *run,
 			   const struct ended_run *end, struct mstime now)
@@ -171,6 +180,7 @@
 	record = &worker->pending_ends[worker->pending_end_count++];
 	record->number = end->number;
 	record->job[0] = '\0';
+	note_started(dispatch, dispatch_find_workflow(dispatch, end->task.job));
 	run = dispatch_run_find(worker, &end->task, end->run);
 	dispatch_emit(dispatch, DISPATCH_RUN_ENDED, run ? run->workflow : NULL,
 		      worker, &end->task, end->run,
@@ -271,6 +281,7 @@
 	if (!run->is_active) {
 		run->is_active = 1;
 		run->active_at = now;
+		note_started(dispatch, run->workflow);
 	}
 	if (run->progress != status->progress_percent || !run->progress_at.ms ||
 	    run->pace < 100)
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -147,6 +147,32 @@
     rig.check_records(killed_workers=["w-%s#0" % runner["name"]])
 
 
+def pending(rig, gateway):
+    body = rig.call(gateway, "GET", "/fast/", "fast.example")[2]
+    return json.loads(body)["pending"]
+
+
+def worker_lost_before_start(rig):
+    """A job that no worker has begun and that does not count as pending."""
+    for runner in rig.runners:
+        rig.kill("w-" + runner["name"])
+    job, status = rig.submit(rig.gateways[0], LONG_STEP, payload="200")
+    check(status == 200, "accepted: %s" % status)
+    wait_for("an assignment to a lost worker", lambda: any(
+        "task=" + job in line for line in
+        rig.processes[rig.leader()].lines(3108)))
+    for gateway in rig.gateways:
+        wait_for("the job to count as pending",
+                 lambda: pending(rig, gateway) == 1)
+    check(not rig.records(), "no worker has begun a task")
+    for runner in rig.runners:
+        rig.start_worker(runner)
+    rig.wait_state(job, "complete")
+    for gateway in rig.gateways:
+        wait_for("no job to count as pending",
+                 lambda: pending(rig, gateway) == 0)
+
+
 def store_faults(rig):
     """Work needlessly refused, lost or run twice because of the store."""
     job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="2000")
@@ -215,8 +241,9 @@
 
 SCENARIOS = [normal_operation, bad_requests, failing_task, cancelled_job,
              long_running_tasks, scheduler_killed, scheduler_frozen,
-             runner_killed, worker_killed, store_faults, configuration,
-             graceful_stop, malformed_heartbeats]
+             runner_killed, worker_killed, worker_lost_before_start,
+             store_faults, configuration, graceful_stop,
+             malformed_heartbeats]
 
 
 def main():
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -354,6 +354,111 @@
 	dispatch_delete(dispatch);
 }
 
+enum start_evidence {
+	NO_REPORT,
+	REPORTED_RUN,
+	LISTED_END
+};
+
+/* Reports what the worker says about run 1 of the only task of j1. */
+static void report_run(struct dispatch *dispatch, enum start_evidence evidence,
+		       int value, int64_t ms)
+{
+	struct run_status status = { .task = { "j1", 0, 0, 0 }, .run = 1 };
+	struct ended_run end = { .number = 1,
+				 .task = { "j1", 0, 0, 0 },
+				 .run = 1 };
+	struct worker *worker = only_worker(dispatch);
+	struct msg_work_report msg = { .epoch = EPOCH,
+				       .seq = worker->report_seq + 1,
+				       .session = 1,
+				       .worker = "w1",
+				       .worker_start_ms = 5,
+				       .state = WORKER_READY,
+				       .service = "s",
+				       .capacity = { .cpu_milli = 4000 },
+				       .fence = worker->fence };
+
+	status.phase = (uint32_t)value;
+	end.how = (uint32_t)value;
+	msg.runs.items = &status;
+	msg.runs.count = evidence == REPORTED_RUN;
+	msg.ends.items = &end;
+	msg.ends.count = evidence == LISTED_END;
+	assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(ms)), 0);
+}
+
+/* Whether the next scheduler takes j1 for started, too. */
+static int stored_started(struct dispatch *dispatch)
+{
+	struct workflow *workflow = new_workflow("j1", 1, 0, 100);
+	char *json = workflow_encode(dispatch_find_workflow(dispatch, "j1"));
+	int started;
+
+	assert_int_equal(workflow_decode(workflow, json, strlen(json)), 0);
+	started = workflow->started;
+	free(json);
+	workflow_delete(workflow);
+	return started;
+}
+
+/*
+ * Guards against taking an assignment for a start: a workflow whose worker was
+ * lost before it began a task was not counted as pending. What a worker has
+ * begun stays begun when the run is lost later.
+ */
+static void test_started_by_worker(void **state)
+{
+	static const struct {
+		enum start_evidence evidence;
+		int value;
+		int given_up_before; /* the lease has expired by then */
+		int is_started;
+	} cases[] = {
+		{ NO_REPORT, 0, 0, 0 },
+		{ REPORTED_RUN, RUN_PENDING, 0, 0 },
+		{ REPORTED_RUN, RUN_REFUSED, 0, 0 },
+		{ REPORTED_RUN, RUN_GONE, 0, 0 },
+		{ REPORTED_RUN, RUN_ACTIVE, 0, 1 },
+		{ REPORTED_RUN, RUN_ACTIVE, 1, 1 },
+		{ LISTED_END, RUN_END_FAILED, 0, 1 },
+		{ LISTED_END, RUN_END_STOPPED, 0, 1 },
+		{ LISTED_END, RUN_END_LEASE_EXPIRED, 1, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct workflow *workflow = new_workflow("j1", 1, 0, 100);
+		struct msg_work_orders orders;
+		int64_t ms = cases[i].given_up_before ? 20000 : 5;
+
+		dispatch_add(dispatch, workflow, at(0));
+		send_report(dispatch, 1, 1, NULL, 0, 1);
+		send_report(dispatch, 1, 2, NULL, 0, 2);
+		assert_int_equal(dispatch_assign(dispatch, at(3)), 1);
+		save_workflows(dispatch);
+		assert_true(dispatch_build_orders(
+			dispatch, only_worker(dispatch), 1, &orders, at(4)));
+		assert_int_equal(orders.starts.count, 1);
+		if (cases[i].given_up_before)
+			dispatch_expire(dispatch, at(ms));
+		save_workflows(dispatch);
+		if (cases[i].evidence != NO_REPORT)
+			report_run(dispatch, cases[i].evidence, cases[i].value,
+				   ms);
+		assert_int_equal(workflow->started, cases[i].is_started);
+		if (cases[i].is_started)
+			assert_ptr_equal(dispatch_next_unsaved(dispatch),
+					 workflow);
+		dispatch_expire(dispatch, at(40000));
+		assert_int_equal(only_worker(dispatch)->run_count, 0);
+		assert_int_equal(workflow->started, cases[i].is_started);
+		assert_int_equal(stored_started(dispatch), cases[i].is_started);
+		dispatch_delete(dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -365,6 +470,7 @@
 		cmocka_unit_test(test_assigned_to_replaced_worker),
 		cmocka_unit_test(test_best_effort_beside_serving),
 		cmocka_unit_test(test_final_retention),
+		cmocka_unit_test(test_started_by_worker),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
