gateway, scheduler: log how many workflows count as pending

A publication that failed left no line at all.

The answer now has the number and the revision that it was read at; the scheduler logs each publication with its revision or error, at most one a second and only when the numbers have changed. The revision connects both, and so tells the age of an answer.

--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -110,6 +110,7 @@
 	EV_WORKER_LEASE = 3121,
 	EV_RUN_UNCONFIRMED = 3122,
 	EV_TASK_UNPLACED = 3123,
+	EV_PENDING_PUBLISHED = 3124,
 
 	/* 4000: operators and configuration */
 	EV_CONFIG_APPLIED = 4001,
--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -181,6 +181,9 @@
 	{ EV_TASK_UNPLACED, LOG_WARN, "task-unplaced",
 	  "No worker could take a task for 2 s; the workers are counted by "
 	  "the reason." },
+	{ EV_PENDING_PUBLISHED, LOG_INFO, "pending-published",
+	  "The number of workflows of which no worker has begun a task has "
+	  "changed and was stored, or could not be." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/daemon/src/gateway_jobs.c
+++ b/packages/daemon/src/gateway_jobs.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -249,19 +250,24 @@
 static void on_pending_read(void *arg, const struct kv_result *result)
 {
 	struct job_request *req = arg;
+	int64_t revision = 0;
 	uint32_t count = 0;
-	char *body;
+	char detail[64], *body;
 
 	if (result->err && result->err != ERR_NOT_FOUND) {
 		job_request_retry(req, result->err, pending_read);
 		return;
 	}
-	if (!result->err)
+	if (!result->err) {
 		count = jobstore_pending_count(result->items[0].value,
 					       result->items[0].len,
 					       req->queue.name);
+		revision = result->items[0].revision;
+	}
+	snprintf(detail, sizeof(detail), "pending count=%u revision=%lld",
+		 count, (long long)revision);
 	body = platform_pending_body(count);
-	job_request_reply(req, 200, body, "pending");
+	job_request_reply(req, 200, body, detail);
 	free(body);
 }
 
--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -208,6 +208,7 @@
 	struct list *pos;
 	char *text;
 
+	scheduler->pending_count = 0;
 	list_for_each (pos, dispatch_workflows(scheduler->dispatch)) {
 		struct workflow *workflow =
 			list_entry(pos, struct workflow, node);
@@ -218,6 +219,7 @@
 			continue;
 		count = json_integer_value(json_object_get(root, queue));
 		json_object_set_new(root, queue, json_integer(count + 1));
+		scheduler->pending_count++;
 	}
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(root);
@@ -229,6 +231,10 @@
 	struct scheduler *scheduler = *(struct scheduler **)arg;
 
 	scheduler->pending_in_flight = 0;
+	log_event(EV_PENDING_PUBLISHED,
+		  "epoch=%lld workflows=%u result=%s revision=%lld",
+		  (long long)scheduler->epoch, scheduler->pending_count,
+		  error_name(result->err), (long long)result->revision);
 	if (!result->err)
 		return;
 	/* Without the last text, the next publication writes it again. */
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -85,6 +85,7 @@
 	struct mstime last_commit_at;
 	struct mstime pending_sent_at;
 	char *pending_json;
+	uint32_t pending_count; /* workflows in the last text */
 	int pending_in_flight;
 	char removals[REMOVE_WORKFLOWS_MAX][JOB_ID_SIZE]; /* being removed */
 	size_t removal_count;
