--- a/packages/base/include/events.h
+++ b/packages/base/include/events.h
@@ -111,6 +111,7 @@
 	EV_RUN_UNCONFIRMED = 3122,
 	EV_TASK_UNPLACED = 3123,
 	EV_LEASES_INHERITED = 3124,
+	EV_PENDING_PUBLISHED = 3125,
 
 	/* 4000: operators and configuration */
 	EV_CONFIG_APPLIED = 4001,
--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -184,6 +184,9 @@
 	{ EV_LEASES_INHERITED, LOG_INFO, "leases-inherited",
 	  "The scheduler knows from the last one, which resigned, when the "
 	  "leases of all runs end." },
+	{ EV_PENDING_PUBLISHED, LOG_INFO, "pending-published",
+	  "The number of workflows of which no worker has begun a task has "
+	  "changed and was stored, or could not be." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
