dispatch: fence a restarted runner that reports before it has a worker

What callers would see: two runs of one task at a time (TWICE).

Cause: the fence is raised for the first report of a new runner process, but only in the branch for reports that name a worker. A restarted runner knows its worker only from the next announcement, up to 1.5 s later, and mostly reports without one before that. That report started the session; the later one with the worker was no longer the first, so the fence stayed and the former lists counted as current. A start that the former process had sent, and that the worker carries out late, was then still valid. The new process does not know of it: when the start that it is given again is refused (worker-refused, worker-leaves), it reports the run as refused at once and the task goes elsewhere, beside the late start.

Evidence: test_fence_after_runner_restart fails without the change ("orders.fence > former").

Change: a new session marks the worker as needing a fence and its lists as not current; the next report with the worker raises the fence, however many without one came before.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -145,6 +145,8 @@
 	struct mstime over_target_since; /* of any serving run; 0: none */
 	unsigned needs_response : 1;
 	unsigned is_unbound : 1; /* the last report named no worker */
+	/* Runner or worker have started anew; reports may be without worker. */
+	unsigned needs_fence : 1;
 };
 
 /* Why a worker cannot take a task. */
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -45,11 +45,10 @@
 }
 
 /* A report of a worker with room for four tasks. */
-static int send_report(struct dispatch *dispatch, uint64_t session,
-		       uint64_t seq, struct run_status *runs, size_t count,
-		       int64_t ms)
+static int send_fenced_report(struct dispatch *dispatch, uint64_t session,
+			      uint64_t seq, uint64_t fence,
+			      struct run_status *runs, size_t count, int64_t ms)
 {
-	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(ms));
 	struct msg_work_report msg = { .epoch = EPOCH,
 				       .seq = seq,
 				       .session = session,
@@ -59,12 +58,22 @@
 				       .service = "s",
 				       .capacity = { .cpu_milli = 4000 } };
 
-	msg.fence = worker->fence;
+	msg.fence = fence;
 	msg.runs.items = runs;
 	msg.runs.count = count;
 	return dispatch_report(dispatch, "r1", &msg, at(ms));
 }
 
+static int send_report(struct dispatch *dispatch, uint64_t session,
+		       uint64_t seq, struct run_status *runs, size_t count,
+		       int64_t ms)
+{
+	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(ms));
+
+	return send_fenced_report(dispatch, session, seq, worker->fence, runs,
+				  count, ms);
+}
+
 static void save_workflows(struct dispatch *dispatch)
 {
 	struct workflow *workflow;
@@ -354,10 +363,64 @@
 	dispatch_delete(dispatch);
 }
 
+/*
+ * Guards against late starts of a former process of the runner: after a restart
+ * the worker must refuse them, as the new process does not know of them and may
+ * report the same run as refused. A restarted runner may report before the
+ * worker announces itself to it.
+ */
+static void test_fence_after_runner_restart(void **state)
+{
+	static const struct {
+		int reports_first; /* without a worker */
+	} cases[] = { { 0 }, { 1 }, { 3 } };
+	size_t i;
+	int k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct worker *worker = only_worker(dispatch);
+		struct msg_work_orders orders;
+		uint64_t former, seq = 0;
+
+		dispatch_add(dispatch, new_workflow("j1", 1, 0, 100), at(0));
+		send_report(dispatch, 1, 1, NULL, 0, 1);
+		send_report(dispatch, 1, 2, NULL, 0, 2);
+		assert_int_equal(dispatch_assign(dispatch, at(3)), 1);
+		save_workflows(dispatch);
+		assert_true(dispatch_build_orders(dispatch, worker, 1, &orders,
+						  at(4)));
+		assert_int_equal(orders.starts.count, 1);
+		former = orders.fence;
+		for (k = 0; k < cases[i].reports_first; k++) {
+			struct msg_work_report msg = { .epoch = EPOCH,
+						       .seq = ++seq,
+						       .session = 2,
+						       .state = WORKER_ABSENT };
+
+			assert_int_equal(
+				dispatch_report(dispatch, "r1", &msg, at(1000)),
+				0);
+		}
+		/* The worker's lists have not been read yet. */
+		send_fenced_report(dispatch, 2, ++seq, 0, NULL, 0, 2000);
+		assert_true(dispatch_build_orders(dispatch, worker, 1, &orders,
+						  at(2001)));
+		assert_true(orders.fence > former);
+		assert_int_equal(orders.starts.count, 0);
+		send_report(dispatch, 2, ++seq, NULL, 0, 2010);
+		assert_true(dispatch_build_orders(dispatch, worker, 1, &orders,
+						  at(2011)));
+		assert_int_equal(orders.starts.count, 1);
+		dispatch_delete(dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_session_restart),
+		cmocka_unit_test(test_fence_after_runner_restart),
 		cmocka_unit_test(test_start_after_save),
 		cmocka_unit_test(test_scheduler_lease),
 		cmocka_unit_test(test_urgency_order),
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -32,7 +32,7 @@
 #define TICK_MS 50
 #define FAULTS_END_MS 30000
 #define TIME_LIMIT_MS 120000
-#define SEEDS 400
+#define SEEDS 1000
 
 struct model_run {
 	struct task_id task;
@@ -46,6 +46,7 @@
 	struct model_run run;
 	uint64_t fence;
 	uint64_t worker_start_ms;
+	uint64_t session; /* of the runner that sent it */
 	int64_t lease_end_ms;
 	int64_t due_ms;
 };
@@ -67,7 +68,7 @@
 	uint64_t last_end_number, stored_end_number;
 	struct delayed_start delayed_starts[DELAYED_STARTS_MAX];
 	size_t delayed_start_count;
-	struct model_run refused_runs[WORKER_RUNS_MAX]; /* run number not new */
+	struct model_run refused_runs[WORKER_RUNS_MAX]; /* to be reported */
 	size_t refused_run_count;
 	struct {
 		struct task_id task;
@@ -311,6 +312,50 @@
 	}
 }
 
+/* Whether the runner waits for the outcome of a start that it has sent. */
+static int is_delayed(const struct model_worker *worker,
+		      const struct delayed_start *start)
+{
+	return start->worker_start_ms == worker->start_ms &&
+	       start->session == worker->session;
+}
+
+static int start_is_delayed(const struct model_worker *worker,
+			    const struct model_run *run)
+{
+	size_t i;
+
+	for (i = 0; i < worker->delayed_start_count; i++)
+		if (is_delayed(worker, &worker->delayed_starts[i]) &&
+		    same_run(&worker->delayed_starts[i].run, &run->task,
+			     run->run))
+			return 1;
+	return 0;
+}
+
+static int is_running(const struct model_worker *worker,
+		      const struct model_run *run)
+{
+	size_t i;
+
+	for (i = 0; i < worker->run_count; i++)
+		if (same_run(&worker->runs[i], &run->task, run->run))
+			return 1;
+	return 0;
+}
+
+/* A worker that is not healthy refuses a start that it does not know yet. */
+static int refuse_start(struct model *model, struct model_worker *worker,
+			const struct model_run *run)
+{
+	if (!fault_occurs(model, 5) || start_is_delayed(worker, run) ||
+	    is_running(worker, run) ||
+	    worker->refused_run_count == WORKER_RUNS_MAX)
+		return 0;
+	worker->refused_runs[worker->refused_run_count++] = *run;
+	return 1;
+}
+
 static void process_starts(struct model *model, struct model_worker *worker,
 			   const struct msg_work_orders *orders,
 			   int64_t lease_end_ms)
@@ -324,6 +369,8 @@
 
 		run.ends_ms = model->now_ms + work_ms;
 		run.fails = fault_occurs(model, 10);
+		if (refuse_start(model, worker, &run))
+			continue;
 		if (fault_occurs(model, 10) &&
 		    worker->delayed_start_count < DELAYED_STARTS_MAX) {
 			struct delayed_start *start =
@@ -333,6 +380,7 @@
 			start->run = run;
 			start->fence = orders->fence;
 			start->worker_start_ms = worker->start_ms;
+			start->session = worker->session;
 			start->lease_end_ms = lease_end_ms;
 			start->due_ms = model->now_ms + 2000 +
 					rng_below(&model->rng, 8000);
@@ -470,8 +518,7 @@
 		status[i].phase = RUN_ACTIVE;
 	}
 	for (i = 0; i < worker->delayed_start_count; i++) {
-		if (worker->delayed_starts[i].worker_start_ms !=
-		    worker->start_ms)
+		if (!is_delayed(worker, &worker->delayed_starts[i]))
 			continue;
 		status[msg.runs.count + worker->run_count].task =
 			worker->delayed_starts[i].run.task;
