dispatch: extend no lease before the worker's lists have been read

What callers would see: tasks without a run for as long as a runner restarts more often than every 7.4 s beside a worker that announces itself, but whose lists can't be read (LOST).

Cause: a runner that has just learnt of its worker reports lists of age 0, counted from the announcement, though it has read none. The scheduler extended the lease of the runs on that, anew for each process of the runner. An announcement shows that the worker is there, not that its runs are; without a call that the worker answers, their lease at the worker isn't extended at all.

Evidence: test_lists_never_read (restarts every 3 s; the run is never dropped) and a case of test_report_that_extends fail without the change.

Change: lists that were never read carry fence 0; such a report extends no lease (worker-lease reason=no-lists). A runner beside a living worker reports its first lists one exchange with the scheduler later.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -99,6 +99,7 @@
 	LEASE_LISTED,	    /* recent lists of the worker: it is extended */
 	LEASE_NOT_LEADER,   /* the scheduler's own lease may have expired */
 	LEASE_OLD_LISTS,    /* the runner reports, but not the worker */
+	LEASE_NO_LISTS,	    /* the runner has not read any lists yet */
 	LEASE_NO_WORKER,    /* the runner knows no worker */
 	LEASE_SILENT,	    /* the runner has stopped reporting */
 	LEASE_NOT_REPORTED, /* no report since the takeover */
@@ -126,6 +127,7 @@
 	uint64_t fence;	       /* token that the current reports must carry */
 	int has_current_lists; /* a report with this fence has arrived */
 	uint32_t list_age_ms;  /* at the time of the last report */
+	uint64_t listed_fence; /* of the last lists; 0: none were read */
 	uint64_t report_seq;
 	struct mstime reported_at;
 	/*
--- a/packages/core/src/dispatch_lease.c
+++ b/packages/core/src/dispatch_lease.c
@@ -8,9 +8,13 @@
 #define LIST_AGE_MAX_MS 1500
 
 static const char *const basis_names[] = {
-	[LEASE_LISTED] = "listed",	 [LEASE_NOT_LEADER] = "not-leader",
-	[LEASE_OLD_LISTS] = "old-lists", [LEASE_NO_WORKER] = "no-worker",
-	[LEASE_SILENT] = "silent",	 [LEASE_NOT_REPORTED] = "not-reported",
+	[LEASE_LISTED] = "listed",
+	[LEASE_NOT_LEADER] = "not-leader",
+	[LEASE_OLD_LISTS] = "old-lists",
+	[LEASE_NO_LISTS] = "no-lists",
+	[LEASE_NO_WORKER] = "no-worker",
+	[LEASE_SILENT] = "silent",
+	[LEASE_NOT_REPORTED] = "not-reported",
 };
 
 static struct mstime lease_end(const struct worker *worker)
@@ -46,6 +50,8 @@
 		return worker->session ? LEASE_SILENT : LEASE_NOT_REPORTED;
 	if (worker->is_unbound)
 		return LEASE_NO_WORKER;
+	if (!worker->listed_fence)
+		return LEASE_NO_LISTS;
 	return worker->list_age_ms > LIST_AGE_MAX_MS ? LEASE_OLD_LISTS
 						     : LEASE_LISTED;
 }
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -341,6 +341,7 @@
 	worker->needs_response = 1;
 	worker->list_age_ms = report->list_age_ms;
 	worker->is_unbound = !report->worker[0];
+	worker->listed_fence = report->fence;
 	dispatch_bound_lease(dispatch, worker, report, now);
 	if (!report->worker[0]) {
 		worker->state = WORKER_ABSENT;
--- a/tests/unit/test_dispatch_lease.c
+++ b/tests/unit/test_dispatch_lease.c
@@ -43,6 +43,7 @@
 	uint64_t session, seq;
 	const char *worker;
 	uint32_t list_age_ms, lease_left_ms;
+	int is_unlisted; /* the worker's lists were never read */
 };
 
 static void apply_report(struct dispatch *dispatch, const struct report *report)
@@ -62,7 +63,7 @@
 		msg.worker_start_ms = 0;
 		msg.state = WORKER_ABSENT;
 	}
-	msg.fence = worker->fence;
+	msg.fence = report->is_unlisted ? 0 : worker->fence;
 	msg.list_age_ms = report->list_age_ms;
 	msg.lease_left_ms = report->lease_left_ms;
 	assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(report->ms)),
@@ -109,6 +110,7 @@
 		{ { 4000, 1, 3, "w1", 1500, 0 }, 1 },
 		{ { 4000, 1, 3, "w1", 1501, 0 }, 0 },
 		{ { 4000, 2, 1, "w1", 0, 0 }, 1 },
+		{ { 4000, 2, 1, "w1", 0, 0, 1 }, 0 },
 		{ { 4000, 2, 1, "", 0, 0 }, 0 },
 		{ { 4000, 2, 1, "", 3000, 0 }, 0 },
 	};
@@ -150,6 +152,31 @@
 	dispatch_delete(dispatch);
 }
 
+/*
+ * Guards against leases that never end while a runner restarts again and again
+ * beside a worker that announces itself, but whose lists cannot be read.
+ */
+static void test_lists_never_read(void **state)
+{
+	struct dispatch *dispatch = start_with_run();
+	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(0));
+	struct msg_work_orders orders;
+	int64_t ms, seq = 2;
+
+	for (ms = 1000; ms < 12000; ms += 500) {
+		struct report report = { ms,	    2 + (uint64_t)ms / 3000,
+					 ++seq,	    "w1",
+					 ms % 3000, 0,
+					 1 };
+
+		apply_report(dispatch, &report);
+		dispatch_build_orders(dispatch, worker, 1, &orders, at(ms));
+		dispatch_expire(dispatch, at(ms));
+	}
+	assert_int_equal(worker->run_count, 0);
+	dispatch_delete(dispatch);
+}
+
 /* The time at which a scheduler that takes over drops the run of w1. */
 static int64_t inherited_run_dropped_ms(struct report report)
 {
@@ -220,6 +247,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_report_that_extends),
 		cmocka_unit_test(test_runner_without_worker),
+		cmocka_unit_test(test_lists_never_read),
 		cmocka_unit_test(test_inherited_lease),
 	};
 
