agent: answer an owner that asks again also without any run

What callers would see: a batch job that stays "running" for up to an hour (holdover_ms), and for another one after each takeover, though its worker is gone and its VM answers.

Cause: a new owner waits for the end of the former owner's holdover (H) for the runs of an agent that it has never heard from, because a former owner may still extend their grants. An agent reports only partitions of which it knows a run. When agent and owner both restart and the worker is lost or has restarted, the agent knows none, never reports to the new owner and counts as unheard, although it announces itself and receives OWNER every 2 s. The agent in tests/sim sends an empty report to a new owner, so test_batch_schedule couldn't show it.

Change: an agent that gets OWNER again under the epoch that it follows answers with an empty report if it has no run of the partition to report. It fences lower epochs by then, so the new owner need only wait T + 2 L + margin from that report. Owners repeat OWNER only to agents at which they believe runs, so a takeover costs no more messages where there are none.

--- a/packages/daemon/src/agent_reports.c
+++ b/packages/daemon/src/agent_reports.c
@@ -146,6 +146,28 @@
 	send_report(agent, &msg);
 }
 
+void agent_reports_answer_owner(struct agent *agent, uint32_t partition)
+{
+	struct message msg = { .type = MSG_TASK_REPORT };
+	struct msg_task_report *report = &msg.u.task_report;
+	struct list *pos;
+
+	list_for_each (pos, &agent->tasks) {
+		const struct agent_task *t =
+			list_entry(pos, struct agent_task, node);
+
+		if (t->grant.partition == partition &&
+		    grants_reportable(&t->grant))
+			return;
+	}
+	report->seq = ++agent->report_seq;
+	report->partition = partition;
+	report->epoch = grants_epoch(&agent->grants, partition);
+	str_copy(report->agent, agent->daemon->settings->id,
+		 sizeof(report->agent));
+	send_report(agent, &msg);
+}
+
 /*
  * Immediate reports list only the runs that changed: with all runs in each
  * report, a run cost twice as many bytes at 200 runs. The full report every
--- a/packages/daemon/src/agent_reports.h
+++ b/packages/daemon/src/agent_reports.h
@@ -23,6 +23,12 @@
 void agent_reports_start(struct agent *agent);
 void agent_reports_stop(struct agent *agent);
 
+/*
+ * Answers an owner that asks again, with a report of no runs if none of the
+ * partition is known here: the owner believes that there are some.
+ */
+void agent_reports_answer_owner(struct agent *agent, uint32_t partition);
+
 /* Records that the link's entry owns the partition under this epoch. */
 void agent_reports_set_owner(struct agent_link *link, uint32_t partition,
 			     uint64_t epoch);
--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -215,12 +215,16 @@
 
 void agent_tasks_on_owner(struct agent_link *link, const struct msg_owner *msg)
 {
-	if (grants_advance_epoch(&link->agent->grants, msg->partition,
-				 msg->epoch) < 0) {
+	int advanced = grants_advance_epoch(&link->agent->grants,
+					    msg->partition, msg->epoch);
+
+	if (advanced < 0) {
 		record_fenced(link, "owner", msg->epoch, "", 0);
 		return;
 	}
 	agent_reports_set_owner(link, msg->partition, msg->epoch);
+	if (!advanced)
+		agent_reports_answer_owner(link->agent, msg->partition);
 }
 
 static void adopt(struct agent *agent, const struct taskapi_task *row)
