runner: ignore a deregistration of an earlier life of the worker

What callers would see: a worker that gets no work for the rest of its life (less room; on few workers LOST).

Cause: a worker may start again under its id. The runner compared only the id of a deregistration, and then dropped all announcements of workers that were born no later than the present one. A call of the former life that arrives late, for example because the runner was paused when it was sent, took the present life out of use, and no announcement ended that.

Evidence: late_deregistration in test_workflows timed out waiting for runs at each worker without the change.

Change: a deregistration that names an earlier start (born) than that of the worker known is logged and has no effect.

--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -173,10 +173,22 @@
 	httpd_reply(request, 200, "{}");
 }
 
-static void on_deregister(struct runner *runner, const char *id)
+/* A worker may start again under its id; a late call is of its former life. */
+static void on_deregister(struct runner *runner, const char *id,
+			  struct httpd_request *request)
 {
+	size_t len;
+	const char *body = httpd_body(request, &len);
+	uint64_t start_ms = platform_decode_deregistration(body, len);
+
 	if (!runner->is_bound || strcmp(runner->target.id, id) != 0)
 		return;
+	if (start_ms && start_ms < runner->worker.worker_start_ms) {
+		log_event(EV_ANNOUNCEMENT_DROPPED,
+			  "worker=%s born=%llu reason=outdated-deregistration",
+			  id, (unsigned long long)start_ms);
+		return;
+	}
 	log_event(EV_WORKER_STATE, "worker=%s state=deregistered", id);
 	runner->deregistered_start_ms = runner->worker.worker_start_ms;
 	runner->worker.state = WORKER_ABSENT;
@@ -194,7 +206,7 @@
 		on_announcement(runner, id, request);
 		return;
 	case PLATFORM_CALL_DEREGISTER:
-		on_deregister(runner, id);
+		on_deregister(runner, id, request);
 		httpd_reply(request, 200, "{}");
 		return;
 	case PLATFORM_CALL_PROBE:
--- a/packages/platform/include/platformjson.h
+++ b/packages/platform/include/platformjson.h
@@ -43,6 +43,13 @@
 int platform_decode_announcement(const char *json, size_t len,
 				 struct announcement *announcement);
 
+/*
+ * RETURN VALUE
+ *	The start of the worker that deregisters, ms since 1970; 0 if the call
+ *	does not name it.
+ */
+uint64_t platform_decode_deregistration(const char *json, size_t len);
+
 struct platform_queue {
 	char host[128];
 	char prefix[128];
--- a/packages/platform/src/platformjson.c
+++ b/packages/platform/src/platformjson.c
@@ -247,6 +247,16 @@
 	return reader.err;
 }
 
+uint64_t platform_decode_deregistration(const char *json, size_t len)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	struct reader reader = { 0, "" };
+	int64_t start_ms = read_number(&reader, root, "born", INT64_MAX / 4);
+
+	json_decref(root);
+	return (uint64_t)start_ms;
+}
+
 static void read_queue(struct reader *reader, const json_t *route,
 		       struct platform_queue *queue)
 {
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -213,10 +213,28 @@
     rig.wait_state(job, "complete")
 
 
+def deregister(runner, body):
+    path = "/catkinhill/instances/w-%s/deregister" % runner["name"]
+    check(http_call(runner["announcements"], "POST", path, body)[0] == 200,
+          "deregistration acknowledged")
+
+
+def late_deregistration(rig):
+    """A late deregistration of a worker's earlier life under the same id that
+    takes the present one out of use for good."""
+    deregister(rig.runners[0], json.dumps({"born": 1}))
+    rig.submit_lasting()
+    # One that names no life counts for the present one.
+    for runner, body in ((rig.runners[1], ""), (rig.runners[2], "{}")):
+        deregister(runner, body)
+        check("state=deregistered" in rig.processes[runner["name"]].text(),
+              "%s deregistered" % runner["name"])
+
+
 SCENARIOS = [normal_operation, bad_requests, failing_task, cancelled_job,
              long_running_tasks, scheduler_killed, scheduler_frozen,
              runner_killed, worker_killed, store_faults, configuration,
-             graceful_stop, malformed_heartbeats]
+             graceful_stop, malformed_heartbeats, late_deregistration]
 
 
 def main():
--- a/tests/unit/test_platformjson.c
+++ b/tests/unit/test_platformjson.c
@@ -148,6 +148,33 @@
 	assert_int_equal(announcement.sequence, 4);
 }
 
+/*
+ * Guards against a deregistration that is taken for one of another life of the
+ * worker: 0 means that it names none.
+ */
+static void test_decode_deregistration(void **state)
+{
+	static const struct {
+		const char *body;
+		uint64_t start_ms;
+	} cases[] = {
+		{ "{\"born\":7}", 7 },
+		{ "", 0 },
+		{ "{", 0 },
+		{ "[]", 0 },
+		{ "{}", 0 },
+		{ "{\"born\":null}", 0 },
+		{ "{\"born\":\"7\"}", 0 },
+		{ "{\"born\":-7}", 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		assert_int_equal(platform_decode_deregistration(
+					 cases[i].body, strlen(cases[i].body)),
+				 cases[i].start_ms);
+}
+
 /*
  * Guards against adding a request to the wrong queue: the host and the longest
  * matching path prefix select it.
@@ -260,6 +287,7 @@
 		cmocka_unit_test(test_decode_workflow),
 		cmocka_unit_test(test_decode_workflow_malformed),
 		cmocka_unit_test(test_decode_announcement),
+		cmocka_unit_test(test_decode_deregistration),
 		cmocka_unit_test(test_find_queue),
 		cmocka_unit_test(test_task_name_codec),
 		cmocka_unit_test(test_parse_call),
