agent: answer no stop before the worker's list has been read

What callers would see: a batch job that is said to be cancelled, or that runs a second time, while its first run goes on for up to a task lease.

Cause: a restarted agent learns the runs at its worker from the worker's list. Until then it knows none, and answered a stop of a run that it didn't know with "lost, not-known": its own word, taken by the owner as word on the worker. The run that the list showed afterwards was of a job that had ended for the agent, so it wasn't stopped either and used its room unseen until its lease expired. The owner repeats stops, so the first one after the restart often comes before the first list, and always if the worker doesn't answer at once.

Evidence: stop_before_first_list in test_agent_tasks fails without the change: task-ended state=lost reason="not-known" 1 ms after the start, and agent-ready without the run when the worker answers.

Change: no answer until a list has been read; the owner sends the stop again every COMMAND_RESEND_MS. If the worker is lost for good, the owner gives the run up T + 2 L + margin after its last word on it, as for any run that isn't listed.

--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -156,6 +156,12 @@
 				msg->job, msg->run, &t);
 
 	if (err == ERR_NOT_FOUND) {
+		/*
+		 * Until its list is read, the worker may have the run. The
+		 * owner sends the stop again.
+		 */
+		if (!link->agent->worker_known)
+			return;
 		/* Makes a start that arrives after this stop be refused. */
 		t = replace_run(link->agent, msg->partition, msg->job,
 				msg->run);
--- a/tests/e2e/test_agent_tasks.py
+++ b/tests/e2e/test_agent_tasks.py
@@ -232,6 +232,33 @@
     assert rig.effects("j") == list(range(len(rig.effects("j"))))
 
 
+def stop_before_first_list(rig):
+    """Guards against a restarted agent that reports a run as lost before it
+    has read its worker's list, while the worker goes on with the run."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    entry.config(1, grant_ms=20000, task_lease_ms=10000)
+    entry.start_task("j", 1, LONG_RUN)
+    entry.wait_task("j", 1, "running")
+    rig.agent.kill()
+    rig.agent.wait()
+    rig.worker.send_signal(signal.SIGSTOP)
+    position = entry.position()
+    rig.start_agent()
+    entry.wait("announce", position)
+    entry.stop_task("j", 1)
+    time.sleep(1)
+    assert not any(m.get("tasks") for m in entry.messages[position:])
+    rig.worker.send_signal(signal.SIGCONT)
+    entry.wait_task("j", 1, "running", position)
+    entry.stop_task("j", 1)
+    stopped = entry.wait_task("j", 1, "stopped", position)
+    steps = len(rig.effects("j"))
+    assert stopped["checkpoint"] == "step-%d" % steps
+    time.sleep(0.2)
+    assert len(rig.effects("j")) == steps
+
+
 def worker_restarts(rig):
     """Guards against a run that is reported as running after its worker has
     restarted without it."""
@@ -285,5 +312,5 @@
 agent_rig.run_scenarios([resume_once, no_start_without_ack, grant_expires,
                          agent_paused, late_start, fencing, memory_capacity,
                          urgent_eviction, lost_responses, agent_restarts,
-                         worker_restarts, worker_dies, worker_hangs],
+                         stop_before_first_list, worker_restarts, worker_dies, worker_hangs],
                         sys.argv[1])
