--- a/packages/daemon/src/agent_tasks.c
+++ b/packages/daemon/src/agent_tasks.c
@@ -156,6 +156,12 @@
 				msg->job, msg->run, &t);
 
 	if (err == ERR_NOT_FOUND) {
+		/*
+		 * Until its list is read, the worker may have the run. The
+		 * owner sends the stop again.
+		 */
+		if (!link->agent->worker_known)
+			return;
 		/* Makes a start that arrives after this stop be refused. */
 		t = replace_run(link->agent, msg->partition, msg->job,
 				msg->run);
@@ -215,12 +221,16 @@
 
 void agent_tasks_on_owner(struct agent_link *link, const struct msg_owner *msg)
 {
-	if (grants_advance_epoch(&link->agent->grants, msg->partition,
-				 msg->epoch) < 0) {
+	int advanced = grants_advance_epoch(&link->agent->grants,
+					    msg->partition, msg->epoch);
+
+	if (advanced < 0) {
 		record_fenced(link, "owner", msg->epoch, "", 0);
 		return;
 	}
 	agent_reports_set_owner(link, msg->partition, msg->epoch);
+	if (!advanced)
+		agent_reports_answer_owner(link->agent, msg->partition);
 }
 
 static void adopt(struct agent *agent, const struct taskapi_task *row)
