dispatch: name the reason of an expiry also for unseen workers

The reason is now noted with each check for expiry. test_reason_of_expiry fails before with "listed" != "no-worker".

--- a/packages/core/src/dispatch_lease.c
+++ b/packages/core/src/dispatch_lease.c
@@ -41,13 +41,21 @@
 		dispatch->event_fn(dispatch->event_arg, &event);
 }
 
+static int is_overdue(const struct dispatch *dispatch,
+		      const struct worker *worker, struct mstime now)
+{
+	return mstime_diff(now, worker->reported_at) >
+	       dispatch->limits.worker_report_timeout_ms;
+}
+
 static enum lease_basis lease_basis(const struct dispatch *dispatch,
 				    const struct worker *worker,
 				    struct mstime now)
 {
-	if (mstime_diff(now, worker->reported_at) >
-	    dispatch->limits.worker_report_timeout_ms)
-		return worker->session ? LEASE_SILENT : LEASE_NOT_REPORTED;
+	if (!worker->session)
+		return LEASE_NOT_REPORTED;
+	if (is_overdue(dispatch, worker, now))
+		return LEASE_SILENT;
 	if (worker->is_unbound)
 		return LEASE_NO_WORKER;
 	if (!worker->listed_fence)
@@ -111,7 +119,9 @@
 	enum lease_basis basis = lease_basis(dispatch, worker, now);
 	struct list *pos, *tmp;
 
-	if (basis == LEASE_SILENT || basis == LEASE_NOT_REPORTED)
+	/* A worker that this scheduler has not seen gets no orders. */
+	if (basis != LEASE_LISTED &&
+	    (worker->session || is_overdue(dispatch, worker, now)))
 		note_basis(dispatch, worker, basis, now);
 	if (mstime_before(now, lease_end(worker)) || list_empty(&worker->runs))
 		return;
--- a/tests/unit/test_dispatch_lease.c
+++ b/tests/unit/test_dispatch_lease.c
@@ -177,13 +177,23 @@
 	dispatch_delete(dispatch);
 }
 
+/* Takes the reason with which a worker's lease has expired. */
+static void on_event(void *arg, const struct dispatch_event *event)
+{
+	const char **reason = arg;
+
+	if (reason && event->kind == DISPATCH_WORKER_LEASE_EXPIRED)
+		*reason = event->reason;
+}
+
 /* The time at which a scheduler that takes over drops the run of w1. */
 static int64_t inherited_run_dropped_ms(struct report report,
-					int64_t handover_ms)
+					int64_t handover_ms,
+					const char **reason)
 {
 	struct dispatch *before = start_with_run();
-	struct dispatch *dispatch =
-		dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL, NULL);
+	struct dispatch *dispatch = dispatch_new(&dispatch_defaults, EPOCH,
+						 at(0), on_event, reason);
 	struct worker *worker = dispatch_get_worker(dispatch, "r1", at(0));
 	struct workflow *workflow = new_lasting();
 	char *state = workflow_encode(dispatch_find_workflow(before, JOB));
@@ -251,10 +261,31 @@
 
 	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++)
 		assert_int_equal(inherited_run_dropped_ms(cases[i].report,
-							  cases[i].handover_ms),
+							  cases[i].handover_ms,
+							  NULL),
 				 cases[i].dropped_ms);
 }
 
+/* Guards against log lines that name no, or a wrong, reason for the expiry. */
+static void test_reason_of_expiry(void **state)
+{
+	static const struct {
+		struct report report;
+		const char *reason;
+	} cases[] = {
+		{ { 0, 0, 0, "", 0, 0 }, "not-reported" },
+		{ { 500, 1, 1, "", 0, 5000 }, "no-worker" },
+		{ { 500, 1, 1, "w1", 20000, 5000 }, "old-lists" },
+	};
+	const char *reason;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		inherited_run_dropped_ms(cases[i].report, -1, &reason);
+		assert_string_equal(reason, cases[i].reason);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -262,6 +293,7 @@
 		cmocka_unit_test(test_runner_without_worker),
 		cmocka_unit_test(test_lists_never_read),
 		cmocka_unit_test(test_inherited_lease),
+		cmocka_unit_test(test_reason_of_expiry),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
