runner: assume a full lease only once the addresses are bound

A restarted runner takes a full lease of its predecessor to start when it starts itself, which holds only if the predecessor has ended. It has when its addresses can be bound. Found by the review by reading; no failure was seen.

--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -417,8 +417,6 @@
 	runner->daemon = daemon;
 	runner->session = daemon->incarnation;
 	runner->pace_percent = 100;
-	runner->granted_until =
-		mstime_add(sysclock_now(), dispatch_defaults.lease_ms);
 	list_init(&runner->runs);
 	runner->report_timer =
 		loop_timer_new(daemon->loop, runner_report_now, runner);
@@ -444,6 +442,9 @@
 	if (!runner->httpd)
 		return listen_failed(runner, "listen.announcements",
 				     settings->announcements);
+	/* The addresses are bound, so that an earlier process has ended. */
+	runner->granted_until =
+		mstime_add(sysclock_now(), dispatch_defaults.lease_ms);
 	runner->registration = registration_new(daemon->loop, runner->kv,
 						settings->id, settings->peers);
 	runner->scheduler = scheduler_new(daemon, runner->kv);
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -95,7 +95,7 @@
 
 	/* Lease of the runs, and the worker's clock when last read. */
 	struct mstime lease_end;
-	struct mstime granted_until; /* also to an earlier process here */
+	struct mstime granted_until; /* to this or an earlier process here */
 	int64_t worker_clock_ms;
 	struct mstime worker_clock_at;
 
