--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -186,6 +186,7 @@
 
     def submit_lasting(self):
         """Submits tasks that last, and waits until each worker runs some."""
+        wait_for("a scheduler that has seen all workers", self.all_seen)
         job, status = self.submit(
             self.gateways[0], [{"count": 6, "cpu": 1000, "longRunning": True}],
             payload="600000")
@@ -194,6 +195,12 @@
              if row["event"] == "start"}) == len(self.runners))
         return job, status
 
+    def all_seen(self):
+        leader = self.leader()
+        seen = self.processes[leader].lines(3112) if leader else []
+        return len({line.split("runner=")[1].split()[0]
+                    for line in seen}) == len(self.runners)
+
     def tasks_at(self, runner):
         """Tasks that were started at the runner's worker."""
         return {row["task"] for process, row in self.records()
