agent: end the requests of an entry's former process

What callers would see: fewer and fewer connections at a worker (streams refused as full) after entries were killed and restarted.

Cause: an agent ends the requests of an entry whose link is silent for 5 s. An entry that restarts sooner answers announcements again, so its link is never silent. A stream that runs has no deadline, and its caller and its former entry, which alone could cancel it, are gone. It held its connection at the worker until the upstream ended it: the word of a process on itself was taken as word on the one before it. Behind a load balancer the same holds for another entry on the same address.

Change: the acknowledgement of an announcement names the incarnation of the entry's process; when it changes, the agent ends the requests of the link as for a silent one (reason=entry-restarted). An acknowledgement is the first message that a new process sends to an agent, so none of its own requests are ended.

--- a/bench/transport_cost.c
+++ b/bench/transport_cost.c
@@ -88,8 +88,8 @@
 };
 static const struct message announce_ack = {
 	MSG_ANNOUNCE_ACK,
-	{ .announce_ack = { "entry-a-01", 86400, 1234,
-			    UINT64_C(0x9e3779b97f4a7c15) } }
+	{ .announce_ack = { "entry-a-01", UINT64_C(0x6b135f661b345289), 86400,
+			    1234, UINT64_C(0x9e3779b97f4a7c15) } }
 };
 static const struct message request = {
 	MSG_REQUEST,
--- a/packages/daemon/src/agent_links.c
+++ b/packages/daemon/src/agent_links.c
@@ -94,7 +94,7 @@
 
 static void remove_link(struct agent_link *link)
 {
-	agent_requests_cancel_link(link);
+	agent_requests_cancel_link(link, "link-silent");
 	agent_tasks_link_removed(link);
 	transport_delete(link->transport);
 	list_del(&link->node);
@@ -189,11 +189,23 @@
 		link->last_listed_at = now;
 }
 
+/*
+ * The next process of an entry, or another entry behind a load balancer, knows
+ * nothing of the requests of the former one.
+ */
+static void set_incarnation(struct agent_link *link, uint64_t incarnation)
+{
+	if (link->entry_incarnation && link->entry_incarnation != incarnation)
+		agent_requests_cancel_link(link, "entry-restarted");
+	link->entry_incarnation = incarnation;
+}
+
 static void on_ack(struct agent_link *link, const struct msg_announce_ack *ack)
 {
 	struct mstime now = sysclock_now();
 	size_t i;
 
+	set_incarnation(link, ack->incarnation);
 	set_entry(link, ack->entry);
 	send_config(link, ack->config_version);
 	if (ack->directory_hash != link->directory_hash && !ack->entries.count)
@@ -315,7 +327,7 @@
 		log_event(EV_AGENT_LINK_SILENT, "entry=%s silent_ms=%lld",
 			  link->address,
 			  (long long)mstime_diff(now, link->last_message_at));
-		agent_requests_cancel_link(link);
+		agent_requests_cancel_link(link, "link-silent");
 	}
 	if (!link->is_seed &&
 	    mstime_diff(now, link->last_message_at) >=
--- a/packages/daemon/src/agent_requests.c
+++ b/packages/daemon/src/agent_requests.c
@@ -249,7 +249,7 @@
 	agent_check_stopped(link->agent);
 }
 
-void agent_requests_cancel_link(struct agent_link *link)
+void agent_requests_cancel_link(struct agent_link *link, const char *reason)
 {
 	struct list *pos, *tmp;
 
@@ -261,7 +261,7 @@
 		if (r->stage < REQUEST_RUNNING)
 			agent_request_refuse(r, REFUSAL_CANCELLED);
 		else
-			agent_request_abort(r, 0, "link-silent");
+			agent_request_abort(r, 0, reason);
 	}
 	agent_requests_serve_queue(link->agent);
 }
--- a/packages/daemon/src/agent_requests.h
+++ b/packages/daemon/src/agent_requests.h
@@ -34,8 +34,9 @@
 void agent_requests_on_credit(struct agent_link *link,
 			      const struct msg_credit *msg);
 
-/* Cancels all requests of the link's entry. */
-void agent_requests_cancel_link(struct agent_link *link);
+/* Cancels all requests of the link's entry. reason: a static string, for logs.
+ */
+void agent_requests_cancel_link(struct agent_link *link, const char *reason);
 
 /* Sets the timer to the next deadline. */
 void agent_requests_arm_timer(struct agent *agent);
--- a/packages/daemon/src/agent_state.h
+++ b/packages/daemon/src/agent_state.h
@@ -33,8 +33,9 @@
 	struct agent *agent;
 	struct transport *transport;
 	char address[ID_SIZE];
-	char entry_id[ID_SIZE]; /* id in the last acknowledgement, or "" */
-	int is_seed;		/* named by the settings: never removed */
+	char entry_id[ID_SIZE];	    /* id in the last acknowledgement, or "" */
+	uint64_t entry_incarnation; /* in the same; 0: none has come */
+	int is_seed;		    /* named by the settings: never removed */
 	int answering; /* a message came within AGENT_LINK_SILENT_AFTER_MS */
 	int answered;  /* a message has come at all */
 	struct mstime last_message_at;
--- a/packages/daemon/src/entry_agents.c
+++ b/packages/daemon/src/entry_agents.c
@@ -93,6 +93,7 @@
 
 	str_copy(msg.u.announce_ack.entry, entry->daemon->settings->id,
 		 sizeof(msg.u.announce_ack.entry));
+	msg.u.announce_ack.incarnation = entry->daemon->incarnation;
 	msg.u.announce_ack.seq = announce->seq;
 	msg.u.announce_ack.config_version = version;
 	msg.u.announce_ack.directory_hash = hash;
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -213,6 +213,7 @@
 
 struct msg_announce_ack {
 	char entry[ID_SIZE];
+	uint64_t incarnation; /* of the entry's process */
 	uint64_t seq;
 	uint64_t config_version;
 	uint64_t directory_hash;
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -134,6 +134,7 @@
 
 static const struct field announce_ack_fields[] = {
 	ID(struct msg_announce_ack, entry),
+	U64(struct msg_announce_ack, incarnation),
 	U64(struct msg_announce_ack, seq),
 	U64(struct msg_announce_ack, config_version),
 	U64(struct msg_announce_ack, directory_hash),
--- a/tests/e2e/test_agent.py
+++ b/tests/e2e/test_agent.py
@@ -116,6 +116,23 @@
     entry.wait_state("ready", position)
 
 
+def restarted_entry(rig):
+    """Guards against a stream that is held for ever for an entry that was
+    killed, because its next process answers."""
+    rig.entry.wait_state("ready")
+    rig.entry.request(1, "/watch")
+    rig.entry.wait("response", request=1, stream=1)
+    rig.entry.process.kill()
+    rig.entry.process.wait()
+    rig.entry = agent_rig.Entry(rig.build, rig.addresses["entry"])
+    rig.processes.append(rig.entry.process)
+    rig.entry.wait_state("ready")
+    rig.wait_until(lambda: rig.record()["now"]["connections"] == 0,
+                   "the stream to end")
+    rig.entry.request(2, "/echo")
+    assert rig.entry.end(2)["outcome"] == "done"
+
+
 def graceful_stop(rig):
     """Guards against a graceful stop that aborts a request, keeps a stream
     open, loses a task's progress or accepts new work."""
@@ -182,5 +199,5 @@
 
 
 agent_rig.run_scenarios([ready_only_with_worker, bodies_and_window, limits,
-                         incomplete_responses, silent_entry, graceful_stop,
-                         drain, directory], sys.argv[1])
+                         incomplete_responses, silent_entry, restarted_entry,
+                         graceful_stop, drain, directory], sys.argv[1])
--- a/tests/fakes/fakeentry.c
+++ b/tests/fakes/fakeentry.c
@@ -261,6 +261,7 @@
 
 	str_copy(ack.u.announce_ack.entry, "fake",
 		 sizeof(ack.u.announce_ack.entry));
+	ack.u.announce_ack.incarnation = (uint64_t)getpid();
 	ack.u.announce_ack.seq = m->seq;
 	ack.u.announce_ack.config_version = (uint64_t)entry->config_version;
 	ack.u.announce_ack.directory_hash = (uint64_t)entry->directory_hash;
