tests: send hand-made frames of message version 3 in test_transport

test_invalid_frames fails since the version became 3: the frame that is meant to be accepted carries version 2, and the one of an unknown type was dropped for its version instead. test_message was changed then, this test wasn't. Same strictness: both frames carry the present version.

--- a/tests/unit/test_transport.c
+++ b/tests/unit/test_transport.c
@@ -232,7 +232,7 @@
  */
 static void test_invalid_frames(void **state)
 {
-	static const char valid_frame[] = "\x93\x02\x06\x91\x05";
+	static const char valid_frame[] = "\x93\x03\x06\x91\x05";
 	static char oversized_frame[FRAME_MAX_BYTES + 1];
 	static const struct {
 		const char *id;
@@ -243,7 +243,7 @@
 	} cases[] = {
 		{ "x", "", 0, 1, 1 },
 		{ "x", "garbage", 7, 1, 1 },
-		{ "x", "\x93\x02\x63\x91\x01", 5, 1, 1 },
+		{ "x", "\x93\x03\x63\x91\x01", 5, 1, 1 },
 		{ "x", oversized_frame, sizeof(oversized_frame), 1, 1 },
 		{ "x", valid_frame, 5, 2, 1 },
 		{ "bad id", valid_frame, 5, 1, 1 },
