runner: count a stop as confirmed from its first answer

What callers saw: a task whose start the worker had not answered kept its place for good, although it had been stopped (a cancelled one its room).

Cause: a run that is stopped before it was listed is given up once lists that were read after the stop's answer lack it. The scheduler repeats the stop every 400 ms until then, and each answer moved that time on. A call for the lists takes 400 ms when nothing ends, so no list was ever sent after the last answer.

Change: the time of the first answer stays. Lists read after it prove as much: from then on the worker refuses the run.

--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -205,8 +205,11 @@
 	runner_hold(runner);
 }
 
+/* Stops are repeated: lists read since the first answer count. */
 static void mark_confirmed(struct local_run *run)
 {
+	if (run->is_confirmed)
+		return;
 	run->is_confirmed = 1;
 	run->confirmed_at = sysclock_now();
 }
