dispatch: fence a restarted runner that has no worker at first

What callers could see: two runs of one task, or a run after its end. A start that a runner sent and that was not answered may be carried out seconds later. The runner process that follows knows nothing of it; when the worker refuses its own start, the task is placed elsewhere, and only a higher fence makes the worker refuse the late start.

Cause: a new session got a new fence only if its first report named the worker. A restarted runner reports before its worker has announced itself; by the next report the session was no longer new, and the old fence stayed.

Change: worker.needs_fence keeps that a session or worker is new until a report names the worker; lists do not count meanwhile.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -144,7 +144,8 @@
 	struct mstime paced_at;		 /* last update of the paces */
 	struct mstime over_target_since; /* of any serving run; 0: none */
 	unsigned needs_response : 1;
-	unsigned is_unbound : 1; /* the last report named no worker */
+	unsigned is_unbound : 1;  /* the last report named no worker */
+	unsigned needs_fence : 1; /* new session or worker since the last one */
 };
 
 /* Why a worker cannot take a task. */
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -18,6 +18,7 @@
 	worker->fence = dispatch->epoch * FENCES_PER_EPOCH +
 			worker->incarnations % FENCES_PER_EPOCH;
 	worker->has_current_lists = 0;
+	worker->needs_fence = 0;
 }
 
 static void drop_previous_runs(struct dispatch *dispatch, struct worker *worker,
@@ -60,6 +61,8 @@
 	worker->previous_session = worker->session;
 	worker->session = session;
 	worker->report_seq = 0;
+	worker->needs_fence = 1;
+	worker->has_current_lists = 0;
 	list_for_each (pos, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
 
@@ -323,7 +326,6 @@
 		    const struct msg_work_report *report, struct mstime now)
 {
 	struct worker *worker = dispatch_get_worker(dispatch, runner, now);
-	int is_new = 0;
 
 	if (report->epoch != dispatch->epoch)
 		return ERR_FENCED;
@@ -331,10 +333,8 @@
 	    (report->session == worker->session &&
 	     report->seq <= worker->report_seq))
 		return ERR_FENCED;
-	if (report->session != worker->session) {
+	if (report->session != worker->session)
 		start_session(worker, report->session, now);
-		is_new = 1;
-	}
 	worker->report_seq = report->seq;
 	worker->reported_at = now;
 	worker->needs_response = 1;
@@ -348,10 +348,10 @@
 	if (report->worker_start_ms != worker->start_ms ||
 	    strcmp(report->worker, worker->id)) {
 		replace_worker(dispatch, worker, report, now);
-		is_new = 1;
+		worker->needs_fence = 1;
 	}
 	copy_description(worker, report);
-	if (is_new || !worker->fence) {
+	if (worker->needs_fence) {
 		renew_fence(dispatch, worker);
 		dispatch_emit(dispatch, DISPATCH_WORKER_SEEN, NULL, worker,
 			      NULL, 0, "session-or-worker");
--- a/tests/unit/test_dispatch_lease.c
+++ b/tests/unit/test_dispatch_lease.c
@@ -1,4 +1,7 @@
-/* Leases of runs: what extends them, and when they have certainly expired. */
+/*
+ * Leases of runs: what extends them, and when they have certainly expired; and
+ * the fences that keep late orders of a former process from being carried out.
+ */
 #include "dispatch.h"
 
 #include <setjmp.h>
@@ -215,12 +218,44 @@
 				 cases[i].dropped_ms);
 }
 
+/*
+ * Guards against a late start that was ordered by a former process of the
+ * runner: a restarted one knows nothing of it, so its worker must refuse it,
+ * also if the runner reports before the worker has announced itself.
+ */
+static void test_fence_of_restarted_runner(void **state)
+{
+	static const struct {
+		struct report reports[2];
+		int is_renewed;
+	} cases[] = {
+		{ { { 500, 1, 3, "w1", 0, 0 }, { 600, 1, 4, "w1", 0, 0 } }, 0 },
+		{ { { 500, 1, 3, "", 0, 0 }, { 600, 1, 4, "w1", 0, 0 } }, 0 },
+		{ { { 500, 2, 1, "w1", 0, 0 }, { 600, 2, 2, "w1", 0, 0 } }, 1 },
+		{ { { 500, 2, 1, "", 0, 0 }, { 600, 2, 2, "w1", 0, 0 } }, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = start_with_run();
+		struct worker *worker =
+			dispatch_get_worker(dispatch, "r1", at(0));
+		uint64_t fence = worker->fence;
+
+		apply_report(dispatch, &cases[i].reports[0]);
+		apply_report(dispatch, &cases[i].reports[1]);
+		assert_int_equal(worker->fence - fence, cases[i].is_renewed);
+		dispatch_delete(dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_report_that_extends),
 		cmocka_unit_test(test_runner_without_worker),
 		cmocka_unit_test(test_inherited_lease),
+		cmocka_unit_test(test_fence_of_restarted_runner),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
