dispatch: move runs that a worker with recent lists does not start

Cause: only runs that are active and do not last had a limit (is_stuck()). A start without an answer was repeated at the same worker while its lease was extended. run-unconfirmed was not logged either: it looked at RUN_SAVED, and the runner's report of a pending start made the run RUN_CONFIRMED. A run that was stopped because a start was refused after one without an answer did not count as failed, so that its task could be sent to the same worker without end.

Change: a run that was ordered more than stuck_timeout_ms ago (2 s) and was not listed by a worker with recent lists is evicted, as a run without progress is: the stop is repeated until the runner proves that the run is gone, and only then does the task wait again, for its next number. The worker gets its penalty at the eviction and again when the run is gone, since the stop may take longer than that. The time counts from the first order, or report as pending, in this session of the runner, so that a run that was taken over is started first. Runs that are gone without having started count as failed. Gangs are included: their members cannot be placed anew while one of them is assigned.

The model reports runs as a runner does: a start without an answer is pending until it is repeated with success or stopped, a restarted runner knows nothing of it, and each stop is answered with "gone". Before, a late start was reported as pending until its time and then as gone.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -177,7 +177,8 @@
 	  "The scheduler extends the lease of a worker's runs no longer, or "
 	  "again; the reason is given." },
 	{ EV_RUN_UNCONFIRMED, LOG_WARN, "run-unconfirmed",
-	  "A runner reports, but does not confirm a run that it was ordered." },
+	  "A worker whose lists are recent has not started a run in time; the "
+	  "run is stopped to go on elsewhere." },
 	{ EV_TASK_UNPLACED, LOG_WARN, "task-unplaced",
 	  "No worker could take a task for 2 s; the workers are counted by "
 	  "the reason." },
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -36,7 +36,7 @@
 	int64_t final_retention_ms; /* how long a final workflow is kept */
 	int64_t worker_report_timeout_ms; /* without a report: no new runs */
 	int64_t worker_penalty_ms; /* no new runs after repeated failures */
-	int64_t stuck_timeout_ms;  /* a run without progress is moved */
+	int64_t stuck_timeout_ms;  /* a run not started, or stuck, is moved */
 	uint32_t assumed_usage_percent; /* of CPU reserved by serving runs */
 };
 
@@ -63,7 +63,8 @@
 	uint64_t worker_start_ms;    /* start of its worker, ms since 1970 */
 	uint64_t last_report_seq;    /* last report that listed it */
 	struct mstime start_sent_at; /* last time */
-	struct mstime unconfirmed_since; /* while RUN_SAVED and ordered */
+	/* When this session of the runner was first ordered it; 0: never. */
+	struct mstime unconfirmed_since;
 	struct mstime active_at;    /* first time that it was reported active */
 	uint32_t progress;	    /* percent */
 	struct mstime progress_at;  /* last time that it changed */
@@ -83,8 +84,7 @@
 	unsigned is_stopping : 1;
 	unsigned is_evicted : 1; /* is being stopped to run elsewhere */
 	unsigned is_orphan : 1;	 /* reported, but not the task's current run */
-	unsigned is_reported_late : 1; /* DISPATCH_RUN_UNCONFIRMED was sent */
-	struct mstime stop_sent_at;    /* last time */
+	struct mstime stop_sent_at; /* last time */
 };
 
 /* A reported end of a run that is not yet acknowledged to the runner. */
@@ -241,7 +241,10 @@
 int dispatch_report(struct dispatch *dispatch, const char *runner,
 		    const struct msg_work_report *report, struct mstime now);
 
-/* Drops runs whose leases have expired and evicts runs without progress. */
+/*
+ * Drops runs whose leases have expired, and evicts runs without progress and
+ * those that a worker with recent lists has not started in time.
+ */
 void dispatch_expire(struct dispatch *dispatch, struct mstime now);
 
 /*
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -172,7 +172,6 @@
 	task->current_run = run;
 	run->state = RUN_SAVED;
 	run->is_ordered = 1;
-	run->unconfirmed_since = now;
 	run->pace_sent = PACE_UNKNOWN;
 	run->worker_start_ms = location->worker_start_ms;
 	if (run->worker_start_ms >= worker->start_ms)
@@ -308,50 +307,50 @@
 	       dispatch->limits.stuck_timeout_ms;
 }
 
-/* Without a recent report it is unknown whether a run makes progress. */
-static void evict_stuck(struct dispatch *dispatch, struct worker *worker,
-			struct mstime now)
+/* Without recent lists it is unknown what the worker does. */
+static int has_recent_lists(const struct dispatch *dispatch,
+			    const struct worker *worker, struct mstime now)
 {
-	struct list *pos;
+	int64_t silent_ms = dispatch->limits.worker_report_timeout_ms;
 
-	if (mstime_diff(now, worker->reported_at) >
-		    dispatch->limits.worker_report_timeout_ms ||
-	    worker->list_age_ms > dispatch->limits.worker_report_timeout_ms)
-		return;
-	list_for_each (pos, &worker->runs) {
-		struct run *run = list_entry(pos, struct run, node);
+	return worker->has_current_lists &&
+	       mstime_diff(now, worker->reported_at) <= silent_ms &&
+	       worker->list_age_ms <= silent_ms;
+}
 
-		if (!is_stuck(dispatch, run, now))
-			continue;
-		run->is_evicted = 1;
-		worker->penalty_until =
-			mstime_add(now, dispatch->limits.worker_penalty_ms);
-		dispatch_emit(dispatch, DISPATCH_RUN_EVICTED, run->workflow,
-			      worker, &run->id, run->number, "no-progress");
-	}
+/* Ordered for too long without having been started. */
+static int is_unconfirmed(const struct dispatch *dispatch,
+			  const struct run *run, struct mstime now)
+{
+	if (run->is_orphan || run->is_evicted || run->is_active ||
+	    !run->unconfirmed_since.ms || workflow_is_final(run->workflow))
+		return 0;
+	return mstime_diff(now, run->unconfirmed_since) >
+	       dispatch->limits.stuck_timeout_ms;
 }
 
-/* A worker that reports, but does not confirm a run that it was ordered. */
-static void report_unconfirmed(struct dispatch *dispatch, struct worker *worker,
-			       struct mstime now)
+static void evict_stuck(struct dispatch *dispatch, struct worker *worker,
+			struct mstime now)
 {
 	struct list *pos;
 
-	if (!worker->has_current_lists ||
-	    mstime_diff(now, worker->reported_at) >
-		    dispatch->limits.worker_report_timeout_ms)
+	if (!has_recent_lists(dispatch, worker, now))
 		return;
 	list_for_each (pos, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
 
-		if (run->state != RUN_SAVED || !run->is_ordered ||
-		    run->is_reported_late ||
-		    mstime_diff(now, run->unconfirmed_since) <=
-			    dispatch->limits.stuck_timeout_ms)
+		if (is_unconfirmed(dispatch, run, now))
+			dispatch_emit(dispatch, DISPATCH_RUN_UNCONFIRMED,
+				      run->workflow, worker, &run->id,
+				      run->number, "not-confirmed");
+		else if (is_stuck(dispatch, run, now))
+			dispatch_emit(dispatch, DISPATCH_RUN_EVICTED,
+				      run->workflow, worker, &run->id,
+				      run->number, "no-progress");
+		else
 			continue;
-		run->is_reported_late = 1;
-		dispatch_emit(dispatch, DISPATCH_RUN_UNCONFIRMED, run->workflow,
-			      worker, &run->id, run->number, "not-confirmed");
+		run->is_evicted = 1;
+		dispatch_penalize(dispatch, worker, now);
 	}
 }
 
@@ -363,7 +362,6 @@
 		struct worker *worker = list_entry(pos, struct worker, node);
 
 		dispatch_expire_lease(dispatch, worker, now);
-		report_unconfirmed(dispatch, worker, now);
 		evict_stuck(dispatch, worker, now);
 	}
 }
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -57,6 +57,10 @@
 void dispatch_expire_lease(struct dispatch *dispatch, struct worker *worker,
 			   struct mstime now);
 
+/* Keeps new runs from the worker for a while. */
+void dispatch_penalize(struct dispatch *dispatch, struct worker *worker,
+		       struct mstime now);
+
 /* Marks the workflow's state as changed, so that it will be stored. */
 void dispatch_mark_changed(struct dispatch *dispatch,
 			   struct workflow *workflow);
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -51,7 +51,7 @@
 	order->checkpoint = workflow_find_task(workflow, &run->id)->checkpoint;
 	order->best_effort = run->best_effort;
 	order->latency_target_ms = (uint32_t)step->latency_target_ms;
-	if (!run->is_ordered)
+	if (!run->unconfirmed_since.ms)
 		run->unconfirmed_since = now;
 	run->is_ordered = 1;
 	run->start_sent_at = now;
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -53,8 +53,7 @@
 	drop_previous_runs(dispatch, worker, now);
 }
 
-static void start_session(struct worker *worker, uint64_t session,
-			  struct mstime now)
+static void start_session(struct worker *worker, uint64_t session)
 {
 	struct list *pos;
 
@@ -69,7 +68,7 @@
 		run->is_active = 0;
 		if (run->state == RUN_CONFIRMED)
 			run->state = RUN_SAVED;
-		run->unconfirmed_since = now;
+		run->unconfirmed_since = mstime_from(0);
 		run->pace_sent = PACE_UNKNOWN;
 	}
 }
@@ -94,8 +93,8 @@
 	copy_labels(worker, &report->labels);
 }
 
-static void penalize(struct dispatch *dispatch, struct worker *worker,
-		     struct mstime now)
+void dispatch_penalize(struct dispatch *dispatch, struct worker *worker,
+		       struct mstime now)
 {
 	worker->consecutive_failures = 0;
 	worker->penalty_until =
@@ -106,7 +105,7 @@
 			  struct mstime now)
 {
 	if (++worker->consecutive_failures >= CONSECUTIVE_FAILURES_MAX)
-		penalize(dispatch, worker, now);
+		dispatch_penalize(dispatch, worker, now);
 }
 
 static void handle_failed_task(struct dispatch *dispatch,
@@ -233,6 +232,16 @@
 	return run;
 }
 
+/* Whether the run should have started and didn't. */
+static int is_failed_start(const struct run *run,
+			   const struct run_status *status)
+{
+	if (status->phase == RUN_REFUSED)
+		return 1;
+	return !run->is_active && !run->is_orphan &&
+	       !workflow_is_final(run->workflow);
+}
+
 static void handle_refused_run(struct dispatch *dispatch, struct run *run,
 			       const struct run_status *status,
 			       struct mstime now)
@@ -241,8 +250,13 @@
 
 	dispatch_emit(dispatch, DISPATCH_RUN_LOST, run->workflow, run->worker,
 		      &run->id, run->number, status->detail);
-	if (status->phase == RUN_REFUSED)
-		count_failure(dispatch, run->worker, now);
+	if (is_failed_start(run, status)) {
+		/* The penalty of the eviction may have passed by now. */
+		if (run->is_evicted)
+			dispatch_penalize(dispatch, run->worker, now);
+		else
+			count_failure(dispatch, run->worker, now);
+	}
 	if (run->workflow && !run->is_orphan) {
 		task = workflow_find_task(run->workflow, &run->id);
 		task->not_before =
@@ -269,8 +283,11 @@
 		return;
 	}
 	run->state = RUN_CONFIRMED;
-	if (status->phase == RUN_PENDING)
+	if (status->phase == RUN_PENDING) {
+		if (!run->unconfirmed_since.ms)
+			run->unconfirmed_since = now;
 		return;
+	}
 	if (!run->is_active) {
 		run->is_active = 1;
 		run->active_at = now;
@@ -334,7 +351,7 @@
 	     report->seq <= worker->report_seq))
 		return ERR_FENCED;
 	if (report->session != worker->session)
-		start_session(worker, report->session, now);
+		start_session(worker, report->session);
 	worker->report_seq = report->seq;
 	worker->reported_at = now;
 	worker->needs_response = 1;
--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -128,6 +128,11 @@
         check(self.control_store("put?key=op/config", value) == 200,
               "configuration written")
 
+    def set_starts(self, runner, mode):
+        """Sets what the worker does with starts; see workerserver.h."""
+        check(http_call(runner["worker"], "POST",
+                        "/fake/starts?" + mode)[0] == 200, "mode " + mode)
+
     def call(self, gateway, method, path, host, body=None):
         headers = {"Host": host, "X-Deadline-Ms": "3000"}
         return http_call(gateway["callers"], method, path,
@@ -184,21 +189,38 @@
         self.processes[name].signal(signal.SIGKILL)
         self.processes[name].popen.wait()
 
+    def users_of(self, job=""):
+        """Workers that have started tasks of the job, or of any."""
+        return {process for process, row in self.records()
+                if row["event"] == "start" and row["task"].startswith(job)}
+
+    def wait_workers(self):
+        """Waits until the scheduler uses each worker."""
+        for _ in range(30):
+            job, _ = self.submit(self.gateways[0],
+                                 [{"count": 6, "cpu": 1000}], payload="50")
+            self.wait_state(job, "complete")
+            if len(self.users_of(job)) == len(self.runners):
+                return
+        raise AssertionError("a worker is not used")
+
     def submit_lasting(self):
         """Submits tasks that last, and waits until each worker runs some."""
-        self.submit(self.gateways[0],
-                    [{"count": 6, "cpu": 1000, "longRunning": True}],
-                    payload="600000")
-        wait_for("a run at each worker", lambda: len(
-            {process for process, row in self.records()
-             if row["event"] == "start"}) == len(self.runners))
+        self.wait_workers()
+        job, _ = self.submit(self.gateways[0],
+                             [{"count": 6, "cpu": 1000, "longRunning": True}],
+                             payload="600000")
+        wait_for("a run at each worker",
+                 lambda: len(self.users_of(job)) == len(self.runners))
 
     def lose_worker(self, runner):
         """Kills the worker for good and returns the tasks that it ran."""
         name = "w-" + runner["name"]
         self.kill(name)
-        return {row["task"] for process, row in self.records()
-                if process.startswith(name + "#") and row["event"] == "start"}
+        rows = [row for process, row in self.records()
+                if process.startswith(name + "#")]
+        return ({row["task"] for row in rows if row["event"] == "start"} -
+                {row["task"] for row in rows if row["event"] == "end"})
 
     def run_elsewhere(self, tasks):
         """Whether each of the tasks has been started a second time."""
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -17,6 +17,7 @@
 #define TIMER_INTERVAL_MS 10
 #define LEASE_MAX_MS 6000
 #define REQUEST_BODY_MAX_BYTES (1024 * 1024)
+#define LATE_START_MS 3000
 
 struct task_run {
 	struct list node;
@@ -33,6 +34,28 @@
 	struct mstime deadline;
 };
 
+enum start_mode {
+	STARTS_ANSWERED,
+	STARTS_REFUSED, /* with 503, having done nothing */
+	STARTS_IGNORED, /* neither answered nor carried out */
+	STARTS_LATE,	/* carried out after the caller's deadline */
+	STARTS_MIXED,	/* ignored and refused in turn */
+	START_MODE_COUNT
+};
+
+static const char *const start_mode_names[START_MODE_COUNT] = {
+	[STARTS_ANSWERED] = "answered", [STARTS_REFUSED] = "refused",
+	[STARTS_IGNORED] = "ignored",	[STARTS_LATE] = "late",
+	[STARTS_MIXED] = "mixed",
+};
+
+struct late_start {
+	struct list node;
+	struct httpd_request *request;
+	json_t *body;
+	struct mstime due;
+};
+
 struct workerserver {
 	struct loop *loop;
 	struct httpd *httpd;
@@ -43,7 +66,9 @@
 	json_int_t start_wall_ms, sequence, fence;
 	json_int_t last_end_number, acknowledged_end_number;
 	int is_lease_expired; /* at the last check */
-	struct list runs, polls;
+	struct list runs, polls, late_starts;
+	enum start_mode start_mode;
+	unsigned start_count; /* in mode STARTS_MIXED */
 	json_t *ended_runs;   /* rows of the response */
 	json_t *highest_runs; /* task -> run */
 };
@@ -211,6 +236,8 @@
 	free(path);
 }
 
+static void carry_out_late_starts(struct workerserver *server);
+
 static void on_timer(void *arg)
 {
 	struct workerserver *server = arg;
@@ -225,6 +252,7 @@
 		else if (run->ends_at.ms && !mstime_before(now, run->ends_at))
 			run_end(server, run, run->fails ? "failed" : "done");
 	}
+	carry_out_late_starts(server);
 	check_lease_expiry(server);
 	wake_polls(server);
 	if (mstime_diff(now, server->announced_at) >= ANNOUNCE_INTERVAL_MS)
@@ -355,8 +383,47 @@
 	return 0;
 }
 
+static void start_late(struct workerserver *server,
+		       struct httpd_request *request, json_t *body)
+{
+	struct late_start *start = xcalloc(1, sizeof(*start));
+
+	list_init(&start->node);
+	start->request = request;
+	start->body = json_incref(body);
+	start->due = mstime_add(sysclock_now(), LATE_START_MS);
+	list_add_tail(&server->late_starts, &start->node);
+}
+
+/* Carries out a start, or does what the mode for starts says. */
+static void on_start_call(struct workerserver *server,
+			  struct httpd_request *request, json_t *body)
+{
+	enum start_mode mode = server->start_mode;
+
+	if (mode == STARTS_MIXED)
+		mode = server->start_count++ % 2 ? STARTS_REFUSED
+						 : STARTS_IGNORED;
+	switch (mode) {
+	case STARTS_REFUSED:
+		reply(server, request, 503, json_object());
+		break;
+	case STARTS_IGNORED:
+		break;
+	case STARTS_LATE:
+		start_late(server, request, body);
+		break;
+	default:
+		on_run_start(
+			server, request, body,
+			json_string_value(json_object_get(body, "task")),
+			json_integer_value(json_object_get(body, "runId")));
+		break;
+	}
+}
+
 static void on_order(struct workerserver *server, struct httpd_request *request,
-		     const json_t *body)
+		     json_t *body)
 {
 	const char *path = httpd_path(request);
 	const char *task = json_string_value(json_object_get(body, "task"));
@@ -373,19 +440,66 @@
 	else if (!task)
 		reply(server, request, 400, json_object());
 	else if (!strcmp(path, "/catkinhill/run-start"))
-		on_run_start(server, request, body, task, run);
+		on_start_call(server, request, body);
 	else if (!strcmp(path, "/catkinhill/run-stop"))
 		on_run_stop(server, request, task, run);
 	else
 		reply(server, request, 200, json_object());
 }
 
+static void carry_out_late_starts(struct workerserver *server)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &server->late_starts) {
+		struct late_start *start =
+			list_entry(pos, struct late_start, node);
+		const json_t *task = json_object_get(start->body, "task");
+		const json_t *run = json_object_get(start->body, "runId");
+
+		if (mstime_before(sysclock_now(), start->due))
+			continue;
+		list_del(&start->node);
+		if (is_fenced(server, start->body))
+			reply(server, start->request, 409,
+			      json_pack("{s:s}", "reason", "fence"));
+		else
+			on_run_start(server, start->request, start->body,
+				     json_string_value(task),
+				     json_integer_value(run));
+		json_decref(start->body);
+		free(start);
+	}
+}
+
+static void on_control(struct workerserver *server,
+		       struct httpd_request *request)
+{
+	const char *name = httpd_query(request);
+	int i;
+
+	for (i = 0; i < START_MODE_COUNT; i++)
+		if (!strcmp(name, start_mode_names[i]))
+			break;
+	if (i == START_MODE_COUNT) {
+		httpd_reply(request, 400, "{}");
+		return;
+	}
+	server->start_mode = (enum start_mode)i;
+	httpd_reply(request, 200, "{}");
+}
+
 static void on_request(void *arg, struct httpd_request *request)
 {
 	size_t len;
 	const char *text = httpd_body(request, &len);
-	json_t *body = json_loadb(text, len, 0, NULL);
+	json_t *body;
 
+	if (!strcmp(httpd_path(request), "/fake/starts")) {
+		on_control(arg, request);
+		return;
+	}
+	body = json_loadb(text, len, 0, NULL);
 	on_order(arg, request, body);
 	json_decref(body);
 }
@@ -402,6 +516,7 @@
 	server->start_wall_ms = sysclock_wall_ms();
 	list_init(&server->runs);
 	list_init(&server->polls);
+	list_init(&server->late_starts);
 	server->ended_runs = json_array();
 	server->highest_runs = json_object();
 	server->runner = httpc_pool_new(loop, runner, 2);
@@ -429,6 +544,13 @@
 	}
 	list_for_each_safe (pos, tmp, &server->polls)
 		free(list_entry(pos, struct poll, node));
+	list_for_each_safe (pos, tmp, &server->late_starts) {
+		struct late_start *start =
+			list_entry(pos, struct late_start, node);
+
+		json_decref(start->body);
+		free(start);
+	}
 	loop_timer_delete(server->timer);
 	if (server->runner)
 		httpc_pool_delete(server->runner);
--- a/tests/fakes/fakeplatform/workerserver.h
+++ b/tests/fakes/fakeplatform/workerserver.h
@@ -13,6 +13,9 @@
  *	milliseconds. Without a number it runs until it is stopped. Overlapping
  *	runs of a task are not detected here: the test checks the standard
  *	output, which has a line of JSON for each start and end of a run.
+ *	POST /fake/starts?MODE sets what becomes of starts from then on:
+ *	"answered"; "refused" with 503; "ignored"; "late", without an answer
+ *	in time; "mixed", ignored and refused in turn. All else goes on.
  */
 struct workerserver;
 
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -1,9 +1,9 @@
 /*
  * Randomized schedules (one for each seed) that run the dispatch module against
  * a model of workers: messages are lost and delayed, starts are carried out
- * late, workers crash, and schedulers are replaced by new ones that know only
- * the stored state. The runs at the workers are checked against the guarantees
- * for workflows.
+ * late, refused or never answered, workers crash, and schedulers are replaced
+ * by new ones that know only the stored state. The runs at the workers are
+ * checked against the guarantees for workflows.
  */
 #include "dispatch.h"
 
@@ -41,8 +41,17 @@
 	int fails;
 };
 
-/* A start order that the worker carries out only at due_ms. */
+/* How a worker answers orders; its lists are good in any case. */
+enum health {
+	HEALTHY,
+	REFUSES_STARTS, /* having done nothing */
+	SILENT		/* answers no start, and only some stops */
+};
+
+/* A start without an answer, which the worker may carry out at due_ms. */
 struct delayed_start {
+	int is_pending; /* the runner doesn't know whether it was carried out */
+	int is_stopping; /* the runner was ordered to stop it */
 	struct model_run run;
 	uint64_t fence;
 	uint64_t worker_start_ms;
@@ -67,8 +76,13 @@
 	uint64_t last_end_number, stored_end_number;
 	struct delayed_start delayed_starts[DELAYED_STARTS_MAX];
 	size_t delayed_start_count;
-	struct model_run refused_runs[WORKER_RUNS_MAX]; /* run number not new */
-	size_t refused_run_count;
+	struct {
+		struct model_run run;
+		enum run_phase phase;
+	} missing_runs[WORKER_RUNS_MAX]; /* known not to be there */
+	size_t missing_run_count;
+	enum health health;
+	int64_t healthy_from_ms;
 	struct {
 		struct task_id task;
 		uint32_t run;
@@ -234,6 +248,18 @@
 		fail_msg("a task starts after its last attempt");
 }
 
+static void add_missing(struct model_worker *worker,
+			const struct model_run *run, enum run_phase phase)
+{
+	size_t i = worker->missing_run_count;
+
+	if (i == WORKER_RUNS_MAX)
+		return;
+	worker->missing_runs[i].run = *run;
+	worker->missing_runs[i].phase = phase;
+	worker->missing_run_count++;
+}
+
 /* RETURN VALUE: whether the run exists at the worker afterwards. */
 static int worker_start_run(struct model *model, struct model_worker *worker,
 			    const struct model_run *run, uint64_t fence,
@@ -248,9 +274,7 @@
 	if (fence < worker->fence || lease_end_ms <= model->now_ms)
 		return 0;
 	if (run->run <= *highest_run) {
-		if (worker->refused_run_count < WORKER_RUNS_MAX)
-			worker->refused_runs[worker->refused_run_count++] =
-				*run;
+		add_missing(worker, run, RUN_GONE);
 		return 0;
 	}
 	worker->fence = fence;
@@ -268,7 +292,7 @@
 static void worker_crash(struct model *model, struct model_worker *worker)
 {
 	worker->run_count = 0;
-	worker->refused_run_count = 0;
+	worker->missing_run_count = 0;
 	worker->end_count = 0;
 	worker->last_end_number = 0;
 	worker->stored_end_number = 0;
@@ -279,10 +303,100 @@
 	worker->start_ms = (uint64_t)model->now_ms;
 }
 
+static struct delayed_start *pending_start(struct model_worker *worker,
+					   const struct task_id *task,
+					   uint32_t run)
+{
+	size_t i;
+
+	for (i = 0; i < worker->delayed_start_count; i++) {
+		struct delayed_start *start = &worker->delayed_starts[i];
+
+		if (start->is_pending &&
+		    start->worker_start_ms == worker->start_ms &&
+		    same_run(&start->run, task, run))
+			return start;
+	}
+	return NULL;
+}
+
+/* The worker stops the run, or refuses it from now on. */
+static void worker_stop_run(struct model *model, struct model_worker *worker,
+			    const struct task_id *task, uint32_t run)
+{
+	uint32_t *highest_run = highest_run_of(worker, task);
+	size_t k;
+
+	if (*highest_run < run)
+		*highest_run = run;
+	for (k = worker->run_count; k-- > 0;)
+		if (same_run(&worker->runs[k], task, run))
+			worker_end_run(model, worker, k, RUN_END_STOPPED);
+}
+
+/* The runner learns that the stop was carried out. */
+static void confirm_stop(struct model_worker *worker,
+			 const struct task_id *task, uint32_t run)
+{
+	struct model_run missing = { *task, run };
+	struct delayed_start *start;
+
+	while ((start = pending_start(worker, task, run)))
+		start->is_pending = 0;
+	add_missing(worker, &missing, RUN_GONE);
+}
+
+static int64_t work_ms(struct model *model)
+{
+	return 100 + rng_below(&model->rng, 2000);
+}
+
+/* The runner repeats a start that has no answer. */
+static void retry_start(struct model *model, struct model_worker *worker,
+			struct delayed_start *start)
+{
+	if (worker->health == SILENT || rng_below(&model->rng, 100) >= 10)
+		return;
+	if (worker->health == REFUSES_STARTS || start->is_stopping) {
+		worker_stop_run(model, worker, &start->run.task,
+				start->run.run);
+		confirm_stop(worker, &start->run.task, start->run.run);
+	} else if (worker->lease_end_ms > model->now_ms) {
+		struct model_run run = start->run;
+
+		run.ends_ms = model->now_ms + work_ms(model);
+		worker_start_run(model, worker, &run, worker->fence,
+				 worker->lease_end_ms);
+		start->is_pending = 0;
+	}
+}
+
+static void carry_out_delayed(struct model *model, struct model_worker *worker)
+{
+	size_t i;
+
+	for (i = worker->delayed_start_count; i-- > 0;) {
+		struct delayed_start *start = &worker->delayed_starts[i];
+
+		if (start->worker_start_ms == worker->start_ms &&
+		    start->is_pending)
+			retry_start(model, worker, start);
+		if (start->due_ms > model->now_ms)
+			continue;
+		if (start->worker_start_ms == worker->start_ms)
+			worker_start_run(model, worker, &start->run,
+					 start->fence, start->lease_end_ms);
+		worker->delayed_starts[i] =
+			worker->delayed_starts[--worker->delayed_start_count];
+	}
+}
+
 static void worker_tick(struct model *model, struct model_worker *worker)
 {
 	size_t i;
 
+	if (model->now_ms >= worker->healthy_from_ms)
+		worker->health = HEALTHY;
 	if (model->now_ms >= worker->lease_end_ms)
 		worker->lease_expired_ms = model->now_ms;
 	for (i = worker->run_count; i-- > 0;) {
@@ -298,17 +412,29 @@
 			worker_end_run(model, worker, i, RUN_END_DONE);
 		}
 	}
-	for (i = worker->delayed_start_count; i-- > 0;) {
-		struct delayed_start *start = &worker->delayed_starts[i];
+	carry_out_delayed(model, worker);
+}
 
-		if (start->due_ms > model->now_ms)
-			continue;
-		if (start->worker_start_ms == worker->start_ms)
-			worker_start_run(model, worker, &start->run,
-					 start->fence, start->lease_end_ms);
-		worker->delayed_starts[i] =
-			worker->delayed_starts[--worker->delayed_start_count];
-	}
+/* A silent worker carries out half of the starts, seconds later. */
+static void delay_start(struct model *model, struct model_worker *worker,
+			const struct msg_work_orders *orders,
+			const struct model_run *run, int64_t lease_end_ms)
+{
+	struct delayed_start *start;
+	int64_t delay_ms = 2000 + rng_below(&model->rng, 8000);
+
+	if (worker->health == SILENT && rng_below(&model->rng, 2))
+		delay_ms = TIME_LIMIT_MS;
+	assert_true(worker->delayed_start_count < DELAYED_STARTS_MAX);
+	start = &worker->delayed_starts[worker->delayed_start_count++];
+	start->is_pending = 1;
+	start->is_stopping = 0;
+	start->run = *run;
+	start->fence = orders->fence;
+	start->worker_start_ms = worker->start_ms;
+	start->lease_end_ms = lease_end_ms;
+	start->due_ms = model->now_ms + delay_ms;
+	start->run.ends_ms += delay_ms;
 }
 
 static void process_starts(struct model *model, struct model_worker *worker,
@@ -320,27 +446,39 @@
 	for (i = 0; i < orders->starts.count; i++) {
 		const struct run_order *order = &orders->starts.items[i];
 		struct model_run run = { order->task, order->run };
-		int64_t work_ms = 100 + rng_below(&model->rng, 2000);
 
-		run.ends_ms = model->now_ms + work_ms;
+		run.ends_ms = model->now_ms + work_ms(model);
 		run.fails = fault_occurs(model, 10);
-		if (fault_occurs(model, 10) &&
-		    worker->delayed_start_count < DELAYED_STARTS_MAX) {
-			struct delayed_start *start =
-				&worker->delayed_starts
-					 [worker->delayed_start_count++];
-
-			start->run = run;
-			start->fence = orders->fence;
-			start->worker_start_ms = worker->start_ms;
-			start->lease_end_ms = lease_end_ms;
-			start->due_ms = model->now_ms + 2000 +
-					rng_below(&model->rng, 8000);
-			start->run.ends_ms = start->due_ms + work_ms;
-		} else {
+		if (pending_start(worker, &run.task, run.run))
+			continue;
+		if (worker->health == REFUSES_STARTS)
+			add_missing(worker, &run, RUN_REFUSED);
+		else if (worker->health == SILENT || fault_occurs(model, 10))
+			delay_start(model, worker, orders, &run, lease_end_ms);
+		else
 			worker_start_run(model, worker, &run, orders->fence,
 					 lease_end_ms);
-		}
+	}
+}
+
+static void process_stops(struct model *model, struct model_worker *worker,
+			  const struct msg_work_orders *orders)
+{
+	size_t i;
+
+	for (i = 0; i < orders->stops.count; i++) {
+		const struct run_id *stop = &orders->stops.items[i];
+		struct delayed_start *start =
+			pending_start(worker, &stop->task, stop->run);
+		int is_silent = worker->health == SILENT;
+
+		if (start)
+			start->is_stopping = 1;
+		if (is_silent && rng_below(&model->rng, 2))
+			continue;
+		worker_stop_run(model, worker, &stop->task, stop->run);
+		if (!is_silent || rng_below(&model->rng, 2))
+			confirm_stop(worker, &stop->task, stop->run);
 	}
 }
 
@@ -372,7 +510,7 @@
 			   const struct msg_work_orders *orders)
 {
 	int64_t lease_end_ms = 0;
-	size_t i, k;
+	size_t i;
 
 	if (orders->worker_start_ms != worker->start_ms ||
 	    orders->fence < worker->fence)
@@ -401,17 +539,7 @@
 			(worker->end_count - i) * sizeof(worker->ends[0]));
 	}
 	process_starts(model, worker, orders, lease_end_ms);
-	for (i = 0; i < orders->stops.count; i++) {
-		const struct run_id *stop = &orders->stops.items[i];
-		uint32_t *highest_run = highest_run_of(worker, &stop->task);
-
-		if (*highest_run < stop->run)
-			*highest_run = stop->run;
-		for (k = worker->run_count; k-- > 0;)
-			if (same_run(&worker->runs[k], &stop->task, stop->run))
-				worker_end_run(model, worker, k,
-					       RUN_END_STOPPED);
-	}
+	process_stops(model, worker, orders);
 }
 
 /* A runner that has restarted knows only that no lease outlasts this bound. */
@@ -469,25 +597,26 @@
 		status[i].run = worker->runs[i].run;
 		status[i].phase = RUN_ACTIVE;
 	}
+	msg.runs.count = worker->run_count;
 	for (i = 0; i < worker->delayed_start_count; i++) {
-		if (worker->delayed_starts[i].worker_start_ms !=
-		    worker->start_ms)
+		const struct delayed_start *start = &worker->delayed_starts[i];
+
+		if (!start->is_pending ||
+		    start->worker_start_ms != worker->start_ms ||
+		    msg.runs.count == WORKER_RUNS_MAX)
 			continue;
-		status[msg.runs.count + worker->run_count].task =
-			worker->delayed_starts[i].run.task;
-		status[msg.runs.count + worker->run_count].run =
-			worker->delayed_starts[i].run.run;
-		msg.runs.count++;
+		status[msg.runs.count].task = start->run.task;
+		status[msg.runs.count++].run = start->run.run;
 	}
-	msg.runs.count += worker->run_count;
 	for (i = 0;
-	     i < worker->refused_run_count && msg.runs.count < WORKER_RUNS_MAX;
+	     i < worker->missing_run_count && msg.runs.count < WORKER_RUNS_MAX;
 	     i++) {
-		status[msg.runs.count].task = worker->refused_runs[i].task;
-		status[msg.runs.count].run = worker->refused_runs[i].run;
-		status[msg.runs.count++].phase = RUN_GONE;
+		status[msg.runs.count].task = worker->missing_runs[i].run.task;
+		status[msg.runs.count].run = worker->missing_runs[i].run.run;
+		status[msg.runs.count].detail = "";
+		status[msg.runs.count++].phase = worker->missing_runs[i].phase;
 	}
-	worker->refused_run_count = 0;
+	worker->missing_run_count = 0;
 	msg.runs.items = status;
 	msg.ends.items = worker->ends;
 	msg.ends.count = worker->end_count;
@@ -558,15 +687,25 @@
 {
 	struct model_worker *worker =
 		&model->workers[rng_below(&model->rng, WORKERS)];
+	size_t i;
 
 	if (fault_occurs(model, 1))
 		worker_crash(model, worker);
+	if (fault_occurs(model, 1)) {
+		worker->health =
+			rng_below(&model->rng, 2) ? REFUSES_STARTS : SILENT;
+		worker->healthy_from_ms =
+			model->now_ms + rng_below(&model->rng, 20000);
+	}
 	if (fault_occurs(model, 1)) {
 		worker->session = rng_next(&model->rng) | 1;
 		worker->seq = 0;
 		worker->listed_fence = 0;
 		worker->runner_start_ms = model->now_ms;
 		worker->granted_until_ms = 0;
+		worker->missing_run_count = 0;
+		for (i = 0; i < worker->delayed_start_count; i++)
+			worker->delayed_starts[i].is_pending = 0;
 		if (fault_occurs(model, 50))
 			worker->unbound_until_ms =
 				model->now_ms + rng_below(&model->rng, 9000);
@@ -614,9 +753,11 @@
 static void run_schedule(uint64_t seed)
 {
 	struct model *model = xcalloc(1, sizeof(*model));
+	enum health lasting_fault;
 	int i;
 
 	rng_seed(&model->rng, seed);
+	lasting_fault = (enum health)rng_below(&model->rng, SILENT + 1);
 	model->now_ms = 1000;
 	model->faults_enabled = 1;
 	for (i = 0; i < WORKERS; i++) {
@@ -632,6 +773,11 @@
 			fail_msg("workflows are not final at the time limit");
 		model->faults_enabled = model->now_ms < FAULTS_END_MS;
 		inject_faults(model);
+		/* The tasks must end without the first worker. */
+		if (!model->faults_enabled && lasting_fault) {
+			model->workers[0].health = lasting_fault;
+			model->workers[0].healthy_from_ms = TIME_LIMIT_MS + 1;
+		}
 		for (i = 0; i < WORKERS; i++)
 			worker_tick(model, &model->workers[i]);
 		dispatch_expire(model->dispatch, mstime_from(model->now_ms));
