--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -32,7 +32,7 @@
 #define TICK_MS 50
 #define FAULTS_END_MS 30000
 #define TIME_LIMIT_MS 120000
-#define SEEDS 400
+#define SEEDS 1000
 
 struct model_run {
 	struct task_id task;
