--- a/packages/daemon/src/scheduler_handover.c
+++ b/packages/daemon/src/scheduler_handover.c
@@ -50,11 +50,13 @@
 {
 	json_t *root = json_loadb(item->value, item->len, 0, NULL);
 	json_t *leases = json_object_get(root, "leases");
-	const char *runner;
-	json_t *left;
+	void *iter;
 
-	json_object_foreach(leases, runner, left) dispatch_inherit_lease(
-		scheduler->dispatch, runner, json_integer_value(left));
+	for (iter = json_object_iter(leases); iter;
+	     iter = json_object_iter_next(leases, iter))
+		dispatch_inherit_lease(
+			scheduler->dispatch, json_object_iter_key(iter),
+			json_integer_value(json_object_iter_value(iter)));
 	log_event(EV_LEASES_INHERITED, "epoch=%lld former=%lld runners=%zu",
 		  (long long)scheduler->epoch,
 		  (long long)json_integer_value(json_object_get(root, "epoch")),
