runner: give up starts that are open when the lease has passed

What callers could see: two runs of one task for some milliseconds. With the link between scheduler and runner cut for about 6 s, a run that was ordered just before the cut was given up as lapsed and its task started elsewhere; then the old order arrived and was carried out as well.

Cause: the runner kept an order that it could not carry out without a lease, and the next answer to a report brought a lease. The scheduler had answered reports from the queue that could not name the run yet, so that no stop came with the lease. The same holds for a start without an answer that is still open when the lease passes.

It needs a link that outlives the lease: the heartbeats of ZeroMQ end one after 5 to 7 s.

Change: before orders extend a lease that has passed, open starts are refused (lease-expired), or stopped if a call may have been carried out.

--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -224,7 +224,7 @@
 		  run->task.index, run->run, reason);
 	replace_text(&run->detail, reason);
 	/* An earlier start may still be carried out; a stop prevents that. */
-	if (run->unanswered_starts) {
+	if (run->unanswered_starts || run->call_in_flight) {
 		run->stop_requested = 1;
 		return;
 	}
@@ -398,6 +398,25 @@
 		runner->ends[i] = runner->ends[i + dropped];
 }
 
+/*
+ * Once their lease has passed, the scheduler may have given the runs up and
+ * started their tasks elsewhere; a new lease must not revive them.
+ */
+static void abandon_starts(struct runner *runner)
+{
+	struct list *pos;
+
+	if (mstime_before(sysclock_now(), runner->lease_end))
+		return;
+	list_for_each (pos, &runner->runs) {
+		struct local_run *run = list_entry(pos, struct local_run, node);
+
+		if (run->phase == RUN_PENDING && !run->is_confirmed &&
+		    !run->stop_requested)
+			refuse_start(run, "lease-expired");
+	}
+}
+
 static void extend_lease(struct runner *runner,
 			 const struct msg_work_orders *orders)
 {
@@ -423,6 +442,7 @@
 	    orders->worker_start_ms != runner->worker.worker_start_ms ||
 	    orders->fence < runner->target.fence)
 		return;
+	abandon_starts(runner);
 	extend_lease(runner, orders);
 	if (orders->fence > runner->target.fence) {
 		runner->target.fence = orders->fence;
