tests: wait for all workers before tasks that last are submitted

test_lost_worker_takeovers failed in one of four runs here, in its set-up ("timed out waiting for a run at each worker"). Cause, from its log: two of the three workers announced themselves 0.25 s after the submission, so all six tasks had gone to the third one. The scenario had not begun.

The rig now waits until the scheduler has seen each worker. No check changes. late_deregistration waits for the same, as a runner that knows no worker ignores the call that the test is about.

--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -222,6 +222,7 @@
 def late_deregistration(rig):
     """A late deregistration of a worker's earlier life under the same id that
     takes the present one out of use for good."""
+    rig.wait_workers()
     deregister(rig.runners[0], json.dumps({"born": 1}))
     rig.submit_lasting()
     # One that names no life counts for the present one.
--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -8,6 +8,7 @@
 import shutil
 import sys
 import tempfile
+import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__),
                                 "../../tools/pylib"))
@@ -184,8 +185,19 @@
         self.processes[name].signal(signal.SIGKILL)
         self.processes[name].popen.wait()
 
+    def wait_workers(self):
+        """Waits until the scheduler may give tasks to each worker."""
+        def seen():
+            lines = self.processes[self.leader()].lines(3112)
+            return all(any(" runner=%s " % runner["name"] in line
+                           for line in lines) for runner in self.runners)
+        wait_for("a report on each worker", seen)
+        # The next report carries the worker's lists.
+        time.sleep(1)
+
     def submit_lasting(self):
         """Submits tasks that last, and waits until each worker runs some."""
+        self.wait_workers()
         self.submit(self.gateways[0],
                     [{"count": 6, "cpu": 1000, "longRunning": True}],
                     payload="600000")
