--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -2,28 +2,26 @@
 
 import copy
 import heapq
+import random
 import signal
 import time
 
 from workflow_rig import CONFIG, check
 
 STOP_GRACE_S = 6.0  # from SIGTERM to SIGKILL
-SOUND_WORKERS = 2   # never lost for good; have room for all that lasts
-# A restarted runner without a worker assumes a lease of 5.91 s from its start.
+SOUND_WORKERS = 2   # not lost for good; have room for all that lasts
+# More than the 5.91 s in which a restarted runner's worker may have a lease.
 RUNNER_LEASE_S = 7.0
 
 
 class Faults:
-    """Injects faults that may overlap; each one ends after some time.
+    """Injects faults that may overlap; each one ends after some time."""
 
-    With a second generator, loss_rng, workers and VMs are lost as well, and
-    runners are stopped in series. The faults of rng are drawn as without it.
-    """
+    planned_stops_min = 0
 
-    def __init__(self, rig, rng, log, loss_rng=None):
+    def __init__(self, rig, seed, log):
         self.rig = rig
-        self.rng = rng
-        self.loss_rng = loss_rng
+        self.rng = random.Random(seed)
         self.log = log
         self.pending = []  # (time, number, call and arguments), a heap
         self.count = 0
@@ -35,7 +33,6 @@
         self.config_version = 3
         self.lost = set()  # names of runners without a worker
         self.started_at = {name: time.monotonic() for name in self.daemons}
-        self.next_stop_at = 0.0
         self.planned_stops = 0
 
     def schedule(self, seconds, call, *args):
@@ -104,7 +101,8 @@
             self.terminate(name)
 
     def terminate(self, name):
-        if name in self.busy:
+        # Before this line a process does not handle signals.
+        if name in self.busy or not self.rig.processes[name].lines(6001):
             return
         self.log_fault("terminate %s", name)
         self.busy.add(name)
@@ -149,6 +147,82 @@
         self.busy.discard("w-" + runner["name"])
         self.lost.discard(runner["name"])
 
+    def store(self):
+        mode = self.rng.choice(["busy", "silent", "lost", "forget"])
+        seconds = self.rng.uniform(0.3, 4)
+        self.log_fault("store %s %.1f s", mode, seconds)
+        self.rig.control_store("mode?name=" + mode)
+        self.schedule(seconds, self.rig.control_store, "mode?name=none")
+
+    def link(self):
+        name = self.rng.choice(list(self.rig.proxy.links))
+        link = self.rig.proxy.links[name]
+        kind = self.rng.choice(["delay", "reset", "up", "down", "both",
+                                "mute"])
+        seconds = self.rng.uniform(0.3, 5)
+        self.log_fault("link %s %s %.1f s", name, kind, seconds)
+        if kind == "delay":
+            link.delay_s = self.rng.uniform(0.02, 0.5)
+        elif kind in ("reset", "mute"):
+            self.rig.proxy.call_soon(getattr(link, kind))
+        else:
+            link.blocked = {"up", "down"} if kind == "both" else {kind}
+        self.schedule(seconds, self.rig.proxy.call_soon, link.heal)
+
+    def change_config(self):
+        self.config_version += self.rng.randint(1, 5)
+        config = copy.deepcopy(CONFIG)
+        config["version"] = self.config_version
+        config["routes"].append(dict(
+            CONFIG["routes"][0], name="q-%d" % self.config_version,
+            host="v%d.example" % self.config_version, prefix="/new/"))
+        self.log_fault("configuration %d", self.config_version)
+        self.rig.put_config(config)
+
+    def inject(self):
+        """Injects a fault with some probability."""
+        faults = [(self.kill_one, 4), (self.freeze, 4),
+                  (self.terminate_one, 4), (self.reload, 2),
+                  (self.crash_worker, 2), (self.store, 4), (self.link, 8),
+                  (self.change_config, 2), (self.power_off, 0.5)]
+        if self.rng.random() < 0.12:
+            self.rng.choices([k[0] for k in faults],
+                             [k[1] for k in faults])[0]()
+
+    def run(self, seconds):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            self.inject()
+            self.run_due()
+            time.sleep(0.05)
+
+    def stop_planned(self):
+        """Continues a series of planned stops, one at a time."""
+        self.run_due()
+
+    def heal(self):
+        """Ends all faults; stopping processes keep their grace period.
+
+        VMs are back then; workers that are lost for good are not."""
+        while self.pending:
+            self.run_due(everything=True)
+            time.sleep(0.05)
+        self.rig.control_store("mode?name=none")
+
+
+class LossFaults(Faults):
+    """Also loses workers and VMs, and stops runners in series.
+
+    These faults have a generator of their own.
+    """
+
+    planned_stops_min = 2
+
+    def __init__(self, rig, seed, log):
+        super().__init__(rig, seed, log)
+        self.loss_rng = random.Random("losses %d" % seed)
+        self.next_stop_at = 0.0
+
     def lose_worker(self, names=None):
         """Kills a worker for good; another one may take its VM late."""
         free = [r for r in self.rig.runners
@@ -201,14 +275,12 @@
             seconds += self.loss_rng.uniform(1, 5)
 
     def stop_planned(self):
-        """Continues the series of stops after heal(), one at a time.
+        """Stops no runner again before the lease that it assumes has expired.
 
-        No runner is stopped again before the lease that it assumes after its
-        start has expired: that would delay its lost worker's tasks by design.
+        That would delay the tasks of its lost worker by design.
         """
-        self.run_due()
-        if not self.loss_rng or self.pending or \
-                time.monotonic() < self.next_stop_at:
+        super().stop_planned()
+        if self.pending or time.monotonic() < self.next_stop_at:
             return
         name = self.pick_runner()
         if not name or \
@@ -218,70 +290,10 @@
         self.planned_stops += 1
         self.next_stop_at = time.monotonic() + self.loss_rng.uniform(2, 5)
 
-    def end_stops(self, count):
-        """Whether there were count stops and all runners are back."""
-        if self.planned_stops < count:
-            self.stop_planned()
-        else:
-            self.run_due()
-        return not self.pending and \
-            (not self.loss_rng or self.planned_stops >= count)
-
-    def store(self):
-        mode = self.rng.choice(["busy", "silent", "lost", "forget"])
-        seconds = self.rng.uniform(0.3, 4)
-        self.log_fault("store %s %.1f s", mode, seconds)
-        self.rig.control_store("mode?name=" + mode)
-        self.schedule(seconds, self.rig.control_store, "mode?name=none")
-
-    def link(self):
-        name = self.rng.choice(list(self.rig.proxy.links))
-        link = self.rig.proxy.links[name]
-        kind = self.rng.choice(["delay", "reset", "up", "down", "both",
-                                "mute"])
-        seconds = self.rng.uniform(0.3, 5)
-        self.log_fault("link %s %s %.1f s", name, kind, seconds)
-        if kind == "delay":
-            link.delay_s = self.rng.uniform(0.02, 0.5)
-        elif kind in ("reset", "mute"):
-            self.rig.proxy.call_soon(getattr(link, kind))
-        else:
-            link.blocked = {"up", "down"} if kind == "both" else {kind}
-        self.schedule(seconds, self.rig.proxy.call_soon, link.heal)
-
-    def change_config(self):
-        self.config_version += self.rng.randint(1, 5)
-        config = copy.deepcopy(CONFIG)
-        config["version"] = self.config_version
-        config["routes"].append(dict(
-            CONFIG["routes"][0], name="q-%d" % self.config_version,
-            host="v%d.example" % self.config_version, prefix="/new/"))
-        self.log_fault("configuration %d", self.config_version)
-        self.rig.put_config(config)
-
-    def run(self, seconds):
-        faults = [(self.kill_one, 4), (self.freeze, 4),
-                  (self.terminate_one, 4), (self.reload, 2),
-                  (self.crash_worker, 2), (self.store, 4), (self.link, 8),
-                  (self.change_config, 2), (self.power_off, 0.5)]
-        losses = [(self.lose_worker, 2), (self.lose_worker_and_stop, 2),
+    def inject(self):
+        super().inject()
+        faults = [(self.lose_worker, 2), (self.lose_worker_and_stop, 2),
                   (self.lose_vm, 1), (self.stop_runners, 2)]
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            if self.rng.random() < 0.12:
-                self.rng.choices([k[0] for k in faults],
-                                 [k[1] for k in faults])[0]()
-            if self.loss_rng and self.loss_rng.random() < 0.04:
-                self.loss_rng.choices([k[0] for k in losses],
-                                      [k[1] for k in losses])[0]()
-            self.run_due()
-            time.sleep(0.05)
-
-    def heal(self):
-        """Ends all faults; stopping processes keep their grace period.
-
-        VMs are back then; workers that are lost for good are not."""
-        while self.pending:
-            self.run_due(everything=True)
-            time.sleep(0.05)
-        self.rig.control_store("mode?name=none")
+        if self.loss_rng.random() < 0.04:
+            self.loss_rng.choices([k[0] for k in faults],
+                                  [k[1] for k in faults])[0]()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -23,7 +23,7 @@
 from cluster import ClusterError, WAIT_SECONDS, http_call  # noqa: E402
 from ports import free_address  # noqa: E402
 from clients import Caller, LastingCaller  # noqa: E402
-from injection import Faults  # noqa: E402
+from injection import Faults, LossFaults  # noqa: E402
 from proxy import Proxy  # noqa: E402
 
 # Bounds that the platform states, in seconds.
@@ -37,8 +37,6 @@
 FINISH_S = 14.0      # until all jobs proceed; the longest work is added
 LONGEST_WORK_S = 5.0
 
-PLANNED_STOPS = 2    # at least, after all other faults have ended
-
 # Seeds that have failed, with the cause; --regressions runs them. The first
 # ones failed before workers were lost for good and run without such losses.
 REGRESSIONS = {
@@ -164,27 +162,35 @@
 
 
 def finish(faults, lasting, jobs, caller):
-    """Waits until every accepted job has ended in the expected state.
+    """Waits until every accepted job is shown in the expected state.
 
     Meanwhile runners are stopped, and all tasks that last have to run."""
-    expected = {"failing": "failed"}
-    left = [j for j in jobs if j.accepted_at and not j.cancel_sent and
-            j.kind != "lasting"]
+    expected = {"failing": "failed", "lasting": "running"}
+    stops = faults.planned_stops_min
+    left = [j for j in jobs if j.accepted_at and not j.cancel_sent]
 
-    def all_ended():
+    def all_shown():
         left[:] = [j for j in left if caller.query_state(j) !=
                    expected.get(j.kind, "complete")]
         return not left
 
-    def all_proceeded():
+    def proceeds():
         faults.stop_planned()
-        return all_ended() & lasting.all_run()
+        lasting.all_run()
+        return all_shown()
+
+    def comes_to_rest():
+        if not lasting.all_run() or faults.planned_stops < stops:
+            faults.stop_planned()
+            return False
+        faults.run_due()
+        return not faults.pending
 
-    wait_until(lambda: "end of " + ", ".join(
+    wait_until(lambda: "state of " + ", ".join(
         "%s (%s, %s)" % (j.id, j.kind, caller.query_state(j)) for j in left),
-        CONTACT_S + FINISH_S + LONGEST_WORK_S, all_proceeded)
-    wait_until("planned stops, all tasks that last run", WAIT_SECONDS,
-               lambda: lasting.all_run() & faults.end_stops(PLANNED_STOPS))
+        CONTACT_S + FINISH_S + LONGEST_WORK_S, proceeds)
+    wait_until("%d planned stops, runs of all tasks that last" % stops,
+               WAIT_SECONDS, comes_to_rest)
 
 
 def check_records(rig, faults, jobs, healed_at):
@@ -220,8 +226,7 @@
     callers = []
     try:
         rig.wait_ready()
-        faults = Faults(rig, random.Random(seed), log, with_losses and
-                        random.Random("losses %d" % seed))
+        faults = (LossFaults if with_losses else Faults)(rig, seed, log)
         callers = [Caller(n, seed, rig.gateways) for n in range(4)]
         if with_losses:
             callers.append(LastingCaller(4, seed, rig.gateways))
