--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -135,6 +135,7 @@
         self.schedule(self.rng.uniform(0.2, 3), self.start_worker, runner)
 
     def kill_worker(self, runner):
+        """Returns how often a worker was started at this VM."""
         name = "w-" + runner["name"]
         self.busy.add(name)
         starts = sum(n.startswith(name + "#") for n in self.rig.log_paths)
@@ -201,9 +202,9 @@
         self.run_due()
 
     def heal(self):
-        """Ends all faults; stopping processes keep their grace period.
+        """Ends all faults but losses for good.
 
-        VMs are back then; workers that are lost for good are not."""
+        Stopping processes keep their grace period."""
         while self.pending:
             self.run_due(everything=True)
             time.sleep(0.05)
@@ -213,7 +214,7 @@
 class LossFaults(Faults):
     """Also loses workers and VMs, and stops runners in series.
 
-    These faults have a generator of their own.
+    These faults have a generator of their own, so that others stay the same.
     """
 
     planned_stops_min = 2
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -131,10 +131,9 @@
 class LastingTasks:
     """Checks that tasks that last run, or run again in time.
 
-    While nothing but planned stops happens, a task of a lost worker is started
-    elsewhere 8.41 s after the loss or after a change of the scheduler, or
-    5.91 s after a restart of the worker's runner; the users allow 9 s. A slow
-    machine may exceed that, so the bound here is that for all jobs to proceed.
+    By design a task of a lost worker is started elsewhere at most 7.41 s after
+    the loss and 5.91 s after a restart of the worker's runner. A slow machine
+    may exceed that, so the bound here is that for all jobs to proceed.
     """
 
     def __init__(self, rig, faults, jobs):
