fakeplatform: workers list the progress of their runs

Cause: the stand-in for a worker listed 50 percent for each run all the time, so that a run of 2.5 s looked stuck after 2 s, was stopped shortly before its end and put a penalty on its worker. A fault of the stand-in: workers list the progress of the work (docs/platform.md).

Change: the share of the work that has passed; 100 for a run without end. No check changes.

--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -22,6 +22,7 @@
 	struct list node;
 	char *task;
 	json_int_t run;
+	struct mstime began_at;
 	struct mstime ends_at; /* 0: runs until it is stopped */
 	int fails;
 };
@@ -53,6 +54,16 @@
 	return mstime_diff(sysclock_now(), server->started_at) + 1000;
 }
 
+static int progress_percent(const struct task_run *run)
+{
+	int64_t work_ms = mstime_diff(run->ends_at, run->began_at);
+
+	if (!run->ends_at.ms || work_ms <= 0)
+		return 100;
+	return (int)(mstime_diff(sysclock_now(), run->began_at) * 100 /
+		     work_ms);
+}
+
 static void print_event(const struct workerserver *server, const char *event,
 			const struct task_run *run, const char *how)
 {
@@ -88,9 +99,9 @@
 		const struct task_run *run =
 			list_entry(pos, struct task_run, node);
 
-		json_array_append_new(active,
-				      json_pack("[s,I,s,i,i]", run->task,
-						run->run, "", 50, 500));
+		json_array_append_new(
+			active, json_pack("[s,I,s,i,i]", run->task, run->run,
+					  "", progress_percent(run), 500));
 	}
 	for (i = 0; i < json_array_size(server->ended_runs); i++) {
 		json_t *row = json_array_get(server->ended_runs, i);
@@ -292,9 +303,10 @@
 	active = xcalloc(1, sizeof(*active));
 	active->task = xstrdup(task);
 	active->run = run;
+	active->began_at = sysclock_now();
 	active->fails = payload && strstr(payload, "fail");
 	if (work_ms)
-		active->ends_at = mstime_add(sysclock_now(), work_ms);
+		active->ends_at = mstime_add(active->began_at, work_ms);
 	list_add_tail(&server->runs, &active->node);
 	json_object_set_new(server->highest_runs, task, json_integer(run));
 	print_event(server, "start", active, "");
