tests: let the last fault of the soak be a loss that the scheduler sees

Now the last fault is the loss of a worker under a scheduler that knows its runs, followed by a gentle stop of its runner, and in every second seed planned stops spare the scheduler.

--- a/tests/soak/injection.py
+++ b/tests/soak/injection.py
@@ -10,6 +10,7 @@
 
 STOP_GRACE_S = 6.0  # from SIGTERM to SIGKILL
 SOUND_WORKERS = 2   # not lost for good; have room for all that lasts
+LISTED_S = 2.0      # until reports show a worker's lists, or none any more
 # More than the 5.91 s in which a restarted runner's worker may have a lease.
 RUNNER_LEASE_S = 7.0
 
@@ -223,6 +224,7 @@
         super().__init__(rig, seed, log)
         self.loss_rng = random.Random("losses %d" % seed)
         self.next_stop_at = 0.0
+        self.scheduler_stops = seed % 2 == 1
 
     def lose_worker(self, names=None):
         """Kills a worker for good; another one may take its VM late."""
@@ -238,10 +240,14 @@
         runner["worker_id"] = "w-%s-%d" % (runner["name"],
                                            self.kill_worker(runner))
         if self.loss_rng.random() < 0.4:
-            self.schedule(self.loss_rng.uniform(5, 15), self.start_worker,
+            self.schedule(self.loss_rng.uniform(5, 15), self.replace_worker,
                           runner)
         return runner["name"]
 
+    def replace_worker(self, runner):
+        if runner["name"] in self.lost:
+            self.start_worker(runner)
+
     def lose_worker_and_stop(self):
         name = self.lose_worker()
         if name:
@@ -285,6 +291,7 @@
             return
         name = self.pick_runner()
         if not name or \
+                name == self.rig.leader() and not self.scheduler_stops or \
                 time.monotonic() < self.started_at[name] + RUNNER_LEASE_S:
             return
         self.terminate(name)
@@ -298,3 +305,22 @@
         if self.loss_rng.random() < 0.04:
             self.loss_rng.choices([k[0] for k in faults],
                                   [k[1] for k in faults])[0]()
+
+    def heal(self):
+        """The last fault: a scheduler sees how a worker is lost for good.
+
+        Then its runner is stopped. The scheduler stays in every second seed.
+        """
+        super().heal()
+        lost = [r for r in self.rig.runners if r["name"] in self.lost]
+        if len(lost) >= len(self.rig.runners) - SOUND_WORKERS:
+            self.replace_worker(self.loss_rng.choice(lost))
+        time.sleep(LISTED_S)
+        name = self.lose_worker([r["name"] for r in self.rig.runners
+                                 if r["name"] != self.rig.leader()])
+        time.sleep(LISTED_S)
+        self.terminate(name)
+        while self.daemons.keys() & self.busy:
+            self.run_due()
+            time.sleep(0.05)
+        self.pending.clear()  # the worker that would take the VM late
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,7 +1,8 @@
 #!/usr/bin/env python3
 """Randomized soak test of the real programs with external fault injection.
 
-usage: soak.py BUILD [SEED...] [--regressions] [--unfixed] [--seconds N]
+usage: soak.py BUILD [SEED...] [--regressions] [--loss-regressions]
+               [--unfixed] [--seconds N]
 
 Each seed starts a store, gateways, runners and workers, injects faults for
 some seconds while callers use them, ends all faults but gentle stops, and
@@ -37,8 +38,8 @@
 FINISH_S = 14.0      # until all jobs proceed; the longest work is added
 LONGEST_WORK_S = 5.0
 
-# Seeds that have failed, with the cause; --regressions runs them. The first
-# ones failed before workers were lost for good and run without such losses.
+# Seeds that have failed, with the cause; --regressions runs them. They are
+# from before workers were lost for good and run without such losses.
 REGRESSIONS = {
     39: "fault of the check: a task may run again if its worker could not "
         "report the end before its lease lapsed",
@@ -47,8 +48,11 @@
          "its old run number",
     328: "the same as seed 324",
 }
+# Seeds that have failed since; --loss-regressions runs them.
 LOSS_REGRESSIONS = {
     101: "each new scheduler waited anew for the runs of a lost worker",
+    102: "a restarted runner without a worker extended the lease of the runs "
+         "of its lost worker",
 }
 # Seeds that may still fail; --unfixed runs them.
 UNFIXED = {
@@ -295,12 +299,15 @@
     parser.add_argument("build")
     parser.add_argument("seed", nargs="*", type=int)
     parser.add_argument("--regressions", action="store_true")
+    parser.add_argument("--loss-regressions", action="store_true")
     parser.add_argument("--unfixed", action="store_true")
     parser.add_argument("--seconds", type=float, default=12)
     args = parser.parse_args()
     seeds = args.seed
     if args.regressions:
-        seeds += [*REGRESSIONS, *LOSS_REGRESSIONS]
+        seeds += REGRESSIONS
+    if args.loss_regressions:
+        seeds += LOSS_REGRESSIONS
     if args.unfixed:
         seeds += UNFIXED
     # On SIGTERM, exits through finally, which ends the started processes.
