dispatch: free runs of a worker restarted under its id by its lists

What callers could see: two runs of one task for some milliseconds, or a task that runs again after its end (TWICE).

Cause: a worker that restarts under the id that it had takes orders that name this id. A start that was on its way, for example in a runner that was frozen, reaches the new process, which knows no fence yet. The scheduler took the word of the restart alone and dropped the run at once; the task was started elsewhere beside the late start.

Change: such runs are dropped once the worker's lists were read under the new fence, from which on it refuses the late start, and only if the lists lack them; a listed run is the task's run as before. A worker with a new id is a new worker: the id guards the orders.

Tasks of such a worker wait one exchange with the runner longer than before.

--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -152,7 +152,8 @@
 
 /*
  * Restores a run that a previous scheduler ordered, with its resources, unless
- * its worker is known to have been replaced since.
+ * its worker is known to have been replaced since, and its late start to be
+ * impossible.
  */
 static void adopt_run(struct dispatch *dispatch, struct workflow *workflow,
 		      struct workflow_task *task, struct task_id *id,
@@ -174,7 +175,9 @@
 	run->is_ordered = 1;
 	run->pace_sent = PACE_UNKNOWN;
 	run->worker_start_ms = location->worker_start_ms;
-	if (run->worker_start_ms >= worker->start_ms)
+	if (run->worker_start_ms >= worker->start_ms ||
+	    (!worker->has_current_lists &&
+	     !strcmp(location->worker, worker->id)))
 		return;
 	dispatch_emit(dispatch, DISPATCH_RUN_LOST, workflow, worker, id,
 		      run->number, "worker-restarted");
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -39,11 +39,17 @@
 	}
 }
 
-/* Unreported ends of the previous worker are lost; known ones get stored. */
+/*
+ * Unreported ends of the previous worker are lost; known ones get stored. A
+ * worker that has restarted under its id may still carry out a start that was
+ * meant for the previous one, until its lists were read under the new fence.
+ */
 static void replace_worker(struct dispatch *dispatch, struct worker *worker,
 			   const struct msg_work_report *report,
 			   struct mstime now)
 {
+	int same_id = !strcmp(worker->id, report->worker);
+
 	str_copy(worker->id, report->worker, sizeof(worker->id));
 	worker->start_ms = report->worker_start_ms;
 	worker->last_end_number = 0;
@@ -51,7 +57,8 @@
 	worker->pending_end_count = 0;
 	worker->consecutive_failures = 0;
 	worker->needs_fence = 1;
-	drop_previous_runs(dispatch, worker, now);
+	if (!same_id)
+		drop_previous_runs(dispatch, worker, now);
 }
 
 static void start_session(struct worker *worker, uint64_t session)
@@ -294,6 +301,7 @@
 		return;
 	}
 	run->state = RUN_CONFIRMED;
+	run->worker_start_ms = worker->start_ms;
 	if (status->phase == RUN_PENDING) {
 		if (!run->unconfirmed_since.ms)
 			run->unconfirmed_since = now;
@@ -347,6 +355,7 @@
 	for (i = 0; i < report->runs.count; i++)
 		process_status(dispatch, worker, &report->runs.items[i],
 			       report->seq, now);
+	drop_previous_runs(dispatch, worker, now);
 	drop_unreported(dispatch, worker, report->seq, now);
 	dispatch_update_paces(dispatch, worker, now);
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -2,7 +2,7 @@
 """Randomized soak test of the real programs with external fault injection.
 
 usage: soak.py BUILD [SEED...] [--regressions] [--loss-regressions]
-               [--unfixed] [--seconds N]
+               [--seconds N]
 
 Each seed starts a store, gateways, runners and workers, injects faults for
 some seconds while callers use them, ends all faults but gentle stops, and
@@ -53,9 +53,6 @@
     101: "each new scheduler waited anew for the runs of a lost worker",
     102: "a restarted runner without a worker extended the lease of the runs "
          "of its lost worker",
-}
-# Seeds that may still fail; --unfixed runs them.
-UNFIXED = {
     117: "a worker that restarts under its id carries out a start that was "
          "meant for its former process, after the task was started elsewhere",
 }
@@ -300,7 +297,6 @@
     parser.add_argument("seed", nargs="*", type=int)
     parser.add_argument("--regressions", action="store_true")
     parser.add_argument("--loss-regressions", action="store_true")
-    parser.add_argument("--unfixed", action="store_true")
     parser.add_argument("--seconds", type=float, default=12)
     args = parser.parse_args()
     seeds = args.seed
@@ -308,8 +304,6 @@
         seeds += REGRESSIONS
     if args.loss_regressions:
         seeds += LOSS_REGRESSIONS
-    if args.unfixed:
-        seeds += UNFIXED
     # On SIGTERM, exits through finally, which ends the started processes.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
     passed = [run_seed(os.path.abspath(args.build), seed, args.seconds)
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -279,6 +279,54 @@
 	}
 }
 
+/*
+ * Guards against freeing a run on the word of a restart alone: a start that was
+ * on its way may be carried out by the next worker under the same id, until its
+ * lists were read under the new fence.
+ */
+static void test_late_start_at_restarted_worker(void **state)
+{
+	static const struct {
+		const char *worker; /* that reports next */
+		int is_listed;
+		int is_kept_at_once, is_kept;
+	} cases[] = {
+		{ "w1", 1, 1, 1 },
+		{ "w1", 0, 1, 0 },
+		{ "w9", 0, 0, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct worker *worker = only_worker(dispatch);
+		struct run_status run = { .run = 1, .phase = RUN_ACTIVE };
+		struct msg_work_report msg = { .epoch = EPOCH,
+					       .seq = 3,
+					       .session = 1,
+					       .worker_start_ms = 9,
+					       .state = WORKER_READY,
+					       .service = "s" };
+
+		dispatch_add(dispatch, new_assigned_workflow(5), at(0));
+		run.task = list_entry(worker->runs.next, struct run, node)->id;
+		send_report(dispatch, 1, 1, NULL, 0, 1);
+		send_report(dispatch, 1, 2, &run, 1, 2);
+		str_copy(msg.worker, cases[i].worker, sizeof(msg.worker));
+		assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(3)),
+				 0);
+		assert_int_equal(worker->run_count, cases[i].is_kept_at_once);
+		msg.seq++;
+		msg.fence = worker->fence;
+		msg.runs.items = &run;
+		msg.runs.count = (size_t)cases[i].is_listed;
+		assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(4)),
+				 0);
+		assert_int_equal(worker->run_count, cases[i].is_kept);
+		dispatch_delete(dispatch);
+	}
+}
+
 /*
  * Guards against holding back best-effort work whose interference is too small
  * to be measured, and against adding pressure to a serving run that misses its
@@ -531,6 +579,7 @@
 		cmocka_unit_test(test_urgency_order),
 		cmocka_unit_test(test_stuck_run),
 		cmocka_unit_test(test_assigned_to_replaced_worker),
+		cmocka_unit_test(test_late_start_at_restarted_worker),
 		cmocka_unit_test(test_best_effort_beside_serving),
 		cmocka_unit_test(test_final_retention),
 		cmocka_unit_test(test_started_by_worker),
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -55,6 +55,7 @@
 	struct model_run run;
 	uint64_t fence;
 	uint64_t worker_start_ms;
+	int outlives_worker; /* reaches the next one under the same id */
 	int64_t lease_end_ms;
 	int64_t due_ms;
 };
@@ -291,6 +292,18 @@
 
 static void worker_crash(struct model *model, struct model_worker *worker)
 {
+	size_t i;
+
+	for (i = 0; i < worker->delayed_start_count; i++) {
+		struct delayed_start *start = &worker->delayed_starts[i];
+
+		if (start->worker_start_ms != worker->start_ms ||
+		    !start->is_pending || !fault_occurs(model, 30))
+			continue;
+		start->outlives_worker = 1;
+		start->run.ends_ms += model->now_ms - start->due_ms;
+		start->due_ms = model->now_ms;
+	}
 	worker->run_count = 0;
 	worker->missing_run_count = 0;
 	worker->end_count = 0;
@@ -383,7 +396,8 @@
 			retry_start(model, worker, start);
 		if (start->due_ms > model->now_ms)
 			continue;
-		if (start->worker_start_ms == worker->start_ms)
+		if (start->worker_start_ms == worker->start_ms ||
+		    start->outlives_worker)
 			worker_start_run(model, worker, &start->run,
 					 start->fence, start->lease_end_ms);
 		worker->delayed_starts[i] =
@@ -432,6 +446,7 @@
 	start->run = *run;
 	start->fence = orders->fence;
 	start->worker_start_ms = worker->start_ms;
+	start->outlives_worker = 0;
 	start->lease_end_ms = lease_end_ms;
 	start->due_ms = model->now_ms + delay_ms;
 	start->run.ends_ms += delay_ms;
