tests: rows for reports that must not shorten a lease

These mutants of the lease code, run one by one, are caught by:

- dispatch_bound_lease() before the check of the epoch, and before that of the session: test_report_that_bounds, rows EPOCH - 1 and session 1 (the first of them that the mutant reaches; 410 ms left instead of 8400).
- a bound that lowers lease_end as well: the report at the end of test_report_that_bounds, which was sent before the last lease arrived (410 instead of 5902); also test_inherited_lease.
- no silence check in lease_basis(): test_orders_to_silent_runner, row 1603.
- lease_end counted from the time of the orders: the same, row 404, and the end of test_report_that_bounds (5904 instead of 5902).

--- a/tests/unit/test_dispatch_lease.c
+++ b/tests/unit/test_dispatch_lease.c
@@ -44,13 +44,16 @@
 	const char *worker;
 	uint32_t list_age_ms, lease_left_ms;
 	int is_unlisted; /* the worker's lists were never read */
+	uint64_t epoch;	 /* 0: EPOCH */
+	int err;
 };
 
 static void apply_report(struct dispatch *dispatch, const struct report *report)
 {
 	struct worker *worker =
 		dispatch_get_worker(dispatch, "r1", at(report->ms));
-	struct msg_work_report msg = { .epoch = EPOCH,
+	struct msg_work_report msg = { .epoch = report->epoch ? report->epoch
+							      : EPOCH,
 				       .seq = report->seq,
 				       .session = report->session,
 				       .worker_start_ms = 5,
@@ -67,7 +70,7 @@
 	msg.list_age_ms = report->list_age_ms;
 	msg.lease_left_ms = report->lease_left_ms;
 	assert_int_equal(dispatch_report(dispatch, "r1", &msg, at(report->ms)),
-			 0);
+			 report->err);
 }
 
 static void save_workflows(struct dispatch *dispatch)
@@ -186,6 +189,84 @@
 		*reason = event->reason;
 }
 
+/*
+ * Guards against a second run beside one whose lease is taken for over: by the
+ * word of a report to another scheduler or of a former process of the runner,
+ * or of one that was sent before the last lease arrived.
+ */
+static void test_report_that_bounds(void **state)
+{
+	static const struct {
+		struct report report;
+		int64_t left_ms;
+	} cases[] = {
+		{ { 10, 2, 2, "w1", 0, 0 }, 410 },
+		{ { 10, 2, 2, "", 0, 0 }, 410 },
+		{ { 10, 2, 2, "w1", 0, 3000 }, 3410 },
+		{ { 10, 2, 2, "w1", 0, 0, .epoch = EPOCH - 1,
+		    .err = ERR_FENCED },
+		  8400 },
+		{ { 10, 1, 9, "w1", 0, 0, .err = ERR_FENCED }, 8400 },
+		{ { 10, 2, 1, "w1", 0, 0, .err = ERR_FENCED }, 8400 },
+	};
+	struct dispatch *dispatch;
+	struct worker *worker;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		dispatch = dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL,
+					NULL);
+		worker = dispatch_get_worker(dispatch, "r1", at(0));
+		apply_report(dispatch,
+			     &(struct report){ 1, 1, 1, "w1", 0, 20000 });
+		apply_report(dispatch,
+			     &(struct report){ 2, 2, 1, "w1", 0, 20000 });
+		apply_report(dispatch, &cases[i].report);
+		assert_int_equal(dispatch_lease_left_ms(worker, at(10)),
+				 cases[i].left_ms);
+		dispatch_delete(dispatch);
+	}
+	/* Sent before the lease that was granted for the last report. */
+	dispatch = start_with_run();
+	worker = dispatch_get_worker(dispatch, "r1", at(0));
+	apply_report(dispatch, &(struct report){ 10, 1, 3, "w1", 0, 0 });
+	assert_int_equal(dispatch_lease_left_ms(worker, at(10)), 5902);
+	dispatch_delete(dispatch);
+}
+
+/*
+ * Guards against leases that last longer than the scheduler waits, or tasks of
+ * a silent runner that wait longer the more often its orders are repeated.
+ */
+static void test_orders_to_silent_runner(void **state)
+{
+	static const struct {
+		int64_t ms; /* the last report arrived at 2 ms */
+		int is_extended;
+	} cases[] = {
+		{ 404, 1 },
+		{ 1602, 1 },
+		{ 1603, 0 },
+		{ 5000, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = start_with_run();
+		struct worker *worker =
+			dispatch_get_worker(dispatch, "r1", at(0));
+		struct msg_work_orders orders;
+
+		assert_true(dispatch_build_orders(dispatch, worker, 1, &orders,
+						  at(cases[i].ms)));
+		assert_int_equal(orders.starts.count, 1);
+		assert_int_equal(orders.lease_ms != 0, cases[i].is_extended);
+		assert_int_equal(mstime_diff(worker->lease_end, at(2)),
+				 dispatch_defaults.lease_max_ms);
+		dispatch_delete(dispatch);
+	}
+}
+
 /* The time at which a scheduler that takes over drops the run of w1. */
 static int64_t inherited_run_dropped_ms(struct report report,
 					int64_t handover_ms,
@@ -323,6 +404,8 @@
 		cmocka_unit_test(test_report_that_extends),
 		cmocka_unit_test(test_runner_without_worker),
 		cmocka_unit_test(test_lists_never_read),
+		cmocka_unit_test(test_report_that_bounds),
+		cmocka_unit_test(test_orders_to_silent_runner),
 		cmocka_unit_test(test_inherited_lease),
 		cmocka_unit_test(test_reason_of_expiry),
 		cmocka_unit_test(test_fence_of_restarted_runner),
