tests: compare the decoded fields of a work report

test_round_trip compares two encodings, so a field that is missing in the table of message.c, and arrives as 0, goes unnoticed. The sample report now sets every field, and test_work_report_fields compares what was decoded with it.

--- a/tests/unit/test_message.c
+++ b/tests/unit/test_message.c
@@ -25,11 +25,12 @@
 
 static struct entry_address entries[] = { { "e1", "127.0.0.1:7001" } };
 
+static struct text_item labels[] = { { "l1" } };
 static struct run_status run_statuses[] = {
-	{ { "j1", 0, 1, 2 }, 3, RUN_ACTIVE, 100, 7, "c", "" },
+	{ { "j1", 4, 1, 2 }, 3, RUN_ACTIVE, 100, 7, "c", "d" },
 };
 static struct ended_run run_ends[] = {
-	{ 9, { "j1", 0, 1, 3 }, 1, RUN_END_DONE, "" },
+	{ 9, { "j1", 5, 1, 3 }, 1, RUN_END_FAILED, "e" },
 };
 static struct run_order run_orders[] = {
 	{ { "j1", 0, 1, 4 }, 1, "payload", "", 1, 0 },
@@ -81,10 +82,17 @@
 	{ MSG_WORK_REPORT,
 	  { .work_report = { .epoch = 7,
 			     .seq = 2,
+			     .session = 3,
 			     .worker = "w1",
+			     .worker_start_ms = 4,
+			     .fence = 5,
 			     .state = WORKER_READY,
+			     .remaining_ms = 6,
 			     .list_age_ms = 20,
 			     .lease_left_ms = 5000,
+			     .service = "s1",
+			     .capacity = { 1000, 2000, 3 },
+			     .labels = { labels, 1 },
 			     .runs = { run_statuses, 1 },
 			     .ends = { run_ends, 1 } } } },
 	{ MSG_WORK_ORDERS,
@@ -122,6 +130,81 @@
 	}
 }
 
+static void assert_same_task(const struct task_id *a, const struct task_id *b)
+{
+	assert_string_equal(a->job, b->job);
+	assert_int_equal(a->occurrence, b->occurrence);
+	assert_int_equal(a->step, b->step);
+	assert_int_equal(a->index, b->index);
+}
+
+static void assert_same_status(const struct run_status *a,
+			       const struct run_status *b)
+{
+	assert_same_task(&a->task, &b->task);
+	assert_int_equal(a->run, b->run);
+	assert_int_equal(a->phase, b->phase);
+	assert_int_equal(a->progress_percent, b->progress_percent);
+	assert_int_equal(a->latency_or_cpu, b->latency_or_cpu);
+	assert_string_equal(a->checkpoint, b->checkpoint);
+	assert_string_equal(a->detail, b->detail);
+}
+
+static void assert_same_end(const struct ended_run *a,
+			    const struct ended_run *b)
+{
+	assert_int_equal(a->number, b->number);
+	assert_same_task(&a->task, &b->task);
+	assert_int_equal(a->run, b->run);
+	assert_int_equal(a->how, b->how);
+	assert_string_equal(a->checkpoint, b->checkpoint);
+}
+
+static void assert_same_report(const struct msg_work_report *a,
+			       const struct msg_work_report *b)
+{
+	assert_int_equal(a->epoch, b->epoch);
+	assert_int_equal(a->seq, b->seq);
+	assert_int_equal(a->session, b->session);
+	assert_string_equal(a->worker, b->worker);
+	assert_int_equal(a->worker_start_ms, b->worker_start_ms);
+	assert_int_equal(a->fence, b->fence);
+	assert_int_equal(a->state, b->state);
+	assert_int_equal(a->remaining_ms, b->remaining_ms);
+	assert_int_equal(a->list_age_ms, b->list_age_ms);
+	assert_int_equal(a->lease_left_ms, b->lease_left_ms);
+	assert_string_equal(a->service, b->service);
+	assert_memory_equal(&a->capacity, &b->capacity, sizeof(a->capacity));
+	assert_int_equal(a->labels.count, 1);
+	assert_string_equal(a->labels.items[0].text, b->labels.items[0].text);
+	assert_int_equal(a->runs.count, 1);
+	assert_same_status(&a->runs.items[0], &b->runs.items[0]);
+	assert_int_equal(a->ends.count, 1);
+	assert_same_end(&a->ends.items[0], &b->ends.items[0]);
+}
+
+/*
+ * Guards against a field that is missing in the table of the work report: it
+ * would always arrive as 0, and equal encodings do not show that.
+ */
+static void test_work_report_fields(void **state)
+{
+	struct message decoded;
+	unsigned char *data;
+	size_t i, len;
+
+	for (i = 0; i < SAMPLE_COUNT; i++) {
+		if (samples[i].type != MSG_WORK_REPORT)
+			continue;
+		assert_int_equal(message_encode(&samples[i], &data, &len), 0);
+		assert_int_equal(message_decode(&decoded, data, len), 0);
+		assert_same_report(&decoded.u.work_report,
+				   &samples[i].u.work_report);
+		message_clear(&decoded);
+		free(data);
+	}
+}
+
 /* Guards against reading past the end of a frame truncated in transit. */
 static void test_truncated(void **state)
 {
@@ -243,6 +326,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_round_trip),
+		cmocka_unit_test(test_work_report_fields),
 		cmocka_unit_test(test_truncated),
 		cmocka_unit_test(test_corrupted),
 		cmocka_unit_test(test_empty_string_at_end),
