scheduler: read a handover with care

From reading the change once more: a value that is no number counted as a lease that has ended, which is the unsafe direction; such a value is now ignored.

--- a/packages/daemon/src/agent_requests.h
+++ b/packages/daemon/src/agent_requests.h
@@ -34,8 +34,7 @@
 void agent_requests_on_credit(struct agent_link *link,
 			      const struct msg_credit *msg);
 
-/* Cancels all requests of the link's entry. reason: a static string, for logs.
- */
+/* Cancels all requests of the link's entry; reason is for the log. */
 void agent_requests_cancel_link(struct agent_link *link, const char *reason);
 
 /* Sets the timer to the next deadline. */
--- a/packages/daemon/src/scheduler_handover.c
+++ b/packages/daemon/src/scheduler_handover.c
@@ -53,10 +53,14 @@
 	void *iter;
 
 	for (iter = json_object_iter(leases); iter;
-	     iter = json_object_iter_next(leases, iter))
-		dispatch_inherit_lease(
-			scheduler->dispatch, json_object_iter_key(iter),
-			json_integer_value(json_object_iter_value(iter)));
+	     iter = json_object_iter_next(leases, iter)) {
+		const json_t *left = json_object_iter_value(iter);
+
+		if (json_is_integer(left))
+			dispatch_inherit_lease(scheduler->dispatch,
+					       json_object_iter_key(iter),
+					       json_integer_value(left));
+	}
 	log_event(EV_LEASES_INHERITED, "epoch=%lld former=%lld runners=%zu",
 		  (long long)scheduler->epoch,
 		  (long long)json_integer_value(json_object_get(root, "epoch")),
@@ -75,12 +79,14 @@
 {
 	struct scheduler *scheduler = *(struct scheduler **)arg;
 
-	if (!result->err)
+	if (!result->err) {
 		scheduler_load_states(scheduler);
-	else if (result->err == ERR_CONFLICT)
-		scheduler_handover_read(scheduler);
-	else
-		retry(scheduler, result->err);
+		return;
+	}
+	/* An earlier attempt was carried out, or the election is lost. */
+	if (result->err == ERR_CONFLICT)
+		election_verify(scheduler->election);
+	retry(scheduler, result->err);
 }
 
 static void on_read(void *arg, const struct kv_result *result)
