--- a/tests/e2e/test_operations_page.py
+++ b/tests/e2e/test_operations_page.py
@@ -31,8 +31,8 @@
 
 
 def late(rig):
-    """The fake worker's progress never changes, so the run is stalled."""
-    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="30000")
+    """The worker lists a progress that never changes."""
+    job, _ = rig.submit(rig.gateways[0], LONG_STEP, payload="30000 stall")
     wait_for("a moved run", lambda: any(
         process.lines(3120) for process in rig.processes.values()))
     return job
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -26,6 +26,7 @@
 	struct mstime began_at;
 	struct mstime ends_at; /* 0: runs until it is stopped */
 	int fails;
+	int is_stalled; /* lists no progress */
 };
 
 struct poll {
@@ -83,6 +84,8 @@
 {
 	int64_t work_ms = mstime_diff(run->ends_at, run->began_at);
 
+	if (run->is_stalled)
+		return 50;
 	if (!run->ends_at.ms || work_ms <= 0)
 		return 100;
 	return (int)(mstime_diff(sysclock_now(), run->began_at) * 100 /
@@ -333,6 +336,7 @@
 	active->run = run;
 	active->began_at = sysclock_now();
 	active->fails = payload && strstr(payload, "fail");
+	active->is_stalled = payload && strstr(payload, "stall");
 	if (work_ms)
 		active->ends_at = mstime_add(active->began_at, work_ms);
 	list_add_tail(&server->runs, &active->node);
--- a/tests/fakes/fakeplatform/workerserver.h
+++ b/tests/fakes/fakeplatform/workerserver.h
@@ -9,10 +9,11 @@
  *
  * NOTES
  *	Announces itself to its runner and carries out its orders. The payload
- *	of a task is "MS" or "MS fail": a run ends or fails after MS
- *	milliseconds. Without a number it runs until it is stopped. Overlapping
- *	runs of a task are not detected here: the test checks the standard
- *	output, which has a line of JSON for each start and end of a run.
+ *	of a task is "MS", "MS fail" or "MS stall": a run ends or fails after
+ *	MS milliseconds, or lists the same progress all the time. Without a
+ *	number it runs until it is stopped. Overlapping runs of a task are not
+ *	detected here: the test checks the standard output, which has a line
+ *	of JSON for each start and end of a run.
  *	POST /fake/starts?MODE sets what becomes of starts from then on:
  *	"answered"; "refused" with 503; "ignored"; "late", without an answer
  *	in time; "mixed", ignored and refused in turn. All else goes on.
