tests/faults: read the responses before the workers' files

Cause (KNOWN-RED, test_faults_drains): history() read the workers' files and then copied the callers' records. A request that ran in between had a response and no execution, which the checker reports as own-answer.

The responses are copied first; an execution without a response is allowed.

--- a/tests/e2e/faults.py
+++ b/tests/e2e/faults.py
@@ -497,8 +497,11 @@
                 seen.add(row["id"])
 
     def history(self):
+        # Callers go on meanwhile: a response that is read here must find its
+        # execution in the workers' files, which are therefore read later.
+        answers = list(self.records)
         workers = self.all_worker_records()
-        rows = workers + list(self.records)
+        rows = workers + answers
         for daemon in self.started_daemons:
             rows += self.log_records(daemon)
         executed_ids = {r["id"] for r in workers if r["kind"] == "execute"}
