--- a/packages/daemon/src/entry_impl.h
+++ b/packages/daemon/src/entry_impl.h
@@ -227,6 +227,9 @@
 /* entry_request.c */
 void request_new(struct entry *entry, struct exchange *exchange);
 void request_caller_left(struct request *request);
+
+/* Whether the caller has all of the response; only its end is missing. */
+int request_is_answered(const struct request *request);
 void request_on_response_written(struct request *request, size_t bytes);
 
 /* Sends the request to an agent, or queues it. */
--- a/packages/daemon/src/entry_request.c
+++ b/packages/daemon/src/entry_request.c
@@ -375,6 +375,9 @@
 void request_caller_left(struct request *request)
 {
 	request->caller_left = 1;
+	/* The end of the attempt decides whether the response was complete. */
+	if (request_is_answered(request))
+		return;
 	explain_record_step(request->explain_record, "the caller left");
 	/*
 	 * A request with an Idempotency-Key goes on, so that a retry of the
--- a/packages/daemon/src/entry_response.c
+++ b/packages/daemon/src/entry_response.c
@@ -176,6 +176,17 @@
 	       request->status == 204 || request->status == 304;
 }
 
+int request_is_answered(const struct request *request)
+{
+	if (!request->attempt || !request->head_sent || request->is_stream ||
+	    request->exchange->unwritten_bytes)
+		return 0;
+	return has_no_body(request) ||
+	       (request->response_length >= 0 &&
+		request->response_bytes_sent ==
+			(uint64_t)request->response_length);
+}
+
 static void on_body(struct request *request,
 		    const struct msg_response_body *msg)
 {
--- a/tests/e2e/test_entry.py
+++ b/tests/e2e/test_entry.py
@@ -60,6 +60,11 @@
         self.assertEqual(status, 200)
         return json.loads(text)
 
+    def explain_end(self, response):
+        """The record of the request once it has ended, else None."""
+        record = self.explain(response)
+        return None if record["outcome"] == "in-progress" else record
+
 
 class ResponseTest(EntryTestCase):
     def test_basic_response_and_explanation(self):
@@ -166,6 +171,16 @@
         wait_for("cancel", lambda: sum(len(a.lines("cancel")) for a in
                                        self.agents.values()) > before)
 
+    def test_caller_that_leaves_after_the_response(self):
+        """Guards against the record of a cut response for a whole one: the
+        caller closes before the entry knows that the response has ended."""
+        response = self.entry.fetch("/late-end")
+        self.assertEqual((response.status, response.text),
+                         (200, b"/late-end"))
+        record = wait_for("end", lambda: self.explain_end(response))
+        self.assertEqual(record["outcome"], "done")
+        self.assertEqual(len(record["steps"]), 1, record)
+
     def test_dead_agent_is_retried_elsewhere(self):
         """Only repeatable requests, and before the default deadline."""
         def kill_serving_agent():
--- a/tests/fakes/fakeagent.c
+++ b/tests/fakes/fakeagent.c
@@ -205,6 +205,16 @@
 	r->response_delay_ticks = SLOW_RESPONSE_TICKS;
 }
 
+/* The whole response at once; its end follows after a delay. */
+static void handle_late_end(struct open_request *r)
+{
+	r->total_bytes = strlen(r->path);
+	r->sent_bytes = r->total_bytes;
+	send_response_head(r->request_id, 200, 0, (int64_t)r->total_bytes);
+	send_response_body(r->request_id, 0, r->path, r->total_bytes);
+	r->response_delay_ticks = SLOW_RESPONSE_TICKS;
+}
+
 static void handle_silent(struct open_request *r)
 {
 }
@@ -262,6 +272,7 @@
 	{ "/die", handle_exit },
 	{ "/silent", handle_silent },
 	{ "/slow", handle_slow },
+	{ "/late-end", handle_late_end },
 	{ "/bytes/", handle_bytes },
 	{ "/events", handle_events },
 	{ "/", handle_echo },
@@ -350,6 +361,16 @@
 	}
 }
 
+static void end_delayed_response(struct open_request *r)
+{
+	if (!r->total_bytes) {
+		handle_echo(r);
+		return;
+	}
+	send_response_end(r->request_id, OUTCOME_DONE, r->total_bytes, 0);
+	r->in_use = 0;
+}
+
 /* Ends chunks within an event, so that their boundaries differ. */
 static void on_event_timer(void *arg)
 {
@@ -362,7 +383,7 @@
 
 		if (r->in_use && r->response_delay_ticks &&
 		    !--r->response_delay_ticks)
-			handle_echo(r);
+			end_delayed_response(r);
 		if (!r->in_use || !r->is_stream)
 			continue;
 		len = snprintf(text, sizeof(text),
