gateway: refuse new requests once a stop has drained

From 2.5 s after the signal, when the platform sends no connections any more, requests are refused at once as not run, with Retry-After. The new scenario graceful_stop_without_store failed on (not ended after 6 s) and passes.

--- a/packages/daemon/src/gateway.c
+++ b/packages/daemon/src/gateway.c
@@ -124,6 +124,16 @@
 		job_request_reply(req, 405, "{}", "method");
 }
 
+/*
+ * From then on the platform sends no more connections. Callers that still bring
+ * requests would keep the process from its end within the grace period.
+ */
+static int has_drained(const struct gateway *gateway)
+{
+	return gateway->is_stopping &&
+	       !mstime_before(sysclock_now(), gateway->drain_until);
+}
+
 static void on_request(void *arg, struct httpd_request *request)
 {
 	struct gateway *gateway = arg;
@@ -135,6 +145,10 @@
 	req->http = request;
 	req->started_at = sysclock_now();
 	list_add_tail(&gateway->job_requests, &req->node);
+	if (has_drained(gateway)) {
+		job_request_refuse(req, 503, "stopping");
+		return;
+	}
 	if (!config) {
 		job_request_refuse(req, 503, "no-configuration");
 		return;
@@ -268,7 +282,7 @@
 {
 	struct gateway *gateway = arg;
 
-	if (mstime_before(sysclock_now(), gateway->drain_until) ||
+	if (!has_drained(gateway) ||
 	    httpd_pending_count(gateway->caller_httpd)) {
 		loop_timer_start(gateway->stop_timer, STOP_POLL_MS);
 		return;
@@ -277,8 +291,8 @@
 }
 
 /*
- * Keeps serving, as not ready, until the platform sends no more connections and
- * all requests have a response.
+ * Keeps serving, as not ready, until the platform sends no more connections,
+ * then refuses new requests until all earlier ones have a response.
  */
 void gateway_stop(struct gateway *gateway, stopped_fn fn, void *arg)
 {
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -8,6 +8,7 @@
 import os
 import signal
 import sys
+import threading
 import time
 
 from workflow_rig import CONFIG, check, run_scenarios
@@ -16,6 +17,7 @@
 TWO_STEPS = [{"count": 3, "cpu": 500, "memMb": 10, "estimateMs": 200},
              {"count": 2, "cpu": 500, "memMb": 10, "estimateMs": 200,
               "after": [0]}]
+GRACE_S = 6  # from SIGTERM to SIGKILL
 LONG_STEP = [{"count": 4, "cpu": 1000, "memMb": 10, "estimateMs": 3000}]
 
 
@@ -243,6 +245,36 @@
     wait_for("another scheduler", lambda: rig.leader() not in (None, leader))
 
 
+def graceful_stop_without_store(rig):
+    """A stop that does not end while callers bring new requests, each of
+    which waits for a store that does not answer."""
+    gateway = rig.gateways[0]
+    process = rig.processes[gateway["name"]]
+    stopped = threading.Event()
+    statuses = []
+
+    def call():
+        while not stopped.is_set():
+            try:
+                statuses.append(rig.submit(gateway, TWO_STEPS)[1])
+            except OSError:
+                time.sleep(0.02)
+    rig.processes["store"].signal(signal.SIGSTOP)
+    callers = [threading.Thread(target=call) for _ in range(8)]
+    try:
+        process.signal(signal.SIGTERM)
+        for caller in callers:
+            caller.start()
+        check(process.popen.wait(timeout=GRACE_S) == 0, "ends by itself")
+        check("stop-overdue" not in process.text(), "all requests answered")
+    finally:
+        stopped.set()
+        rig.processes["store"].signal(signal.SIGCONT)
+        for caller in callers:
+            caller.join()
+    check(set(statuses) <= {503, 504}, "statuses: %s" % set(statuses))
+
+
 def malformed_heartbeats(rig):
     """A malformed heartbeat or key that ends or misleads a runner."""
     runner = rig.runners[0]
@@ -281,7 +313,8 @@
              long_running_tasks, scheduler_killed, scheduler_frozen,
              runner_killed, worker_killed, worker_leaves,
              worker_lost_before_start, store_faults, configuration,
-             graceful_stop, malformed_heartbeats, late_deregistration]
+             graceful_stop, graceful_stop_without_store,
+             malformed_heartbeats, late_deregistration]
 
 
 def main():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -55,6 +55,8 @@
          "of its lost worker",
     117: "a worker that restarts under its id carries out a start that was "
          "meant for its former process, after the task was started elsewhere",
+    435: "a gateway that stopped without the store went on taking requests, and "
+         "was never without one until its grace period ended",
 }
 
 
