--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "errors.h"
+#include "jsontext.h"
 #include "mem.h"
 
 #define FORMAT 1 /* version of the document */
@@ -30,20 +31,31 @@
 	       !strcmp(a->node, b->node) && !strcmp(a->worker, b->worker);
 }
 
-/* RETURN VALUE: index of the location in the list; a new one is added. */
-static int location_index(json_t *rows, const struct run_location **known,
-			  size_t *count, const struct run_location *location)
+/* Locations of the assigned tasks; each is written once. */
+struct locations {
+	const struct run_location **items;
+	size_t count;
+	struct jsontext rows;
+};
+
+static int location_index(struct locations *locations,
+			  const struct run_location *location)
 {
+	struct jsontext *rows = &locations->rows;
 	size_t i;
 
-	for (i = 0; i < *count; i++)
-		if (location_equal(known[i], location))
+	for (i = 0; i < locations->count; i++)
+		if (location_equal(locations->items[i], location))
 			return (int)i;
-	known[*count] = location;
-	json_array_append_new(
-		rows, json_pack("[s,s,I]", location->node, location->worker,
-				(json_int_t)location->worker_start_ms));
-	return (int)(*count)++;
+	jsontext_raw(rows, i ? ",[" : "[");
+	jsontext_string(rows, location->node);
+	jsontext_raw(rows, ",");
+	jsontext_string(rows, location->worker);
+	jsontext_raw(rows, ",");
+	jsontext_number(rows, (int64_t)location->worker_start_ms);
+	jsontext_raw(rows, "]");
+	locations->items[locations->count++] = location;
+	return (int)i;
 }
 
 static int task_is_initial(const struct workflow_task *task)
@@ -51,19 +63,31 @@
 	return task->phase == TASK_WAITING && !task->last_run;
 }
 
-static json_t *encode_task(const struct workflow_task *task, uint32_t k,
-			   uint32_t step, uint32_t index, int location)
+static void put_task(struct jsontext *json, const struct workflow_task *task,
+		     uint32_t k, uint32_t step, uint32_t index, int location)
 {
-	return json_pack("[i,i,i,i,i,i,i,s]", (int)k, (int)step, (int)index,
-			 (int)task->phase, (int)task->last_run,
-			 (int)task->failures, location,
-			 task->checkpoint ? task->checkpoint : "");
+	const int64_t columns[COLUMN_CHECKPOINT] = {
+		[COLUMN_OCCURRENCE] = k,
+		[COLUMN_STEP] = step,
+		[COLUMN_INDEX] = index,
+		[COLUMN_PHASE] = (int64_t)task->phase,
+		[COLUMN_RUN] = task->last_run,
+		[COLUMN_FAILURES] = task->failures,
+		[COLUMN_LOCATION] = location,
+	};
+	size_t i;
+
+	jsontext_raw(json, json->len ? ",[" : "[");
+	for (i = 0; i < COLUMN_CHECKPOINT; i++) {
+		jsontext_number(json, columns[i]);
+		jsontext_raw(json, ",");
+	}
+	jsontext_string(json, task->checkpoint ? task->checkpoint : "");
+	jsontext_raw(json, "]");
 }
 
-static void encode_occurrence(const struct workflow *workflow, uint32_t k,
-			      json_t *locations, json_t *tasks,
-			      const struct run_location **known,
-			      size_t *known_count)
+static void put_occurrence(struct jsontext *json, struct locations *locations,
+			   const struct workflow *workflow, uint32_t k)
 {
 	const struct occurrence *state = &workflow->occurrences[k];
 	uint32_t step, index;
@@ -81,12 +105,9 @@
 			if (task_is_initial(task))
 				continue;
 			if (task->location)
-				location = location_index(locations, known,
-							  known_count,
+				location = location_index(locations,
 							  task->location);
-			json_array_append_new(
-				tasks,
-				encode_task(task, k, step, index, location));
+			put_task(json, task, k, step, index, location);
 		}
 	}
 }
@@ -104,31 +125,34 @@
 	return count;
 }
 
+/* Written as text, because each change of a task renews the document. */
 char *workflow_encode(const struct workflow *workflow)
 {
-	const struct run_location **known =
-		xcalloc(assigned_count(workflow) + 1, sizeof(*known));
-	json_t *locations = json_array(), *tasks = json_array(), *root;
-	size_t known_count = 0;
-	char *text;
+	struct locations locations = { 0 };
+	struct jsontext tasks = { 0 }, root = { 0 };
 	uint32_t k;
 
+	locations.items =
+		xcalloc(assigned_count(workflow) + 1, sizeof(*locations.items));
 	for (k = 0; k < workflow->spec.occurrences; k++)
-		encode_occurrence(workflow, k, locations, tasks, known,
-				  &known_count);
-	root = json_pack("{s:i, s:s, s:b, s:b, s:o, s:o}", "format", FORMAT,
-			 "state", workflow_state_name(workflow->state),
-			 "cancelled", (int)workflow->cancelled, "started",
-			 (int)workflow->started, "places", locations, "tasks",
-			 tasks);
-	free(known);
-	if (!root)
-		abort();
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	if (!text)
-		abort();
-	return text;
+		put_occurrence(&tasks, &locations, workflow, k);
+	jsontext_raw(&root, "{\"format\":");
+	jsontext_number(&root, FORMAT);
+	jsontext_raw(&root, ",\"state\":");
+	jsontext_string(&root, workflow_state_name(workflow->state));
+	jsontext_raw(&root, workflow->cancelled ? ",\"cancelled\":true"
+						: ",\"cancelled\":false");
+	jsontext_raw(&root, workflow->started ? ",\"started\":true"
+					      : ",\"started\":false");
+	jsontext_raw(&root, ",\"places\":[");
+	jsontext_append(&root, locations.rows.text, locations.rows.len);
+	jsontext_raw(&root, "],\"tasks\":[");
+	jsontext_append(&root, tasks.text, tasks.len);
+	jsontext_raw(&root, "]}");
+	free(locations.items);
+	free(locations.rows.text);
+	free(tasks.text);
+	return jsontext_end(&root);
 }
 
 static int parse_state(const json_t *root, enum workflow_state *state)
--- a/packages/platform/src/kv_json.c
+++ b/packages/platform/src/kv_json.c
@@ -5,47 +5,57 @@
 
 #include <glib.h>
 
+#include "jsontext.h"
 #include "mem.h"
 
-static json_t *json_base64(const char *value, size_t len)
+static void put_base64(struct jsontext *json, const char *value, size_t len)
 {
 	gchar *text = g_base64_encode((const guchar *)(len ? value : ""), len);
-	json_t *json = json_string(text);
 
+	jsontext_raw(json, "\"");
+	jsontext_raw(json, text);
+	jsontext_raw(json, "\"");
 	g_free(text);
-	return json;
+}
+
+static void put_separator(struct jsontext *json, size_t index)
+{
+	if (index)
+		jsontext_raw(json, ",");
 }
 
 char *kv_json_encode_txn(const struct kv_txn *txn)
 {
-	json_t *compares = json_array(), *puts = json_array();
-	json_t *removals = json_array(), *root;
-	char *text;
+	struct jsontext json = { 0 };
 	size_t i;
 
-	for (i = 0; i < txn->compare_count; i++)
-		json_array_append_new(
-			compares,
-			json_pack("{s:s, s:I}", "key", txn->compares[i].key,
-				  "revision",
-				  (json_int_t)txn->compares[i].revision));
-	for (i = 0; i < txn->put_count; i++)
-		json_array_append_new(
-			puts,
-			json_pack("{s:s, s:o, s:I}", "key", txn->puts[i].key,
-				  "value",
-				  json_base64(txn->puts[i].value,
-					      txn->puts[i].len),
-				  "lease", (json_int_t)txn->puts[i].lease));
-	for (i = 0; i < txn->removal_count; i++)
-		json_array_append_new(removals, json_string(txn->removals[i]));
-	root = json_pack("{s:o, s:o, s:o}", "expectedRev", compares, "puts",
-			 puts, "remove", removals);
-	text = json_dumps(root, JSON_COMPACT);
-	json_decref(root);
-	if (!text)
-		abort();
-	return text;
+	jsontext_raw(&json, "{\"expectedRev\":[");
+	for (i = 0; i < txn->compare_count; i++) {
+		put_separator(&json, i);
+		jsontext_raw(&json, "{\"key\":");
+		jsontext_string(&json, txn->compares[i].key);
+		jsontext_raw(&json, ",\"revision\":");
+		jsontext_number(&json, txn->compares[i].revision);
+		jsontext_raw(&json, "}");
+	}
+	jsontext_raw(&json, "],\"puts\":[");
+	for (i = 0; i < txn->put_count; i++) {
+		put_separator(&json, i);
+		jsontext_raw(&json, "{\"key\":");
+		jsontext_string(&json, txn->puts[i].key);
+		jsontext_raw(&json, ",\"value\":");
+		put_base64(&json, txn->puts[i].value, txn->puts[i].len);
+		jsontext_raw(&json, ",\"lease\":");
+		jsontext_number(&json, txn->puts[i].lease);
+		jsontext_raw(&json, "}");
+	}
+	jsontext_raw(&json, "],\"remove\":[");
+	for (i = 0; i < txn->removal_count; i++) {
+		put_separator(&json, i);
+		jsontext_string(&json, txn->removals[i]);
+	}
+	jsontext_raw(&json, "]}");
+	return jsontext_end(&json);
 }
 
 void kv_items_clear(struct kv_items *items)
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -10,6 +10,7 @@
 #include "errors.h"
 #include "events.h"
 #include "hash.h"
+#include "jsontext.h"
 #include "list.h"
 #include "mem.h"
 #include "mstime.h"
@@ -49,6 +50,46 @@
 	assert_true(list_empty(&head));
 }
 
+/* Guards against text that is not the JSON of the value that was written. */
+static void test_jsontext(void **state)
+{
+	static const struct {
+		const char *value, *json;
+	} strings[] = {
+		{ "", "\"\"" },
+		{ "abc", "\"abc\"" },
+		{ "a\"b\\c/", "\"a\\\"b\\\\c/\"" },
+		{ "\n\x1f\x7f", "\"\\u000a\\u001f\x7f\"" },
+		{ "\xc3\xa9", "\"\xc3\xa9\"" },
+	};
+	static const struct {
+		int64_t value;
+		const char *json;
+	} numbers[] = {
+		{ 0, "0" },
+		{ -1, "-1" },
+		{ INT64_MAX, "9223372036854775807" },
+		{ INT64_MIN, "-9223372036854775808" },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(strings) / sizeof(strings[0]); i++) {
+		struct jsontext json = { 0 };
+
+		jsontext_string(&json, strings[i].value);
+		assert_string_equal(jsontext_end(&json), strings[i].json);
+		assert_int_equal(json.len, strlen(strings[i].json));
+		free(json.text);
+	}
+	for (i = 0; i < sizeof(numbers) / sizeof(numbers[0]); i++) {
+		struct jsontext json = { 0 };
+
+		jsontext_number(&json, numbers[i].value);
+		assert_string_equal(jsontext_end(&json), numbers[i].json);
+		free(json.text);
+	}
+}
+
 static void test_str_copy(void **state)
 {
 	static const struct {
@@ -245,6 +286,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_list),
+		cmocka_unit_test(test_jsontext),
 		cmocka_unit_test(test_str_copy),
 		cmocka_unit_test(test_hash),
 		cmocka_unit_test(test_rendezvous),
