colocation: constant time for reading an estimate

Cause: a placement reads the weights of image pairs for each serving run of each worker; each read searched up to 96 states and took a square root, and each measurement cost two loops of 96 x 96 with a division inside.

Weights are found by the neighbour's index, their upper bounds are kept, and a measurement multiplies only the rows it involves. The estimates are the same but for rounding.

--- a/packages/core/src/colocation.c
+++ b/packages/core/src/colocation.c
@@ -14,6 +14,8 @@
  */
 #define STATES_MAX 96
 
+#define LOAD_SLOTS 256
+
 /* Own load: pressure before the first measurement; drift per second. */
 #define LOAD_INITIAL 0.4
 #define LOAD_DEVIATION 0.2
@@ -25,6 +27,8 @@
 #define WEIGHT_MAX 0.5
 /* Margin of an upper bound, in standard deviations. */
 #define UPPER_BOUND_DEVIATIONS 0.5
+#define WEIGHT_UPPER_INITIAL                                                   \
+	(WEIGHT_INITIAL + UPPER_BOUND_DEVIATIONS * WEIGHT_DEVIATION)
 /* Standard deviation of a pressure derived from one latency. */
 #define MEASUREMENT_DEVIATION 0.07
 /* Larger errors are clamped to this, in standard deviations. */
@@ -53,6 +57,11 @@
 	double base; /* latency without load; 0: none measured */
 	int count;
 	struct state states[STATES_MAX];
+	/* Position of a neighbour's weight in states, plus 1; 0: none. */
+	unsigned char weight_at[IMAGES_MAX];
+	/* Likely positions of loads, by their keys. */
+	unsigned char load_at[LOAD_SLOTS];
+	double weight_upper[IMAGES_MAX]; /* by neighbour */
 	double covariance[STATES_MAX][STATES_MAX];
 	struct mstime at; /* time up to which the covariance includes drift */
 };
@@ -66,6 +75,8 @@
 /* Input of the filter for one measurement; share is 0 for other states. */
 struct measurement {
 	double share[STATES_MAX];
+	int used[STATES_MAX]; /* states with a share */
+	int used_count;
 	double gain[STATES_MAX]; /* covariance of state and measurement */
 	double predicted, variance;
 };
@@ -124,9 +135,13 @@
 static struct response *get_response(struct colocation *colocation, int serving)
 {
 	struct response **response = &colocation->responses[serving];
+	int i;
 
-	if (!*response)
-		*response = xcalloc(1, sizeof(**response));
+	if (*response)
+		return *response;
+	*response = xcalloc(1, sizeof(**response));
+	for (i = 0; i < IMAGES_MAX; i++)
+		(*response)->weight_upper[i] = WEIGHT_UPPER_INITIAL;
 	return *response;
 }
 
@@ -150,34 +165,49 @@
 	return pressure_at(response_of(colocation, serving), latency);
 }
 
-static int find_state(const struct response *response, enum state_kind kind,
-		      uint64_t id)
+static int is_load(const struct response *response, int i, uint64_t id)
+{
+	return i < response->count && response->states[i].id == id &&
+	       response->states[i].kind == STATE_LOAD;
+}
+
+static int find_load(const struct response *response, uint64_t id)
 {
 	int i;
 
-	for (i = 0; response && i < response->count; i++)
-		if (response->states[i].id == id &&
-		    response->states[i].kind == kind)
+	if (!response)
+		return -1;
+	i = response->load_at[id % LOAD_SLOTS];
+	if (is_load(response, i, id))
+		return i;
+	for (i = 0; i < response->count; i++)
+		if (is_load(response, i, id))
 			return i;
 	return -1;
 }
 
+static int find_weight(const struct response *response, int neighbour)
+{
+	return response && neighbour >= 0 ? response->weight_at[neighbour] - 1
+					  : -1;
+}
+
+static int find_state(const struct response *response, enum state_kind kind,
+		      uint64_t id)
+{
+	return kind == STATE_LOAD ? find_load(response, id)
+				  : find_weight(response, (int)id);
+}
+
 double colocation_own_pressure(const struct colocation *colocation, int serving,
 			       uint64_t load_group)
 {
 	const struct response *response = response_of(colocation, serving);
-	int i = find_state(response, STATE_LOAD, load_group);
+	int i = find_load(response, load_group);
 
 	return i < 0 ? LOAD_INITIAL : response->states[i].value;
 }
 
-static int find_weight(const struct response *response, int neighbour)
-{
-	return neighbour < 0 ? -1
-			     : find_state(response, STATE_WEIGHT,
-					  (uint64_t)neighbour);
-}
-
 double colocation_weight(const struct colocation *colocation, int neighbour,
 			 int serving)
 {
@@ -191,13 +221,25 @@
 			       int neighbour, int serving)
 {
 	const struct response *response = response_of(colocation, serving);
-	int i = find_weight(response, neighbour);
 
-	if (i < 0)
-		return WEIGHT_INITIAL +
-		       UPPER_BOUND_DEVIATIONS * WEIGHT_DEVIATION;
-	return response->states[i].value +
-	       UPPER_BOUND_DEVIATIONS * sqrt(response->covariance[i][i]);
+	return response && neighbour >= 0 ? response->weight_upper[neighbour]
+					  : WEIGHT_UPPER_INITIAL;
+}
+
+/* Estimates are read far more often than they change. */
+static void update_upper_bounds(struct response *response)
+{
+	int i;
+
+	for (i = 0; i < response->count; i++) {
+		const struct state *state = &response->states[i];
+
+		if (state->kind == STATE_WEIGHT)
+			response->weight_upper[state->id] =
+				state->value +
+				UPPER_BOUND_DEVIATIONS *
+					sqrt(response->covariance[i][i]);
+	}
 }
 
 /* Returns the least recently measured state, which is replaced by a new one. */
@@ -220,6 +262,14 @@
 	struct state *state = &response->states[at];
 	int i;
 
+	if (state->kind == STATE_WEIGHT) {
+		response->weight_at[state->id] = 0;
+		response->weight_upper[state->id] = WEIGHT_UPPER_INITIAL;
+	}
+	if (kind == STATE_WEIGHT)
+		response->weight_at[id] = (unsigned char)(at + 1);
+	else
+		response->load_at[id % LOAD_SLOTS] = (unsigned char)at;
 	for (i = 0; i < STATES_MAX; i++)
 		response->covariance[at][i] = response->covariance[i][at] = 0;
 	state->kind = kind;
@@ -266,13 +316,15 @@
 
 	measurement->predicted = 0;
 	measurement->variance = square(MEASUREMENT_DEVIATION);
-	for (i = 0; i < response->count; i++) {
-		measurement->gain[i] = 0;
-		for (k = 0; k < response->count; k++)
-			measurement->gain[i] += response->covariance[i][k] *
-						measurement->share[k];
+	for (k = 0; k < measurement->used_count; k++) {
+		const double *row = response->covariance[measurement->used[k]];
+		double share = measurement->share[measurement->used[k]];
+
+		for (i = 0; i < response->count; i++)
+			measurement->gain[i] += row[i] * share;
 	}
-	for (i = 0; i < response->count; i++) {
+	for (k = 0; k < measurement->used_count; k++) {
+		i = measurement->used[k];
 		measurement->predicted +=
 			measurement->share[i] * response->states[i].value;
 		measurement->variance +=
@@ -296,11 +348,19 @@
 				     state->kind == STATE_LOAD ? PRESSURE_MAX
 							       : WEIGHT_MAX);
 	}
-	for (i = 0; i < response->count; i++)
+	for (i = 0; i < response->count; i++) {
+		double *row = response->covariance[i];
+		double factor = measurement->gain[i] / measurement->variance;
+
 		for (k = 0; k < response->count; k++)
-			response->covariance[i][k] -= measurement->gain[i] *
-						      measurement->gain[k] /
-						      measurement->variance;
+			row[k] -= factor * measurement->gain[k];
+	}
+}
+
+static void add_share(struct measurement *measurement, int state, double share)
+{
+	measurement->share[state] = share;
+	measurement->used[measurement->used_count++] = state;
 }
 
 void colocation_observe(struct colocation *colocation, int serving,
@@ -319,17 +379,18 @@
 	if (latency < base_of(response))
 		response->base = clamp(latency, BASE_MIN, BASE_INITIAL);
 	add_drift(response, now);
-	measurement.share[get_state(response, STATE_LOAD, load_group, now)] = 1;
+	add_share(&measurement,
+		  get_state(response, STATE_LOAD, load_group, now), 1);
 	for (i = 0; i < count; i++)
 		if (neighbours[i].image >= 0)
-			measurement.share[get_state(
-				response, STATE_WEIGHT,
-				(uint64_t)neighbours[i].image, now)] =
-				neighbours[i].cores;
+			add_share(&measurement,
+				  get_state(response, STATE_WEIGHT,
+					    (uint64_t)neighbours[i].image, now),
+				  neighbours[i].cores);
 	predict(response, &measurement);
 	pressure = pressure_at(response, latency);
-	if (pressure > PRESSURE_SATURATED &&
-	    measurement.predicted > PRESSURE_SATURATED)
-		return;
-	update(response, &measurement, pressure);
+	if (pressure <= PRESSURE_SATURATED ||
+	    measurement.predicted <= PRESSURE_SATURATED)
+		update(response, &measurement, pressure);
+	update_upper_bounds(response);
 }
