runner: report starts together

Starts are reported within 150 ms, so that those of a step share a report with each other and with ends; ends, lost runs and latencies above their target are reported at once as before.

--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -19,7 +19,6 @@
 #define REPORT_INTERVAL_MS 500
 /* How long a run that has ended stays in the reports; several intervals. */
 #define ENDED_KEPT_MS 3000
-#define REPORT_DELAY_MS 2
 #define REPORT_SPACING_MIN_MS 10
 #define TICK_INTERVAL_MS 50
 /* Lets a resignation from the election reach the store. */
@@ -295,7 +294,7 @@
 	struct mstime now = sysclock_now();
 	int err;
 
-	runner->report_is_scheduled = 0;
+	runner->report_due_at = mstime_add(now, REPORT_INTERVAL_MS);
 	loop_timer_start(runner->report_timer, REPORT_INTERVAL_MS);
 	if (!runner->scheduler_peer[0])
 		return;
@@ -309,16 +308,17 @@
 		drop_ended(runner, now);
 }
 
-void runner_schedule_report(struct runner *runner)
+void runner_schedule_report(struct runner *runner, int64_t delay_ms)
 {
-	int64_t since = mstime_diff(sysclock_now(), runner->reported_at);
-	int64_t delay = REPORT_SPACING_MIN_MS - since;
+	struct mstime now = sysclock_now();
+	struct mstime due = mstime_max(
+		mstime_add(now, delay_ms),
+		mstime_add(runner->reported_at, REPORT_SPACING_MIN_MS));
 
-	if (runner->report_is_scheduled)
+	if (!mstime_before(due, runner->report_due_at))
 		return;
-	runner->report_is_scheduled = 1;
-	loop_timer_start(runner->report_timer,
-			 delay > REPORT_DELAY_MS ? delay : REPORT_DELAY_MS);
+	runner->report_due_at = due;
+	loop_timer_start(runner->report_timer, mstime_diff(due, now));
 }
 
 static void on_hello(struct runner *runner, const char *peer,
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -78,7 +78,7 @@
 	struct mstime report_sent_at[REPORT_RING_SIZE];
 	struct mstime reported_at;
 	struct loop_timer *report_timer;
-	int report_is_scheduled;
+	struct mstime report_due_at;
 
 	/* Runs and ends that the worker lists. */
 	struct list runs;
@@ -114,8 +114,13 @@
 	struct histogram start_ms;
 };
 
-/* Sends a report soon; changes that arrive together share it. */
-void runner_schedule_report(struct runner *runner);
+/* Changes that arrive within the delay share a report. */
+#define REPORT_DELAY_MS 2
+/* Nothing waits for the report of a start, which is one of many. */
+#define REPORT_START_DELAY_MS 150
+
+/* Sends a report within delay_ms. */
+void runner_schedule_report(struct runner *runner, int64_t delay_ms);
 void runner_report_now(void *arg);
 
 /*
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -48,8 +48,14 @@
 	*dst = text && *text ? xstrdup(text) : NULL;
 }
 
+/* What a reading of the worker's lists has changed. */
+struct list_changes {
+	uint32_t urgent; /* ends, lost runs, latencies above their targets */
+	uint32_t starts;
+};
+
 static void update_run(struct runner *runner, const struct run_status *status,
-		       uint64_t *changes)
+		       struct list_changes *changes)
 {
 	struct local_run *run =
 		local_run_find(runner, &status->task, status->run);
@@ -57,10 +63,10 @@
 	if (!run) {
 		run = local_run_new(runner, &status->task, status->run,
 				    RUN_ACTIVE);
-		(*changes)++;
+		changes->starts++;
 	}
 	if (run->phase != RUN_ACTIVE)
-		(*changes)++;
+		changes->starts++;
 	run->phase = RUN_ACTIVE;
 	run->is_confirmed = 1;
 	run->confirmed_at = runner->hold_sent_at;
@@ -70,7 +76,7 @@
 }
 
 static void add_end(struct runner *runner, const struct ended_run *end,
-		    uint64_t *changes)
+		    struct list_changes *changes)
 {
 	struct local_run *run;
 	struct ended_run *copy;
@@ -88,7 +94,7 @@
 	copy = &runner->ends[runner->end_count++];
 	*copy = *end;
 	copy->checkpoint = xstrdup(end->checkpoint);
-	(*changes)++;
+	changes->urgent++;
 }
 
 static int is_listed(const struct worker_response *response,
@@ -108,7 +114,8 @@
 
 /* Marks runs gone that the worker had and that neither list names now. */
 static void mark_gone(struct runner *runner,
-		      const struct worker_response *response, uint64_t *changes)
+		      const struct worker_response *response,
+		      struct list_changes *changes)
 {
 	struct list *pos;
 
@@ -123,14 +130,16 @@
 		run->phase = RUN_GONE;
 		run->ended_at = runner->listed_at;
 		replace_text(&run->detail, "not-listed");
-		(*changes)++;
+		changes->urgent++;
 	}
 }
 
 static void apply_lists(struct runner *runner,
 			const struct worker_response *response)
 {
-	uint64_t changes = runner->listed_fence != runner->target.fence;
+	struct list_changes changes = {
+		.urgent = runner->listed_fence != runner->target.fence,
+	};
 	size_t i;
 
 	runner->listed_fence = runner->target.fence;
@@ -143,9 +152,11 @@
 	if (runner_worst_latency_percent(runner) > REPORT_LATENCY_PERCENT &&
 	    mstime_diff(runner->listed_at, runner->reported_at) >
 		    REPORT_LATENCY_INTERVAL_MS)
-		changes++;
-	if (changes)
-		runner_schedule_report(runner);
+		changes.urgent++;
+	if (changes.urgent)
+		runner_schedule_report(runner, REPORT_DELAY_MS);
+	else if (changes.starts)
+		runner_schedule_report(runner, REPORT_START_DELAY_MS);
 	runner_send_paces(runner);
 }
 
@@ -230,7 +241,7 @@
 	}
 	run->phase = RUN_REFUSED;
 	run->ended_at = sysclock_now();
-	runner_schedule_report(runner);
+	runner_schedule_report(runner, REPORT_DELAY_MS);
 }
 
 static void on_started(void *arg, const struct worker_response *response)
@@ -245,7 +256,7 @@
 	case 0:
 		run->phase = RUN_ACTIVE;
 		mark_confirmed(run);
-		runner_schedule_report(runner);
+		runner_schedule_report(runner, REPORT_START_DELAY_MS);
 		break;
 	case ERR_EXISTS:
 		mark_confirmed(run);
