--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -188,6 +188,10 @@
 	{ EV_PENDING_PUBLISHED, LOG_INFO, "pending-published",
 	  "The number of workflows of which no worker has begun a task has "
 	  "changed and was stored, or could not be." },
+	{ EV_SCHEDULER_BEHIND, LOG_WARN, "scheduler-behind",
+	  "The active scheduler runs late: it lacks processor time." },
+	{ EV_SCHEDULER_CAUGHT_UP, LOG_INFO, "scheduler-caught-up",
+	  "The active scheduler is in time again." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -52,7 +52,9 @@
 
 /* One run of a task at a worker; holds resources while it exists. */
 struct run {
-	struct list node; /* in the runs of its worker */
+	struct list node;	  /* in the runs of its worker */
+	struct list serving_node; /* in the serving runs of its worker */
+	struct list unsaved_node; /* in the unsaved runs of its workflow */
 	struct worker *worker;
 	struct workflow *workflow;
 	struct task_id id;
@@ -73,6 +75,9 @@
 	int image;		    /* index in colocation; -1: unknown */
 	uint64_t load_group; /* of a serving run; see colocation_observe() */
 	uint32_t previous_latency_ms; /* of the previous report */
+	double spare_pressure;	      /* of a serving run, when last computed */
+	struct mstime spare_pressure_at;
+	uint64_t spare_pressure_fill; /* fill_version of its worker then */
 	uint32_t pace;		      /* percent of full speed */
 	uint32_t pace_planned;
 	struct mstime over_target_since; /* 0: not over its target */
@@ -90,8 +95,9 @@
 /* A reported end of a run that is not yet acknowledged to the runner. */
 struct pending_end {
 	uint64_t number;
-	char job[JOB_ID_SIZE]; /* "" if no change has to be stored first */
-	uint64_t version;      /* of the workflow, to be stored first */
+	/* Whose version has to be stored first; NULL: none. */
+	const struct workflow *workflow;
+	uint64_t version;
 };
 
 /* Why the lease of a worker's runs is extended or not. */
@@ -108,6 +114,7 @@
 /* A worker as its runner reports it; one for each runner. */
 struct worker {
 	struct list node;
+	struct worker *hash_next;
 	char runner[ID_SIZE]; /* node name */
 	char id[ID_SIZE];
 	uint64_t start_ms; /* start of the worker, ms since 1970 */
@@ -123,13 +130,16 @@
 	uint32_t best_effort_cpu_milli;
 	uint32_t run_count;
 	struct list runs;
-	uint64_t incarnations; /* workers and sessions seen; part of fence */
+	struct list serving_runs; /* those with a latency target */
+	uint64_t fill_version;	  /* changes with the best-effort runs */
+	uint64_t incarnations;	  /* workers and sessions seen; part of fence */
 	uint64_t fence;	       /* token that the current reports must carry */
 	int has_current_lists; /* a report with this fence has arrived */
 	uint32_t list_age_ms;  /* at the time of the last report */
 	uint64_t listed_fence; /* of the last lists; 0: none were read */
 	uint64_t report_seq;
 	struct mstime reported_at;
+	struct mstime responded_at; /* last orders */
 	/*
 	 * All its runs have ended by the later one of these: leases granted in
 	 * this term, and by earlier schedulers.
@@ -140,6 +150,7 @@
 	uint64_t last_end_number;		   /* last one processed */
 	struct pending_end pending_ends[RUNS_MAX]; /* unacknowledged */
 	size_t pending_end_count;
+	struct list ends_node;	    /* in the workers with pending ends */
 	uint64_t stored_end_number; /* last one acknowledged */
 	uint32_t consecutive_failures;
 	struct mstime started_at;	 /* last time that it started a run */
@@ -147,6 +158,8 @@
 	struct mstime paced_at;		 /* last update of the paces */
 	struct mstime over_target_since; /* of any serving run; 0: none */
 	unsigned needs_response : 1;
+	unsigned needs_acknowledgement : 1; /* of ends; with the next orders */
+	unsigned may_have_orders : 1;	    /* see dispatch_may_have_orders() */
 	unsigned is_unbound : 1; /* the last report named no worker */
 	/* Runner or worker have started anew; reports may be without worker. */
 	unsigned needs_fence : 1;
@@ -283,13 +296,25 @@
 void dispatch_set_wall_clock(struct dispatch *dispatch, int64_t wall_ms);
 
 /*
- * Assigns tasks that are ready to workers with free resources.
+ * Assigns tasks that are ready to workers with free resources. With many
+ * workers or workflows it ends early, and the next call goes on from there.
  *
  * RETURN VALUE
  *	Number of runs assigned.
  */
 int dispatch_assign(struct dispatch *dispatch, struct mstime now);
 
+/* Whether the last dispatch_assign() has ended early. */
+int dispatch_is_assigning(const struct dispatch *dispatch);
+
+struct dispatch_stats {
+	uint64_t passes;      /* calls of dispatch_assign() */
+	uint64_t evaluations; /* of a worker for a task */
+};
+
+const struct dispatch_stats *dispatch_get_stats(
+	const struct dispatch *dispatch);
+
 /*
  * Returns the next workflow that has to be stored and is not part of a commit
  * in progress, or NULL. The caller sets its saving flag.
@@ -312,6 +337,13 @@
 			  int may_extend, struct msg_work_orders *orders,
 			  struct mstime now);
 
+/*
+ * Whether something that may cause orders has happened at the worker since the
+ * last dispatch_build_orders(). Repetitions that become due with time are
+ * noticed by dispatch_expire().
+ */
+int dispatch_may_have_orders(const struct worker *worker);
+
 /* Whether orders or a response to a report must be sent to the worker. */
 int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
 			struct mstime now);
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -35,6 +35,7 @@
 	char *required_label;	    /* NULL: any worker */
 	char *data_rack;	    /* rack of its input data; NULL: none */
 	char *image;		    /* NULL: unknown */
+	int image_index;	    /* of the scheduler; -1: unknown */
 	unsigned gang : 1;	    /* all tasks run at the same time or none */
 	unsigned same_rack : 1;	    /* preferred, not required */
 	unsigned checkpointing : 1; /* tasks can resume */
@@ -118,7 +119,9 @@
 };
 
 struct workflow {
-	struct list node; /* in a list of dispatch */
+	struct list node;	  /* in a list of dispatch */
+	struct list unsaved_node; /* while its last change is not stored */
+	struct list unsaved_runs; /* assigned, but not yet stored */
 	struct workflow_spec spec;
 	struct queue_config queue;
 	enum workflow_state state;
@@ -129,6 +132,7 @@
 	int64_t remaining_ms;	  /* of the critical path */
 	enum urgency urgency;
 	int64_t sort_key_ms;	  /* among equal urgency */
+	uint64_t round;		  /* last one that looked at it; of dispatch */
 	uint64_t version;	  /* of the last change */
 	uint64_t saved_version;	  /* of the last state stored */
 	int64_t stored_revision;  /* 0: the state is not in the store */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -64,6 +64,8 @@
 	list_init(&dispatch->workflows);
 	list_init(&dispatch->finals);
 	list_init(&dispatch->workers);
+	list_init(&dispatch->unsaved);
+	list_init(&dispatch->workers_with_ends);
 	return dispatch;
 }
 
@@ -119,6 +121,7 @@
 	remove_workflows(dispatch, &dispatch->workflows);
 	remove_workflows(dispatch, &dispatch->finals);
 	colocation_delete(dispatch->colocation);
+	free(dispatch->candidates);
 	free(dispatch);
 }
 
@@ -127,6 +130,11 @@
 	return &dispatch->workers;
 }
 
+const struct dispatch_stats *dispatch_get_stats(const struct dispatch *dispatch)
+{
+	return &dispatch->stats;
+}
+
 struct list *dispatch_workflows(struct dispatch *dispatch)
 {
 	return &dispatch->workflows;
@@ -143,6 +151,8 @@
 void dispatch_mark_changed(struct dispatch *dispatch, struct workflow *workflow)
 {
 	workflow->version = ++dispatch->version;
+	if (list_empty(&workflow->unsaved_node))
+		list_add_tail(&dispatch->unsaved, &workflow->unsaved_node);
 }
 
 void dispatch_set_wall_clock(struct dispatch *dispatch, int64_t wall_ms)
@@ -224,6 +234,18 @@
 	workflow->critical_path_ms = workflow_critical_path_ms(workflow);
 }
 
+static void set_images(struct dispatch *dispatch, struct workflow *workflow)
+{
+	size_t i;
+
+	for (i = 0; i < workflow->spec.step_count; i++) {
+		struct workflow_step *step = &workflow->spec.steps[i];
+
+		step->image_index = colocation_image_index(dispatch->colocation,
+							   step->image);
+	}
+}
+
 int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
 		 struct mstime now)
 {
@@ -236,6 +258,8 @@
 	*link = xcalloc(1, sizeof(**link));
 	(*link)->workflow = workflow;
 	set_age(dispatch, workflow, now);
+	set_images(dispatch, workflow);
+	dispatch_update_urgency(workflow, now);
 	adopt_runs(dispatch, workflow, now);
 	if (workflow_is_final(workflow)) {
 		workflow->ended_at = now;
@@ -246,6 +270,22 @@
 	return 0;
 }
 
+static void check_orders_of_runs(struct workflow *workflow)
+{
+	uint32_t k, i;
+
+	for (k = 0; k < workflow->spec.occurrences; k++)
+		for (i = 0; workflow->occurrences[k].tasks &&
+			    i < workflow->spec.task_count;
+		     i++) {
+			const struct run *run =
+				workflow->occurrences[k].tasks[i].current_run;
+
+			if (run)
+				run->worker->may_have_orders = 1;
+		}
+}
+
 void dispatch_check_final(struct dispatch *dispatch, struct workflow *workflow,
 			  struct mstime now)
 {
@@ -254,6 +294,7 @@
 	workflow->ended_at = now;
 	list_del(&workflow->node);
 	list_add_tail(&dispatch->finals, &workflow->node);
+	check_orders_of_runs(workflow);
 	dispatch_emit(dispatch, DISPATCH_WORKFLOW_ENDED, workflow, NULL, NULL,
 		      0, workflow_state_name(workflow->state));
 }
@@ -277,17 +318,24 @@
 struct worker *dispatch_get_worker(struct dispatch *dispatch,
 				   const char *runner, struct mstime now)
 {
-	struct worker *worker;
-	struct list *pos;
+	struct worker **bucket =
+		&dispatch->worker_buckets[hash_str(runner) % WORKER_BUCKETS];
+	struct worker *worker = *bucket;
 
-	list_for_each (pos, &dispatch->workers) {
-		worker = list_entry(pos, struct worker, node);
-		if (!strcmp(worker->runner, runner))
-			return worker;
-	}
+	while (worker && strcmp(worker->runner, runner))
+		worker = worker->hash_next;
+	if (worker)
+		return worker;
 	worker = xcalloc(1, sizeof(*worker));
 	list_init(&worker->node);
 	list_init(&worker->runs);
+	list_init(&worker->serving_runs);
+	list_init(&worker->ends_node);
+	dispatch->candidates =
+		xrealloc(dispatch->candidates,
+			 ++dispatch->worker_count * sizeof(struct candidate));
+	worker->hash_next = *bucket;
+	*bucket = worker;
 	str_copy(worker->runner, runner, sizeof(worker->runner));
 	worker->reported_at = now;
 	worker->inherited_lease_end = mstime_add(
@@ -352,7 +400,7 @@
 				      run->number, "no-progress");
 		else
 			continue;
-		run->is_evicted = 1;
+		dispatch_evict(run);
 		if (run->is_active || dispatch_starts_nothing(run))
 			dispatch_penalize(dispatch, worker, now);
 	}
@@ -383,7 +431,7 @@
 		if (!must_leave(run) ||
 		    !dispatch_can_relocate(dispatch, run, now))
 			continue;
-		run->is_evicted = 1;
+		dispatch_evict(run);
 		dispatch_emit(dispatch, DISPATCH_RUN_EVICTED, run->workflow,
 			      worker, &run->id, run->number, "worker-leaves");
 	}
@@ -396,6 +444,9 @@
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
 
+		/* Orders that were not confirmed are repeated. */
+		worker->may_have_orders |= !list_empty(&worker->runs) ||
+					   worker->needs_acknowledgement;
 		dispatch_expire_lease(dispatch, worker, now);
 		evict_stuck(dispatch, worker, now);
 		evict_leaving(dispatch, worker, now);
@@ -427,69 +478,72 @@
 		remove_workflow(dispatch, workflow);
 }
 
-static struct workflow *first_unsaved(struct list *head)
+/* Workflows that are being saved are few: those of one commit. */
+struct workflow *dispatch_next_unsaved(struct dispatch *dispatch)
 {
 	struct list *pos;
 
-	list_for_each (pos, head) {
+	list_for_each (pos, &dispatch->unsaved) {
 		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
+			list_entry(pos, struct workflow, unsaved_node);
 
-		if (workflow->version != workflow->saved_version &&
-		    !workflow->saving)
+		if (!workflow->saving)
 			return workflow;
 	}
 	return NULL;
 }
 
-struct workflow *dispatch_next_unsaved(struct dispatch *dispatch)
+void dispatch_acknowledge_ends(struct worker *worker)
 {
-	struct workflow *workflow = first_unsaved(&dispatch->workflows);
-
-	return workflow ? workflow : first_unsaved(&dispatch->finals);
-}
+	size_t stored = 0;
 
-static void acknowledge_ends(struct worker *worker,
-			     const struct workflow *workflow, uint64_t version)
-{
-	size_t i, stored = 0;
-
-	for (i = 0; i < worker->pending_end_count; i++) {
-		struct pending_end *end = &worker->pending_ends[i];
-
-		if (end->job[0] && end->version <= version &&
-		    !strcmp(end->job, workflow->spec.id))
-			end->job[0] = '\0';
-	}
 	while (stored < worker->pending_end_count &&
-	       !worker->pending_ends[stored].job[0])
+	       !worker->pending_ends[stored].workflow)
 		worker->stored_end_number =
 			worker->pending_ends[stored++].number;
 	if (!stored)
 		return;
-	worker->needs_response = 1;
+	worker->needs_acknowledgement = 1;
 	worker->pending_end_count -= stored;
 	memmove(worker->pending_ends, worker->pending_ends + stored,
 		worker->pending_end_count * sizeof(worker->pending_ends[0]));
+	if (!worker->pending_end_count)
+		list_del(&worker->ends_node);
+}
+
+static void settle_ends(struct worker *worker, const struct workflow *workflow,
+			uint64_t version)
+{
+	size_t i;
+
+	for (i = 0; i < worker->pending_end_count; i++) {
+		struct pending_end *end = &worker->pending_ends[i];
+
+		if (end->workflow == workflow && end->version <= version)
+			end->workflow = NULL;
+	}
+	dispatch_acknowledge_ends(worker);
 }
 
 void dispatch_mark_saved(struct dispatch *dispatch, struct workflow *workflow,
 			 uint64_t version)
 {
-	struct list *pos, *run_pos;
+	struct list *pos, *tmp;
 
 	workflow->saved_version = version;
-	list_for_each (pos, &dispatch->workers) {
-		struct worker *worker = list_entry(pos, struct worker, node);
-
-		acknowledge_ends(worker, workflow, version);
-		list_for_each (run_pos, &worker->runs) {
-			struct run *run = list_entry(run_pos, struct run, node);
-
-			if (run->workflow == workflow &&
-			    run->state == RUN_UNSAVED &&
-			    run->version <= version)
-				run->state = RUN_SAVED;
-		}
+	if (workflow->version == version)
+		list_del(&workflow->unsaved_node);
+	list_for_each_safe (pos, tmp, &dispatch->workers_with_ends)
+		settle_ends(list_entry(pos, struct worker, ends_node), workflow,
+			    version);
+	list_for_each_safe (pos, tmp, &workflow->unsaved_runs) {
+		struct run *run = list_entry(pos, struct run, unsaved_node);
+
+		if (run->version > version)
+			continue;
+		list_del(&run->unsaved_node);
+		if (run->state == RUN_UNSAVED)
+			run->state = RUN_SAVED;
+		run->worker->may_have_orders = 1;
 	}
 }
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -5,234 +5,29 @@
 #include "dispatch_internal.h"
 #include "mem.h"
 
-/* Placement request; the same for all tasks of a step. */
-struct placement_request {
-	struct workflow *workflow;
-	const struct workflow_step *step;
-	uint32_t occurrence, step_index;
-	int image;
-	int is_forced; /* the workflow has been without a run for too long */
-};
-
-/* Cost of pressure on serving runs, relative to the load of a worker. */
-#define PRESSURE_WEIGHT 0.5
 /*
  * A workflow that could run and has had no run for so long gets one regardless
  * of its pressure on serving runs, which are then protected by its pace.
  */
 #define STARVED_MS 1500
-/* Cost of mixed serving images on a worker; of a new worker for an image. */
-#define MIXED_IMAGES_COST 1.0
-#define NEW_WORKER_COST 0.4
-/* Preference of a serving run for a full worker over an empty one. */
-#define PACKING_WEIGHT 0.1
 
 /* A task without a worker for so long is reported, at most so often. */
 #define UNPLACED_MS 2000
 #define UNPLACED_SPACING_MS 250
 
-const char *placement_block_name(enum placement_block block)
-{
-	static const char *const names[PLACEMENT_BLOCK_COUNT] = {
-		[PLACEMENT_POSSIBLE] = "possible",
-		[PLACEMENT_NOT_READY] = "not_ready",
-		[PLACEMENT_NO_LISTS] = "no_lists",
-		[PLACEMENT_NO_REPORT] = "no_report",
-		[PLACEMENT_PENALTY] = "penalty",
-		[PLACEMENT_SERVICE] = "service",
-		[PLACEMENT_LABEL] = "label",
-		[PLACEMENT_ROOM] = "room",
-		[PLACEMENT_SPREAD] = "spread",
-		[PLACEMENT_PRESSURE] = "pressure",
-	};
-
-	return names[block];
-}
-
-static int has_label(const struct worker *worker, const char *label)
-{
-	size_t i;
-
-	for (i = 0; i < worker->label_count; i++)
-		if (!strcmp(worker->labels[i], label))
-			return 1;
-	return 0;
-}
-
-static uint32_t count_siblings(const struct worker *worker,
-			       const struct placement_request *request)
-{
-	uint32_t count = 0;
-	const struct list *pos;
-
-	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
-
-		count += run->workflow == request->workflow &&
-			 run->id.step == request->step_index &&
-			 run->id.occurrence == request->occurrence;
-	}
-	return count;
-}
-
-static uint32_t spare_cpu_milli(const struct worker *worker)
-{
-	return worker->capacity.cpu_milli > worker->used.cpu_milli
-		       ? worker->capacity.cpu_milli - worker->used.cpu_milli
-		       : 0;
-}
-
-static int cpu_fits(const struct dispatch *dispatch,
-		    const struct worker *worker,
-		    const struct workflow_step *step)
-{
-	uint64_t unused_milli;
-
-	if (!step->best_effort)
-		return step->need.cpu_milli <= spare_cpu_milli(worker);
-	unused_milli = worker->capacity.cpu_milli -
-		       (uint64_t)worker->used.cpu_milli *
-			       dispatch->limits.assumed_usage_percent / 100;
-	return (uint64_t)worker->best_effort_cpu_milli + step->need.cpu_milli <=
-	       unused_milli;
-}
-
-static int fits(const struct dispatch *dispatch, const struct worker *worker,
-		const struct placement_request *request)
-{
-	const struct workflow_step *step = request->step;
-
-	return (cpu_fits(dispatch, worker, step) ||
-		(step->best_effort && request->is_forced)) &&
-	       worker->used.mem_mb + step->need.mem_mb <=
-		       worker->capacity.mem_mb &&
-	       worker->used.accel + step->need.accel <= worker->capacity.accel;
-}
-
-static enum placement_block worker_block(
-	const struct dispatch *dispatch, const struct worker *worker,
-	const struct placement_request *request, struct mstime now)
-{
-	const struct workflow_step *step = request->step;
-	int64_t silent_ms = dispatch->limits.worker_report_timeout_ms;
-
-	if (worker->service[0] &&
-	    strcmp(worker->service, request->workflow->queue.service))
-		return PLACEMENT_SERVICE;
-	if (worker->state != WORKER_READY || !worker->service[0])
-		return PLACEMENT_NOT_READY;
-	if (!worker->has_current_lists)
-		return PLACEMENT_NO_LISTS;
-	if (mstime_diff(now, worker->reported_at) > silent_ms ||
-	    worker->list_age_ms > silent_ms)
-		return PLACEMENT_NO_REPORT;
-	if (mstime_before(now, worker->penalty_until))
-		return PLACEMENT_PENALTY;
-	if (step->required_label && !has_label(worker, step->required_label))
-		return PLACEMENT_LABEL;
-	if (worker->run_count >= RUNS_MAX / 2 ||
-	    !fits(dispatch, worker, request))
-		return PLACEMENT_ROOM;
-	if (step->max_per_worker &&
-	    count_siblings(worker, request) >= step->max_per_worker)
-		return PLACEMENT_SPREAD;
-	return PLACEMENT_POSSIBLE;
-}
-
-/* CPU load of the worker with the task; lower is better. */
-static double cpu_load_with(const struct worker *worker,
-			    const struct workflow_step *step)
-{
-	double used = (double)worker->used.cpu_milli +
-		      worker->best_effort_cpu_milli + step->need.cpu_milli;
-
-	return used / (worker->capacity.cpu_milli + 1.0);
-}
-
+/* Order changes with time, by deadlines; it is renewed this often. */
+#define SORT_INTERVAL_MS 100
 /*
- * Serving runs of the same image are packed on the same workers, so that a
- * best-effort image that slows them finds workers without them.
+ * A pass ends after so many evaluations of workers and is resumed by the next
+ * one, so that reports, cancels and leases are not delayed.
  */
-static double image_mix_cost(const struct worker *worker,
-			     const struct placement_request *request)
-{
-	const struct list *pos;
-	int others = 0, same = 0;
-
-	list_for_each (pos, &worker->runs) {
-		const struct run *run = list_entry(pos, struct run, node);
-
-		if (!run->latency_target_ms)
-			continue;
-		if (run->image == request->image)
-			same++;
-		else
-			others++;
-	}
-	if (others)
-		return same ? MIXED_IMAGES_COST / 2 : MIXED_IMAGES_COST;
-	return same ? 0 : NEW_WORKER_COST;
-}
-
-static double placement_cost(const struct worker *worker,
-			     const struct placement_request *request)
-{
-	const struct workflow_step *step = request->step;
-	double cost = cpu_load_with(worker, step);
-
-	if (step->latency_target_ms)
-		cost = image_mix_cost(worker, request) - cost * PACKING_WEIGHT;
-
-	if (step->data_rack && !has_label(worker, step->data_rack))
-		cost += 1;
-	if (step->same_rack && !count_siblings(worker, request))
-		cost += 0.5;
-	return cost;
-}
-
-/* Also counts in dispatch->blocks what rules the workers out. */
-static struct worker *choose_worker(struct dispatch *dispatch,
-				    const struct placement_request *request,
-				    struct mstime now)
-{
-	struct worker *best = NULL;
-	double best_cost = 0;
-	struct list *pos;
-
-	memset(dispatch->blocks, 0, sizeof(dispatch->blocks));
-	list_for_each (pos, &dispatch->workers) {
-		struct worker *worker = list_entry(pos, struct worker, node);
-		enum placement_block block =
-			worker_block(dispatch, worker, request, now);
-		double cost, excess;
-
-		dispatch->blocks[block]++;
-		if (block != PLACEMENT_POSSIBLE)
-			continue;
-		cost = placement_cost(worker, request);
-		if (request->step->best_effort) {
-			excess = dispatch_placement_excess(
-				dispatch, worker, request->image,
-				request->step->need.cpu_milli / 1000.0);
-			if (excess > 0 && !request->is_forced) {
-				dispatch->blocks[PLACEMENT_POSSIBLE]--;
-				dispatch->blocks[PLACEMENT_PRESSURE]++;
-				continue;
-			}
-			cost += excess * PRESSURE_WEIGHT;
-		}
-		if (best && cost >= best_cost)
-			continue;
-		best = worker;
-		best_cost = cost;
-	}
-	return best;
-}
+#define PASS_EVALUATIONS_MAX 20000
 
 /* Reports a task that waits for a worker, with what rules the workers out. */
 static void note_unplaced(struct dispatch *dispatch,
 			  const struct placement_request *request,
-			  uint32_t index, struct mstime now)
+			  uint32_t index, const uint32_t *blocks,
+			  struct mstime now)
 {
 	struct workflow *workflow = request->workflow;
 	struct workflow_task *task = workflow_task(
@@ -244,7 +39,7 @@
 		.workflow = workflow,
 		.task = &id,
 		.run = task->last_run,
-		.blocks = dispatch->blocks,
+		.blocks = blocks,
 	};
 
 	if (!task->unplaced_since.ms)
@@ -297,6 +92,7 @@
 		workflow->state = WORKFLOW_RUNNING;
 	dispatch_mark_changed(dispatch, workflow);
 	run->version = workflow->version;
+	list_add_tail(&workflow->unsaved_runs, &run->unsaved_node);
 	dispatch_emit(dispatch, DISPATCH_RUN_ASSIGNED, workflow, run->worker,
 		      &run->id, run->number, "least-loaded");
 }
@@ -327,15 +123,18 @@
 			number = task->last_run;
 	}
 	runs = xcalloc(count, sizeof(struct run *));
+	dispatch_find_candidates(dispatch, request, now);
 	for (i = 0; i < count; i++) {
-		struct worker *worker = choose_worker(dispatch, request, now);
+		struct worker *worker = dispatch_best_candidate(dispatch);
 
 		if (!worker) {
-			note_unplaced(dispatch, request, i, now);
+			note_unplaced(dispatch, request, i, dispatch->blocks,
+				      now);
 			break;
 		}
 		runs[placed++] =
 			assign_task(dispatch, request, i, worker, number + 1);
+		dispatch_update_best(dispatch, request, now);
 	}
 	for (i = 0; i < (uint32_t)placed; i++) {
 		if ((uint32_t)placed == count)
@@ -347,62 +146,73 @@
 	return (uint32_t)placed == count ? placed : 0;
 }
 
-/* Assigns one task, so that the workflow makes progress. */
-static int assign_starved(struct dispatch *dispatch,
+/* Index of the next task of the step that can be assigned, or task_count. */
+static uint32_t next_ready(const struct placement_request *request, uint32_t i,
+			   struct mstime now)
+{
+	while (i < request->step->task_count &&
+	       !task_ready(workflow_task(request->workflow, request->occurrence,
+					 request->step_index, i),
+			   now))
+		i++;
+	return i;
+}
+
+/* The first task that waits stands for the others of its step. */
+static void note_no_place(struct dispatch *dispatch,
 			  const struct placement_request *request,
-			  struct mstime now)
+			  uint32_t index, struct mstime now)
 {
-	uint32_t i;
+	note_unplaced(dispatch, request, index, dispatch->blocks, now);
+	dispatch_add_unplaced(dispatch, &dispatch->unplaced, request);
+}
 
-	for (i = 0; i < request->step->task_count; i++) {
-		struct workflow_task *task =
-			workflow_task(request->workflow, request->occurrence,
-				      request->step_index, i);
-		struct worker *worker;
+/* Assigns up to max tasks of the step. */
+static int assign_tasks(struct dispatch *dispatch,
+			const struct placement_request *request, int max,
+			struct mstime now)
+{
+	const struct unplaced_class *unplaced;
+	uint32_t i = next_ready(request, 0, now);
+	int placed = 0;
+
+	if (i == request->step->task_count)
+		return 0;
+	unplaced = dispatch_find_unplaced(&dispatch->unplaced, request);
+	if (unplaced) {
+		note_unplaced(dispatch, request, i, unplaced->blocks, now);
+		return 0;
+	}
+	dispatch_find_candidates(dispatch, request, now);
+	while (i < request->step->task_count && placed < max) {
+		struct worker *worker = dispatch_best_candidate(dispatch);
+		struct workflow_task *task;
 
-		if (!task_ready(task, now))
-			continue;
-		worker = choose_worker(dispatch, request, now);
 		if (!worker) {
-			note_unplaced(dispatch, request, i, now);
-			return 0;
+			note_no_place(dispatch, request, i, now);
+			break;
 		}
+		task = workflow_task(request->workflow, request->occurrence,
+				     request->step_index, i);
 		commit_run(dispatch, assign_task(dispatch, request, i, worker,
 						 task->last_run + 1));
-		return 1;
+		placed++;
+		dispatch_update_best(dispatch, request, now);
+		i = next_ready(request, i + 1, now);
 	}
-	return 0;
+	return placed;
 }
 
 static int assign_step(struct dispatch *dispatch,
 		       const struct placement_request *request,
 		       struct mstime now)
 {
-	uint32_t i;
-	int placed = 0;
-
 	if (request->step->gang)
 		return assign_gang(dispatch, request, now);
-	if (request->is_forced)
-		return assign_starved(dispatch, request, now);
-	for (i = 0; i < request->step->task_count; i++) {
-		struct workflow_task *task =
-			workflow_task(request->workflow, request->occurrence,
-				      request->step_index, i);
-		struct worker *worker;
-
-		if (!task_ready(task, now))
-			continue;
-		worker = choose_worker(dispatch, request, now);
-		if (!worker) {
-			note_unplaced(dispatch, request, i, now);
-			break;
-		}
-		commit_run(dispatch, assign_task(dispatch, request, i, worker,
-						 task->last_run + 1));
-		placed++;
-	}
-	return placed;
+	/* A forced task only lets the workflow make progress. */
+	return assign_tasks(
+		dispatch, request,
+		request->is_forced ? 1 : (int)request->step->task_count, now);
 }
 
 static int occurrence_is_due(const struct dispatch *dispatch,
@@ -460,35 +270,50 @@
 			if (!step_has_waiting(workflow, k, step) ||
 			    !workflow_step_ready(workflow, k, step))
 				continue;
-			request.image = colocation_image_index(
-				dispatch->colocation, request.step->image);
+			request.image = request.step->image_index;
 			placed += assign_step(dispatch, &request, now);
 		}
 	}
 	return placed;
 }
 
+static void start_round(struct dispatch *dispatch, struct mstime now)
+{
+	dispatch->round++;
+	dispatch->round_is_open = 1;
+	dispatch->unplaced.count = 0;
+	if (dispatch->sorted_at.ms &&
+	    mstime_diff(now, dispatch->sorted_at) < SORT_INTERVAL_MS)
+		return;
+	dispatch_sort_workflows(dispatch, now);
+	dispatch->sorted_at = now;
+}
+
 int dispatch_assign(struct dispatch *dispatch, struct mstime now)
 {
+	uint64_t limit = dispatch->stats.evaluations + PASS_EVALUATIONS_MAX;
 	struct list *pos;
 	int placed = 0;
 
-	dispatch_sort_workflows(dispatch, now);
-	list_for_each (pos, &dispatch->workflows)
-		placed += assign_workflow(
-			dispatch, list_entry(pos, struct workflow, node), now);
+	dispatch->stats.passes++;
+	if (!dispatch->round_is_open)
+		start_round(dispatch, now);
+	list_for_each (pos, &dispatch->workflows) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		if (workflow->round == dispatch->round)
+			continue;
+		if (dispatch->stats.evaluations >= limit)
+			return placed;
+		workflow->round = dispatch->round;
+		placed += assign_workflow(dispatch, workflow, now);
+	}
+	dispatch->round_is_open = 0;
 	return placed;
 }
 
-int dispatch_can_relocate(struct dispatch *dispatch, const struct run *run,
-			  struct mstime now)
+int dispatch_is_assigning(const struct dispatch *dispatch)
 {
-	struct placement_request request = {
-		run->workflow,	    &run->workflow->spec.steps[run->id.step],
-		run->id.occurrence, run->id.step,
-		run->image,	    0
-	};
-	const struct worker *worker = choose_worker(dispatch, &request, now);
-
-	return worker && worker != run->worker;
+	return dispatch->round_is_open;
 }
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -9,12 +9,49 @@
  *	dispatch_internal - declarations shared by the sources of dispatch
  */
 #define JOB_BUCKETS 4096
+#define WORKER_BUCKETS 1024
 
 struct workflow_entry {
 	struct workflow *workflow;
 	struct workflow_entry *next;
 };
 
+/* Placement request; the same for all tasks of a step. */
+struct placement_request {
+	struct workflow *workflow;
+	const struct workflow_step *step;
+	uint32_t occurrence, step_index;
+	int image;
+	int is_forced; /* the workflow has been without a run for too long */
+};
+
+/* A worker that can take a task of the request, and what that costs. */
+struct candidate {
+	struct worker *worker;
+	uint32_t order; /* in the list of workers */
+	double cost;
+};
+
+/* Requests that the same workers can take. */
+struct placement_class {
+	char service[ID_SIZE];
+	struct resources need;
+	int image;
+	int best_effort;
+	int is_forced;
+};
+
+#define UNPLACED_CLASSES_MAX 64
+
+/* Classes that no worker could take, with what ruled the workers out. */
+struct unplaced_classes {
+	size_t count;
+	struct unplaced_class {
+		struct placement_class class;
+		uint32_t blocks[PLACEMENT_BLOCK_COUNT];
+	} items[UNPLACED_CLASSES_MAX];
+};
+
 struct dispatch {
 	struct dispatch_limits limits;
 	uint64_t epoch;
@@ -24,14 +61,29 @@
 	struct list workflows; /* not final, in order of assignment */
 	struct list finals;    /* final, in the order in which they ended */
 	struct list workers;
+	size_t worker_count;
+	struct list unsaved;	       /* workflows, by the time of a change */
+	struct list workers_with_ends; /* that are not acknowledged */
 	struct workflow_entry *buckets[JOB_BUCKETS];
+	struct worker *worker_buckets[WORKER_BUCKETS]; /* by runner */
 	dispatch_event_fn event_fn;
 	void *event_arg;
 	struct run_order starts[ORDER_STARTS_MAX];
 	struct run_id stops[RUNS_MAX];
 	struct run_pace paces[RUNS_MAX];
 	struct colocation *colocation;
-	uint32_t blocks[PLACEMENT_BLOCK_COUNT]; /* of the last choice */
+	/* A heap, the best one first, for the request that is placed. */
+	struct candidate *candidates;
+	size_t candidate_count;
+	uint32_t blocks[PLACEMENT_BLOCK_COUNT]; /* of that request */
+	/* A round looks at each workflow once; it may take several passes. */
+	uint64_t round;
+	int round_is_open;
+	struct mstime sorted_at;
+	struct unplaced_classes unplaced; /* in this round */
+	struct unplaced_classes not_relocatable;
+	struct mstime not_relocatable_since;
+	struct dispatch_stats stats;
 	struct mstime unplaced_noted_at;
 };
 
@@ -60,6 +112,12 @@
 /* Whether the worker has started no run since it was ordered this one. */
 int dispatch_starts_nothing(const struct run *run);
 
+/* Acknowledges the first pending ends that need not be stored any more. */
+void dispatch_acknowledge_ends(struct worker *worker);
+
+/* Lets the run be stopped, so that its task runs elsewhere. */
+void dispatch_evict(struct run *run);
+
 /* Keeps new runs from the worker for a while. */
 void dispatch_penalize(struct dispatch *dispatch, struct worker *worker,
 		       struct mstime now);
@@ -126,12 +184,37 @@
  */
 double dispatch_placement_excess(struct dispatch *dispatch,
 				 const struct worker *worker, int image,
-				 double cores);
+				 double cores, struct mstime now);
+
+/*
+ * Finds the workers that can take a task of the request. After a task was
+ * assigned to the best one, dispatch_update_best() has to be called.
+ */
+void dispatch_find_candidates(struct dispatch *dispatch,
+			      const struct placement_request *request,
+			      struct mstime now);
+struct worker *dispatch_best_candidate(const struct dispatch *dispatch);
+void dispatch_update_best(struct dispatch *dispatch,
+			  const struct placement_request *request,
+			  struct mstime now);
+
+/* Returns NULL unless the class of the request is among them. */
+const struct unplaced_class *dispatch_find_unplaced(
+	const struct unplaced_classes *classes,
+	const struct placement_request *request);
+
+/* Adds the class of a request that has no candidates. */
+void dispatch_add_unplaced(const struct dispatch *dispatch,
+			   struct unplaced_classes *classes,
+			   const struct placement_request *request);
 
 /* Whether another worker is the best place for the task of the run. */
 int dispatch_can_relocate(struct dispatch *dispatch, const struct run *run,
 			  struct mstime now);
 
+/* Computes the keys by which workflows are sorted. */
+void dispatch_update_urgency(struct workflow *workflow, struct mstime now);
+
 /* Sorts the workflows by priority, urgency and deadline or remaining time. */
 void dispatch_sort_workflows(struct dispatch *dispatch, struct mstime now);
 void dispatch_insert_workflow(struct list *head, struct workflow *workflow);
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -5,6 +5,8 @@
 #include "dispatch_internal.h"
 #include "mem.h"
 
+#define ACKNOWLEDGE_WITHIN_MS 200
+
 static int must_not_run(const struct run *run)
 {
 	return run->is_orphan || run->is_evicted ||
@@ -85,12 +87,25 @@
 	run->pace_sent = run->pace;
 }
 
+/* The next orders may take it along, so that each end needs no message. */
+static int acknowledgement_is_due(const struct worker *worker,
+				  struct mstime now)
+{
+	return worker->needs_acknowledgement &&
+	       mstime_diff(now, worker->responded_at) >= ACKNOWLEDGE_WITHIN_MS;
+}
+
+int dispatch_may_have_orders(const struct worker *worker)
+{
+	return worker->may_have_orders;
+}
+
 int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
 			struct mstime now)
 {
 	const struct list *pos;
 
-	if (worker->needs_response)
+	if (worker->needs_response || acknowledgement_is_due(worker, now))
 		return 1;
 	list_for_each (pos, &worker->runs) {
 		const struct run *run = list_entry(pos, struct run, node);
@@ -110,6 +125,7 @@
 {
 	struct list *pos, *tmp;
 
+	worker->may_have_orders = 0;
 	if (!worker->session || !worker->fence ||
 	    !dispatch_has_orders(dispatch, worker, now))
 		return 0;
@@ -125,6 +141,8 @@
 	orders->paces.items = dispatch->paces;
 	dispatch_extend_lease(dispatch, worker, may_extend, orders, now);
 	worker->needs_response = 0;
+	worker->needs_acknowledgement = 0;
+	worker->responded_at = now;
 	list_for_each_safe (pos, tmp, &worker->runs) {
 		struct run *run = list_entry(pos, struct run, node);
 
--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -71,12 +71,10 @@
 
 	list_for_each (pos, &worker->runs)
 		list_entry(pos, struct run, node)->pace_planned = 100;
-	list_for_each (pos, &worker->runs) {
-		struct run *serving = list_entry(pos, struct run, node);
+	list_for_each (pos, &worker->serving_runs) {
+		struct run *serving = list_entry(pos, struct run, serving_node);
 		double excess;
 
-		if (!serving->latency_target_ms)
-			continue;
 		while ((excess = dispatch_planned_excess(dispatch, worker,
 							 serving)) > 0.001)
 			if (!slow_worst(dispatch, worker, serving, excess))
@@ -100,6 +98,7 @@
 	if (run->pace == 100)
 		run->slowed_at = now;
 	run->pace = pace;
+	run->worker->may_have_orders = 1;
 	if (dispatch->event_fn)
 		dispatch->event_fn(dispatch->event_arg, &event);
 }
@@ -128,15 +127,15 @@
 {
 	const struct list *pos;
 
-	list_for_each (pos, &worker->runs) {
-		const struct run *serving = list_entry(pos, struct run, node);
+	list_for_each (pos, &worker->serving_runs) {
+		const struct run *serving =
+			list_entry(pos, struct run, serving_node);
 		int64_t over_ms =
 			serving->over_target_since.ms
 				? mstime_diff(now, serving->over_target_since)
 				: 0;
 
-		if (!serving->latency_target_ms ||
-		    over_ms < PAUSE_SUSPECTS_AFTER_MS)
+		if (over_ms < PAUSE_SUSPECTS_AFTER_MS)
 			continue;
 		if (over_ms >= PAUSE_ALL_AFTER_MS ||
 		    dispatch_may_interfere(dispatch, run, serving))
@@ -188,7 +187,7 @@
 		    !can_move(run, now) ||
 		    !dispatch_can_relocate(dispatch, run, now))
 			continue;
-		run->is_evicted = 1;
+		dispatch_evict(run);
 		dispatch_emit(dispatch, DISPATCH_RUN_EVICTED, run->workflow,
 			      worker, &run->id, run->number, "latency");
 		if (++count == EVICTIONS_MAX)
--- a/packages/core/src/dispatch_pressure.c
+++ b/packages/core/src/dispatch_pressure.c
@@ -11,6 +11,8 @@
 #define PRESSURE_NEGLIGIBLE 0.02
 /* Highest planned latency beside best-effort runs, relative to the target. */
 #define LATENCY_SHARE_PLANNED 0.90
+/* Each latency that a worker reports covers half a second. */
+#define SPARE_VALID_MS 100
 /* Above this fraction the target counts as missed: latencies are rough. */
 #define LATENCY_SHARE_MISSED 0.90
 
@@ -120,24 +122,38 @@
 	return spare;
 }
 
+/* A placement asks for it at each worker; the estimates change slowly. */
+static double recent_spare_pressure(const struct dispatch *dispatch,
+				    struct run *serving, struct mstime now)
+{
+	const struct worker *worker = serving->worker;
+
+	if (serving->spare_pressure_at.ms &&
+	    serving->spare_pressure_fill == worker->fill_version &&
+	    mstime_diff(now, serving->spare_pressure_at) < SPARE_VALID_MS)
+		return serving->spare_pressure;
+	serving->spare_pressure = spare_pressure(dispatch, worker, serving);
+	serving->spare_pressure_at = now;
+	serving->spare_pressure_fill = worker->fill_version;
+	return serving->spare_pressure;
+}
+
 double dispatch_placement_excess(struct dispatch *dispatch,
 				 const struct worker *worker, int image,
-				 double cores)
+				 double cores, struct mstime now)
 {
 	const struct list *pos;
 	double worst = -1;
 
-	list_for_each (pos, &worker->runs) {
-		const struct run *serving = list_entry(pos, struct run, node);
+	list_for_each (pos, &worker->serving_runs) {
+		struct run *serving = list_entry(pos, struct run, serving_node);
 		double added, excess;
 
-		if (!serving->latency_target_ms)
-			continue;
 		added = cores * colocation_weight_upper(dispatch->colocation,
 							image, serving->image);
 		if (added < PRESSURE_NEGLIGIBLE)
 			continue;
-		excess = added - spare_pressure(dispatch, worker, serving);
+		excess = added - recent_spare_pressure(dispatch, serving, now);
 		if (serving->over_target_since.ms && excess < added)
 			excess = added;
 		if (excess > worst)
@@ -182,10 +198,10 @@
 
 	worker->over_target_since = mstime_from(0);
 
-	list_for_each (pos, &worker->runs) {
-		struct run *run = list_entry(pos, struct run, node);
+	list_for_each (pos, &worker->serving_runs) {
+		struct run *run = list_entry(pos, struct run, serving_node);
 
-		if (!run->latency_target_ms || !is_measured(run, now))
+		if (!is_measured(run, now))
 			continue;
 		colocation_observe(
 			dispatch->colocation, run->image, run->load_group,
--- a/packages/core/src/dispatch_priority.c
+++ b/packages/core/src/dispatch_priority.c
@@ -27,7 +27,7 @@
 	return URGENCY_OVERDUE;
 }
 
-static void update_urgency(struct workflow *workflow, struct mstime now)
+void dispatch_update_urgency(struct workflow *workflow, struct mstime now)
 {
 	int64_t objective_ms = dispatch_objective_ms(workflow);
 
@@ -70,7 +70,8 @@
 	struct list *pos, *tmp, sorted;
 
 	list_for_each (pos, &dispatch->workflows)
-		update_urgency(list_entry(pos, struct workflow, node), now);
+		dispatch_update_urgency(list_entry(pos, struct workflow, node),
+					now);
 	list_init(&sorted);
 	list_for_each_safe (pos, tmp, &dispatch->workflows) {
 		struct workflow *workflow =
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <jansson.h>
+
 #include "dispatch.h"
 #include "dispatch_internal.h"
 #include "errors.h"
@@ -9,6 +11,12 @@
 /* Number of fences of one scheduler epoch; the epoch is the high part. */
 #define FENCES_PER_EPOCH 4096
 
+/*
+ * Reports that follow each other sooner share a response; what they cause is
+ * ordered at once. Leases are extended by responses.
+ */
+#define RESPONSE_INTERVAL_MS 300
+
 /* Consecutive failed or refused runs after which the worker gets a penalty. */
 #define CONSECUTIVE_FAILURES_MAX 4
 
@@ -19,6 +27,7 @@
 			worker->incarnations % FENCES_PER_EPOCH;
 	worker->has_current_lists = 0;
 	worker->needs_fence = 0;
+	worker->needs_response = 1;
 }
 
 static void drop_previous_runs(struct dispatch *dispatch, struct worker *worker,
@@ -55,6 +64,7 @@
 	worker->last_end_number = 0;
 	worker->stored_end_number = 0;
 	worker->pending_end_count = 0;
+	list_del(&worker->ends_node);
 	worker->consecutive_failures = 0;
 	worker->needs_fence = 1;
 	if (!same_id)
@@ -138,12 +148,23 @@
 		workflow->state = WORKFLOW_FAILED;
 }
 
+static int text_is_utf8(const char *text)
+{
+	json_t *json = json_string(text);
+
+	json_decref(json);
+	return json != NULL;
+}
+
 static void set_checkpoint(struct workflow_task *task, const char *checkpoint)
 {
 	if (!checkpoint || !*checkpoint)
 		return;
 	if (task->checkpoint && !strcmp(task->checkpoint, checkpoint))
 		return;
+	/* The stored state would be unreadable for the next scheduler. */
+	if (!text_is_utf8(checkpoint))
+		return;
 	free(task->checkpoint);
 	task->checkpoint = xstrdup(checkpoint);
 }
@@ -194,7 +215,9 @@
 	worker->last_end_number = end->number;
 	record = &worker->pending_ends[worker->pending_end_count++];
 	record->number = end->number;
-	record->job[0] = '\0';
+	record->workflow = NULL;
+	if (list_empty(&worker->ends_node))
+		list_add_tail(&dispatch->workers_with_ends, &worker->ends_node);
 	note_started(dispatch, dispatch_find_workflow(dispatch, end->task.job));
 	run = dispatch_run_find(worker, &end->task, end->run);
 	dispatch_emit(dispatch, DISPATCH_RUN_ENDED, run ? run->workflow : NULL,
@@ -206,29 +229,12 @@
 		dispatch_run_end(dispatch, run, now);
 		return 0;
 	}
-	str_copy(record->job, end->task.job, sizeof(record->job));
+	record->workflow = run->workflow;
 	handle_run_end(dispatch, run, end, now);
 	record->version = dispatch->version;
 	return 0;
 }
 
-/* Ends without a change to store are acknowledged with the next response. */
-static void acknowledge_settled_ends(struct worker *worker)
-{
-	size_t settled = 0;
-
-	while (settled < worker->pending_end_count &&
-	       !worker->pending_ends[settled].job[0])
-		worker->stored_end_number =
-			worker->pending_ends[settled++].number;
-	if (!settled)
-		return;
-	worker->needs_response = 1;
-	worker->pending_end_count -= settled;
-	memmove(worker->pending_ends, worker->pending_ends + settled,
-		worker->pending_end_count * sizeof(worker->pending_ends[0]));
-}
-
 static struct run *orphan_new(struct dispatch *dispatch, struct worker *worker,
 			      const struct run_status *status)
 {
@@ -241,6 +247,8 @@
 				       &status->task, status->run);
 	} else {
 		run = xcalloc(1, sizeof(*run));
+		list_init(&run->serving_node);
+		list_init(&run->unsaved_node);
 		run->worker = worker;
 		run->id = status->task;
 		run->number = status->run;
@@ -357,7 +365,8 @@
 	for (i = 0; i < report->ends.count; i++)
 		if (process_end(dispatch, worker, &report->ends.items[i], now))
 			break;
-	acknowledge_settled_ends(worker);
+	/* Ends without a change to store are acknowledged at once. */
+	dispatch_acknowledge_ends(worker);
 	for (i = 0; i < report->runs.count; i++)
 		process_status(dispatch, worker, &report->runs.items[i],
 			       report->seq, now);
@@ -381,7 +390,9 @@
 		start_session(worker, report->session);
 	worker->report_seq = report->seq;
 	worker->reported_at = now;
-	worker->needs_response = 1;
+	if (mstime_diff(now, worker->responded_at) >= RESPONSE_INTERVAL_MS)
+		worker->needs_response = 1;
+	worker->may_have_orders = 1;
 	worker->list_age_ms = report->list_age_ms;
 	worker->is_unbound = !report->worker[0];
 	worker->listed_fence = report->fence;
--- a/packages/core/src/dispatch_run.c
+++ b/packages/core/src/dispatch_run.c
@@ -26,6 +26,8 @@
 	struct run *run = xcalloc(1, sizeof(*run));
 
 	list_init(&run->node);
+	list_init(&run->serving_node);
+	list_init(&run->unsaved_node);
 	run->worker = worker;
 	run->workflow = workflow;
 	run->id = *id;
@@ -33,11 +35,14 @@
 	run->reserved = step->need;
 	run->best_effort = step->best_effort;
 	run->latency_target_ms = (uint32_t)step->latency_target_ms;
-	run->image = colocation_image_index(dispatch->colocation, step->image);
+	run->image = step->image_index;
 	run->load_group = load_group_key(id);
 	run->pace = 100;
 	run->pace_sent = 100;
 	list_add_tail(&worker->runs, &run->node);
+	if (run->latency_target_ms)
+		list_add_tail(&worker->serving_runs, &run->serving_node);
+	worker->fill_version += run->best_effort;
 	worker->run_count++;
 	worker->used.mem_mb += run->reserved.mem_mb;
 	worker->used.accel += run->reserved.accel;
@@ -80,6 +85,12 @@
 	task->location = NULL;
 }
 
+void dispatch_evict(struct run *run)
+{
+	run->is_evicted = 1;
+	run->worker->may_have_orders = 1;
+}
+
 void dispatch_run_end(struct dispatch *dispatch, struct run *run,
 		      struct mstime now)
 {
@@ -97,5 +108,8 @@
 	else
 		worker->used.cpu_milli -= run->reserved.cpu_milli;
 	list_del(&run->node);
+	list_del(&run->serving_node);
+	list_del(&run->unsaved_node);
+	worker->fill_version += run->best_effort;
 	free(run);
 }
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -97,6 +97,8 @@
 	struct workflow *workflow = xcalloc(1, sizeof(*workflow));
 
 	list_init(&workflow->node);
+	list_init(&workflow->unsaved_node);
+	list_init(&workflow->unsaved_runs);
 	workflow->spec = *spec;
 	workflow->queue = *queue;
 	workflow->submitted_ms = submitted_ms;
@@ -130,6 +132,7 @@
 				 workflow->spec.task_count);
 	free(workflow->occurrences);
 	list_del(&workflow->node);
+	list_del(&workflow->unsaved_node);
 	workflow_spec_clear(&workflow->spec);
 	free(workflow);
 }
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -14,6 +14,16 @@
 #define TICK_INTERVAL_MS 100
 /* Reports that arrive within this time are handled together. */
 #define WAKE_DELAY_MS 1
+/*
+ * Passes over the workflows take at most a fifth of the time, whatever waits:
+ * the next one begins four times the duration of the last one after its end.
+ */
+#define PASS_SPACING_MIN_MS 10
+#define PASS_SPACING_FACTOR 4
+/* A tick that is late by this much shows a lack of processor time... */
+#define BEHIND_MS 300
+/* ...until none has been late for so long. */
+#define CAUGHT_UP_AFTER_MS 2000
 
 static void format_run(const struct dispatch_event *event, char *buf,
 		       size_t size)
@@ -136,6 +146,33 @@
 	}
 }
 
+static void assign(struct scheduler *scheduler, struct mstime now)
+{
+	struct mstime end;
+	int64_t pass_ms, spacing_ms;
+
+	if (mstime_before(now, scheduler->next_pass_at)) {
+		loop_timer_start(scheduler->pass_timer,
+				 mstime_diff(scheduler->next_pass_at, now));
+		return;
+	}
+	dispatch_assign(scheduler->dispatch, now);
+	end = sysclock_now();
+	pass_ms = mstime_diff(end, now);
+	histogram_observe(&scheduler->pass_ms, pass_ms);
+	spacing_ms = pass_ms * PASS_SPACING_FACTOR;
+	if (spacing_ms < PASS_SPACING_MIN_MS)
+		spacing_ms = PASS_SPACING_MIN_MS;
+	scheduler->next_pass_at = mstime_add(end, spacing_ms);
+	if (dispatch_is_assigning(scheduler->dispatch))
+		loop_timer_start(scheduler->pass_timer, spacing_ms);
+}
+
+static void on_pass_timer(void *arg)
+{
+	scheduler_wake(arg);
+}
+
 static void on_wake(void *arg)
 {
 	struct scheduler *scheduler = arg;
@@ -146,7 +183,7 @@
 		return;
 	dispatch_set_wall_clock(scheduler->dispatch, sysclock_wall_ms());
 	if (election_is_leader(scheduler->election, now))
-		dispatch_assign(scheduler->dispatch, now);
+		assign(scheduler, now);
 	scheduler_commit(scheduler, now);
 	scheduler_links_send(scheduler, now);
 }
@@ -159,15 +196,52 @@
 	loop_timer_start(scheduler->wake_timer, WAKE_DELAY_MS);
 }
 
+/* Tells when the scheduler falls behind its timers, and when it is over. */
+static void observe_lag(struct scheduler *scheduler, struct mstime now)
+{
+	int64_t lag_ms = mstime_diff(now, scheduler->tick_due_at);
+
+	histogram_observe(&scheduler->lag_ms, lag_ms > 0 ? lag_ms : 0);
+	if (lag_ms >= BEHIND_MS) {
+		scheduler->late_tick_at = now;
+		if (scheduler->is_behind)
+			return;
+		scheduler->is_behind = 1;
+		scheduler->behind_since = now;
+		log_event(EV_SCHEDULER_BEHIND,
+			  "epoch=%lld lag_ms=%lld waiting=%u",
+			  (long long)scheduler->epoch, (long long)lag_ms,
+			  scheduler->pending_count);
+	} else if (scheduler->is_behind &&
+		   mstime_diff(now, scheduler->late_tick_at) >=
+			   CAUGHT_UP_AFTER_MS) {
+		scheduler->is_behind = 0;
+		log_event(EV_SCHEDULER_CAUGHT_UP,
+			  "epoch=%lld behind_ms=%lld waiting=%u",
+			  (long long)scheduler->epoch,
+			  (long long)mstime_diff(scheduler->late_tick_at,
+						 scheduler->behind_since),
+			  scheduler->pending_count);
+	}
+}
+
+static void start_tick(struct scheduler *scheduler, struct mstime now)
+{
+	scheduler->tick_due_at = mstime_add(now, TICK_INTERVAL_MS);
+	loop_timer_start(scheduler->tick_timer, TICK_INTERVAL_MS);
+}
+
 static void on_tick(void *arg)
 {
 	struct scheduler *scheduler = arg;
 	struct mstime now = sysclock_now();
 
-	loop_timer_start(scheduler->tick_timer, TICK_INTERVAL_MS);
+	observe_lag(scheduler, now);
+	start_tick(scheduler, now);
 	if (!scheduler->is_loaded)
 		return;
 	dispatch_expire(scheduler->dispatch, now);
+	scheduler_links_check(scheduler, now);
 	scheduler_publish_pending(scheduler, now);
 	scheduler_remove_old(scheduler, now);
 	scheduler_wake(scheduler);
@@ -183,7 +257,9 @@
 			     sysclock_now(), on_dispatch_event, scheduler);
 	scheduler_links_start(scheduler);
 	scheduler_load_start(scheduler);
-	loop_timer_start(scheduler->tick_timer, TICK_INTERVAL_MS);
+	scheduler->is_behind = 0;
+	scheduler->next_pass_at = mstime_from(0);
+	start_tick(scheduler, sysclock_now());
 }
 
 static void end_term(struct scheduler *scheduler)
@@ -192,6 +268,7 @@
 		return;
 	loop_timer_stop(scheduler->tick_timer);
 	loop_timer_stop(scheduler->wake_timer);
+	loop_timer_stop(scheduler->pass_timer);
 	scheduler->wake_is_scheduled = 0;
 	kv_cancel(scheduler->kv, scheduler);
 	kv_cancel(scheduler->kv, &scheduler->self);
@@ -245,12 +322,28 @@
 		.name = "catkinhill_scheduler_workflow_ms",
 		.help = "Time from submission to the end of a workflow.",
 	};
+	scheduler->pass_ms = (struct histogram){
+		.name = "catkinhill_scheduler_pass_ms",
+		.help = "Time of a pass that assigns tasks to workers.",
+	};
+	scheduler->lag_ms = (struct histogram){
+		.name = "catkinhill_scheduler_lag_ms",
+		.help = "How late the timer of the active scheduler is.",
+	};
+	scheduler->waiting = (struct metric){
+		.kind = METRIC_GAUGE,
+		.name = "catkinhill_scheduler_waiting_workflows",
+		.help = "Workflows of which no worker has begun a task.",
+	};
+	metric_register(set, &scheduler->waiting);
 	metric_register(set, &scheduler->commits);
 	metric_register(set, &scheduler->commits_failed);
 	metric_register(set, &scheduler->runs_assigned);
 	metric_register(set, &scheduler->runs_lost);
 	histogram_register(set, &scheduler->commit_ms);
 	histogram_register(set, &scheduler->workflow_ms);
+	histogram_register(set, &scheduler->pass_ms);
+	histogram_register(set, &scheduler->lag_ms);
 }
 
 struct scheduler *scheduler_new(struct daemon *daemon, struct kv *kv)
@@ -270,6 +363,8 @@
 		loop_timer_new(daemon->loop, on_tick, scheduler);
 	scheduler->wake_timer =
 		loop_timer_new(daemon->loop, on_wake, scheduler);
+	scheduler->pass_timer =
+		loop_timer_new(daemon->loop, on_pass_timer, scheduler);
 	scheduler->load_retry_timer =
 		loop_timer_new(daemon->loop, on_load_retry, scheduler);
 	scheduler_commit_init(scheduler);
@@ -293,6 +388,7 @@
 	end_term(scheduler);
 	loop_timer_delete(scheduler->tick_timer);
 	loop_timer_delete(scheduler->wake_timer);
+	loop_timer_delete(scheduler->pass_timer);
 	loop_timer_delete(scheduler->load_retry_timer);
 	loop_timer_delete(scheduler->commit.retry_timer);
 	free(scheduler);
--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -221,6 +221,7 @@
 		json_object_set_new(root, queue, json_integer(count + 1));
 		scheduler->pending_count++;
 	}
+	scheduler->waiting.value = scheduler->pending_count;
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(root);
 	return text;
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -37,6 +37,7 @@
 	char runner[ID_SIZE];
 	char address[ID_SIZE];
 	struct transport *transport;
+	struct worker *worker; /* in dispatch, of the same term */
 	struct mstime last_report_at;
 	struct mstime hello_sent_at;
 	int is_silent;
@@ -80,8 +81,13 @@
 
 	struct loop_timer *tick_timer;
 	struct loop_timer *wake_timer;
+	struct loop_timer *pass_timer;
 	struct loop_timer *load_retry_timer;
 	int wake_is_scheduled;
+	struct mstime next_pass_at; /* no pass over the workflows before */
+	struct mstime tick_due_at;
+	int is_behind;
+	struct mstime behind_since, late_tick_at;
 	struct mstime last_commit_at;
 	struct mstime pending_sent_at;
 	char *pending_json;
@@ -91,7 +97,8 @@
 	size_t removal_count;
 
 	struct metric commits, commits_failed, runs_assigned, runs_lost;
-	struct histogram commit_ms, workflow_ms;
+	struct metric waiting;
+	struct histogram commit_ms, workflow_ms, pass_ms, lag_ms;
 };
 
 /* Soon assigns runs, commits changes and sends orders. */
@@ -108,10 +115,14 @@
 /* Removes the records of workflows that ended long ago. */
 void scheduler_remove_old(struct scheduler *scheduler, struct mstime now);
 
-/* Connections to all registered runners: start, stop, send orders. */
+/*
+ * Connections to all registered runners: start, stop, send orders, and greet
+ * runners that do not report.
+ */
 void scheduler_links_start(struct scheduler *scheduler);
 void scheduler_links_stop(struct scheduler *scheduler);
 void scheduler_links_send(struct scheduler *scheduler, struct mstime now);
+void scheduler_links_check(struct scheduler *scheduler, struct mstime now);
 
 /*
  * Resigns and leaves for the next scheduler when the leases of all runs end.
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -102,8 +102,8 @@
 			return;
 		}
 		list_add_tail(&scheduler->links, &link->node);
-		dispatch_get_worker(scheduler->dispatch, runner,
-				    sysclock_now());
+		link->worker = dispatch_get_worker(scheduler->dispatch, runner,
+						   sysclock_now());
 	}
 	link_connect(link, address);
 }
@@ -152,13 +152,11 @@
 static void send_orders(struct runner_link *link, struct mstime now)
 {
 	struct scheduler *scheduler = link->scheduler;
-	struct worker *worker =
-		dispatch_get_worker(scheduler->dispatch, link->runner, now);
 	int may_extend = election_is_leader(scheduler->election, now);
 	struct message msg = { MSG_WORK_ORDERS };
 
-	while (dispatch_build_orders(scheduler->dispatch, worker, may_extend,
-				     &msg.u.work_orders, now)) {
+	while (dispatch_build_orders(scheduler->dispatch, link->worker,
+				     may_extend, &msg.u.work_orders, now)) {
 		int err = transport_send(link->transport, NULL, &msg);
 
 		if (err)
@@ -173,6 +171,19 @@
 {
 	struct list *pos;
 
+	list_for_each (pos, &scheduler->links) {
+		struct runner_link *link =
+			list_entry(pos, struct runner_link, node);
+
+		if (link->transport && dispatch_may_have_orders(link->worker))
+			send_orders(link, now);
+	}
+}
+
+void scheduler_links_check(struct scheduler *scheduler, struct mstime now)
+{
+	struct list *pos;
+
 	list_for_each (pos, &scheduler->links) {
 		struct runner_link *link =
 			list_entry(pos, struct runner_link, node);
@@ -189,6 +200,5 @@
 		if (quiet_ms > RUNNER_SILENT_MS / 2 &&
 		    mstime_diff(now, link->hello_sent_at) >= HELLO_INTERVAL_MS)
 			send_hello(link, now);
-		send_orders(link, now);
 	}
 }
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -569,9 +569,51 @@
 	}
 }
 
+/*
+ * Guards against a checkpoint that no JSON can hold, which ended the scheduler
+ * or left a stored state that the next one could not read.
+ */
+static void test_checkpoint_not_text(void **state)
+{
+	static const struct {
+		const char *checkpoint, *stored;
+	} cases[] = { { "c1", "c1" },
+		      { "c\xff", NULL },
+		      { "\xed\xa0\x80", NULL } };
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct workflow *workflow = new_workflow("j1", 1, 0, 100),
+				*decoded = new_workflow("j1", 1, 0, 100);
+		struct run_status status = { { "j1", 0, 0, 0 }, 1, RUN_ACTIVE };
+		const char *checkpoint;
+		char *json;
+
+		status.checkpoint = cases[i].checkpoint;
+		dispatch_add(dispatch, workflow, at(0));
+		send_report(dispatch, 1, 1, NULL, 0, 1);
+		send_report(dispatch, 1, 2, NULL, 0, 2);
+		assert_int_equal(dispatch_assign(dispatch, at(3)), 1);
+		save_workflows(dispatch);
+		send_report(dispatch, 1, 3, &status, 1, 4);
+		json = workflow_encode(workflow);
+		assert_int_equal(workflow_decode(decoded, json, strlen(json)),
+				 0);
+		checkpoint = workflow_task(decoded, 0, 0, 0)->checkpoint;
+		assert_int_equal(!checkpoint, !cases[i].stored);
+		if (checkpoint)
+			assert_string_equal(checkpoint, cases[i].stored);
+		free(json);
+		workflow_delete(decoded);
+		dispatch_delete(dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_checkpoint_not_text),
 		cmocka_unit_test(test_session_restart),
 		cmocka_unit_test(test_fence_after_runner_restart),
 		cmocka_unit_test(test_start_after_save),
