--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -301,7 +301,7 @@
 	fill_report(runner, &msg.u.work_report, labels, now);
 	runner->reported_at = now;
 	runner->report_sent_at[runner->report_seq % REPORT_RING_SIZE] = now;
-	err = transport_send(runner->transport, runner->scheduler_peer, &msg);
+	err = msglink_server_send(runner->links, runner->scheduler_peer, &msg);
 	free(msg.u.work_report.runs.items);
 	runner->reports.value++;
 	if (!err)
@@ -433,9 +433,9 @@
 	if (!runner->kv)
 		return listen_failed(runner, "store.address",
 				     settings->store_address);
-	runner->transport = transport_server_new(daemon->loop, settings->peers,
-						 on_message, runner);
-	if (!runner->transport)
+	runner->links = msglink_server_new(daemon->loop, settings->peers,
+					   on_message, runner);
+	if (!runner->links)
 		return listen_failed(runner, "listen.peers", settings->peers);
 	runner->httpd = httpd_new(daemon->loop, settings->announcements,
 				  ANNOUNCEMENT_MAX_BYTES, on_request, runner);
@@ -460,8 +460,7 @@
 	scheduler_delete(runner->scheduler);
 	registration_delete(runner->registration);
 	httpd_delete(runner->httpd);
-	if (runner->transport)
-		transport_delete(runner->transport);
+	msglink_server_delete(runner->links);
 	clear_lists(runner);
 	workercall_delete(runner->calls);
 	kv_delete(runner->kv);
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -4,11 +4,11 @@
 #include "httpd.h"
 #include "kv.h"
 #include "list.h"
+#include "msglink.h"
 #include "platformjson.h"
 #include "registration.h"
 #include "runner.h"
 #include "scheduler.h"
-#include "transport.h"
 #include "workercall.h"
 
 /*
@@ -59,7 +59,7 @@
 	struct registration *registration;
 	struct scheduler *scheduler;
 	struct httpd *httpd;
-	struct transport *transport;
+	struct msglink_server *links; /* from schedulers */
 	struct workercall *calls;
 
 	/* The worker; target.id is "" until it has announced itself. */
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -11,7 +11,7 @@
 #include "list.h"
 #include "queues.h"
 #include "scheduler.h"
-#include "transport.h"
+#include "msglink.h"
 
 /*
  * NAME
@@ -36,10 +36,11 @@
 	struct scheduler *scheduler;
 	char runner[ID_SIZE];
 	char address[ID_SIZE];
-	struct transport *transport;
+	struct msglink_client *client;
 	struct worker *worker; /* in dispatch, of the same term */
 	struct mstime last_report_at;
 	struct mstime hello_sent_at;
+	struct mstime restarted_at; /* last connection given up as silent */
 	int is_silent;
 };
 
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -12,6 +12,11 @@
 #define HELLO_INTERVAL_MS 300
 /* Four report intervals without a report. */
 #define RUNNER_SILENT_MS 2000
+/*
+ * A connection without a report for so long is replaced: it may be silent for
+ * good while a new one works.
+ */
+#define LINK_SILENT_MS 2500
 
 static void send_hello(struct runner_link *link, struct mstime now)
 {
@@ -20,7 +25,7 @@
 	msg.u.work_hello.epoch = (uint64_t)link->scheduler->epoch;
 	str_copy(msg.u.work_hello.scheduler, link->scheduler->id, ID_SIZE);
 	link->hello_sent_at = now;
-	if (transport_send(link->transport, NULL, &msg))
+	if (msglink_client_send(link->client, &msg))
 		log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s",
 			  link->runner, link->address);
 }
@@ -67,15 +72,16 @@
 static void link_connect(struct runner_link *link, const char *address)
 {
 	struct scheduler *scheduler = link->scheduler;
-	char *routing_id =
+	char *id =
 		xstrfmt("%s/%lld", scheduler->id, (long long)scheduler->epoch);
 
-	transport_delete(link->transport);
+	msglink_client_delete(link->client);
 	str_copy(link->address, address, sizeof(link->address));
-	link->transport = transport_client_new(scheduler->daemon->loop, address,
-					       routing_id, on_message, link);
-	free(routing_id);
-	if (link->transport)
+	link->restarted_at = sysclock_now();
+	link->client = msglink_client_new(scheduler->daemon->loop, address, id,
+					  on_message, link);
+	free(id);
+	if (link->client)
 		send_hello(link, sysclock_now());
 	else
 		log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s",
@@ -104,6 +110,7 @@
 		list_add_tail(&scheduler->links, &link->node);
 		link->worker = dispatch_get_worker(scheduler->dispatch, runner,
 						   sysclock_now());
+		link->worker->link = link;
 	}
 	link_connect(link, address);
 }
@@ -143,7 +150,7 @@
 		struct runner_link *link =
 			list_entry(pos, struct runner_link, node);
 
-		transport_delete(link->transport);
+		msglink_client_delete(link->client);
 		list_del(&link->node);
 		free(link);
 	}
@@ -157,7 +164,7 @@
 
 	while (dispatch_build_orders(scheduler->dispatch, link->worker,
 				     may_extend, &msg.u.work_orders, now)) {
-		int err = transport_send(link->transport, NULL, &msg);
+		int err = msglink_client_send(link->client, &msg);
 
 		if (err)
 			log_event(EV_RUNNER_UNREACHABLE, "runner=%s err=%s",
@@ -169,13 +176,12 @@
 
 void scheduler_links_send(struct scheduler *scheduler, struct mstime now)
 {
-	struct list *pos;
+	struct worker *worker;
 
-	list_for_each (pos, &scheduler->links) {
-		struct runner_link *link =
-			list_entry(pos, struct runner_link, node);
+	while ((worker = dispatch_next_with_orders(scheduler->dispatch))) {
+		struct runner_link *link = worker->link;
 
-		if (link->transport && dispatch_may_have_orders(link->worker))
+		if (link && link->client)
 			send_orders(link, now);
 	}
 }
@@ -189,7 +195,7 @@
 			list_entry(pos, struct runner_link, node);
 		int64_t quiet_ms = mstime_diff(now, link->last_report_at);
 
-		if (!link->transport)
+		if (!link->client)
 			continue;
 		if (quiet_ms > RUNNER_SILENT_MS && link->last_report_at.ms &&
 		    !link->is_silent) {
@@ -197,6 +203,11 @@
 			log_event(EV_RUNNER_SILENT, "runner=%s quiet_ms=%lld",
 				  link->runner, (long long)quiet_ms);
 		}
+		if (quiet_ms > LINK_SILENT_MS &&
+		    mstime_diff(now, link->restarted_at) > LINK_SILENT_MS) {
+			link->restarted_at = now;
+			msglink_client_restart(link->client);
+		}
 		if (quiet_ms > RUNNER_SILENT_MS / 2 &&
 		    mstime_diff(now, link->hello_sent_at) >= HELLO_INTERVAL_MS)
 			send_hello(link, now);
