dispatch: store the ends of a step together, list workers with orders

Cause: each end of a task renewed the JSON of its workflow and was acknowledged by a message of its own, and each wake looked at all links.

Changes that nothing waits for are stored within 200 ms; assignments and final states at once. Workers that may have orders are in a list.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -115,6 +115,9 @@
 struct worker {
 	struct list node;
 	struct worker *hash_next;
+	struct list orders_node; /* while it may have orders */
+	struct list *workers_with_orders;
+	void *link;	      /* of the caller */
 	char runner[ID_SIZE]; /* node name */
 	char id[ID_SIZE];
 	uint64_t start_ms; /* start of the worker, ms since 1970 */
@@ -159,7 +162,6 @@
 	struct mstime over_target_since; /* of any serving run; 0: none */
 	unsigned needs_response : 1;
 	unsigned needs_acknowledgement : 1; /* of ends; with the next orders */
-	unsigned may_have_orders : 1;	    /* see dispatch_may_have_orders() */
 	unsigned is_unbound : 1; /* the last report named no worker */
 	/* Runner or worker have started anew; reports may be without worker. */
 	unsigned needs_fence : 1;
@@ -316,10 +318,12 @@
 	const struct dispatch *dispatch);
 
 /*
- * Returns the next workflow that has to be stored and is not part of a commit
- * in progress, or NULL. The caller sets its saving flag.
+ * Returns the next workflow that has to be stored now and is not part of a
+ * commit in progress, or NULL. The caller sets its saving flag. Changes that
+ * nothing waits for are stored a little later, together.
  */
-struct workflow *dispatch_next_unsaved(struct dispatch *dispatch);
+struct workflow *dispatch_next_unsaved(struct dispatch *dispatch,
+				       struct mstime now);
 
 /* Records that the state of the workflow as of version is stored. */
 void dispatch_mark_saved(struct dispatch *dispatch, struct workflow *workflow,
@@ -344,6 +348,9 @@
  */
 int dispatch_may_have_orders(const struct worker *worker);
 
+/* Returns the next of these workers, of which it is no longer one, or NULL. */
+struct worker *dispatch_next_with_orders(struct dispatch *dispatch);
+
 /* Whether orders or a response to a report must be sent to the worker. */
 int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
 			struct mstime now);
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -131,13 +131,14 @@
 	int64_t critical_path_ms; /* by the estimates */
 	int64_t remaining_ms;	  /* of the critical path */
 	enum urgency urgency;
-	int64_t sort_key_ms;	  /* among equal urgency */
-	uint64_t round;		  /* last one that looked at it; of dispatch */
-	uint64_t version;	  /* of the last change */
-	uint64_t saved_version;	  /* of the last state stored */
-	int64_t stored_revision;  /* 0: the state is not in the store */
-	struct mstime ended_at;	  /* when it became final; 0: it is not */
-	struct mstime idle_since; /* last time seen with a run */
+	int64_t sort_key_ms;	/* among equal urgency */
+	uint64_t round;		/* last one that looked at it; of dispatch */
+	uint64_t version;	/* of the last change */
+	uint64_t saved_version; /* of the last state stored */
+	struct mstime unsaved_since; /* 0: no change since a save */
+	int64_t stored_revision;     /* 0: the state is not in the store */
+	struct mstime ended_at;	     /* when it became final; 0: it is not */
+	struct mstime idle_since;    /* last time seen with a run */
 	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	unsigned cancelled : 1;
 	unsigned started : 1; /* a worker has begun a task */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -31,6 +31,9 @@
 	.assumed_usage_percent = 45,
 };
 
+/* Ends of the tasks of a step that follow each other are stored together. */
+#define SAVE_WITHIN_MS 200
+
 /* At a lower pace a run makes no measurable progress. */
 #define STUCK_PACE_MIN 50
 
@@ -66,6 +69,7 @@
 	list_init(&dispatch->workers);
 	list_init(&dispatch->unsaved);
 	list_init(&dispatch->workers_with_ends);
+	list_init(&dispatch->workers_with_orders);
 	return dispatch;
 }
 
@@ -151,6 +155,8 @@
 void dispatch_mark_changed(struct dispatch *dispatch, struct workflow *workflow)
 {
 	workflow->version = ++dispatch->version;
+	if (!workflow->unsaved_since.ms)
+		workflow->unsaved_since = dispatch->now;
 	if (list_empty(&workflow->unsaved_node))
 		list_add_tail(&dispatch->unsaved, &workflow->unsaved_node);
 }
@@ -251,6 +257,7 @@
 {
 	struct workflow_entry **link = find_link(dispatch, workflow->spec.id);
 
+	dispatch->now = now;
 	if (*link) {
 		workflow_delete(workflow);
 		return ERR_EXISTS;
@@ -282,7 +289,7 @@
 				workflow->occurrences[k].tasks[i].current_run;
 
 			if (run)
-				run->worker->may_have_orders = 1;
+				dispatch_note_orders(run->worker);
 		}
 }
 
@@ -304,6 +311,7 @@
 {
 	struct workflow *workflow = dispatch_find_workflow(dispatch, job);
 
+	dispatch->now = now;
 	if (!workflow)
 		return ERR_NOT_FOUND;
 	if (workflow_is_final(workflow))
@@ -331,6 +339,8 @@
 	list_init(&worker->runs);
 	list_init(&worker->serving_runs);
 	list_init(&worker->ends_node);
+	list_init(&worker->orders_node);
+	worker->workers_with_orders = &dispatch->workers_with_orders;
 	dispatch->candidates =
 		xrealloc(dispatch->candidates,
 			 ++dispatch->worker_count * sizeof(struct candidate));
@@ -441,12 +451,13 @@
 {
 	struct list *pos;
 
+	dispatch->now = now;
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
 
 		/* Orders that were not confirmed are repeated. */
-		worker->may_have_orders |= !list_empty(&worker->runs) ||
-					   worker->needs_acknowledgement;
+		if (!list_empty(&worker->runs) || worker->needs_acknowledgement)
+			dispatch_note_orders(worker);
 		dispatch_expire_lease(dispatch, worker, now);
 		evict_stuck(dispatch, worker, now);
 		evict_leaving(dispatch, worker, now);
@@ -478,8 +489,15 @@
 		remove_workflow(dispatch, workflow);
 }
 
-/* Workflows that are being saved are few: those of one commit. */
-struct workflow *dispatch_next_unsaved(struct dispatch *dispatch)
+/* Starts, callers and takeovers wait for these changes. */
+static int save_is_urgent(const struct workflow *workflow)
+{
+	return !list_empty(&workflow->unsaved_runs) ||
+	       workflow_is_final(workflow);
+}
+
+struct workflow *dispatch_next_unsaved(struct dispatch *dispatch,
+				       struct mstime now)
 {
 	struct list *pos;
 
@@ -487,7 +505,10 @@
 		struct workflow *workflow =
 			list_entry(pos, struct workflow, unsaved_node);
 
-		if (!workflow->saving)
+		if (!workflow->saving &&
+		    (save_is_urgent(workflow) ||
+		     mstime_diff(now, workflow->unsaved_since) >=
+			     SAVE_WITHIN_MS))
 			return workflow;
 	}
 	return NULL;
@@ -531,8 +552,10 @@
 	struct list *pos, *tmp;
 
 	workflow->saved_version = version;
-	if (workflow->version == version)
+	if (workflow->version == version) {
+		workflow->unsaved_since = mstime_from(0);
 		list_del(&workflow->unsaved_node);
+	}
 	list_for_each_safe (pos, tmp, &dispatch->workers_with_ends)
 		settle_ends(list_entry(pos, struct worker, ends_node), workflow,
 			    version);
@@ -544,6 +567,6 @@
 		list_del(&run->unsaved_node);
 		if (run->state == RUN_UNSAVED)
 			run->state = RUN_SAVED;
-		run->worker->may_have_orders = 1;
+		dispatch_note_orders(run->worker);
 	}
 }
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -295,6 +295,7 @@
 	struct list *pos;
 	int placed = 0;
 
+	dispatch->now = now;
 	dispatch->stats.passes++;
 	if (!dispatch->round_is_open)
 		start_round(dispatch, now);
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -58,12 +58,14 @@
 	uint64_t version;
 	int64_t wall_ms;
 	struct mstime takeover_at;
+	struct mstime now; /* of the call in progress */
 	struct list workflows; /* not final, in order of assignment */
 	struct list finals;    /* final, in the order in which they ended */
 	struct list workers;
 	size_t worker_count;
 	struct list unsaved;	       /* workflows, by the time of a change */
 	struct list workers_with_ends; /* that are not acknowledged */
+	struct list workers_with_orders;
 	struct workflow_entry *buckets[JOB_BUCKETS];
 	struct worker *worker_buckets[WORKER_BUCKETS]; /* by runner */
 	dispatch_event_fn event_fn;
@@ -115,6 +117,9 @@
 /* Acknowledges the first pending ends that need not be stored any more. */
 void dispatch_acknowledge_ends(struct worker *worker);
 
+/* Something has happened that may cause orders to the worker. */
+void dispatch_note_orders(struct worker *worker);
+
 /* Lets the run be stopped, so that its task runs elsewhere. */
 void dispatch_evict(struct run *run);
 
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -97,7 +97,24 @@
 
 int dispatch_may_have_orders(const struct worker *worker)
 {
-	return worker->may_have_orders;
+	return !list_empty(&worker->orders_node);
+}
+
+void dispatch_note_orders(struct worker *worker)
+{
+	if (list_empty(&worker->orders_node))
+		list_add_tail(worker->workers_with_orders,
+			      &worker->orders_node);
+}
+
+struct worker *dispatch_next_with_orders(struct dispatch *dispatch)
+{
+	struct list *node = dispatch->workers_with_orders.next;
+
+	if (node == &dispatch->workers_with_orders)
+		return NULL;
+	list_del(node);
+	return list_entry(node, struct worker, orders_node);
 }
 
 int dispatch_has_orders(struct dispatch *dispatch, const struct worker *worker,
@@ -125,7 +142,8 @@
 {
 	struct list *pos, *tmp;
 
-	worker->may_have_orders = 0;
+	dispatch->now = now;
+	list_del(&worker->orders_node);
 	if (!worker->session || !worker->fence ||
 	    !dispatch_has_orders(dispatch, worker, now))
 		return 0;
--- a/packages/core/src/dispatch_pace.c
+++ b/packages/core/src/dispatch_pace.c
@@ -98,7 +98,7 @@
 	if (run->pace == 100)
 		run->slowed_at = now;
 	run->pace = pace;
-	run->worker->may_have_orders = 1;
+	dispatch_note_orders(run->worker);
 	if (dispatch->event_fn)
 		dispatch->event_fn(dispatch->event_arg, &event);
 }
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -380,6 +380,7 @@
 {
 	struct worker *worker = dispatch_get_worker(dispatch, runner, now);
 
+	dispatch->now = now;
 	if (report->epoch != dispatch->epoch)
 		return ERR_FENCED;
 	if (report->session == worker->previous_session ||
@@ -392,7 +393,7 @@
 	worker->reported_at = now;
 	if (mstime_diff(now, worker->responded_at) >= RESPONSE_INTERVAL_MS)
 		worker->needs_response = 1;
-	worker->may_have_orders = 1;
+	dispatch_note_orders(worker);
 	worker->list_age_ms = report->list_age_ms;
 	worker->is_unbound = !report->worker[0];
 	worker->listed_fence = report->fence;
--- a/packages/core/src/dispatch_run.c
+++ b/packages/core/src/dispatch_run.c
@@ -88,7 +88,7 @@
 void dispatch_evict(struct run *run)
 {
 	run->is_evicted = 1;
-	run->worker->may_have_orders = 1;
+	dispatch_note_orders(run->worker);
 }
 
 void dispatch_run_end(struct dispatch *dispatch, struct run *run,
--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -169,7 +169,8 @@
 	struct workflow *workflow;
 	int64_t since_ms = mstime_diff(now, scheduler->last_commit_at);
 
-	if (commit->in_progress || !dispatch_next_unsaved(scheduler->dispatch))
+	if (commit->in_progress ||
+	    !dispatch_next_unsaved(scheduler->dispatch, now))
 		return;
 	if (since_ms < COMMIT_INTERVAL_MS) {
 		loop_timer_start(scheduler->wake_timer,
@@ -178,7 +179,7 @@
 		return;
 	}
 	while (commit->count < COMMIT_WORKFLOWS_MAX &&
-	       (workflow = dispatch_next_unsaved(scheduler->dispatch)))
+	       (workflow = dispatch_next_unsaved(scheduler->dispatch, now)))
 		add_entry(commit, workflow);
 	commit->in_progress = 1;
 	commit->attempts = 0;
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -78,7 +78,7 @@
 {
 	struct workflow *workflow;
 
-	while ((workflow = dispatch_next_unsaved(dispatch)))
+	while ((workflow = dispatch_next_unsaved(dispatch, at(1000000))))
 		dispatch_mark_saved(dispatch, workflow, workflow->version);
 }
 
@@ -559,8 +559,9 @@
 				   ms);
 		assert_int_equal(workflow->started, cases[i].is_started);
 		if (cases[i].is_started)
-			assert_ptr_equal(dispatch_next_unsaved(dispatch),
-					 workflow);
+			assert_ptr_equal(
+				dispatch_next_unsaved(dispatch, at(1000000)),
+				workflow);
 		dispatch_expire(dispatch, at(40000));
 		assert_int_equal(only_worker(dispatch)->run_count, 0);
 		assert_int_equal(workflow->started, cases[i].is_started);
--- a/tests/unit/test_dispatch_leaving.c
+++ b/tests/unit/test_dispatch_leaving.c
@@ -58,7 +58,7 @@
 {
 	struct workflow *workflow;
 
-	while ((workflow = dispatch_next_unsaved(dispatch)))
+	while ((workflow = dispatch_next_unsaved(dispatch, at(1000000))))
 		dispatch_mark_saved(dispatch, workflow, workflow->version);
 }
 
--- a/tests/unit/test_dispatch_scale.c
+++ b/tests/unit/test_dispatch_scale.c
@@ -236,7 +236,7 @@
 {
 	struct workflow *workflow;
 
-	while ((workflow = dispatch_next_unsaved(dispatch)))
+	while ((workflow = dispatch_next_unsaved(dispatch, at(1000000))))
 		dispatch_mark_saved(dispatch, workflow, workflow->version);
 }
 
@@ -318,6 +318,57 @@
 	dispatch_delete(dispatch);
 }
 
+/*
+ * Guards against writing a workflow anew for the end of each of its tasks, and
+ * against callers, starts or acknowledgements that wait for it too long.
+ */
+static void test_save_time(void **state)
+{
+	static const struct {
+		uint32_t done; /* tasks that have ended, of two */
+		int64_t after_ms;
+		int is_due;
+	} cases[] = {
+		{ 1, 0, 0 },
+		{ 1, 150, 0 },
+		{ 1, 250, 1 }, /* well within a second */
+		{ 2, 0, 1 },   /* the workflow is complete */
+	};
+	static const struct step_shape shape = { 2, 1000, 0, 0, NULL };
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct dispatch *dispatch = start(1, NULL);
+		struct ended_run ends[2] = { { 1, { "j0", 0, 0, 0 }, 1 },
+					     { 2, { "j0", 0, 0, 1 }, 1 } };
+		struct worker *worker =
+			dispatch_get_worker(dispatch, "r0", at(2));
+		struct msg_work_report msg = { .epoch = EPOCH,
+					       .seq = 3,
+					       .session = 1,
+					       .worker = "r0",
+					       .worker_start_ms = 5,
+					       .state = WORKER_READY,
+					       .service = "s",
+					       .fence = worker->fence };
+
+		add(dispatch, 0, &shape, 3);
+		assert_int_equal(dispatch_assign(dispatch, at(4)), 2);
+		assert_non_null(dispatch_next_unsaved(dispatch, at(4)));
+		save_workflows(dispatch);
+		ends[0].how = ends[1].how = RUN_END_DONE;
+		msg.ends.items = ends;
+		msg.ends.count = cases[i].done;
+		assert_int_equal(dispatch_report(dispatch, "r0", &msg, at(500)),
+				 0);
+		assert_int_equal(
+			dispatch_next_unsaved(
+				dispatch, at(500 + cases[i].after_ms)) != NULL,
+			cases[i].is_due);
+		dispatch_delete(dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -326,6 +377,7 @@
 		cmocka_unit_test(test_long_round),
 		cmocka_unit_test(test_workers_with_orders),
 		cmocka_unit_test(test_responses),
+		cmocka_unit_test(test_save_time),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -688,7 +688,8 @@
 		finish_commit(model);
 	if (model->commit_count)
 		return;
-	while ((workflow = dispatch_next_unsaved(model->dispatch))) {
+	while ((workflow = dispatch_next_unsaved(model->dispatch,
+						 mstime_from(model->now_ms)))) {
 		size_t i = model->commit_count++;
 
 		model->commit[i].workflow = workflow;
