--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -31,6 +31,9 @@
 	.assumed_usage_percent = 45,
 };
 
+/* Ends of the tasks of a step that follow each other are stored together. */
+#define SAVE_WITHIN_MS 200
+
 /* At a lower pace a run makes no measurable progress. */
 #define STUCK_PACE_MIN 50
 
@@ -64,6 +67,9 @@
 	list_init(&dispatch->workflows);
 	list_init(&dispatch->finals);
 	list_init(&dispatch->workers);
+	list_init(&dispatch->unsaved);
+	list_init(&dispatch->workers_with_ends);
+	list_init(&dispatch->workers_with_orders);
 	return dispatch;
 }
 
@@ -119,6 +125,7 @@
 	remove_workflows(dispatch, &dispatch->workflows);
 	remove_workflows(dispatch, &dispatch->finals);
 	colocation_delete(dispatch->colocation);
+	free(dispatch->candidates);
 	free(dispatch);
 }
 
@@ -127,6 +134,11 @@
 	return &dispatch->workers;
 }
 
+const struct dispatch_stats *dispatch_get_stats(const struct dispatch *dispatch)
+{
+	return &dispatch->stats;
+}
+
 struct list *dispatch_workflows(struct dispatch *dispatch)
 {
 	return &dispatch->workflows;
@@ -143,6 +155,10 @@
 void dispatch_mark_changed(struct dispatch *dispatch, struct workflow *workflow)
 {
 	workflow->version = ++dispatch->version;
+	if (!workflow->unsaved_since.ms)
+		workflow->unsaved_since = dispatch->now;
+	if (list_empty(&workflow->unsaved_node))
+		list_add_tail(&dispatch->unsaved, &workflow->unsaved_node);
 }
 
 void dispatch_set_wall_clock(struct dispatch *dispatch, int64_t wall_ms)
@@ -224,11 +240,24 @@
 	workflow->critical_path_ms = workflow_critical_path_ms(workflow);
 }
 
+static void set_images(struct dispatch *dispatch, struct workflow *workflow)
+{
+	size_t i;
+
+	for (i = 0; i < workflow->spec.step_count; i++) {
+		struct workflow_step *step = &workflow->spec.steps[i];
+
+		step->image_index = colocation_image_index(dispatch->colocation,
+							   step->image);
+	}
+}
+
 int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
 		 struct mstime now)
 {
 	struct workflow_entry **link = find_link(dispatch, workflow->spec.id);
 
+	dispatch->now = now;
 	if (*link) {
 		workflow_delete(workflow);
 		return ERR_EXISTS;
@@ -236,6 +265,8 @@
 	*link = xcalloc(1, sizeof(**link));
 	(*link)->workflow = workflow;
 	set_age(dispatch, workflow, now);
+	set_images(dispatch, workflow);
+	dispatch_update_urgency(workflow, now);
 	adopt_runs(dispatch, workflow, now);
 	if (workflow_is_final(workflow)) {
 		workflow->ended_at = now;
@@ -246,6 +277,22 @@
 	return 0;
 }
 
+static void check_orders_of_runs(struct workflow *workflow)
+{
+	uint32_t k, i;
+
+	for (k = 0; k < workflow->spec.occurrences; k++)
+		for (i = 0; workflow->occurrences[k].tasks &&
+			    i < workflow->spec.task_count;
+		     i++) {
+			const struct run *run =
+				workflow->occurrences[k].tasks[i].current_run;
+
+			if (run)
+				dispatch_note_orders(run->worker);
+		}
+}
+
 void dispatch_check_final(struct dispatch *dispatch, struct workflow *workflow,
 			  struct mstime now)
 {
@@ -254,6 +301,7 @@
 	workflow->ended_at = now;
 	list_del(&workflow->node);
 	list_add_tail(&dispatch->finals, &workflow->node);
+	check_orders_of_runs(workflow);
 	dispatch_emit(dispatch, DISPATCH_WORKFLOW_ENDED, workflow, NULL, NULL,
 		      0, workflow_state_name(workflow->state));
 }
@@ -263,6 +311,7 @@
 {
 	struct workflow *workflow = dispatch_find_workflow(dispatch, job);
 
+	dispatch->now = now;
 	if (!workflow)
 		return ERR_NOT_FOUND;
 	if (workflow_is_final(workflow))
@@ -277,17 +326,26 @@
 struct worker *dispatch_get_worker(struct dispatch *dispatch,
 				   const char *runner, struct mstime now)
 {
-	struct worker *worker;
-	struct list *pos;
+	struct worker **bucket =
+		&dispatch->worker_buckets[hash_str(runner) % WORKER_BUCKETS];
+	struct worker *worker = *bucket;
 
-	list_for_each (pos, &dispatch->workers) {
-		worker = list_entry(pos, struct worker, node);
-		if (!strcmp(worker->runner, runner))
-			return worker;
-	}
+	while (worker && strcmp(worker->runner, runner))
+		worker = worker->hash_next;
+	if (worker)
+		return worker;
 	worker = xcalloc(1, sizeof(*worker));
 	list_init(&worker->node);
 	list_init(&worker->runs);
+	list_init(&worker->serving_runs);
+	list_init(&worker->ends_node);
+	list_init(&worker->orders_node);
+	worker->workers_with_orders = &dispatch->workers_with_orders;
+	dispatch->candidates =
+		xrealloc(dispatch->candidates,
+			 ++dispatch->worker_count * sizeof(struct candidate));
+	worker->hash_next = *bucket;
+	*bucket = worker;
 	str_copy(worker->runner, runner, sizeof(worker->runner));
 	worker->reported_at = now;
 	worker->inherited_lease_end = mstime_add(
@@ -352,7 +410,7 @@
 				      run->number, "no-progress");
 		else
 			continue;
-		run->is_evicted = 1;
+		dispatch_evict(run);
 		if (run->is_active || dispatch_starts_nothing(run))
 			dispatch_penalize(dispatch, worker, now);
 	}
@@ -383,7 +441,7 @@
 		if (!must_leave(run) ||
 		    !dispatch_can_relocate(dispatch, run, now))
 			continue;
-		run->is_evicted = 1;
+		dispatch_evict(run);
 		dispatch_emit(dispatch, DISPATCH_RUN_EVICTED, run->workflow,
 			      worker, &run->id, run->number, "worker-leaves");
 	}
@@ -393,9 +451,13 @@
 {
 	struct list *pos;
 
+	dispatch->now = now;
 	list_for_each (pos, &dispatch->workers) {
 		struct worker *worker = list_entry(pos, struct worker, node);
 
+		/* Orders that were not confirmed are repeated. */
+		if (!list_empty(&worker->runs) || worker->needs_acknowledgement)
+			dispatch_note_orders(worker);
 		dispatch_expire_lease(dispatch, worker, now);
 		evict_stuck(dispatch, worker, now);
 		evict_leaving(dispatch, worker, now);
@@ -427,69 +489,84 @@
 		remove_workflow(dispatch, workflow);
 }
 
-static struct workflow *first_unsaved(struct list *head)
+/* Starts, callers and takeovers wait for these changes. */
+static int save_is_urgent(const struct workflow *workflow)
+{
+	return !list_empty(&workflow->unsaved_runs) ||
+	       workflow_is_final(workflow);
+}
+
+struct workflow *dispatch_next_unsaved(struct dispatch *dispatch,
+				       struct mstime now)
 {
 	struct list *pos;
 
-	list_for_each (pos, head) {
+	list_for_each (pos, &dispatch->unsaved) {
 		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
+			list_entry(pos, struct workflow, unsaved_node);
 
-		if (workflow->version != workflow->saved_version &&
-		    !workflow->saving)
+		if (!workflow->saving &&
+		    (save_is_urgent(workflow) ||
+		     mstime_diff(now, workflow->unsaved_since) >=
+			     SAVE_WITHIN_MS))
 			return workflow;
 	}
 	return NULL;
 }
 
-struct workflow *dispatch_next_unsaved(struct dispatch *dispatch)
+void dispatch_acknowledge_ends(struct worker *worker)
 {
-	struct workflow *workflow = first_unsaved(&dispatch->workflows);
+	size_t stored = 0;
 
-	return workflow ? workflow : first_unsaved(&dispatch->finals);
-}
-
-static void acknowledge_ends(struct worker *worker,
-			     const struct workflow *workflow, uint64_t version)
-{
-	size_t i, stored = 0;
-
-	for (i = 0; i < worker->pending_end_count; i++) {
-		struct pending_end *end = &worker->pending_ends[i];
-
-		if (end->job[0] && end->version <= version &&
-		    !strcmp(end->job, workflow->spec.id))
-			end->job[0] = '\0';
-	}
 	while (stored < worker->pending_end_count &&
-	       !worker->pending_ends[stored].job[0])
+	       !worker->pending_ends[stored].workflow)
 		worker->stored_end_number =
 			worker->pending_ends[stored++].number;
 	if (!stored)
 		return;
-	worker->needs_response = 1;
+	worker->needs_acknowledgement = 1;
 	worker->pending_end_count -= stored;
 	memmove(worker->pending_ends, worker->pending_ends + stored,
 		worker->pending_end_count * sizeof(worker->pending_ends[0]));
+	if (!worker->pending_end_count)
+		list_del(&worker->ends_node);
+}
+
+static void settle_ends(struct worker *worker, const struct workflow *workflow,
+			uint64_t version)
+{
+	size_t i;
+
+	for (i = 0; i < worker->pending_end_count; i++) {
+		struct pending_end *end = &worker->pending_ends[i];
+
+		if (end->workflow == workflow && end->version <= version)
+			end->workflow = NULL;
+	}
+	dispatch_acknowledge_ends(worker);
 }
 
 void dispatch_mark_saved(struct dispatch *dispatch, struct workflow *workflow,
 			 uint64_t version)
 {
-	struct list *pos, *run_pos;
+	struct list *pos, *tmp;
 
 	workflow->saved_version = version;
-	list_for_each (pos, &dispatch->workers) {
-		struct worker *worker = list_entry(pos, struct worker, node);
-
-		acknowledge_ends(worker, workflow, version);
-		list_for_each (run_pos, &worker->runs) {
-			struct run *run = list_entry(run_pos, struct run, node);
+	if (workflow->version == version) {
+		workflow->unsaved_since = mstime_from(0);
+		list_del(&workflow->unsaved_node);
+	}
+	list_for_each_safe (pos, tmp, &dispatch->workers_with_ends)
+		settle_ends(list_entry(pos, struct worker, ends_node), workflow,
+			    version);
+	list_for_each_safe (pos, tmp, &workflow->unsaved_runs) {
+		struct run *run = list_entry(pos, struct run, unsaved_node);
 
-			if (run->workflow == workflow &&
-			    run->state == RUN_UNSAVED &&
-			    run->version <= version)
-				run->state = RUN_SAVED;
-		}
+		if (run->version > version)
+			continue;
+		list_del(&run->unsaved_node);
+		if (run->state == RUN_UNSAVED)
+			run->state = RUN_SAVED;
+		dispatch_note_orders(run->worker);
 	}
 }
--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -19,7 +19,6 @@
 #define REPORT_INTERVAL_MS 500
 /* How long a run that has ended stays in the reports; several intervals. */
 #define ENDED_KEPT_MS 3000
-#define REPORT_DELAY_MS 2
 #define REPORT_SPACING_MIN_MS 10
 #define TICK_INTERVAL_MS 50
 /* Lets a resignation from the election reach the store. */
@@ -295,30 +294,31 @@
 	struct mstime now = sysclock_now();
 	int err;
 
-	runner->report_is_scheduled = 0;
+	runner->report_due_at = mstime_add(now, REPORT_INTERVAL_MS);
 	loop_timer_start(runner->report_timer, REPORT_INTERVAL_MS);
 	if (!runner->scheduler_peer[0])
 		return;
 	fill_report(runner, &msg.u.work_report, labels, now);
 	runner->reported_at = now;
 	runner->report_sent_at[runner->report_seq % REPORT_RING_SIZE] = now;
-	err = transport_send(runner->transport, runner->scheduler_peer, &msg);
+	err = msglink_server_send(runner->links, runner->scheduler_peer, &msg);
 	free(msg.u.work_report.runs.items);
 	runner->reports.value++;
 	if (!err)
 		drop_ended(runner, now);
 }
 
-void runner_schedule_report(struct runner *runner)
+void runner_schedule_report(struct runner *runner, int64_t delay_ms)
 {
-	int64_t since = mstime_diff(sysclock_now(), runner->reported_at);
-	int64_t delay = REPORT_SPACING_MIN_MS - since;
+	struct mstime now = sysclock_now();
+	struct mstime due = mstime_max(
+		mstime_add(now, delay_ms),
+		mstime_add(runner->reported_at, REPORT_SPACING_MIN_MS));
 
-	if (runner->report_is_scheduled)
+	if (!mstime_before(due, runner->report_due_at))
 		return;
-	runner->report_is_scheduled = 1;
-	loop_timer_start(runner->report_timer,
-			 delay > REPORT_DELAY_MS ? delay : REPORT_DELAY_MS);
+	runner->report_due_at = due;
+	loop_timer_start(runner->report_timer, mstime_diff(due, now));
 }
 
 static void on_hello(struct runner *runner, const char *peer,
@@ -433,9 +433,9 @@
 	if (!runner->kv)
 		return listen_failed(runner, "store.address",
 				     settings->store_address);
-	runner->transport = transport_server_new(daemon->loop, settings->peers,
-						 on_message, runner);
-	if (!runner->transport)
+	runner->links = msglink_server_new(daemon->loop, settings->peers,
+					   on_message, runner);
+	if (!runner->links)
 		return listen_failed(runner, "listen.peers", settings->peers);
 	runner->httpd = httpd_new(daemon->loop, settings->announcements,
 				  ANNOUNCEMENT_MAX_BYTES, on_request, runner);
@@ -460,8 +460,7 @@
 	scheduler_delete(runner->scheduler);
 	registration_delete(runner->registration);
 	httpd_delete(runner->httpd);
-	if (runner->transport)
-		transport_delete(runner->transport);
+	msglink_server_delete(runner->links);
 	clear_lists(runner);
 	workercall_delete(runner->calls);
 	kv_delete(runner->kv);
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -4,11 +4,11 @@
 #include "httpd.h"
 #include "kv.h"
 #include "list.h"
+#include "msglink.h"
 #include "platformjson.h"
 #include "registration.h"
 #include "runner.h"
 #include "scheduler.h"
-#include "transport.h"
 #include "workercall.h"
 
 /*
@@ -59,7 +59,7 @@
 	struct registration *registration;
 	struct scheduler *scheduler;
 	struct httpd *httpd;
-	struct transport *transport;
+	struct msglink_server *links; /* from schedulers */
 	struct workercall *calls;
 
 	/* The worker; target.id is "" until it has announced itself. */
@@ -78,7 +78,7 @@
 	struct mstime report_sent_at[REPORT_RING_SIZE];
 	struct mstime reported_at;
 	struct loop_timer *report_timer;
-	int report_is_scheduled;
+	struct mstime report_due_at;
 
 	/* Runs and ends that the worker lists. */
 	struct list runs;
@@ -114,8 +114,13 @@
 	struct histogram start_ms;
 };
 
-/* Sends a report soon; changes that arrive together share it. */
-void runner_schedule_report(struct runner *runner);
+/* Changes that arrive within the delay share a report. */
+#define REPORT_DELAY_MS 2
+/* Nothing waits for the report of a start, which is one of many. */
+#define REPORT_START_DELAY_MS 150
+
+/* Sends a report within delay_ms. */
+void runner_schedule_report(struct runner *runner, int64_t delay_ms);
 void runner_report_now(void *arg);
 
 /*
