runner: reject announcements of a worker that starts in the future

Cause (reports of other operators: an odd entry of another writer): an announcement that is well-formed but for a start far in the future bound the runner to that worker, and all announcements of the real one were dropped as outdated until the runner ended.

--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -21,6 +21,8 @@
 #define ENDED_KEPT_MS 3000
 #define REPORT_SPACING_MIN_MS 10
 #define TICK_INTERVAL_MS 50
+/* Between the clocks of a worker and of this VM, which may be stepped. */
+#define CLOCK_DIFFERENCE_MAX_MS (24 * 3600 * 1000)
 /* Lets a resignation from the election reach the store. */
 #define STOP_DELAY_MS 300
 
@@ -154,6 +156,16 @@
 		runner_report_now(runner);
 }
 
+/*
+ * Such an entry is not from a worker; its start would outdate the announcements
+ * of all workers.
+ */
+static int starts_in_future(const struct announcement *announcement)
+{
+	return (int64_t)announcement->worker_start_ms >
+	       sysclock_wall_ms() + CLOCK_DIFFERENCE_MAX_MS;
+}
+
 static void on_announcement(struct runner *runner, const char *id,
 			    struct httpd_request *request)
 {
@@ -162,7 +174,8 @@
 	const char *body = httpd_body(request, &len);
 
 	if (strlen(id) >= sizeof(runner->target.id) ||
-	    platform_decode_announcement(body, len, &announcement)) {
+	    platform_decode_announcement(body, len, &announcement) ||
+	    starts_in_future(&announcement)) {
 		log_event(EV_ANNOUNCEMENT_DROPPED, "worker=%s reason=malformed",
 			  id);
 		httpd_reply(request, 400, "{}");
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -4,6 +4,7 @@
 The docstring of a scenario is the failure that it guards against.
 """
 
+import base64
 import json
 import os
 import signal
@@ -279,15 +280,79 @@
     """A malformed heartbeat or key that ends or misleads a runner."""
     runner = rig.runners[0]
     path = "/catkinhill/instances/odd/heartbeat"
-    for body in ("", "{", "[]", "{}", json.dumps(
-            {"service": "work", "state": "odd"}), json.dumps(
-            {"service": 7, "state": "ready", "born": 1})):
+    ready = {"service": "work", "state": "ready", "sequence": 1,
+             "capacity": {"cpu": 64000, "memMb": 1000}}
+    for body in ("", "{", "[]", "{}", "\0", "\xff",
+                 json.dumps({"service": "work", "state": "odd"}),
+                 json.dumps({"service": 7, "state": "ready", "born": 1}),
+                 "[" * 100000, "[" * 5000 + "]" * 5000,
+                 '{"a":' * 3000 + "1" + "}" * 3000,
+                 json.dumps(ready)[:-1] + ', "born": 1e400}',
+                 json.dumps(dict(ready, born=1 << 70)),
+                 json.dumps(dict(ready, born=-1)),
+                 # A worker that is not born yet, and would outdate all others.
+                 json.dumps(dict(ready, born=1 << 55)),
+                 json.dumps(dict(ready, born=1, capacity={"cpu": 1e30})),
+                 json.dumps(dict(ready, born=1, capacity={"cpu": -1}))):
         status = http_call(runner["announcements"], "POST", path, body)[0]
         check(status == 400, "%s: %s" % (body, status))
     rig.control_store("put?key=node/odd", "!!")
     rig.control_store("put?key=submitted/job/odd", "!!")
     job, _ = rig.submit(rig.gateways[0], TWO_STEPS)
     rig.wait_state(job, "complete")
+    rig.wait_workers()
+
+
+ODD_VALUES = [
+    b"", b"\0", b"\xff\xfe", b"{", b"null", b"7", b"[" * 100000,
+    b"[" * 5000 + b"]" * 5000, b'{"a":' * 3000 + b"1" + b"}" * 3000,
+    b'{"address":7}', b'{"address":""}', b'{"address":"127.0.0.1"}',
+    b'{"address":"127.0.0.1:99999"}', b'{"address":"127.0.0.1:-1"}',
+    b'{"address":"127.0.0.1:18446744073709551617"}',
+    b'{"address":"999.0.0.1:80"}', b'{"address":"host.example:80"}',
+    b'{"address":"' + b"9" * 100000 + b'"}',
+    b'{"address":"127.0.0.1:1","address":[]}',
+    b'{"format":1e400,"state":1,"tasks":[[1e300]]}',
+    b'{"format":1,"state":"running","tasks":[[4294967296,0,0,1,1,0,0,""]]}',
+    b'{"format":1,"state":"running","tasks":'
+    b"[[123456789012345678901234567890]]}",
+    b'{"epoch":1e400,"leases":{"r0":1e400,"r1":-9223372036854775808,'
+    b'"r2":9223372036854775807}}',
+]
+
+
+def put_odd_entries(rig):
+    for prefix in ("node/", "submitted/job/", "submitted/cancel/", "state/"):
+        for i, value in enumerate(ODD_VALUES):
+            for name in ("%016x" % i, "odd%d" % i):
+                rig.control_store("put?key=%s%s" % (prefix, name),
+                                  base64.b64encode(value).decode())
+        for name in ("", "x" * 150, "a%20b", "%22"):
+            rig.control_store("put?key=%s%s" % (prefix, name), "e30=")
+    for key in ("pending", "handover"):
+        rig.control_store("put?key=" + key,
+                          base64.b64encode(ODD_VALUES[-1]).decode())
+
+
+def odd_entries(rig):
+    """Entries of another writer that end the processes that read them, or
+    keep these from following the others: while they run, at a takeover and
+    after the history is gone."""
+    rig.wait_workers()
+    put_odd_entries(rig)
+    rig.wait_workers()
+    leader = rig.leader()
+    rig.kill(leader)
+    rig.restart(next(r for r in rig.runners if r["name"] == leader))
+    wait_for("another scheduler", lambda: rig.leader() not in (None, leader) or
+             len(rig.processes[leader].lines(3101)))
+    rig.wait_workers()
+    rig.control_store("mode?name=forget")
+    put_odd_entries(rig)
+    rig.wait_workers()
+    ended = [name for name, process in rig.processes.items()
+             if process.popen.poll() is not None]
+    check(not ended, "ended: %s" % ended)
 
 
 def deregister(runner, body):
@@ -314,7 +379,7 @@
              runner_killed, worker_killed, worker_leaves,
              worker_lost_before_start, store_faults, configuration,
              graceful_stop, graceful_stop_without_store,
-             malformed_heartbeats, late_deregistration]
+             malformed_heartbeats, odd_entries, late_deregistration]
 
 
 def main():
