--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -58,7 +58,7 @@
 	uint64_t version;
 	int64_t wall_ms;
 	struct mstime takeover_at;
-	struct mstime now; /* of the call in progress */
+	struct mstime now;     /* of the call in progress */
 	struct list workflows; /* not final, in order of assignment */
 	struct list finals;    /* final, in the order in which they ended */
 	struct list workers;
--- a/packages/core/src/dispatch_place.c
+++ b/packages/core/src/dispatch_place.c
@@ -236,15 +236,14 @@
 	memset(dispatch->blocks, 0, sizeof(dispatch->blocks));
 	dispatch->candidate_count = 0;
 	list_for_each (pos, &dispatch->workers) {
-		struct candidate candidate = {
-			.worker = list_entry(pos, struct worker, node),
-			.order = order++,
-		};
-
-		if (is_candidate(dispatch, candidate.worker, request, now,
-				 &candidate.cost))
-			dispatch->candidates[dispatch->candidate_count++] =
-				candidate;
+		struct candidate *candidate =
+			&dispatch->candidates[dispatch->candidate_count];
+
+		candidate->worker = list_entry(pos, struct worker, node);
+		candidate->order = order++;
+		if (is_candidate(dispatch, candidate->worker, request, now,
+				 &candidate->cost))
+			dispatch->candidate_count++;
 	}
 	for (i = dispatch->candidate_count / 2; i-- > 0;)
 		sift_down(dispatch, i);
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -571,8 +571,8 @@
 }
 
 /*
- * Guards against a checkpoint that no JSON can hold, which ended the scheduler
- * or left a stored state that the next one could not read.
+ * Guards against a checkpoint that no JSON can hold and that leaves the run out
+ * of the stored state: the next scheduler would start the task a second time.
  */
 static void test_checkpoint_not_text(void **state)
 {
@@ -601,6 +601,9 @@
 		json = workflow_encode(workflow);
 		assert_int_equal(workflow_decode(decoded, json, strlen(json)),
 				 0);
+		assert_int_equal(workflow_task(decoded, 0, 0, 0)->phase,
+				 TASK_ASSIGNED);
+		assert_int_equal(workflow_task(decoded, 0, 0, 0)->last_run, 1);
 		checkpoint = workflow_task(decoded, 0, 0, 0)->checkpoint;
 		assert_int_equal(!checkpoint, !cases[i].stored);
 		if (checkpoint)
