--- a/packages/core/src/colocation.c
+++ b/packages/core/src/colocation.c
@@ -134,15 +134,16 @@
 
 static struct response *get_response(struct colocation *colocation, int serving)
 {
-	struct response **response = &colocation->responses[serving];
+	struct response *response = colocation->responses[serving];
 	int i;
 
-	if (*response)
-		return *response;
-	*response = xcalloc(1, sizeof(**response));
+	if (response)
+		return response;
+	response = xcalloc(1, sizeof(*response));
 	for (i = 0; i < IMAGES_MAX; i++)
-		(*response)->weight_upper[i] = WEIGHT_UPPER_INITIAL;
-	return *response;
+		response->weight_upper[i] = WEIGHT_UPPER_INITIAL;
+	colocation->responses[serving] = response;
+	return response;
 }
 
 static double base_of(const struct response *response)
@@ -173,13 +174,13 @@
 
 static int find_load(const struct response *response, uint64_t id)
 {
-	int i;
+	int i, likely;
 
 	if (!response)
 		return -1;
-	i = response->load_at[id % LOAD_SLOTS];
-	if (is_load(response, i, id))
-		return i;
+	likely = response->load_at[id % LOAD_SLOTS];
+	if (is_load(response, likely, id))
+		return likely;
 	for (i = 0; i < response->count; i++)
 		if (is_load(response, i, id))
 			return i;
