dispatch: bound the pause after a pass

Cause, found in reading: the next pass over the workflows began four times the length of the last one after its end. A scheduler that is paused for a second in a pass, and keeps its lease, would have assigned nothing for four.

The pause is a decision of the core now and at most 250 ms; the table of test_pass_spacing has the case. Evaluations of workers are a counter.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -309,6 +309,13 @@
 /* Whether the last dispatch_assign() has ended early. */
 int dispatch_is_assigning(const struct dispatch *dispatch);
 
+/*
+ * Time from the end of a pass to the next one. Passes take at most a fifth of
+ * the time, whatever waits, as long as a pass takes up to 60 ms; a longer one
+ * is no measure, as the process may have been paused in it.
+ */
+int64_t dispatch_pass_spacing_ms(int64_t pass_ms);
+
 struct dispatch_stats {
 	uint64_t passes;      /* calls of dispatch_assign() */
 	uint64_t evaluations; /* of a worker for a task */
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -22,6 +22,10 @@
  * one, so that reports, cancels and leases are not delayed.
  */
 #define PASS_EVALUATIONS_MAX 20000
+/* Pause after a pass, as a multiple of its length, and its bounds. */
+#define PASS_SPACING_FACTOR 4
+#define PASS_SPACING_MIN_MS 10
+#define PASS_SPACING_MAX_MS 250
 
 /* Reports a task that waits for a worker, with what rules the workers out. */
 static void note_unplaced(struct dispatch *dispatch,
@@ -314,6 +318,16 @@
 	return placed;
 }
 
+int64_t dispatch_pass_spacing_ms(int64_t pass_ms)
+{
+	int64_t spacing_ms = pass_ms * PASS_SPACING_FACTOR;
+
+	if (spacing_ms > PASS_SPACING_MAX_MS)
+		return PASS_SPACING_MAX_MS;
+	return spacing_ms < PASS_SPACING_MIN_MS ? PASS_SPACING_MIN_MS
+						: spacing_ms;
+}
+
 int dispatch_is_assigning(const struct dispatch *dispatch)
 {
 	return dispatch->round_is_open;
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -14,12 +14,6 @@
 #define TICK_INTERVAL_MS 100
 /* Reports that arrive within this time are handled together. */
 #define WAKE_DELAY_MS 1
-/*
- * Passes over the workflows take at most a fifth of the time, whatever waits:
- * the next one begins four times the duration of the last one after its end.
- */
-#define PASS_SPACING_MIN_MS 10
-#define PASS_SPACING_FACTOR 4
 /* A tick that is late by this much shows a lack of processor time... */
 #define BEHIND_MS 300
 /* ...until none has been late for so long. */
@@ -157,12 +151,12 @@
 		return;
 	}
 	dispatch_assign(scheduler->dispatch, now);
+	scheduler->evaluations.value =
+		(int64_t)dispatch_get_stats(scheduler->dispatch)->evaluations;
 	end = sysclock_now();
 	pass_ms = mstime_diff(end, now);
 	histogram_observe(&scheduler->pass_ms, pass_ms);
-	spacing_ms = pass_ms * PASS_SPACING_FACTOR;
-	if (spacing_ms < PASS_SPACING_MIN_MS)
-		spacing_ms = PASS_SPACING_MIN_MS;
+	spacing_ms = dispatch_pass_spacing_ms(pass_ms);
 	scheduler->next_pass_at = mstime_add(end, spacing_ms);
 	if (dispatch_is_assigning(scheduler->dispatch))
 		loop_timer_start(scheduler->pass_timer, spacing_ms);
@@ -335,7 +329,12 @@
 		.name = "catkinhill_scheduler_waiting_workflows",
 		.help = "Workflows of which no worker has begun a task.",
 	};
+	scheduler->evaluations = (struct metric){
+		.name = "catkinhill_scheduler_evaluations_total",
+		.help = "Evaluations of a worker for a task, in this term.",
+	};
 	metric_register(set, &scheduler->waiting);
+	metric_register(set, &scheduler->evaluations);
 	metric_register(set, &scheduler->commits);
 	metric_register(set, &scheduler->commits_failed);
 	metric_register(set, &scheduler->runs_assigned);
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -98,7 +98,7 @@
 	size_t removal_count;
 
 	struct metric commits, commits_failed, runs_assigned, runs_lost;
-	struct metric waiting;
+	struct metric waiting, evaluations;
 	struct histogram commit_ms, workflow_ms, pass_ms, lag_ms;
 };
 
--- a/tests/unit/test_dispatch_scale.c
+++ b/tests/unit/test_dispatch_scale.c
@@ -232,6 +232,25 @@
 	dispatch_delete(dispatch);
 }
 
+/*
+ * Guards against passes that leave no time for events, and against a scheduler
+ * that was paused in a pass and then assigns nothing for seconds.
+ */
+static void test_pass_spacing(void **state)
+{
+	static const struct {
+		int64_t pass_ms, spacing_ms;
+	} cases[] = {
+		{ 0, 10 },   { 2, 10 },	    { 5, 20 },
+		{ 50, 200 }, { 1200, 250 }, { 20000, 250 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++)
+		assert_int_equal(dispatch_pass_spacing_ms(cases[i].pass_ms),
+				 cases[i].spacing_ms);
+}
+
 static void save_workflows(struct dispatch *dispatch)
 {
 	struct workflow *workflow;
@@ -375,6 +394,7 @@
 		cmocka_unit_test(test_evaluations),
 		cmocka_unit_test(test_search_for_step_and_for_task),
 		cmocka_unit_test(test_long_round),
+		cmocka_unit_test(test_pass_spacing),
 		cmocka_unit_test(test_workers_with_orders),
 		cmocka_unit_test(test_responses),
 		cmocka_unit_test(test_save_time),
