interference: judge a throttle by whole ticks above the floor only

When a task that slows the service starts shortly before a tick, its first sample shows a small part of the excess; the class was cut to the floor at once, and the excess at the floor was as large as all that had been seen. The task was never evicted, and the baseline rose instead.

The largest excess now comes from ticks over the tolerance after the first one, with a level above the floor. Without such a tick a probe decides: a class whose probe shows its effect is evicted, and if no probe shows any, the excess is the service's own.

test_evicts_after_part_of_tick fails before (no eviction in 40 s for parts of 0.1 to 0.3 of a tick) and passes with it; test_slow_service_from_start guards the other side.

--- a/packages/core/include/interference.h
+++ b/packages/core/include/interference.h
@@ -103,6 +103,7 @@
 	struct mstime cut_at, raised_at, used_at;
 	struct mstime soft_floor_since; /* at or under the soft floor */
 	int at_floor;
+	int had_tasks; /* in the previous tick */
 	int has_probe_result;
 	double excess_share; /* at the floor, by the last probe */
 	struct mstime probed_at;
@@ -127,6 +128,8 @@
 	double tolerance;	   /* highest excess without throttling */
 	/* Largest excess before all were at the floor; decays. */
 	double peak_excess;
+	/* Ticks in a row over the tolerance with a level above the floor. */
+	uint32_t ticks_over;
 	struct mstime level_changed_at; /* last change of any level */
 	int is_settled; /* all at the floor for longer than the lag */
 	struct interference_class *probed_class; /* or NULL */
--- a/packages/core/src/interference.c
+++ b/packages/core/src/interference.c
@@ -142,6 +142,7 @@
 	size_t i, running = 0;
 
 	for (i = 0; i < INTERFERENCE_CLASSES_MAX; i++) {
+		in->classes[i].had_tasks = in->classes[i].task_count > 0;
 		in->classes[i].task_count = 0;
 		in->classes[i].usage_share = 0;
 		in->classes[i].demand_share = 0;
@@ -199,11 +200,47 @@
 	return 1;
 }
 
-/* Throttling to the floor has not helped: the service causes the excess. */
+static int has_new_class(const struct interference *in)
+{
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES_MAX; i++)
+		if (in->classes[i].task_count && !in->classes[i].had_tasks)
+			return 1;
+	return 0;
+}
+
+/*
+ * The first sample over the tolerance covers a part of a tick only, so it does
+ * not show how large the excess is above the floor.
+ */
+static int has_peak(const struct interference *in)
+{
+	return in->ticks_over > 1;
+}
+
+static void update_peak(struct interference *in, int is_over)
+{
+	if (has_new_class(in))
+		in->ticks_over = 0;
+	else if (all_at_floor(in))
+		return;
+	in->ticks_over = is_over ? in->ticks_over + 1 : 0;
+	in->peak_excess =
+		has_peak(in) ? fmax(in->peak_excess * PEAK_DECAY, in->excess)
+			     : 0;
+}
+
+/*
+ * Throttling to the floor has not helped, or no class has an effect that a
+ * probe has shown: the service causes the excess.
+ */
 static int is_service_excess(const struct interference *in)
 {
-	return in->is_settled &&
-	       in->excess >= SERVICE_FRACTION * in->peak_excess;
+	if (!in->is_settled)
+		return 0;
+	return has_peak(in) ? in->excess >= SERVICE_FRACTION * in->peak_excess
+			    : probe_shows_none(in);
 }
 
 static void update_baseline(struct interference *in,
@@ -401,9 +438,6 @@
 	if (is_service_excess(in))
 		/* Falls with the excess while the baseline rises. */
 		in->peak_excess = fmin(in->peak_excess, in->excess);
-	if (!in->is_settled)
-		in->peak_excess =
-			fmax(in->peak_excess * PEAK_DECAY, in->excess);
 	cut_blamed(in, parts, now);
 	if (sum < in->excess / 2 && !cut_all(in, now))
 		cut_likeliest(in, now);
@@ -505,7 +539,7 @@
 	if (is_service_excess(in))
 		return 0;
 	/* If no other class runs, the effect of its throttle is proof. */
-	if (is_only_class(in) && class->at_floor)
+	if (is_only_class(in) && class->at_floor && has_peak(in))
 		return in->excess;
 	if (all_at_floor(in))
 		return probe_excess_share(in, class);
@@ -571,6 +605,7 @@
 		       struct mstime now)
 {
 	size_t i, running;
+	int is_over;
 
 	in->tolerance = 0.04 + 0.0024 * (double)(100 - sample->weight_latency);
 	in->ticks++;
@@ -581,7 +616,9 @@
 	update_excess(in, sample, running);
 	for (i = 0; i < count; i++)
 		tasks[i]->must_evict = 0;
-	if (running && is_over_tolerance(in)) {
+	is_over = running && is_over_tolerance(in);
+	update_peak(in, is_over);
+	if (is_over) {
 		if (is_service_excess(in) || !probe_step(in, now))
 			cut_levels(in, now);
 		evict_for_latency(in, sample, tasks, count, now);
--- a/packages/core/src/interference_probe.c
+++ b/packages/core/src/interference_probe.c
@@ -122,3 +122,17 @@
 		return 0;
 	return class->excess_share;
 }
+
+int probe_shows_none(const struct interference *in)
+{
+	size_t i;
+
+	for (i = 0; i < INTERFERENCE_CLASSES_MAX; i++) {
+		const struct interference_class *class = &in->classes[i];
+
+		if (class->task_count && (!class->has_probe_result ||
+					  probe_excess_share(in, class) > 0))
+			return 0;
+	}
+	return 1;
+}
--- a/packages/core/src/interference_probe.h
+++ b/packages/core/src/interference_probe.h
@@ -34,4 +34,7 @@
 double probe_excess_share(const struct interference *in,
 			  const struct interference_class *class);
 
+/* Whether each class with tasks has a result, and none has an effect. */
+int probe_shows_none(const struct interference *in);
+
 #endif
--- a/tests/unit/test_interference.c
+++ b/tests/unit/test_interference.c
@@ -196,6 +196,38 @@
 	}
 }
 
+/*
+ * Guards against taking the excess for the service's own because the class was
+ * at the floor before a whole tick had shown its effect. Each case is the share
+ * of the first tick in which the only class has run.
+ */
+static void test_evicts_after_part_of_tick(void **state)
+{
+	static const double slowdown[TASKS] = { 0, 0, 0, 10 };
+	static const double parts[] = { 0, 0.05, 0.1, 0.2, 0.3, 0.5, 1 };
+	size_t i;
+
+	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		struct fixture fixture;
+		int s;
+
+		setup(&fixture);
+		fixture.sample.weight_latency = 100;
+		fixture.sample.weight_eviction = 0;
+		fixture.sample.requests = 100;
+		ticks(&fixture, 5);
+		fixture.tasks[3].is_running = 1;
+		fixture.sample.latency_us += 20000 * slowdown[3] * parts[i];
+		for (s = 0; s < 40 && !fixture.evictions; s++) {
+			tick(&fixture);
+			set_latency(&fixture, slowdown);
+		}
+		assert_int_equal(fixture.evictions, 1);
+		/* 10 s at the floor; one probe at most. */
+		assert_in_range(s, 10, 25);
+	}
+}
+
 /* Guards against evictions for an excess that the service itself causes. */
 static void test_slow_service(void **state)
 {
@@ -212,6 +244,27 @@
 	assert_true(fixture.tasks[0].level_percent > 50);
 }
 
+/* The same if the service turns slow when the only class starts. */
+static void test_slow_service_from_start(void **state)
+{
+	static const double parts[] = { 0.05, 0.1, 0.3, 1 };
+	size_t i;
+
+	for (i = 0; i < sizeof(parts) / sizeof(parts[0]); i++) {
+		struct fixture fixture;
+
+		setup(&fixture);
+		ticks(&fixture, 30);
+		fixture.tasks[3].is_running = 1;
+		fixture.sample.latency_us = 20000 + 20000 * parts[i];
+		tick(&fixture);
+		fixture.sample.latency_us = 40000;
+		ticks(&fixture, 1200);
+		assert_int_equal(fixture.evictions, 0);
+		assert_true(fixture.tasks[3].level_percent > 50);
+	}
+}
+
 /* Guards against using more CPU or memory than the capacity of the VM. */
 static void test_over_capacity(void **state)
 {
@@ -310,7 +363,9 @@
 		cmocka_unit_test(test_harmless_tasks),
 		cmocka_unit_test(test_throttles_blamed_class),
 		cmocka_unit_test(test_evicts_at_floor),
+		cmocka_unit_test(test_evicts_after_part_of_tick),
 		cmocka_unit_test(test_slow_service),
+		cmocka_unit_test(test_slow_service_from_start),
 		cmocka_unit_test(test_over_capacity),
 		cmocka_unit_test(test_random_input),
 	};
