interference: prefer baselines of several ticks

One tick in which the machine stalled set the baseline of its range of requests in progress. With a task that slows the service as many requests are in progress, so its latency was compared with that of the stall, and the task was not evicted.

--- a/packages/core/src/interference.c
+++ b/packages/core/src/interference.c
@@ -10,6 +10,8 @@
 
 /* Number of samples from which on the baseline is an exponential average. */
 #define BASELINE_SAMPLES 120.0
+/* With fewer, it may be that of a stall; another range's is preferred. */
+#define BASELINE_SAMPLES_MIN 3.0
 /* The same for its rise while all tasks are at the floor. */
 #define FLOOR_BASELINE_SAMPLES 120.0
 /* Relative deviation of one request's latency, for the error of a mean. */
@@ -174,22 +176,36 @@
 	return load;
 }
 
-/* The baseline of this range, or of the nearest one that has samples. */
+/* The baseline of the nearest range with so many samples, or NULL. */
 static struct interference_baseline *find_baseline(struct interference *in,
-						   size_t load)
+						   size_t load, double samples)
 {
 	size_t i;
 
 	for (i = 0; i < INTERFERENCE_LOAD_RANGES; i++) {
-		if (load >= i && in->baseline[load - i].samples > 0)
+		if (load >= i && in->baseline[load - i].samples >= samples)
 			return &in->baseline[load - i];
 		if (load + i < INTERFERENCE_LOAD_RANGES &&
-		    in->baseline[load + i].samples > 0)
+		    in->baseline[load + i].samples >= samples)
 			return &in->baseline[load + i];
 	}
 	return NULL;
 }
 
+/* The baseline that the latency of this tick is compared with. */
+static struct interference_baseline *choose_baseline(struct interference *in,
+						     size_t load,
+						     size_t running)
+{
+	struct interference_baseline *base = NULL;
+
+	if (running)
+		base = find_baseline(in, load, BASELINE_SAMPLES_MIN);
+	if (running && !base)
+		base = find_baseline(in, load, 1);
+	return base ? base : &in->baseline[load];
+}
+
 static int all_at_floor(const struct interference *in)
 {
 	size_t i;
@@ -265,7 +281,7 @@
 			  size_t running)
 {
 	size_t load = load_range_of(sample->in_progress);
-	struct interference_baseline *base;
+	struct interference_baseline *base = choose_baseline(in, load, running);
 	double latency_us =
 		fmax(sample->latency_us, INTERFERENCE_LATENCY_MIN_US);
 	double excess, part;
@@ -275,17 +291,10 @@
 		in->excess /= 2;
 		return;
 	}
-	if (!running && in->baseline[load].samples <= 0)
-		base = &in->baseline[load];
-	else
-		base = find_baseline(in, load);
-	if (!base || (running && base->samples <= 0)) {
-		base = &in->baseline[load];
-		base->latency_us = latency_us;
-		base->samples = 1;
-	}
 	if (base->samples <= 0)
 		base->latency_us = latency_us;
+	if (running && base->samples <= 0)
+		base->samples = 1;
 	excess = latency_us / base->latency_us - 1;
 	update_baseline(in, base, latency_us, running);
 	in->effective_requests = in->effective_requests / 2 + sample->requests;
--- a/tests/unit/test_interference.c
+++ b/tests/unit/test_interference.c
@@ -228,6 +228,47 @@
 	}
 }
 
+/*
+ * Guards against a baseline from one tick in which the service has stalled:
+ * tasks were compared with it whenever as many requests were in progress.
+ */
+static void test_evicts_after_stall(void **state)
+{
+	static const double slowdown[TASKS] = { 0, 0, 0, 10 };
+	static const struct {
+		double latency_us;
+		uint32_t in_progress;
+	} stalls[] = {
+		{ 30000, 8 },  { 30000, 32 }, { 60000, 8 },  { 60000, 16 },
+		{ 60000, 32 }, { 90000, 16 }, { 90000, 32 }, { 200000, 16 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(stalls) / sizeof(stalls[0]); i++) {
+		struct fixture fixture;
+		int s;
+
+		setup(&fixture);
+		fixture.sample.weight_latency = 100;
+		fixture.sample.weight_eviction = 0;
+		ticks(&fixture, 4);
+		fixture.sample.latency_us = stalls[i].latency_us;
+		fixture.sample.in_progress = stalls[i].in_progress;
+		tick(&fixture);
+		fixture.tasks[3].is_running = 1;
+		fixture.tasks[3].level_percent = 100;
+		for (s = 0; s < 40 && !fixture.evictions; s++) {
+			set_latency(&fixture, slowdown);
+			/* 100 requests a second. */
+			fixture.sample.in_progress =
+				(uint32_t)(fixture.sample.latency_us / 10000);
+			tick(&fixture);
+		}
+		assert_int_equal(fixture.evictions, 1);
+		assert_in_range(s, 10, 25);
+	}
+}
+
 /* Guards against evictions for an excess that the service itself causes. */
 static void test_slow_service(void **state)
 {
@@ -364,6 +405,7 @@
 		cmocka_unit_test(test_throttles_blamed_class),
 		cmocka_unit_test(test_evicts_at_floor),
 		cmocka_unit_test(test_evicts_after_part_of_tick),
+		cmocka_unit_test(test_evicts_after_stall),
 		cmocka_unit_test(test_slow_service),
 		cmocka_unit_test(test_slow_service_from_start),
 		cmocka_unit_test(test_over_capacity),
