--- a/tests/e2e/agent_rig.py
+++ b/tests/e2e/agent_rig.py
@@ -17,6 +17,8 @@
 from ports import free_address  # noqa: E402
 
 WAIT_S = 30
+# Of the agent's log, without debug lines, printed after a failure.
+MAIN_LINES_MAX = 400
 
 SETTINGS = """[daemon]
 role = agent
@@ -256,7 +258,12 @@
             rig.check_history()
         except BaseException:
             with open(rig.directory + "/agent.log") as log:
-                sys.stderr.write(log.read()[-6000:])
+                text = log.read()
+            # What led to the failure, which the last lines don't reach.
+            sys.stderr.writelines(
+                [line for line in text.splitlines(True)
+                 if " debug " not in line][-MAIN_LINES_MAX:])
+            sys.stderr.write("---- last lines\n" + text[-6000:])
             sys.stderr.write("failed: %s\n" % scenario.__name__)
             raise
         finally:
