tests: take the ports of unit tests from below the ephemeral range

The port was one that the kernel had reported as free; between that and listening on it, an outgoing connection or a test beside it could take it.

--- a/tests/unit/support.h
+++ b/tests/unit/support.h
@@ -2,9 +2,13 @@
 #define CATKINHILL_TEST_SUPPORT_H
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/file.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "loop.h"
@@ -12,18 +16,60 @@
 /* Longest wait for a condition; a test that reaches it fails. */
 #define WAIT_MS 20000
 
-/* Writes 127.0.0.1 and a port that the kernel reported as free. */
-static inline void free_address(char *address, size_t size)
+/* As in tools/pylib/ports.py, with which it shares the locks. */
+#define PORT_MIN 10000
+#define PORT_END 32000
+
+/* RETURN VALUE: whether no other test process holds the port. */
+static inline int lock_port(int port)
+{
+	const char *directory = getenv("TMPDIR");
+	char path[512];
+	int fd;
+
+	if (!directory)
+		directory = "/tmp";
+	snprintf(path, sizeof(path), "%s/catkinhill-ports", directory);
+	mkdir(path, 0777);
+	snprintf(path, sizeof(path), "%s/catkinhill-ports/%d", directory, port);
+	fd = open(path, O_CREAT | O_RDWR | O_CLOEXEC, 0666);
+	if (fd < 0)
+		return 0;
+	if (!flock(fd, LOCK_EX | LOCK_NB))
+		return 1; /* until this process ends */
+	close(fd);
+	return 0;
+}
+
+static inline int port_is_free(int port)
 {
 	struct sockaddr_in sin = { .sin_family = AF_INET };
-	socklen_t len = sizeof(sin);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int fd = socket(AF_INET, SOCK_STREAM, 0), on = 1, err;
 
 	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	bind(fd, (struct sockaddr *)&sin, sizeof(sin));
-	getsockname(fd, (struct sockaddr *)&sin, &len);
+	sin.sin_port = htons((uint16_t)port);
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	err = bind(fd, (struct sockaddr *)&sin, sizeof(sin));
 	close(fd);
-	snprintf(address, size, "127.0.0.1:%d", ntohs(sin.sin_port));
+	return !err;
+}
+
+/*
+ * Writes 127.0.0.1 and a port that no other test process uses. It is below the
+ * ephemeral range: one of those could be taken by an outgoing connection of
+ * another process before the test listens on it.
+ */
+static inline void free_address(char *address, size_t size)
+{
+	static unsigned seed;
+	int port;
+
+	if (!seed)
+		seed = (unsigned)getpid() * 2654435761u;
+	do
+		port = PORT_MIN + rand_r(&seed) % (PORT_END - PORT_MIN);
+	while (!lock_port(port) || !port_is_free(port));
+	snprintf(address, size, "127.0.0.1:%d", port);
 }
 
 struct wait {
