scheduler: log once that a runner cannot be reached

Each hello and each order to a runner that is gone for good wrote a line, up to three a second, because msglink refuses messages between two attempts to connect; they take the place of others in a log of limited rate.

One line is written until the runner is heard again or its address changes. runner_lost_for_good in test_lost_worker_restart: 9 lines in 3 s before, 1 for each loss now.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -168,7 +168,7 @@
 	{ EV_RUNNER_SILENT, LOG_WARN, "runner-silent",
 	  "A runner has stopped reporting." },
 	{ EV_RUNNER_UNREACHABLE, LOG_WARN, "runner-unreachable",
-	  "A message to a runner could not be queued." },
+	  "Messages to a runner are not sent until it is heard again." },
 	{ EV_RUN_SLOWED, LOG_INFO, "run-slowed",
 	  "The pace of a filling run was changed for what serves beside it." },
 	{ EV_RUN_EVICTED, LOG_INFO, "run-evicted",
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -40,8 +40,8 @@
 	struct worker *worker; /* in dispatch, of the same term */
 	struct mstime last_report_at;
 	struct mstime hello_sent_at;
-	struct mstime restarted_at; /* last connection given up as silent */
-	int is_silent;
+	struct mstime restarted_at;    /* last connection given up as silent */
+	int is_silent, is_unreachable; /* as logged */
 };
 
 struct commit_entry {
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -18,16 +18,27 @@
  */
 #define LINK_SILENT_MS 2500
 
+/* Logged once until the runner is heard again: it may be gone for good. */
+static void note_unreachable(struct runner_link *link, int err)
+{
+	if (link->is_unreachable)
+		return;
+	link->is_unreachable = 1;
+	log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s err=%s",
+		  link->runner, link->address, error_name(err));
+}
+
 static void send_hello(struct runner_link *link, struct mstime now)
 {
 	struct message msg = { MSG_WORK_HELLO };
+	int err;
 
 	msg.u.work_hello.epoch = (uint64_t)link->scheduler->epoch;
 	str_copy(msg.u.work_hello.scheduler, link->scheduler->id, ID_SIZE);
 	link->hello_sent_at = now;
-	if (msglink_client_send(link->client, &msg))
-		log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s",
-			  link->runner, link->address);
+	err = msglink_client_send(link->client, &msg);
+	if (err)
+		note_unreachable(link, err);
 }
 
 static void on_message(void *arg, const char *peer, const struct message *msg)
@@ -50,6 +61,7 @@
 			  msg->u.work_report.list_age_ms,
 			  msg->u.work_report.lease_left_ms);
 	link->is_silent = 0;
+	link->is_unreachable = 0;
 	link->last_report_at = now;
 	scheduler_wake(scheduler);
 }
@@ -77,6 +89,7 @@
 
 	msglink_client_delete(link->client);
 	str_copy(link->address, address, sizeof(link->address));
+	link->is_unreachable = 0;
 	link->restarted_at = sysclock_now();
 	link->client = msglink_client_new(scheduler->daemon->loop, address, id,
 					  on_message, link);
@@ -84,8 +97,7 @@
 	if (link->client)
 		send_hello(link, sysclock_now());
 	else
-		log_event(EV_RUNNER_UNREACHABLE, "runner=%s address=%s",
-			  link->runner, address);
+		note_unreachable(link, ERR_INVALID);
 }
 
 static void update_link(struct scheduler *scheduler, const struct kv_item *item)
@@ -167,8 +179,7 @@
 		int err = msglink_client_send(link->client, &msg);
 
 		if (err)
-			log_event(EV_RUNNER_UNREACHABLE, "runner=%s err=%s",
-				  link->runner, error_name(err));
+			note_unreachable(link, err);
 		if (msg.u.work_orders.starts.count < ORDER_STARTS_MAX)
 			return;
 	}
