dispatch: add a workflow without walking over all that waits

A new workflow was inserted into the sorted list from its end, so one with a higher priority passed all others; loading 10,000 workflows after a takeover passed most of them for each. And each pass of a round walked over the workflows that the round had looked at already: passes x workflows.

New workflows now go to a list of arrivals, which a pass sorts and merges with what the round still has to look at. A round starts by a stable natural merge sort, which is linear for a list that is nearly sorted, so the order of assignment is the same as before.

--- a/packages/base/include/list.h
+++ b/packages/base/include/list.h
@@ -59,4 +59,12 @@
 	list_init(node);
 }
 
+/*
+ * Sorts by a natural merge sort: stable, and of linear time for a list that is
+ * sorted but for some nodes at its end. before() tells whether a goes strictly
+ * before b.
+ */
+void list_sort(struct list *head,
+	       int (*before)(const struct list *a, const struct list *b));
+
 #endif
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -120,6 +120,7 @@
 
 struct workflow {
 	struct list node;	  /* in a list of dispatch */
+	struct list round_node;	  /* until this round has looked at it */
 	struct list unsaved_node; /* while its last change is not stored */
 	struct list unsaved_runs; /* assigned, but not yet stored */
 	struct workflow_spec spec;
@@ -131,10 +132,9 @@
 	int64_t critical_path_ms; /* by the estimates */
 	int64_t remaining_ms;	  /* of the critical path */
 	enum urgency urgency;
-	int64_t sort_key_ms;	/* among equal urgency */
-	uint64_t round;		/* last one that looked at it; of dispatch */
-	uint64_t version;	/* of the last change */
-	uint64_t saved_version; /* of the last state stored */
+	int64_t sort_key_ms;	     /* among equal urgency */
+	uint64_t version;	     /* of the last change */
+	uint64_t saved_version;	     /* of the last state stored */
 	struct mstime unsaved_since; /* 0: no change since a save */
 	int64_t stored_revision;     /* 0: the state is not in the store */
 	struct mstime ended_at;	     /* when it became final; 0: it is not */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -65,6 +65,8 @@
 	dispatch->event_arg = arg;
 	dispatch->colocation = colocation_new();
 	list_init(&dispatch->workflows);
+	list_init(&dispatch->to_look);
+	list_init(&dispatch->arrivals);
 	list_init(&dispatch->finals);
 	list_init(&dispatch->workers);
 	list_init(&dispatch->unsaved);
@@ -273,7 +275,8 @@
 		list_add_tail(&dispatch->finals, &workflow->node);
 		return 0;
 	}
-	dispatch_insert_workflow(&dispatch->workflows, workflow);
+	list_add_tail(&dispatch->workflows, &workflow->node);
+	list_add_tail(&dispatch->arrivals, &workflow->round_node);
 	return 0;
 }
 
@@ -299,6 +302,7 @@
 	if (!workflow_is_final(workflow) || workflow->ended_at.ms)
 		return;
 	workflow->ended_at = now;
+	list_del(&workflow->round_node);
 	list_del(&workflow->node);
 	list_add_tail(&dispatch->finals, &workflow->node);
 	check_orders_of_runs(workflow);
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -16,7 +16,7 @@
 #define UNPLACED_SPACING_MS 250
 
 /* Order changes with time, by deadlines; it is renewed this often. */
-#define SORT_INTERVAL_MS 100
+#define URGENCY_INTERVAL_MS 100
 /*
  * A pass ends after so many evaluations of workers and is resumed by the next
  * one, so that reports, cancels and leases are not delayed.
@@ -281,37 +281,79 @@
 	return placed;
 }
 
+static int node_goes_before(const struct list *a, const struct list *b)
+{
+	return dispatch_goes_before(list_entry(a, struct workflow, node),
+				    list_entry(b, struct workflow, node));
+}
+
+static int arrival_goes_before(const struct list *a, const struct list *b)
+{
+	return dispatch_goes_before(list_entry(a, struct workflow, round_node),
+				    list_entry(b, struct workflow, round_node));
+}
+
+static void update_urgencies(struct dispatch *dispatch, struct mstime now)
+{
+	struct list *pos;
+
+	if (dispatch->urgency_updated_at.ms &&
+	    mstime_diff(now, dispatch->urgency_updated_at) <
+		    URGENCY_INTERVAL_MS)
+		return;
+	dispatch->urgency_updated_at = now;
+	list_for_each (pos, &dispatch->workflows)
+		dispatch_update_urgency(list_entry(pos, struct workflow, node),
+					now);
+}
+
 static void start_round(struct dispatch *dispatch, struct mstime now)
 {
-	dispatch->round++;
+	struct list *pos;
+
 	dispatch->round_is_open = 1;
 	dispatch->unplaced.count = 0;
-	if (dispatch->sorted_at.ms &&
-	    mstime_diff(now, dispatch->sorted_at) < SORT_INTERVAL_MS)
-		return;
-	dispatch_sort_workflows(dispatch, now);
-	dispatch->sorted_at = now;
+	update_urgencies(dispatch, now);
+	list_sort(&dispatch->workflows, node_goes_before);
+	list_for_each (pos, &dispatch->workflows) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		list_del(&workflow->round_node);
+		list_add_tail(&dispatch->to_look, &workflow->round_node);
+	}
+}
+
+/* The next workflow that this round has not looked at, or NULL. */
+static struct workflow *next_to_look(struct dispatch *dispatch)
+{
+	struct list *next = &dispatch->to_look, *arrival = &dispatch->arrivals;
+
+	if (list_empty(arrival))
+		next = list_empty(next) ? NULL : next->next;
+	else if (list_empty(next) ||
+		 arrival_goes_before(arrival->next, next->next))
+		next = arrival->next;
+	else
+		next = next->next;
+	return next ? list_entry(next, struct workflow, round_node) : NULL;
 }
 
 int dispatch_assign(struct dispatch *dispatch, struct mstime now)
 {
 	uint64_t limit = dispatch->stats.evaluations + PASS_EVALUATIONS_MAX;
-	struct list *pos;
+	struct workflow *workflow;
 	int placed = 0;
 
 	dispatch->now = now;
 	dispatch->stats.passes++;
 	if (!dispatch->round_is_open)
 		start_round(dispatch, now);
-	list_for_each (pos, &dispatch->workflows) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
-
-		if (workflow->round == dispatch->round)
-			continue;
+	list_sort(&dispatch->arrivals, arrival_goes_before);
+	while ((workflow = next_to_look(dispatch))) {
 		if (dispatch->stats.evaluations >= limit)
 			return placed;
-		workflow->round = dispatch->round;
+		list_del(&workflow->round_node);
 		placed += assign_workflow(dispatch, workflow, now);
 	}
 	dispatch->round_is_open = 0;
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -59,7 +59,7 @@
 	int64_t wall_ms;
 	struct mstime takeover_at;
 	struct mstime now;     /* of the call in progress */
-	struct list workflows; /* not final, in order of assignment */
+	struct list workflows; /* not final */
 	struct list finals;    /* final, in the order in which they ended */
 	struct list workers;
 	size_t worker_count;
@@ -78,10 +78,15 @@
 	struct candidate *candidates;
 	size_t candidate_count;
 	uint32_t blocks[PLACEMENT_BLOCK_COUNT]; /* of that request */
-	/* A round looks at each workflow once; it may take several passes. */
-	uint64_t round;
+	/*
+	 * A round looks at each workflow once, in their order, and may take
+	 * several passes; it includes workflows that arrive meanwhile.
+	 */
+	struct list to_look;
+	struct list arrivals;
 	int round_is_open;
-	struct mstime sorted_at;
+	struct mstime urgency_updated_at;
+	struct dispatch_stats pass_end;	  /* the pass ends at these counts */
 	struct unplaced_classes unplaced; /* in this round */
 	struct unplaced_classes not_relocatable;
 	struct mstime not_relocatable_since;
@@ -220,9 +225,8 @@
 /* Computes the keys by which workflows are sorted. */
 void dispatch_update_urgency(struct workflow *workflow, struct mstime now);
 
-/* Sorts the workflows by priority, urgency and deadline or remaining time. */
-void dispatch_sort_workflows(struct dispatch *dispatch, struct mstime now);
-void dispatch_insert_workflow(struct list *head, struct workflow *workflow);
+/* Order by priority, urgency and deadline or remaining time. */
+int dispatch_goes_before(const struct workflow *a, const struct workflow *b);
 
 /* Objective for the time from submission to the end of a workflow. */
 int64_t dispatch_objective_ms(const struct workflow *workflow);
--- a/packages/core/src/dispatch_priority.c
+++ b/packages/core/src/dispatch_priority.c
@@ -46,7 +46,7 @@
 			: workflow->remaining_ms;
 }
 
-static int sorts_before(const struct workflow *a, const struct workflow *b)
+int dispatch_goes_before(const struct workflow *a, const struct workflow *b)
 {
 	if (a->queue.priority != b->queue.priority)
 		return a->queue.priority < b->queue.priority;
@@ -54,34 +54,3 @@
 		return a->urgency < b->urgency;
 	return a->sort_key_ms < b->sort_key_ms;
 }
-
-void dispatch_insert_workflow(struct list *head, struct workflow *workflow)
-{
-	struct list *pos = head->prev;
-
-	while (pos != head &&
-	       sorts_before(workflow, list_entry(pos, struct workflow, node)))
-		pos = pos->prev;
-	list_add_head(pos, &workflow->node);
-}
-
-void dispatch_sort_workflows(struct dispatch *dispatch, struct mstime now)
-{
-	struct list *pos, *tmp, sorted;
-
-	list_for_each (pos, &dispatch->workflows)
-		dispatch_update_urgency(list_entry(pos, struct workflow, node),
-					now);
-	list_init(&sorted);
-	list_for_each_safe (pos, tmp, &dispatch->workflows) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
-
-		list_del(&workflow->node);
-		dispatch_insert_workflow(&sorted, workflow);
-	}
-	list_for_each_safe (pos, tmp, &sorted) {
-		list_del(pos);
-		list_add_tail(&dispatch->workflows, pos);
-	}
-}
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -97,6 +97,7 @@
 	struct workflow *workflow = xcalloc(1, sizeof(*workflow));
 
 	list_init(&workflow->node);
+	list_init(&workflow->round_node);
 	list_init(&workflow->unsaved_node);
 	list_init(&workflow->unsaved_runs);
 	workflow->spec = *spec;
@@ -132,6 +133,7 @@
 				 workflow->spec.task_count);
 	free(workflow->occurrences);
 	list_del(&workflow->node);
+	list_del(&workflow->round_node);
 	list_del(&workflow->unsaved_node);
 	workflow_spec_clear(&workflow->spec);
 	free(workflow);
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -282,9 +282,58 @@
 	assert_string_equal(log_level_name(LOG_WARN), "warn");
 }
 
+struct sortable {
+	struct list node;
+	uint32_t key, order;
+};
+
+static int sortable_goes_before(const struct list *a, const struct list *b)
+{
+	return list_entry(a, struct sortable, node)->key <
+	       list_entry(b, struct sortable, node)->key;
+}
+
+/* Guards against lost, swapped or unsorted nodes; the sort is stable. */
+static void test_list_sort(void **state)
+{
+	struct sortable elements[200];
+	struct list head, *pos;
+	struct rng rng;
+	int round;
+
+	rng_seed(&rng, 20261205);
+	for (round = 0; round < 3000; round++) {
+		uint32_t i, count = rng_below(&rng, 200);
+		uint32_t keys = 1 + rng_below(&rng, 200);
+		const struct sortable *last = NULL;
+
+		list_init(&head);
+		for (i = 0; i < count; i++) {
+			elements[i].key = rng_below(&rng, keys);
+			elements[i].order = i;
+			list_add_tail(&head, &elements[i].node);
+		}
+		list_sort(&head, sortable_goes_before);
+		i = 0;
+		list_for_each (pos, &head) {
+			const struct sortable *element =
+				list_entry(pos, struct sortable, node);
+
+			assert_ptr_equal(pos->next->prev, pos);
+			assert_true(!last || last->key < element->key ||
+				    (last->key == element->key &&
+				     last->order < element->order));
+			last = element;
+			i++;
+		}
+		assert_int_equal(i, count);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_list_sort),
 		cmocka_unit_test(test_list),
 		cmocka_unit_test(test_jsontext),
 		cmocka_unit_test(test_str_copy),
--- a/tests/unit/test_dispatch_scale.c
+++ b/tests/unit/test_dispatch_scale.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -251,6 +252,44 @@
 				 cases[i].spacing_ms);
 }
 
+static double cpu_ms(void)
+{
+	struct timespec now;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+	return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
+
+/*
+ * Guards against an insertion that walks over all that waits: with a long
+ * backlog, and after a takeover, the scheduler did little else.
+ */
+static void test_add_behind_backlog(void **state)
+{
+	enum {
+		WORKFLOWS = 10000
+	};
+	struct dispatch *dispatch = start(1, NULL);
+	double ms = 0;
+	int i;
+
+	for (i = 0; i < WORKFLOWS; i++) {
+		struct step_shape shape = { 1, 65000, 0, (uint32_t)i % 3,
+					    NULL };
+		struct workflow *workflow;
+		char id[16];
+
+		snprintf(id, sizeof(id), "j%d", i);
+		workflow = new_workflow(id, &shape);
+		ms -= cpu_ms();
+		assert_int_equal(dispatch_add(dispatch, workflow, at(3)), 0);
+		ms += cpu_ms();
+	}
+	/* 10 us for an event. */
+	assert_true(ms < WORKFLOWS * 0.01);
+	dispatch_delete(dispatch);
+}
+
 static void save_workflows(struct dispatch *dispatch)
 {
 	struct workflow *workflow;
@@ -395,6 +434,7 @@
 		cmocka_unit_test(test_search_for_step_and_for_task),
 		cmocka_unit_test(test_long_round),
 		cmocka_unit_test(test_pass_spacing),
+		cmocka_unit_test(test_add_behind_backlog),
 		cmocka_unit_test(test_workers_with_orders),
 		cmocka_unit_test(test_responses),
 		cmocka_unit_test(test_save_time),
