scheduler: keep a workflow that cannot be stored from stopping the others

The state of a workflow had a row for each task that was ever assigned, done or not, of all its occurrences, and up to 256 bytes of checkpoint in each. A store takes 1 MiB: a recurring workflow, or one of some thousand tasks with checkpoints, grows beyond that. The commit that contains it is refused, and was sent again for ever, with the states of up to 14 others; then nothing more is started, cancelled or ended for anybody, by this scheduler or the next one.

- Done tasks are written as ranges, and occurrences that are done as their number.
Version 2 of the document; version 1 is still read.
- A state that doesn't fit is stored without its checkpoints, which a takeover then starts from the beginning.
- A commit is at most as large as a value may be, and when the store refuses one, it is split and the bound halved (state-refused).

state_too_large in test_workflows fails before ("timed out waiting for complete" of the other workflow) and passes, as do test_encoded_size, test_encode_decode_random and test_decode_format_1. test_decode_malformed named version 2 as unknown; that is now 3, with 0 beside it and malformed rows of the new lists.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -192,6 +192,10 @@
 	  "The active scheduler runs late: it lacks processor time." },
 	{ EV_SCHEDULER_CAUGHT_UP, LOG_INFO, "scheduler-caught-up",
 	  "The active scheduler is in time again." },
+	{ EV_STATE_REFUSED, LOG_WARN, "state-refused",
+	  "The store has refused a change; it is tried in smaller parts." },
+	{ EV_STATE_TOO_LARGE, LOG_ERROR, "state-too-large",
+	  "A workflow is ended: its progress is too large to be stored." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -244,6 +244,10 @@
 int dispatch_cancel(struct dispatch *dispatch, const char *job,
 		    struct mstime now);
 
+/* Ends a workflow that cannot go on; its runs are stopped. */
+void dispatch_fail(struct dispatch *dispatch, struct workflow *workflow,
+		   struct mstime now);
+
 /* Returns the worker of a runner; creates it for a new runner. */
 struct worker *dispatch_get_worker(struct dispatch *dispatch,
 				   const char *runner, struct mstime now);
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -198,12 +198,24 @@
 void workflow_task_done(struct workflow *workflow, uint32_t occurrence,
 			uint32_t step, uint32_t index);
 
+/* Marks the first occurrences of a new workflow done. */
+void workflow_set_complete(struct workflow *workflow, uint32_t occurrences);
+
 /*
  * Returns the state as newly allocated JSON. Tasks that have never been
  * assigned are omitted.
  */
 char *workflow_encode(const struct workflow *workflow);
 
+/*
+ * The same in at most max bytes: without checkpoints if it does not fit with
+ * them, and if the workflow is final without its tasks.
+ *
+ * RETURN VALUE
+ *	NULL if that does not fit either
+ */
+char *workflow_encode_within(const struct workflow *workflow, size_t max);
+
 /*
  * Sets the state of a new workflow to a stored one.
  *
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -327,6 +327,17 @@
 	return 0;
 }
 
+void dispatch_fail(struct dispatch *dispatch, struct workflow *workflow,
+		   struct mstime now)
+{
+	if (workflow_is_final(workflow))
+		return;
+	dispatch->now = now;
+	workflow->state = WORKFLOW_FAILED;
+	dispatch_mark_changed(dispatch, workflow);
+	dispatch_check_final(dispatch, workflow, now);
+}
+
 struct worker *dispatch_get_worker(struct dispatch *dispatch,
 				   const char *runner, struct mstime now)
 {
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -144,6 +144,17 @@
 	return workflow->state >= WORKFLOW_COMPLETE;
 }
 
+static void set_all_done(const struct workflow_spec *spec,
+			 struct occurrence *occurrence)
+{
+	uint32_t i;
+
+	for (i = 0; i < spec->task_count; i++)
+		occurrence->tasks[i].phase = TASK_DONE;
+	for (i = 0; i < spec->step_count; i++)
+		occurrence->done_count[i] = spec->steps[i].task_count;
+}
+
 /* Occurrences are allocated on first use, because there may be many. */
 static struct occurrence *get_occurrence(struct workflow *workflow, uint32_t k)
 {
@@ -158,6 +169,8 @@
 		xcalloc(steps, sizeof(*occurrence->done_count));
 	occurrence->assigned_count =
 		xcalloc(steps, sizeof(*occurrence->assigned_count));
+	if (occurrence->steps_done == steps)
+		set_all_done(&workflow->spec, occurrence);
 	return occurrence;
 }
 
@@ -260,6 +273,17 @@
 		workflow->first_open++;
 }
 
+void workflow_set_complete(struct workflow *workflow, uint32_t occurrences)
+{
+	uint32_t k;
+
+	for (k = 0; k < occurrences; k++)
+		workflow->occurrences[k].steps_done =
+			(uint32_t)workflow->spec.step_count;
+	workflow->first_open = occurrences;
+	workflow->done_occurrences = occurrences;
+}
+
 void workflow_task_done(struct workflow *workflow, uint32_t occurrence,
 			uint32_t step, uint32_t index)
 {
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -9,7 +9,9 @@
 #include "jsontext.h"
 #include "mem.h"
 
-#define FORMAT 1 /* version of the document */
+/* Version of the document. In version 1 done tasks have rows in "tasks". */
+#define FORMAT 2
+#define FORMAT_MIN 1
 
 /* Columns of a row in "tasks". */
 enum column {
@@ -24,6 +26,21 @@
 	COLUMN_COUNT
 };
 
+/* Columns of a row in "done": tasks of a step that follow each other. */
+enum done_column {
+	DONE_OCCURRENCE,
+	DONE_STEP,
+	DONE_FIRST,
+	DONE_LAST,
+	DONE_COLUMN_COUNT
+};
+
+enum detail {
+	DETAIL_ALL,
+	DETAIL_NO_CHECKPOINTS,
+	DETAIL_STATE /* enough for a final workflow */
+};
+
 static int location_equal(const struct run_location *a,
 			  const struct run_location *b)
 {
@@ -58,14 +75,30 @@
 	return (int)i;
 }
 
-static int task_is_initial(const struct workflow_task *task)
+/* The parts of a document while it is written. */
+struct document {
+	enum detail detail;
+	struct locations locations;
+	struct jsontext done, tasks;
+};
+
+static void put_row(struct jsontext *json, const int64_t *columns, size_t count)
 {
-	return task->phase == TASK_WAITING && !task->last_run;
+	size_t i;
+
+	jsontext_raw(json, json->len ? ",[" : "[");
+	for (i = 0; i < count; i++) {
+		if (i)
+			jsontext_raw(json, ",");
+		jsontext_number(json, columns[i]);
+	}
 }
 
-static void put_task(struct jsontext *json, const struct workflow_task *task,
-		     uint32_t k, uint32_t step, uint32_t index, int location)
+static void put_task(struct document *document,
+		     const struct workflow_task *task, uint32_t k,
+		     uint32_t step, uint32_t index)
 {
+	int has_checkpoint = task->checkpoint && document->detail == DETAIL_ALL;
 	const int64_t columns[COLUMN_CHECKPOINT] = {
 		[COLUMN_OCCURRENCE] = k,
 		[COLUMN_STEP] = step,
@@ -73,56 +106,69 @@
 		[COLUMN_PHASE] = (int64_t)task->phase,
 		[COLUMN_RUN] = task->last_run,
 		[COLUMN_FAILURES] = task->failures,
-		[COLUMN_LOCATION] = location,
+		[COLUMN_LOCATION] =
+			task->location ? location_index(&document->locations,
+							task->location)
+				       : -1,
 	};
-	size_t i;
 
-	jsontext_raw(json, json->len ? ",[" : "[");
-	for (i = 0; i < COLUMN_CHECKPOINT; i++) {
-		jsontext_number(json, columns[i]);
-		jsontext_raw(json, ",");
-	}
-	jsontext_string(json, task->checkpoint ? task->checkpoint : "");
-	jsontext_raw(json, "]");
+	put_row(&document->tasks, columns, COLUMN_CHECKPOINT);
+	jsontext_raw(&document->tasks, ",");
+	jsontext_string(&document->tasks,
+			has_checkpoint ? task->checkpoint : "");
+	jsontext_raw(&document->tasks, "]");
 }
 
-static void put_occurrence(struct jsontext *json, struct locations *locations,
-			   const struct workflow *workflow, uint32_t k)
+/* Done tasks are written as ranges: a workflow has many of them at its end. */
+static void put_step(struct document *document, const struct workflow *workflow,
+		     uint32_t k, uint32_t step)
 {
-	const struct occurrence *state = &workflow->occurrences[k];
-	uint32_t step, index;
-
-	if (!state->tasks)
-		return;
-	for (step = 0; step < workflow->spec.step_count; step++) {
-		const struct workflow_step *spec = &workflow->spec.steps[step];
-
-		for (index = 0; index < spec->task_count; index++) {
-			const struct workflow_task *task =
-				&state->tasks[spec->first_task + index];
-			int location = -1;
-
-			if (task_is_initial(task))
-				continue;
-			if (task->location)
-				location = location_index(locations,
-							  task->location);
-			put_task(json, task, k, step, index, location);
+	const struct workflow_step *spec = &workflow->spec.steps[step];
+	const struct workflow_task *tasks =
+		&workflow->occurrences[k].tasks[spec->first_task];
+	uint32_t i, first;
+
+	for (i = 0; i < spec->task_count; i++) {
+		int64_t columns[DONE_COLUMN_COUNT] = { k, step };
+
+		if (tasks[i].phase != TASK_DONE) {
+			if (tasks[i].phase != TASK_WAITING || tasks[i].last_run)
+				put_task(document, &tasks[i], k, step, i);
+			continue;
 		}
+		first = i;
+		while (i + 1 < spec->task_count &&
+		       tasks[i + 1].phase == TASK_DONE)
+			i++;
+		columns[DONE_FIRST] = first;
+		columns[DONE_LAST] = i;
+		put_row(&document->done, columns, DONE_COLUMN_COUNT);
+		jsontext_raw(&document->done, "]");
 	}
 }
 
+static void put_open_occurrences(struct document *document,
+				 const struct workflow *workflow)
+{
+	uint32_t k, step;
+
+	for (k = workflow->first_open; k < workflow->spec.occurrences; k++)
+		for (step = 0; workflow->occurrences[k].tasks &&
+			       step < workflow->spec.step_count;
+		     step++)
+			put_step(document, workflow, k, step);
+}
+
 /* Written as text, because each change of a task renews the document. */
-char *workflow_encode(const struct workflow *workflow)
+static char *encode(const struct workflow *workflow, enum detail detail)
 {
-	struct locations locations = { 0 };
-	struct jsontext tasks = { 0 }, root = { 0 };
-	uint32_t k;
-
-	locations.items =
-		xcalloc(workflow->assigned_total + 1, sizeof(*locations.items));
-	for (k = 0; k < workflow->spec.occurrences; k++)
-		put_occurrence(&tasks, &locations, workflow, k);
+	struct document document = { .detail = detail };
+	struct jsontext root = { 0 };
+
+	document.locations.items = xcalloc(workflow->assigned_total + 1,
+					   sizeof(*document.locations.items));
+	if (detail != DETAIL_STATE)
+		put_open_occurrences(&document, workflow);
 	jsontext_raw(&root, "{\"format\":");
 	jsontext_number(&root, FORMAT);
 	jsontext_raw(&root, ",\"state\":");
@@ -131,24 +177,51 @@
 						: ",\"cancelled\":false");
 	jsontext_raw(&root, workflow->started ? ",\"started\":true"
 					      : ",\"started\":false");
-	jsontext_raw(&root, ",\"places\":[");
-	jsontext_append(&root, locations.rows.text, locations.rows.len);
+	jsontext_raw(&root, ",\"complete\":");
+	jsontext_number(&root, workflow->first_open);
+	jsontext_raw(&root, ",\"done\":[");
+	jsontext_append(&root, document.done.text, document.done.len);
+	jsontext_raw(&root, "],\"places\":[");
+	jsontext_append(&root, document.locations.rows.text,
+			document.locations.rows.len);
 	jsontext_raw(&root, "],\"tasks\":[");
-	jsontext_append(&root, tasks.text, tasks.len);
+	jsontext_append(&root, document.tasks.text, document.tasks.len);
 	jsontext_raw(&root, "]}");
-	free(locations.items);
-	free(locations.rows.text);
-	free(tasks.text);
+	free(document.locations.items);
+	free(document.locations.rows.text);
+	free(document.done.text);
+	free(document.tasks.text);
 	return jsontext_end(&root);
 }
 
+char *workflow_encode(const struct workflow *workflow)
+{
+	return encode(workflow, DETAIL_ALL);
+}
+
+char *workflow_encode_within(const struct workflow *workflow, size_t max)
+{
+	enum detail detail, least = workflow_is_final(workflow)
+					    ? DETAIL_STATE
+					    : DETAIL_NO_CHECKPOINTS;
+
+	for (detail = DETAIL_ALL; detail <= least; detail++) {
+		char *text = encode(workflow, detail);
+
+		if (strlen(text) <= max)
+			return text;
+		free(text);
+	}
+	return NULL;
+}
+
 static int parse_state(const json_t *root, enum workflow_state *state)
 {
+	json_int_t format = json_integer_value(json_object_get(root, "format"));
 	const char *name = json_string_value(json_object_get(root, "state"));
 	int i;
 
-	if (json_integer_value(json_object_get(root, "format")) != FORMAT ||
-	    !name)
+	if (format < FORMAT_MIN || format > FORMAT || !name)
 		return ERR_MALFORMED;
 	for (i = 0; i < WORKFLOW_STATE_COUNT; i++) {
 		if (strcmp(name, workflow_state_name((enum workflow_state)i)))
@@ -231,14 +304,56 @@
 			       &task->location);
 }
 
+static int decode_done(struct workflow *workflow, const json_t *row)
+{
+	json_int_t numbers[DONE_COLUMN_COUNT];
+	const struct workflow_spec *spec = &workflow->spec;
+	json_int_t index;
+	size_t i;
+
+	if (json_array_size(row) != DONE_COLUMN_COUNT)
+		return ERR_MALFORMED;
+	for (i = 0; i < DONE_COLUMN_COUNT; i++) {
+		numbers[i] = json_integer_value(json_array_get(row, i));
+		if (!json_is_integer(json_array_get(row, i)) || numbers[i] < 0)
+			return ERR_MALFORMED;
+	}
+	if (numbers[DONE_OCCURRENCE] >= spec->occurrences ||
+	    numbers[DONE_STEP] >= (json_int_t)spec->step_count ||
+	    numbers[DONE_LAST] >= spec->steps[numbers[DONE_STEP]].task_count)
+		return ERR_MALFORMED;
+	for (index = numbers[DONE_FIRST]; index <= numbers[DONE_LAST]; index++)
+		workflow_task_done(workflow, (uint32_t)numbers[DONE_OCCURRENCE],
+				   (uint32_t)numbers[DONE_STEP],
+				   (uint32_t)index);
+	return 0;
+}
+
+static int decode_complete(struct workflow *workflow, const json_t *complete)
+{
+	json_int_t count = json_integer_value(complete);
+
+	if (complete && (!json_is_integer(complete) || count < 0 ||
+			 count > workflow->spec.occurrences))
+		return ERR_MALFORMED;
+	workflow_set_complete(workflow, (uint32_t)count);
+	return 0;
+}
+
 static int decode_root(struct workflow *workflow, const json_t *root)
 {
 	const json_t *locations = json_object_get(root, "places");
 	const json_t *tasks = json_object_get(root, "tasks");
+	const json_t *done = json_object_get(root, "done");
 	enum workflow_state state;
 	size_t i;
 	int err = parse_state(root, &state);
 
+	if (!err)
+		err = decode_complete(workflow,
+				      json_object_get(root, "complete"));
+	for (i = 0; !err && i < json_array_size(done); i++)
+		err = decode_done(workflow, json_array_get(done, i));
 	for (i = 0; !err && i < json_array_size(tasks); i++)
 		err = decode_task(workflow, locations,
 				  json_array_get(tasks, i));
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -252,6 +252,7 @@
 	scheduler_links_start(scheduler);
 	scheduler_load_start(scheduler);
 	scheduler->is_behind = 0;
+	scheduler->value_max = KV_VALUE_MAX;
 	scheduler->next_pass_at = mstime_from(0);
 	start_tick(scheduler, sysclock_now());
 }
--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -13,6 +13,8 @@
 #define COMMIT_INTERVAL_MS 20
 #define COMMIT_RETRY_MS 100
 #define PENDING_INTERVAL_MS 1000
+/* Lowest bound of a value to be tried: that of a state without tasks fits. */
+#define VALUE_MAX_LEAST 1024
 
 static void send_commit(struct scheduler *scheduler);
 
@@ -26,6 +28,7 @@
 		free(commit->entries[i].value);
 	}
 	commit->count = 0;
+	commit->len = 0;
 	commit->in_progress = 0;
 }
 
@@ -99,6 +102,20 @@
 	loop_timer_start(scheduler->commit.retry_timer, COMMIT_RETRY_MS);
 }
 
+/* Nothing was written, and never will be: a value may be too large. */
+static void retry_smaller(struct scheduler *scheduler)
+{
+	scheduler->value_max /= 2;
+	if (scheduler->value_max < VALUE_MAX_LEAST)
+		scheduler->value_max = VALUE_MAX_LEAST;
+	log_event(EV_STATE_REFUSED,
+		  "epoch=%lld workflows=%zu bytes=%zu max=%zu",
+		  (long long)scheduler->epoch, scheduler->commit.count,
+		  scheduler->commit.len, scheduler->value_max);
+	clear_commit(scheduler);
+	scheduler_wake(scheduler);
+}
+
 static void on_committed(void *arg, const struct kv_result *result)
 {
 	int64_t revisions[COMMIT_WORKFLOWS_MAX];
@@ -116,6 +133,11 @@
 		return;
 	}
 	scheduler->commits_failed.value++;
+	if (result->err == ERR_INVALID &&
+	    scheduler->value_max > VALUE_MAX_LEAST) {
+		retry_smaller(scheduler);
+		return;
+	}
 	if (scheduler->commit.attempts == 1)
 		log_event(EV_STATE_UNSETTLED, "epoch=%lld workflows=%zu err=%s",
 			  (long long)scheduler->epoch, scheduler->commit.count,
@@ -151,16 +173,43 @@
 	kv_txn(scheduler->kv, &txn, on_committed, scheduler);
 }
 
-static void add_entry(struct commit *commit, struct workflow *workflow)
+/* A workflow whose state cannot be stored would run again after a takeover. */
+static char *encode_state(struct scheduler *scheduler,
+			  struct workflow *workflow, struct mstime now)
 {
-	struct commit_entry *entry = &commit->entries[commit->count++];
+	char *value = workflow_encode_within(workflow, scheduler->value_max);
+
+	if (value)
+		return value;
+	log_event(EV_STATE_TOO_LARGE, "job=%s tasks=%u max=%zu",
+		  workflow->spec.id, workflow->spec.task_count,
+		  scheduler->value_max);
+	dispatch_fail(scheduler->dispatch, workflow, now);
+	return workflow_encode_within(workflow, scheduler->value_max);
+}
+
+/* RETURN VALUE: 0 if there is no space left for it in this commit. */
+static int add_entry(struct scheduler *scheduler, struct workflow *workflow,
+		     struct mstime now)
+{
+	struct commit *commit = &scheduler->commit;
+	struct commit_entry *entry = &commit->entries[commit->count];
+	char *value = encode_state(scheduler, workflow, now);
+	size_t len = strlen(value);
 
+	if (commit->count && commit->len + len > scheduler->value_max) {
+		free(value);
+		return 0;
+	}
 	entry->workflow = workflow;
 	entry->version = workflow->version;
-	entry->value = workflow_encode(workflow);
-	entry->len = strlen(entry->value);
+	entry->value = value;
+	entry->len = len;
 	jobstore_key(entry->key, STATE_PREFIX, workflow->spec.id);
 	workflow->saving = 1;
+	commit->count++;
+	commit->len += len;
+	return 1;
 }
 
 void scheduler_commit(struct scheduler *scheduler, struct mstime now)
@@ -179,8 +228,9 @@
 		return;
 	}
 	while (commit->count < COMMIT_WORKFLOWS_MAX &&
-	       (workflow = dispatch_next_unsaved(scheduler->dispatch, now)))
-		add_entry(commit, workflow);
+	       (workflow = dispatch_next_unsaved(scheduler->dispatch, now)) &&
+	       add_entry(scheduler, workflow, now))
+		;
 	commit->in_progress = 1;
 	commit->attempts = 0;
 	commit->started_at = now;
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -54,7 +54,7 @@
 
 struct commit {
 	struct commit_entry entries[COMMIT_WORKFLOWS_MAX];
-	size_t count;
+	size_t count, len; /* entries, and their bytes */
 	struct mstime started_at;
 	int attempts;
 	int in_progress; /* its outcome is not known yet */
@@ -90,6 +90,7 @@
 	int is_behind;
 	struct mstime behind_since, late_tick_at;
 	struct mstime last_commit_at;
+	size_t value_max; /* bytes of a value, and of a commit */
 	struct mstime pending_sent_at;
 	char *pending_json;
 	uint32_t pending_count; /* workflows in the last text */
--- a/packages/platform/include/kv.h
+++ b/packages/platform/include/kv.h
@@ -59,6 +59,9 @@
 	int64_t lease; /* 0: none */
 };
 
+/* Largest value, in bytes, unless the platform has set a lower bound. */
+#define KV_VALUE_MAX (1024 * 1024)
+
 /* Bound of each of the three lists of a transaction. */
 #define KV_TXN_MAX 32
 
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -355,6 +355,22 @@
     check(not ended, "ended: %s" % ended)
 
 
+def state_too_large(rig):
+    """Guards against one workflow whose state the store refuses, which kept
+    the states of all others from being stored."""
+    check(rig.control_store("limit?bytes=4000") == 200, "limit")
+    large, _ = rig.submit(rig.gateways[0], [{"count": 300, "cpu": 1}],
+                          payload="60000")
+    other, _ = rig.submit(rig.gateways[0], [{"count": 4, "cpu": 1}])
+    rig.wait_state(other, "complete")
+    rig.wait_state(large, "failed")
+    wait_for("runs of the failed workflow to end", lambda: not any(
+        task.startswith(large) for runner in rig.runners
+        for task in rig.tasks_at(runner)))
+    check(rig.control_store("limit?bytes=0") == 200, "limit")
+    rig.check_records()
+
+
 def deregister(runner, body):
     path = "/catkinhill/instances/w-%s/deregister" % runner["name"]
     check(http_call(runner["announcements"], "POST", path, body)[0] == 200,
@@ -379,7 +395,8 @@
              runner_killed, worker_killed, worker_leaves,
              worker_lost_before_start, store_faults, configuration,
              graceful_stop, graceful_stop_without_store,
-             malformed_heartbeats, odd_entries, late_deregistration]
+             malformed_heartbeats, odd_entries, state_too_large,
+             late_deregistration]
 
 
 def main():
--- a/tests/fakes/fakeplatform/kvserver.c
+++ b/tests/fakes/fakeplatform/kvserver.c
@@ -41,6 +41,7 @@
 	int64_t revision, compacted_revision, last_lease_id;
 	struct list leases, watchers;
 	char mode[16];
+	size_t value_max; /* bytes; 0: any */
 };
 
 static void reply(struct httpd_request *request, int status, json_t *body)
@@ -242,6 +243,21 @@
 	wake_watchers(server);
 }
 
+static int is_too_large(const struct kvserver *server, const json_t *puts)
+{
+	size_t i;
+
+	for (i = 0; server->value_max && i < json_array_size(puts); i++) {
+		const json_t *value =
+			json_object_get(json_array_get(puts, i), "value");
+
+		/* Base64 text. */
+		if (json_string_length(value) / 4 * 3 > server->value_max)
+			return 1;
+	}
+	return 0;
+}
+
 static void on_txn(struct kvserver *server, struct httpd_request *request)
 {
 	size_t len, i;
@@ -250,6 +266,11 @@
 	const json_t *compares = json_object_get(body, "expectedRev");
 	int all_hold = 1;
 
+	if (is_too_large(server, json_object_get(body, "puts"))) {
+		reply(request, 413, json_object());
+		json_decref(body);
+		return;
+	}
 	for (i = 0; i < json_array_size(compares); i++)
 		all_hold &= compare_holds(server, json_array_get(compares, i));
 	if (!all_hold) {
@@ -388,6 +409,16 @@
 	free(name);
 }
 
+static void on_fake_limit(struct kvserver *server,
+			  struct httpd_request *request)
+{
+	char *bytes = query_param(request, "bytes");
+
+	server->value_max = (size_t)strtoull(bytes, NULL, 10);
+	reply(request, 200, json_object());
+	free(bytes);
+}
+
 static int match_prefix(const char *path, const char *prefix, const char **rest)
 {
 	size_t len = strlen(prefix);
@@ -405,6 +436,8 @@
 		on_fake_put(server, request);
 	} else if (!strcmp(path, "/fake/mode")) {
 		on_fake_mode(server, request);
+	} else if (!strcmp(path, "/fake/limit")) {
+		on_fake_limit(server, request);
 	} else if (!strcmp(server->mode, "busy")) {
 		reply(request, 503, json_object());
 	} else if (!strcmp(server->mode, "silent")) {
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -21,6 +21,9 @@
 	"{\"format\":1,\"state\":\"running\",\"started\":true,\"places\":"
 	"[[\"n\",\"w\",5]],\"tasks\":[[0,0,1,2,1,0,-1,\"\"],"
 	"[0,1,2,1,3,1,0,\"c\"]]}",
+	"{\"format\":2,\"state\":\"running\",\"started\":true,"
+	"\"complete\":0,\"done\":[[0,0,0,3],[0,1,2,2]],\"places\":"
+	"[[\"n\",\"w\",5]],\"tasks\":[[0,1,3,1,3,1,0,\"c\"]]}",
 };
 
 static struct workflow *create_workflow(struct workflow_spec *spec)
--- a/tests/unit/test_workflow.c
+++ b/tests/unit/test_workflow.c
@@ -10,6 +10,7 @@
 
 #include "errors.h"
 #include "mem.h"
+#include "rng.h"
 
 #define COUNT(table) (sizeof(table) / sizeof((table)[0]))
 
@@ -150,7 +151,8 @@
 	str_copy(task->location->node, "node-1", ID_SIZE);
 	str_copy(task->location->worker, "w-1", ID_SIZE);
 	task->location->worker_start_ms = worker_start_ms;
-	workflow->occurrences[0].assigned_count[1]++;
+	workflow_count_assigned(workflow, &(struct task_id){ "", 0, 1, index },
+				1);
 }
 
 /* Guards against losing stored progress when a new scheduler takes over. */
@@ -189,13 +191,147 @@
 	workflow_delete(decoded);
 }
 
+static void check_equal(struct workflow *a, struct workflow *b)
+{
+	uint32_t k, step, i;
+
+	assert_int_equal(a->state, b->state);
+	assert_int_equal(a->first_open, b->first_open);
+	assert_int_equal(a->done_occurrences, b->done_occurrences);
+	assert_int_equal(a->assigned_total, b->assigned_total);
+	for (k = 0; k < a->spec.occurrences; k++)
+		for (step = 0; step < a->spec.step_count; step++)
+			for (i = 0; i < a->spec.steps[step].task_count; i++)
+				assert_int_equal(
+					workflow_task(a, k, step, i)->phase,
+					workflow_task(b, k, step, i)->phase);
+}
+
+/* Guards against done tasks that a new scheduler runs again, or never runs. */
+static void test_encode_decode_random(void **state)
+{
+	struct rng rng;
+	int round;
+
+	rng_seed(&rng, 20261205);
+	for (round = 0; round < 2000; round++) {
+		uint32_t tasks = 1 + rng_below(&rng, 9), ends;
+		struct workflow_spec specs[2] = { spec_new(2, tasks),
+						  spec_new(2, tasks) };
+		struct workflow *workflow, *decoded;
+		char *json;
+
+		specs[0].occurrences = 1 + rng_below(&rng, 4);
+		specs[0].interval_ms = 1;
+		specs[1].occurrences = specs[0].occurrences;
+		specs[1].interval_ms = 1;
+		workflow = build_workflow(&specs[0]);
+		decoded = build_workflow(&specs[1]);
+		for (ends = rng_below(&rng, 100); ends > 0; ends--)
+			workflow_task_done(
+				workflow,
+				rng_below(&rng, workflow->spec.occurrences),
+				rng_below(&rng, 2), rng_below(&rng, tasks));
+		json = workflow_encode(workflow);
+		assert_int_equal(workflow_decode(decoded, json, strlen(json)),
+				 0);
+		check_equal(workflow, decoded);
+		free(json);
+		workflow_delete(workflow);
+		workflow_delete(decoded);
+	}
+}
+
+/* Guards against records of the release before that are taken for new work. */
+static void test_decode_format_1(void **state)
+{
+	static const char json[] =
+		"{\"format\":1,\"state\":\"running\",\"places\":"
+		"[[\"n\",\"w\",5]],\"tasks\":[[0,0,0,2,1,0,-1,\"\"],"
+		"[0,0,1,2,1,0,-1,\"\"],[0,1,1,1,3,1,0,\"c\"]]}";
+	struct workflow_spec spec = spec_new(2, 2);
+	struct workflow *workflow = build_workflow(&spec);
+
+	assert_int_equal(workflow_decode(workflow, json, strlen(json)), 0);
+	assert_int_equal(workflow->occurrences[0].done_count[0], 2);
+	assert_int_equal(workflow_task(workflow, 0, 1, 0)->phase, TASK_WAITING);
+	assert_int_equal(workflow_task(workflow, 0, 1, 1)->last_run, 3);
+	workflow_delete(workflow);
+}
+
+/*
+ * Guards against a state that is larger than the store takes, which no commit
+ * can then contain: it grew with the tasks and occurrences that are done.
+ */
+static void test_encoded_size(void **state)
+{
+	static const struct {
+		uint32_t occurrences, done, tasks, assigned;
+		enum workflow_state state;
+		size_t max, most; /* most: 0 if it doesn't fit */
+	} cases[] = {
+		{ 100000, 99999, 1, 0, WORKFLOW_RUNNING, 1 << 20, 200 },
+		{ 1, 0, 20000, 0, WORKFLOW_RUNNING, 1 << 20, 200 },
+		{ 1, 0, 20000, 19999, WORKFLOW_RUNNING, 1 << 20, 1 << 20 },
+		{ 1, 0, 2000, 1000, WORKFLOW_RUNNING, 30000, 30000 },
+		{ 1, 0, 2000, 1000, WORKFLOW_RUNNING, 4000, 0 },
+		{ 1, 0, 2000, 1000, WORKFLOW_FAILED, 4000, 200 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct workflow_spec spec = spec_new(1, cases[i].tasks);
+		struct workflow *workflow;
+		uint32_t k;
+		char *json;
+
+		spec.occurrences = cases[i].occurrences;
+		spec.interval_ms = 1;
+		workflow = build_workflow(&spec);
+		for (k = 0; k < cases[i].done; k++)
+			workflow_task_done(workflow, k, 0, 0);
+		for (k = 0; k < cases[i].assigned; k++) {
+			struct workflow_task *task =
+				workflow_task(workflow, 0, 0, k);
+
+			task->phase = TASK_ASSIGNED;
+			task->last_run = 1;
+			task->checkpoint = xcalloc(1, 257);
+			memset(task->checkpoint, 'c', 256);
+			task->location = xcalloc(1, sizeof(*task->location));
+			workflow_count_assigned(
+				workflow, &(struct task_id){ "", 0, 0, k }, 1);
+		}
+		for (; !cases[i].done && k + 1 < cases[i].tasks; k++)
+			workflow_task_done(workflow, 0, 0, k);
+		workflow->state = cases[i].state;
+		json = workflow_encode_within(workflow, cases[i].max);
+		assert_int_equal(json != NULL, cases[i].most > 0);
+		assert_true(!json || strlen(json) <= cases[i].most);
+		free(json);
+		workflow_delete(workflow);
+	}
+}
+
 /* Guards against a crash on a record that another writer has corrupted. */
 static void test_decode_malformed(void **state)
 {
 	static const char *const cases[] = {
 		"",
 		"[]",
-		"{\"format\":2,\"state\":\"queued\"}",
+		"{\"format\":3,\"state\":\"queued\"}",
+		"{\"format\":0,\"state\":\"queued\"}",
+		"{\"format\":2,\"state\":\"running\",\"complete\":2}",
+		"{\"format\":2,\"state\":\"running\",\"complete\":-1}",
+		"{\"format\":2,\"state\":\"running\",\"complete\":\"1\"}",
+		"{\"format\":2,\"state\":\"running\",\"done\":[[0,0,0]]}",
+		"{\"format\":2,\"state\":\"running\",\"done\":[[0,0,0,2]]}",
+		"{\"format\":2,\"state\":\"running\",\"done\":[[0,2,0,0]]}",
+		"{\"format\":2,\"state\":\"running\",\"done\":[[1,0,0,0]]}",
+		"{\"format\":2,\"state\":\"running\",\"done\":[[0,0,-1,0]]}",
+		"{\"format\":2,\"state\":\"running\",\"done\":[[0,0,0,0.5]]}",
+		"{\"format\":2,\"state\":\"running\",\"done\":"
+		"[[4294967296,0,0,0]]}",
 		"{\"format\":1,\"state\":\"odd\"}",
 		"{\"format\":1,\"state\":\"running\",\"tasks\":[[0,0]]}",
 		"{\"format\":1,\"state\":\"running\",\"tasks\":"
@@ -228,6 +364,9 @@
 		cmocka_unit_test(test_complete_occurrences),
 		cmocka_unit_test(test_gang_done),
 		cmocka_unit_test(test_encode_decode),
+		cmocka_unit_test(test_encode_decode_random),
+		cmocka_unit_test(test_decode_format_1),
+		cmocka_unit_test(test_encoded_size),
 		cmocka_unit_test(test_decode_malformed),
 	};
 
