dispatch: take no best-effort work at a worker that announces too little

A worker may announce less than is in use there: a replaced one with less capacity, or an odd entry. What serving and urgent runs leave unused was then below zero in unsigned arithmetic, so that best-effort tasks of any size fitted, without end.

--- a/packages/core/src/dispatch_place.c
+++ b/packages/core/src/dispatch_place.c
@@ -58,26 +58,21 @@
 	return count;
 }
 
-static uint32_t spare_cpu_milli(const struct worker *worker)
-{
-	return worker->capacity.cpu_milli > worker->used.cpu_milli
-		       ? worker->capacity.cpu_milli - worker->used.cpu_milli
-		       : 0;
-}
-
+/* A worker may announce less than is in use there. */
 static int cpu_fits(const struct dispatch *dispatch,
 		    const struct worker *worker,
 		    const struct workflow_step *step)
 {
-	uint64_t unused_milli;
-
-	if (!step->best_effort)
-		return step->need.cpu_milli <= spare_cpu_milli(worker);
-	unused_milli = worker->capacity.cpu_milli -
-		       (uint64_t)worker->used.cpu_milli *
-			       dispatch->limits.assumed_usage_percent / 100;
-	return (uint64_t)worker->best_effort_cpu_milli + step->need.cpu_milli <=
-	       unused_milli;
+	int64_t spare_milli = worker->capacity.cpu_milli;
+
+	if (step->best_effort)
+		spare_milli -= (int64_t)worker->used.cpu_milli *
+				       dispatch->limits.assumed_usage_percent /
+				       100 +
+			       worker->best_effort_cpu_milli;
+	else
+		spare_milli -= worker->used.cpu_milli;
+	return step->need.cpu_milli <= spare_milli;
 }
 
 static int fits(const struct dispatch *dispatch, const struct worker *worker,
