tests: replay a burst against a scheduler with a budget of processor time

A model of 240 workers, the store and a processor of 0.15 of a core, which the decisions use up by their own counts: 400 tasks a second, four times as many for 10 s, then calm. No lease lapses, cancelled tasks are gone in time, the timer isn't late enough to count as behind, and 10 s after the burst as little waits as without it.

--- /dev/null
+++ b/tests/unit/test_dispatch_collapse.c
@@ -0,0 +1,533 @@
+/*
+ * A burst of work against a scheduler with a budget of processor time, which
+ * its decisions use up. All costs are those of the model, so a seed gives the
+ * same result on every machine.
+ */
+#include "dispatch.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "errors.h"
+#include "mem.h"
+#include "rng.h"
+
+#define EPOCH 7
+#define WORKERS 240
+#define WORKER_CPU_MILLI 64000
+#define WORKER_RUNS_MAX 600
+#define REPORT_INTERVAL_MS 500
+#define START_REPORT_MS 150
+#define TICK_MS 100
+#define COMMIT_INTERVAL_MS 20
+#define COMMIT_MS 10
+#define COMMIT_WORKFLOWS_MAX 15
+#define CANCELS_MAX 64
+
+#define BURST_AT_MS 5000
+#define BURST_MS 10000
+#define CALM_MS 10000
+#define END_MS (BURST_AT_MS + BURST_MS + CALM_MS)
+/* A cancelled task must be gone by then. */
+#define CANCEL_MS 3000
+/* From there on the product says that its scheduler is behind. */
+#define BEHIND_MS 300
+
+/* On average 20 tasks of 12 cores for a second, a third of the room. */
+#define WORKFLOWS_PER_SECOND 20
+#define TASKS_PER_SECOND (WORKFLOWS_PER_SECOND * 20)
+
+/* Share of a core, and what each step takes of a whole core, in us. */
+#define PROCESSOR_SHARE 0.15
+#define REPORT_US 30.0
+#define RUN_STATUS_US 1.0
+#define SUBMISSION_US 40.0
+#define CANCEL_US 10.0
+#define EVALUATION_US 0.2
+#define LOOK_US 0.1
+#define PLACE_US 3.0
+#define START_US 25.0
+#define END_US 25.0
+#define STATE_US 25.0
+#define ORDERS_US 15.0
+#define TICK_WORKER_US 0.3
+
+struct vm_run {
+	struct task_id task;
+	uint32_t run;
+	int64_t ends_ms;
+};
+
+struct vm {
+	struct worker *worker;
+	struct vm_run runs[WORKER_RUNS_MAX];
+	size_t run_count;
+	struct ended_run ends[WORKER_RUNS_MAX];
+	size_t end_count;
+	uint64_t seq, end_number;
+	int64_t report_at_ms, lease_end_ms;
+	int new_ends;	  /* not yet reported */
+	int is_reporting; /* a report waits for the scheduler */
+};
+
+struct cancel {
+	char job[JOB_ID_SIZE];
+	int64_t at_ms;
+	int is_handed_in;
+};
+
+struct sim {
+	struct rng rng;
+	struct dispatch *dispatch;
+	int64_t now_ms;
+	double busy_until_us; /* the processor is at work until then */
+	struct vm vms[WORKERS];
+	struct workflow *arrivals[8192]; /* not yet read */
+	size_t arrival_first, arrival_count;
+	struct cancel cancels[CANCELS_MAX];
+	size_t cancel_count;
+	struct workflow *commit[COMMIT_WORKFLOWS_MAX];
+	uint64_t commit_versions[COMMIT_WORKFLOWS_MAX];
+	size_t commit_size;
+	int64_t commit_done_ms, committed_ms, next_pass_ms, tick_due_ms;
+	uint32_t jobs, waiting_tasks;
+	int burst;
+	/* Results. */
+	uint32_t lapsed, running_on;
+	int64_t cancel_max_ms, lag_max_ms;
+};
+
+static struct mstime at(int64_t ms)
+{
+	return mstime_from(100000 + ms);
+}
+
+static void spend(struct sim *sim, double core_us)
+{
+	double now_us = (double)sim->now_ms * 1000;
+
+	if (sim->busy_until_us < now_us)
+		sim->busy_until_us = now_us;
+	sim->busy_until_us += core_us / PROCESSOR_SHARE;
+}
+
+static int is_busy(const struct sim *sim)
+{
+	return sim->busy_until_us >= (double)(sim->now_ms + 1) * 1000;
+}
+
+/* The clock that the processor's work has reached. */
+static struct mstime reached(const struct sim *sim)
+{
+	int64_t ms = (int64_t)(sim->busy_until_us / 1000);
+
+	return at(ms > sim->now_ms ? ms : sim->now_ms);
+}
+
+/* Tasks of many sizes and images, so that few of them are alike. */
+static void submit(struct sim *sim)
+{
+	struct queue_config queue = { .name = "q",
+				      .service = "s",
+				      .priority = rng_below(&sim->rng, 3),
+				      .stretch = 2 };
+	struct workflow_spec spec = { .step_count = 1 };
+	struct workflow_step *step;
+	const char *reason;
+	int is_cancelled = sim->cancel_count < CANCELS_MAX &&
+			   sim->jobs % 20 == 7;
+
+	snprintf(spec.id, sizeof(spec.id), "%016x", ++sim->jobs);
+	spec.payload = xstrdup(is_cancelled ? "60000" : "1000");
+	spec.steps = step = xcalloc(1, sizeof(*spec.steps));
+	step->task_count = 1 + rng_below(&sim->rng, 39);
+	step->need.cpu_milli = 1000 + rng_below(&sim->rng, 22000);
+	step->image = xstrfmt("image%u", rng_below(&sim->rng, 100));
+	step->estimate_ms = 1000;
+	step->long_running = is_cancelled;
+	if (is_cancelled) {
+		struct cancel *cancel = &sim->cancels[sim->cancel_count++];
+
+		step->task_count = 2;
+		str_copy(cancel->job, spec.id, sizeof(cancel->job));
+		cancel->at_ms = sim->now_ms + 2000;
+	}
+	assert_int_equal(workflow_spec_check(&spec, &reason), 0);
+	assert_true(sim->arrival_count < 8192);
+	sim->arrivals[sim->arrival_count++] = workflow_new(&spec, &queue, 0);
+}
+
+static void submit_some(struct sim *sim)
+{
+	int in_burst = sim->burst && sim->now_ms >= BURST_AT_MS &&
+		       sim->now_ms < BURST_AT_MS + BURST_MS;
+	uint32_t per_second = WORKFLOWS_PER_SECOND * (in_burst ? 4 : 1);
+
+	if (rng_below(&sim->rng, 1000) < per_second)
+		submit(sim);
+}
+
+static void end_run(struct vm *vm, size_t i, enum run_end how, int64_t now_ms)
+{
+	struct ended_run *end = &vm->ends[vm->end_count++];
+
+	end->number = ++vm->end_number;
+	end->task = vm->runs[i].task;
+	end->run = vm->runs[i].run;
+	end->how = how;
+	end->checkpoint = "";
+	vm->new_ends++;
+	vm->runs[i] = vm->runs[--vm->run_count];
+	if (vm->report_at_ms > now_ms + 1)
+		vm->report_at_ms = now_ms + 1;
+}
+
+static void step_vm(struct sim *sim, struct vm *vm)
+{
+	size_t i;
+
+	for (i = vm->run_count; i-- > 0;)
+		if (vm->runs[i].ends_ms <= sim->now_ms)
+			end_run(vm, i, RUN_END_DONE, sim->now_ms);
+	if (vm->lease_end_ms < sim->now_ms) {
+		sim->lapsed += (uint32_t)vm->run_count;
+		while (vm->run_count)
+			end_run(vm, 0, RUN_END_LEASE_EXPIRED, sim->now_ms);
+	}
+	if (vm->report_at_ms <= sim->now_ms)
+		vm->is_reporting = 1;
+}
+
+static void receive_report(struct sim *sim, struct vm *vm)
+{
+	static struct run_status statuses[WORKER_RUNS_MAX];
+	struct msg_work_report msg = { .epoch = EPOCH,
+				       .seq = ++vm->seq,
+				       .session = 1,
+				       .worker_start_ms = 5,
+				       .state = WORKER_READY,
+				       .service = "s",
+				       .fence = vm->worker->fence,
+				       .capacity = { .cpu_milli =
+							     WORKER_CPU_MILLI } };
+	size_t i;
+
+	str_copy(msg.worker, vm->worker->runner, sizeof(msg.worker));
+	for (i = 0; i < vm->run_count; i++)
+		statuses[i] = (struct run_status){ .task = vm->runs[i].task,
+						   .run = vm->runs[i].run,
+						   .phase = RUN_ACTIVE,
+						   .progress_percent = (uint32_t)
+							   (sim->now_ms % 100),
+						   .checkpoint = "",
+						   .detail = "" };
+	msg.runs.items = statuses;
+	msg.runs.count = vm->run_count;
+	msg.ends.items = vm->ends;
+	msg.ends.count = vm->end_count;
+	spend(sim, REPORT_US + RUN_STATUS_US * (double)vm->run_count +
+			   END_US * vm->new_ends);
+	vm->new_ends = 0;
+	vm->is_reporting = 0;
+	vm->report_at_ms = sim->now_ms + REPORT_INTERVAL_MS;
+	assert_int_equal(dispatch_report(sim->dispatch, vm->worker->runner,
+					 &msg, reached(sim)),
+			 0);
+}
+
+/* All that has arrived is processed before the next pass. */
+static void receive(struct sim *sim)
+{
+	size_t i;
+
+	for (i = 0; i < sim->cancel_count; i++) {
+		struct cancel *cancel = &sim->cancels[i];
+
+		if (cancel->is_handed_in || cancel->at_ms > sim->now_ms ||
+		    !dispatch_find_workflow(sim->dispatch, cancel->job))
+			continue;
+		cancel->is_handed_in = 1;
+		spend(sim, CANCEL_US);
+		dispatch_cancel(sim->dispatch, cancel->job, reached(sim));
+	}
+	for (i = 0; i < WORKERS; i++)
+		if (sim->vms[i].is_reporting)
+			receive_report(sim, &sim->vms[i]);
+	while (sim->arrival_first < sim->arrival_count) {
+		spend(sim, SUBMISSION_US);
+		dispatch_add(sim->dispatch,
+			     sim->arrivals[sim->arrival_first++], reached(sim));
+	}
+}
+
+static void assign(struct sim *sim)
+{
+	const struct dispatch_stats *stats = dispatch_get_stats(sim->dispatch);
+	struct dispatch_stats before = *stats;
+	double started_us;
+	int placed;
+
+	if (mstime_before(reached(sim), at(sim->next_pass_ms)))
+		return;
+	spend(sim, 0);
+	started_us = sim->busy_until_us;
+	placed = dispatch_assign(sim->dispatch, reached(sim));
+	spend(sim,
+	      EVALUATION_US * (double)(stats->evaluations - before.evaluations) +
+		      LOOK_US * (double)(stats->looks - before.looks) +
+		      PLACE_US * placed);
+	sim->next_pass_ms =
+		(int64_t)(sim->busy_until_us / 1000) +
+		dispatch_pass_spacing_ms(
+			(int64_t)((sim->busy_until_us - started_us) / 1000));
+}
+
+static void commit(struct sim *sim)
+{
+	struct workflow *workflow;
+
+	if (sim->commit_size ||
+	    sim->now_ms - sim->committed_ms < COMMIT_INTERVAL_MS)
+		return;
+	while (sim->commit_size < COMMIT_WORKFLOWS_MAX &&
+	       (workflow = dispatch_next_unsaved(sim->dispatch,
+						 reached(sim)))) {
+		workflow->saving = 1;
+		sim->commit_versions[sim->commit_size] = workflow->version;
+		sim->commit[sim->commit_size++] = workflow;
+		spend(sim, STATE_US);
+	}
+	sim->committed_ms = sim->now_ms;
+	sim->commit_done_ms =
+		(int64_t)(sim->busy_until_us / 1000) + COMMIT_MS;
+}
+
+static void finish_commit(struct sim *sim)
+{
+	size_t i;
+
+	if (!sim->commit_size || sim->now_ms < sim->commit_done_ms)
+		return;
+	for (i = 0; i < sim->commit_size; i++) {
+		sim->commit[i]->saving = 0;
+		dispatch_mark_saved(sim->dispatch, sim->commit[i],
+				    sim->commit_versions[i]);
+	}
+	sim->commit_size = 0;
+}
+
+static void note_stop(struct sim *sim, const struct task_id *task)
+{
+	size_t i;
+
+	for (i = 0; i < sim->cancel_count; i++) {
+		struct cancel *cancel = &sim->cancels[i];
+		int64_t ms = sim->now_ms - cancel->at_ms;
+
+		if (!strcmp(cancel->job, task->job) && ms > sim->cancel_max_ms)
+			sim->cancel_max_ms = ms;
+	}
+}
+
+static size_t find_run(const struct vm *vm, const struct task_id *task,
+		       uint32_t run)
+{
+	size_t i;
+
+	for (i = 0; i < vm->run_count; i++)
+		if (vm->runs[i].run == run &&
+		    vm->runs[i].task.index == task->index &&
+		    !strcmp(vm->runs[i].task.job, task->job))
+			break;
+	return i;
+}
+
+static void carry_out(struct sim *sim, struct vm *vm,
+		      const struct msg_work_orders *orders)
+{
+	size_t i, k, kept = 0;
+
+	for (i = 0; i < vm->end_count; i++)
+		if (vm->ends[i].number > orders->stored_end_number)
+			vm->ends[kept++] = vm->ends[i];
+	vm->end_count = kept;
+	if (orders->lease_ms)
+		vm->lease_end_ms = sim->now_ms + orders->lease_ms;
+	for (i = 0; i < orders->stops.count; i++) {
+		const struct run_id *stop = &orders->stops.items[i];
+
+		note_stop(sim, &stop->task);
+		k = find_run(vm, &stop->task, stop->run);
+		if (k < vm->run_count)
+			end_run(vm, k, RUN_END_STOPPED, sim->now_ms);
+	}
+	for (i = 0; i < orders->starts.count; i++) {
+		const struct run_order *order = &orders->starts.items[i];
+
+		if (find_run(vm, &order->task, order->run) < vm->run_count)
+			continue;
+		assert_true(vm->run_count < WORKER_RUNS_MAX);
+		vm->runs[vm->run_count++] =
+			(struct vm_run){ order->task, order->run,
+					 sim->now_ms + atoi(order->payload) };
+		if (vm->report_at_ms > sim->now_ms + START_REPORT_MS)
+			vm->report_at_ms = sim->now_ms + START_REPORT_MS;
+	}
+}
+
+static struct vm *vm_of(struct sim *sim, const struct worker *worker)
+{
+	return &sim->vms[atoi(worker->runner + 1)];
+}
+
+static void send_orders(struct sim *sim)
+{
+	struct msg_work_orders orders;
+	struct worker *worker;
+
+	while ((worker = dispatch_next_with_orders(sim->dispatch)))
+		while (dispatch_build_orders(sim->dispatch, worker, 1, &orders,
+					     reached(sim))) {
+			spend(sim, ORDERS_US +
+					   START_US *
+						   (double)orders.starts.count);
+			carry_out(sim, vm_of(sim, worker), &orders);
+			if (orders.starts.count < ORDER_STARTS_MAX)
+				break;
+		}
+}
+
+static void tick(struct sim *sim)
+{
+	if (sim->now_ms < sim->tick_due_ms)
+		return;
+	if (sim->now_ms - sim->tick_due_ms > sim->lag_max_ms)
+		sim->lag_max_ms = sim->now_ms - sim->tick_due_ms;
+	sim->tick_due_ms = sim->now_ms + TICK_MS;
+	spend(sim, TICK_WORKER_US * WORKERS);
+	dispatch_expire(sim->dispatch, reached(sim));
+}
+
+/* As in the daemon: what has arrived, then a pass, the store, the orders. */
+static void step(struct sim *sim)
+{
+	size_t i;
+
+	submit_some(sim);
+	for (i = 0; i < WORKERS; i++)
+		step_vm(sim, &sim->vms[i]);
+	if (is_busy(sim))
+		return;
+	tick(sim);
+	finish_commit(sim);
+	commit(sim);
+	receive(sim);
+	assign(sim);
+	commit(sim);
+	send_orders(sim);
+}
+
+static void count_waiting(struct sim *sim)
+{
+	const struct list *pos;
+
+	list_for_each (pos, dispatch_workflows(sim->dispatch)) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+
+		sim->waiting_tasks += workflow->spec.task_count -
+				      workflow->assigned_total;
+		if (workflow->occurrences[0].tasks)
+			sim->waiting_tasks -=
+				workflow->occurrences[0].done_count[0];
+	}
+}
+
+/* Runs that go on though their workflow was cancelled long ago. */
+static void count_cancelled(struct sim *sim)
+{
+	size_t i, k, c;
+
+	for (c = 0; c < sim->cancel_count; c++) {
+		const struct cancel *cancel = &sim->cancels[c];
+
+		if (cancel->at_ms + CANCEL_MS > sim->now_ms)
+			continue;
+		for (i = 0; i < WORKERS; i++)
+			for (k = 0; k < sim->vms[i].run_count; k++)
+				sim->running_on += !strcmp(
+					sim->vms[i].runs[k].task.job,
+					cancel->job);
+	}
+}
+
+static struct sim *play(uint64_t seed, int burst)
+{
+	struct sim *sim = xcalloc(1, sizeof(*sim));
+	int i;
+
+	rng_seed(&sim->rng, seed);
+	sim->burst = burst;
+	sim->dispatch =
+		dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL, NULL);
+	for (i = 0; i < WORKERS; i++) {
+		char name[ID_SIZE];
+
+		snprintf(name, sizeof(name), "r%d", i);
+		sim->vms[i].worker =
+			dispatch_get_worker(sim->dispatch, name, at(0));
+		sim->vms[i].report_at_ms = i * REPORT_INTERVAL_MS / WORKERS;
+		sim->vms[i].lease_end_ms = 2000;
+	}
+	for (sim->now_ms = 0; sim->now_ms < END_MS; sim->now_ms++)
+		step(sim);
+	count_waiting(sim);
+	count_cancelled(sim);
+	while (sim->arrival_first < sim->arrival_count)
+		workflow_delete(sim->arrivals[sim->arrival_first++]);
+	dispatch_delete(sim->dispatch);
+	return sim;
+}
+
+/*
+ * Guards against a backlog that takes the time for what goes on: leases lapsed,
+ * cancelled tasks ran on, and it stayed after the burst had ended.
+ */
+static void test_burst(void **state)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct sim *calm = play(seed, 0), *burst = play(seed, 1);
+
+		print_message("seed %d: waiting %u and %u, cancels within "
+			      "%d ms, lag %d ms, lapsed %u\n",
+			      (int)seed, calm->waiting_tasks,
+			      burst->waiting_tasks, (int)burst->cancel_max_ms,
+			      (int)burst->lag_max_ms, burst->lapsed);
+		assert_int_equal(burst->lapsed, 0);
+		assert_true(burst->cancel_max_ms <= CANCEL_MS);
+		assert_int_equal(burst->running_on, 0);
+		assert_true(burst->lag_max_ms < BEHIND_MS);
+		/* The arrivals of a second: the plays are not in step. */
+		assert_true(burst->waiting_tasks <=
+			    calm->waiting_tasks + TASKS_PER_SECOND);
+		free(calm);
+		free(burst);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_burst),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
