scheduler: gauges of what waits, and why

From "jobs don't start" an operator came to log lines of single tasks only. Workflows without a place are now counted by what rules most workers out; the longest time without a run and without a look, and the workflows that are not stored, tell room, processor time and store apart.

The time without a run now counts from when something is due: a recurring workflow was taken for starved as soon as its next occurrence was due, and its first task was forced beside serving runs.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -329,6 +329,22 @@
 const struct dispatch_stats *dispatch_get_stats(
 	const struct dispatch *dispatch);
 
+struct dispatch_waiting {
+	/*
+	 * Workflows with a task that found no worker at the last look, by what
+	 * ruled most workers out.
+	 */
+	uint32_t by_block[PLACEMENT_BLOCK_COUNT];
+	uint32_t unsaved; /* workflows whose last change is not stored */
+	int64_t idle_ms;  /* longest time that one could run and has no run */
+	int64_t look_ms;  /* longest time since a pass has looked at one */
+};
+
+/* Counts what waits and why; walks over all workflows that are not final. */
+void dispatch_count_waiting(const struct dispatch *dispatch,
+			    struct dispatch_waiting *waiting,
+			    struct mstime now);
+
 /*
  * Returns the next workflow that has to be stored now and is not part of a
  * commit in progress, or NULL. The caller sets its saving flag. Changes that
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -142,7 +142,10 @@
 	struct mstime unsaved_since; /* 0: no change since a save */
 	int64_t stored_revision;     /* 0: the state is not in the store */
 	struct mstime ended_at;	     /* when it became final; 0: it is not */
-	struct mstime idle_since;    /* last time seen with a run */
+	/* Last time seen with a run, or with none that is due. */
+	struct mstime idle_since;
+	struct mstime looked_at; /* by a pass; before it, when it arrived */
+	int block; /* enum placement_block of the last look; 0: none */
 	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	unsigned cancelled : 1;
 	unsigned started : 1; /* a worker has begun a task */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -277,6 +277,7 @@
 	}
 	list_add_tail(&dispatch->workflows, &workflow->node);
 	list_add_tail(&dispatch->arrivals, &workflow->round_node);
+	workflow->looked_at = now;
 	return 0;
 }
 
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -29,6 +29,16 @@
 #define PASS_SPACING_MIN_MS 10
 #define PASS_SPACING_MAX_MS 250
 
+static enum placement_block most_frequent(const uint32_t *blocks)
+{
+	int i, most = PLACEMENT_NOT_READY;
+
+	for (i = PLACEMENT_NOT_READY; i < PLACEMENT_BLOCK_COUNT; i++)
+		if (blocks[i] > blocks[most])
+			most = i;
+	return (enum placement_block)most;
+}
+
 /* Reports a task that waits for a worker, with what rules the workers out. */
 static void note_unplaced(struct dispatch *dispatch,
 			  const struct placement_request *request,
@@ -48,6 +58,7 @@
 		.blocks = blocks,
 	};
 
+	workflow->block = most_frequent(blocks);
 	if (!task->unplaced_since.ms)
 		task->unplaced_since = now;
 	event.value = (uint32_t)mstime_diff(now, task->unplaced_since);
@@ -306,8 +317,11 @@
 	if (workflow->look_from > k)
 		k = workflow->look_from;
 	workflow->look_from = 0;
-	if (occurrence_is_due(dispatch, workflow, 0))
-		is_starved(workflow, now);
+	workflow->looked_at = now;
+	workflow->block = PLACEMENT_POSSIBLE;
+	if (workflow->assigned_total ||
+	    !occurrence_is_due(dispatch, workflow, workflow->first_open))
+		workflow->idle_since = now;
 	for (start = k; k < workflow->spec.occurrences &&
 			occurrence_is_due(dispatch, workflow, k) &&
 			blocked.count < workflow->spec.step_count;
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -12,6 +12,7 @@
 
 /* Interval of checks for resends, expired leases and retries. */
 #define TICK_INTERVAL_MS 100
+#define METRICS_INTERVAL_MS 1000
 /* Reports that arrive within this time are handled together. */
 #define WAKE_DELAY_MS 1
 /* A tick that is late by this much shows a lack of processor time... */
@@ -237,6 +238,8 @@
 	dispatch_expire(scheduler->dispatch, now);
 	scheduler_links_check(scheduler, now);
 	scheduler_publish_pending(scheduler, now);
+	if (mstime_diff(now, scheduler->metrics_at) >= METRICS_INTERVAL_MS)
+		scheduler_metrics_update(scheduler, now);
 	scheduler_remove_old(scheduler, now);
 	scheduler_wake(scheduler);
 }
@@ -272,6 +275,7 @@
 	scheduler_links_stop(scheduler);
 	dispatch_delete(scheduler->dispatch);
 	scheduler->dispatch = NULL;
+	scheduler_metrics_update(scheduler, sysclock_now());
 	scheduler->epoch = 0;
 	scheduler->removal_count = 0;
 }
@@ -289,63 +293,6 @@
 	scheduler_load_start(scheduler);
 }
 
-static void add_counters(struct scheduler *scheduler)
-{
-	struct metric_set *set = &scheduler->daemon->metrics;
-
-	scheduler->commits = (struct metric){
-		.name = "catkinhill_scheduler_commits_total",
-		.help = "Transactions that stored progress of workflows.",
-	};
-	scheduler->commits_failed = (struct metric){
-		.name = "catkinhill_scheduler_commit_failures_total",
-		.help = "Transactions without an answer that settles them.",
-	};
-	scheduler->runs_assigned = (struct metric){
-		.name = "catkinhill_scheduler_runs_assigned_total",
-		.help = "Runs that were assigned to workers.",
-	};
-	scheduler->runs_lost = (struct metric){
-		.name = "catkinhill_scheduler_runs_lost_total",
-		.help = "Runs that ended without a listed end.",
-	};
-	scheduler->commit_ms = (struct histogram){
-		.name = "catkinhill_scheduler_commit_ms",
-		.help = "Time until a change was stored.",
-	};
-	scheduler->workflow_ms = (struct histogram){
-		.name = "catkinhill_scheduler_workflow_ms",
-		.help = "Time from submission to the end of a workflow.",
-	};
-	scheduler->pass_ms = (struct histogram){
-		.name = "catkinhill_scheduler_pass_ms",
-		.help = "Time of a pass that assigns tasks to workers.",
-	};
-	scheduler->lag_ms = (struct histogram){
-		.name = "catkinhill_scheduler_lag_ms",
-		.help = "How late the timer of the active scheduler is.",
-	};
-	scheduler->waiting = (struct metric){
-		.kind = METRIC_GAUGE,
-		.name = "catkinhill_scheduler_waiting_workflows",
-		.help = "Workflows of which no worker has begun a task.",
-	};
-	scheduler->evaluations = (struct metric){
-		.name = "catkinhill_scheduler_evaluations_total",
-		.help = "Evaluations of a worker for a task, in this term.",
-	};
-	metric_register(set, &scheduler->waiting);
-	metric_register(set, &scheduler->evaluations);
-	metric_register(set, &scheduler->commits);
-	metric_register(set, &scheduler->commits_failed);
-	metric_register(set, &scheduler->runs_assigned);
-	metric_register(set, &scheduler->runs_lost);
-	histogram_register(set, &scheduler->commit_ms);
-	histogram_register(set, &scheduler->workflow_ms);
-	histogram_register(set, &scheduler->pass_ms);
-	histogram_register(set, &scheduler->lag_ms);
-}
-
 struct scheduler *scheduler_new(struct daemon *daemon, struct kv *kv)
 {
 	static const struct election_handlers handlers = {
@@ -368,7 +315,7 @@
 	scheduler->load_retry_timer =
 		loop_timer_new(daemon->loop, on_load_retry, scheduler);
 	scheduler_commit_init(scheduler);
-	add_counters(scheduler);
+	scheduler_metrics_init(scheduler);
 	scheduler->election = election_new(daemon->loop, kv, scheduler->id,
 					   &handlers, scheduler);
 	return scheduler;
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -92,6 +92,7 @@
 	struct mstime last_commit_at;
 	size_t value_max; /* bytes of a value, and of a commit */
 	struct mstime pending_sent_at;
+	struct mstime metrics_at;
 	char *pending_json;
 	uint32_t pending_count; /* workflows in the last text */
 	int pending_in_flight;
@@ -99,10 +100,16 @@
 	size_t removal_count;
 
 	struct metric commits, commits_failed, runs_assigned, runs_lost;
-	struct metric waiting, evaluations;
+	struct metric waiting, evaluations, unsaved, idle_ms, look_ms;
+	struct metric unplaced[PLACEMENT_BLOCK_COUNT];
+	char unplaced_labels[PLACEMENT_BLOCK_COUNT][NAME_SIZE];
 	struct histogram commit_ms, workflow_ms, pass_ms, lag_ms;
 };
 
+/* Registers the metrics; the gauges are those of the last update. */
+void scheduler_metrics_init(struct scheduler *scheduler);
+void scheduler_metrics_update(struct scheduler *scheduler, struct mstime now);
+
 /* Soon assigns runs, commits changes and sends orders. */
 void scheduler_wake(struct scheduler *scheduler);
 
