dispatch: store what starts wait for first, and assign no more than that

While the processor or the store is busy, commits of 15 workflows follow each other slowly, and passes assigned far more than they take: runs that could not start held the room of all workers, urgent work that arrived waited for room and then behind hundreds of others to be stored. A workflow that went on changing while it was being stored was due again at once, so that it took a place in each commit.

- Assignments and final states go before other changes, which wait up to a second, then by turns.
- A change during a save is stored with those of the next 200 ms.
- A pass ends while 30 workflows with assignments, two commits, wait to be stored; decisions are then made with what is known later.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -108,7 +108,11 @@
 			;
 }
 
-/* RETURN VALUE: processor time of all passes of a round, in ns. */
+/*
+ * Passes until a round is complete, with what they assign stored in between.
+ *
+ * RETURN VALUE: processor time of all passes, in ns
+ */
 static int64_t assign_round(struct dispatch *dispatch, int64_t ms,
 			    struct result *result)
 {
@@ -122,6 +126,7 @@
 		total += ns;
 		if ((double)ns / 1e6 > result->pass_ms)
 			result->pass_ms = (double)ns / 1e6;
+		save(dispatch, ms);
 	} while (dispatch_is_assigning(dispatch));
 	return total;
 }
@@ -150,7 +155,6 @@
 	for (i = 0; i < workers / 10; i++)
 		add_workflow(dispatch, number++, 20, &serving, i % 30);
 	assign_round(dispatch, 1, result);
-	save(dispatch, 1);
 	send_orders(dispatch, 1);
 	result->pass_ms = 0;
 	for (i = 0; i < backlog / BACKLOG_TASKS; i++)
@@ -174,7 +178,6 @@
 	}
 	result->decision_us =
 		(double)(with - without) / 1e3 / STEPS / STEP_TASKS;
-	save(dispatch, 2);
 	send_orders(dispatch, 2);
 }
 
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -148,8 +148,9 @@
 	int block; /* enum placement_block of the last look; 0: none */
 	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	unsigned cancelled : 1;
-	unsigned started : 1; /* a worker has begun a task */
-	unsigned saving : 1;  /* part of the commit in progress */
+	unsigned started : 1;	/* a worker has begun a task */
+	unsigned saving : 1;	/* part of the commit in progress */
+	unsigned in_urgent : 1; /* unsaved_node is in the urgent queue */
 };
 
 /* Frees the memory that the specification owns. */
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -31,8 +31,17 @@
 	.assumed_usage_percent = 45,
 };
 
-/* Ends of the tasks of a step that follow each other are stored together. */
-#define SAVE_WITHIN_MS 200
+/*
+ * Ends of the tasks of a step that follow each other are stored together. What
+ * starts wait for goes before them, after the second time by turns.
+ */
+#define SAVE_AFTER_MS 200
+#define SAVE_WITHIN_MS 1000
+/*
+ * No more is assigned while so many workflows wait to be stored, which is two
+ * commits: their runs could not be started, but would hold their room.
+ */
+#define UNSAVED_MAX 30
 
 /* At a lower pace a run makes no measurable progress. */
 #define STUCK_PACE_MIN 50
@@ -70,6 +79,7 @@
 	list_init(&dispatch->finals);
 	list_init(&dispatch->workers);
 	list_init(&dispatch->unsaved);
+	list_init(&dispatch->urgent_unsaved);
 	list_init(&dispatch->workers_with_ends);
 	list_init(&dispatch->workers_with_orders);
 	return dispatch;
@@ -154,13 +164,43 @@
 	return entry ? entry->workflow : NULL;
 }
 
+/* Starts, callers and takeovers wait for these changes. */
+static int save_is_urgent(const struct workflow *workflow)
+{
+	return !list_empty(&workflow->unsaved_runs) ||
+	       workflow_is_final(workflow);
+}
+
+static void queue_unsaved(struct dispatch *dispatch, struct workflow *workflow)
+{
+	struct list *queue = &dispatch->unsaved;
+
+	workflow->in_urgent = (unsigned)save_is_urgent(workflow);
+	if (workflow->in_urgent)
+		queue = &dispatch->urgent_unsaved;
+	list_del(&workflow->unsaved_node);
+	list_add_tail(queue, &workflow->unsaved_node);
+}
+
+int dispatch_waits_for_saves(const struct dispatch *dispatch)
+{
+	const struct list *pos;
+	size_t count = 0;
+
+	list_for_each (pos, &dispatch->urgent_unsaved)
+		if (++count >= UNSAVED_MAX)
+			return 1;
+	return 0;
+}
+
 void dispatch_mark_changed(struct dispatch *dispatch, struct workflow *workflow)
 {
 	workflow->version = ++dispatch->version;
 	if (!workflow->unsaved_since.ms)
 		workflow->unsaved_since = dispatch->now;
-	if (list_empty(&workflow->unsaved_node))
-		list_add_tail(&dispatch->unsaved, &workflow->unsaved_node);
+	if (list_empty(&workflow->unsaved_node) ||
+	    (save_is_urgent(workflow) && !workflow->in_urgent))
+		queue_unsaved(dispatch, workflow);
 }
 
 void dispatch_set_wall_clock(struct dispatch *dispatch, int64_t wall_ms)
@@ -505,31 +545,37 @@
 		remove_workflow(dispatch, workflow);
 }
 
-/* Starts, callers and takeovers wait for these changes. */
-static int save_is_urgent(const struct workflow *workflow)
-{
-	return !list_empty(&workflow->unsaved_runs) ||
-	       workflow_is_final(workflow);
-}
-
-struct workflow *dispatch_next_unsaved(struct dispatch *dispatch,
-				       struct mstime now)
+/* The first one in the queue that is not being saved, or NULL. */
+static struct workflow *first_unsaved(struct list *queue)
 {
 	struct list *pos;
 
-	list_for_each (pos, &dispatch->unsaved) {
+	list_for_each (pos, queue) {
 		struct workflow *workflow =
 			list_entry(pos, struct workflow, unsaved_node);
 
-		if (!workflow->saving &&
-		    (save_is_urgent(workflow) ||
-		     mstime_diff(now, workflow->unsaved_since) >=
-			     SAVE_WITHIN_MS))
+		if (!workflow->saving)
 			return workflow;
 	}
 	return NULL;
 }
 
+struct workflow *dispatch_next_unsaved(struct dispatch *dispatch,
+				       struct mstime now)
+{
+	struct workflow *urgent = first_unsaved(&dispatch->urgent_unsaved);
+	struct workflow *other = first_unsaved(&dispatch->unsaved);
+	int64_t age_ms = other ? mstime_diff(now, other->unsaved_since) : 0;
+
+	if (!urgent || age_ms >= SAVE_WITHIN_MS)
+		dispatch->urgent_turn = urgent && !dispatch->urgent_turn;
+	else
+		dispatch->urgent_turn = 1;
+	if (dispatch->urgent_turn)
+		return urgent;
+	return age_ms >= SAVE_AFTER_MS ? other : NULL;
+}
+
 void dispatch_acknowledge_ends(struct worker *worker)
 {
 	size_t stored = 0;
@@ -585,4 +631,9 @@
 			run->state = RUN_SAVED;
 		dispatch_note_orders(run->worker);
 	}
+	if (workflow->version == version)
+		return;
+	/* It has changed since: what has is stored with what follows. */
+	workflow->unsaved_since = dispatch->now;
+	queue_unsaved(dispatch, workflow);
 }
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -107,9 +107,9 @@
 
 	if (workflow->state == WORKFLOW_QUEUED)
 		workflow->state = WORKFLOW_RUNNING;
+	list_add_tail(&workflow->unsaved_runs, &run->unsaved_node);
 	dispatch_mark_changed(dispatch, workflow);
 	run->version = workflow->version;
-	list_add_tail(&workflow->unsaved_runs, &run->unsaved_node);
 	dispatch_emit(dispatch, DISPATCH_RUN_ASSIGNED, workflow, run->worker,
 		      &run->id, run->number, "least-loaded");
 }
@@ -303,7 +303,8 @@
 static int pass_is_over(const struct dispatch *dispatch)
 {
 	return dispatch->stats.evaluations >= dispatch->pass_end.evaluations ||
-	       dispatch->stats.looks >= dispatch->pass_end.looks;
+	       dispatch->stats.looks >= dispatch->pass_end.looks ||
+	       dispatch_waits_for_saves(dispatch);
 }
 
 /* If the pass ends within the workflow, sets where the next one goes on. */
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -64,7 +64,9 @@
 	struct list finals;    /* final, in the order in which they ended */
 	struct list workers;
 	size_t worker_count;
-	struct list unsaved;	       /* workflows, by the time of a change */
+	struct list unsaved;	    /* workflows, by the time of a change */
+	struct list urgent_unsaved; /* those that something waits for */
+	int urgent_turn;	    /* the last one to be stored was urgent */
 	struct list workers_with_ends; /* that are not acknowledged */
 	struct list workers_with_orders;
 	struct workflow_entry *buckets[JOB_BUCKETS];
@@ -123,6 +125,9 @@
 /* Acknowledges the first pending ends that need not be stored any more. */
 void dispatch_acknowledge_ends(struct worker *worker);
 
+/* Whether as much has been assigned as can be stored soon. */
+int dispatch_waits_for_saves(const struct dispatch *dispatch);
+
 /* Something has happened that may cause orders to the worker. */
 void dispatch_note_orders(struct worker *worker);
 
--- a/tests/unit/test_dispatch_choice.c
+++ b/tests/unit/test_dispatch_choice.c
@@ -146,8 +146,8 @@
 	uint32_t count = 0;
 
 	list_for_each (pos, &worker->runs)
-		count += list_entry(pos, struct run, node)->workflow ==
-			 workflow;
+		count +=
+			list_entry(pos, struct run, node)->workflow == workflow;
 	return count;
 }
 
@@ -159,8 +159,9 @@
 	int64_t silent_ms = dispatch_defaults.worker_report_timeout_ms;
 	int64_t cpu = worker->capacity.cpu_milli;
 
-	if (worker->state != WORKER_READY || strcmp(worker->service, "s") != 0 ||
-	    !worker->has_current_lists || worker->list_age_ms > silent_ms ||
+	if (worker->state != WORKER_READY ||
+	    strcmp(worker->service, "s") != 0 || !worker->has_current_lists ||
+	    worker->list_age_ms > silent_ms ||
 	    mstime_diff(now(f), worker->reported_at) > silent_ms ||
 	    mstime_before(now(f), worker->penalty_until))
 		return 0;
@@ -196,8 +197,8 @@
 {
 	struct workflow *workflow;
 
-	while ((workflow = dispatch_next_unsaved(
-			f->dispatch, mstime_add(now(f), 1000000))))
+	while ((workflow = dispatch_next_unsaved(f->dispatch,
+						 mstime_add(now(f), 1000000))))
 		dispatch_mark_saved(f->dispatch, workflow, workflow->version);
 }
 
--- a/tests/unit/test_dispatch_collapse.c
+++ b/tests/unit/test_dispatch_collapse.c
@@ -39,9 +39,10 @@
 /* From there on the product says that its scheduler is behind. */
 #define BEHIND_MS 300
 
-/* On average 20 tasks of 12 cores for a second, a third of the room. */
-#define WORKFLOWS_PER_SECOND 20
-#define TASKS_PER_SECOND (WORKFLOWS_PER_SECOND * 20)
+/* Tasks of a workflow, on average; each takes a second. */
+#define TASKS_MEAN 20
+#define WORKFLOWS_MAX 16384
+#define PRIORITIES 3
 
 /* Share of a core, and what each step takes of a whole core, in us. */
 #define PROCESSOR_SHARE 0.15
@@ -82,7 +83,18 @@
 	int is_handed_in;
 };
 
+struct arrival_rate {
+	uint32_t workflows_per_second; /* four times as many in the burst */
+	uint32_t cpu_milli_min, cpu_milli_max; /* of a task */
+};
+
+/* A third of the room, and less than the processor can start. */
+static const struct arrival_rate usual = { 20, 1000, 23000 };
+/* A quarter of the room; the burst is three times what can be started. */
+static const struct arrival_rate too_much = { 42, 500, 7500 };
+
 struct sim {
+	const struct arrival_rate *rate;
 	struct rng rng;
 	struct dispatch *dispatch;
 	int64_t now_ms;
@@ -98,9 +110,15 @@
 	int64_t commit_done_ms, committed_ms, next_pass_ms, tick_due_ms;
 	uint32_t jobs, waiting_tasks;
 	int burst;
+	struct {
+		int64_t submitted_ms;
+		uint32_t priority;
+		int has_started;
+	} workflows[WORKFLOWS_MAX]; /* by number */
 	/* Results. */
 	uint32_t lapsed, running_on;
 	int64_t cancel_max_ms, lag_max_ms;
+	int64_t wait_max_ms[PRIORITIES]; /* until the first start */
 };
 
 static struct mstime at(int64_t ms)
@@ -135,19 +153,26 @@
 {
 	struct queue_config queue = { .name = "q",
 				      .service = "s",
-				      .priority = rng_below(&sim->rng, 3),
+				      .priority =
+					      rng_below(&sim->rng, PRIORITIES),
 				      .stretch = 2 };
 	struct workflow_spec spec = { .step_count = 1 };
+	const struct arrival_rate *rate = sim->rate;
 	struct workflow_step *step;
 	const char *reason;
-	int is_cancelled = sim->cancel_count < CANCELS_MAX &&
-			   sim->jobs % 20 == 7;
+	int is_cancelled =
+		sim->cancel_count < CANCELS_MAX && sim->jobs % 20 == 7;
 
-	snprintf(spec.id, sizeof(spec.id), "%016x", ++sim->jobs);
+	assert_true(++sim->jobs < WORKFLOWS_MAX);
+	snprintf(spec.id, sizeof(spec.id), "%016x", sim->jobs);
+	sim->workflows[sim->jobs].submitted_ms = sim->now_ms;
+	sim->workflows[sim->jobs].priority = queue.priority;
 	spec.payload = xstrdup(is_cancelled ? "60000" : "1000");
 	spec.steps = step = xcalloc(1, sizeof(*spec.steps));
-	step->task_count = 1 + rng_below(&sim->rng, 39);
-	step->need.cpu_milli = 1000 + rng_below(&sim->rng, 22000);
+	step->task_count = 1 + rng_below(&sim->rng, 2 * TASKS_MEAN - 1);
+	step->need.cpu_milli =
+		rate->cpu_milli_min +
+		rng_below(&sim->rng, rate->cpu_milli_max - rate->cpu_milli_min);
 	step->image = xstrfmt("image%u", rng_below(&sim->rng, 100));
 	step->estimate_ms = 1000;
 	step->long_running = is_cancelled;
@@ -167,7 +192,8 @@
 {
 	int in_burst = sim->burst && sim->now_ms >= BURST_AT_MS &&
 		       sim->now_ms < BURST_AT_MS + BURST_MS;
-	uint32_t per_second = WORKFLOWS_PER_SECOND * (in_burst ? 4 : 1);
+	uint32_t per_second =
+		sim->rate->workflows_per_second * (in_burst ? 4 : 1);
 
 	if (rng_below(&sim->rng, 1000) < per_second)
 		submit(sim);
@@ -207,26 +233,28 @@
 static void receive_report(struct sim *sim, struct vm *vm)
 {
 	static struct run_status statuses[WORKER_RUNS_MAX];
-	struct msg_work_report msg = { .epoch = EPOCH,
-				       .seq = ++vm->seq,
-				       .session = 1,
-				       .worker_start_ms = 5,
-				       .state = WORKER_READY,
-				       .service = "s",
-				       .fence = vm->worker->fence,
-				       .capacity = { .cpu_milli =
-							     WORKER_CPU_MILLI } };
+	struct msg_work_report msg = {
+		.epoch = EPOCH,
+		.seq = ++vm->seq,
+		.session = 1,
+		.worker_start_ms = 5,
+		.state = WORKER_READY,
+		.service = "s",
+		.fence = vm->worker->fence,
+		.capacity = { .cpu_milli = WORKER_CPU_MILLI }
+	};
 	size_t i;
 
 	str_copy(msg.worker, vm->worker->runner, sizeof(msg.worker));
 	for (i = 0; i < vm->run_count; i++)
-		statuses[i] = (struct run_status){ .task = vm->runs[i].task,
-						   .run = vm->runs[i].run,
-						   .phase = RUN_ACTIVE,
-						   .progress_percent = (uint32_t)
-							   (sim->now_ms % 100),
-						   .checkpoint = "",
-						   .detail = "" };
+		statuses[i] = (struct run_status){
+			.task = vm->runs[i].task,
+			.run = vm->runs[i].run,
+			.phase = RUN_ACTIVE,
+			.progress_percent = (uint32_t)(sim->now_ms % 100),
+			.checkpoint = "",
+			.detail = ""
+		};
 	msg.runs.items = statuses;
 	msg.runs.count = vm->run_count;
 	msg.ends.items = vm->ends;
@@ -261,8 +289,8 @@
 			receive_report(sim, &sim->vms[i]);
 	while (sim->arrival_first < sim->arrival_count) {
 		spend(sim, SUBMISSION_US);
-		dispatch_add(sim->dispatch,
-			     sim->arrivals[sim->arrival_first++], reached(sim));
+		dispatch_add(sim->dispatch, sim->arrivals[sim->arrival_first++],
+			     reached(sim));
 	}
 }
 
@@ -278,10 +306,10 @@
 	spend(sim, 0);
 	started_us = sim->busy_until_us;
 	placed = dispatch_assign(sim->dispatch, reached(sim));
-	spend(sim,
-	      EVALUATION_US * (double)(stats->evaluations - before.evaluations) +
-		      LOOK_US * (double)(stats->looks - before.looks) +
-		      PLACE_US * placed);
+	spend(sim, EVALUATION_US * (double)(stats->evaluations -
+					    before.evaluations) +
+			   LOOK_US * (double)(stats->looks - before.looks) +
+			   PLACE_US * placed);
 	sim->next_pass_ms =
 		(int64_t)(sim->busy_until_us / 1000) +
 		dispatch_pass_spacing_ms(
@@ -296,16 +324,15 @@
 	    sim->now_ms - sim->committed_ms < COMMIT_INTERVAL_MS)
 		return;
 	while (sim->commit_size < COMMIT_WORKFLOWS_MAX &&
-	       (workflow = dispatch_next_unsaved(sim->dispatch,
-						 reached(sim)))) {
+	       (workflow =
+			dispatch_next_unsaved(sim->dispatch, reached(sim)))) {
 		workflow->saving = 1;
 		sim->commit_versions[sim->commit_size] = workflow->version;
 		sim->commit[sim->commit_size++] = workflow;
 		spend(sim, STATE_US);
 	}
 	sim->committed_ms = sim->now_ms;
-	sim->commit_done_ms =
-		(int64_t)(sim->busy_until_us / 1000) + COMMIT_MS;
+	sim->commit_done_ms = (int64_t)(sim->busy_until_us / 1000) + COMMIT_MS;
 }
 
 static void finish_commit(struct sim *sim)
@@ -335,6 +362,19 @@
 	}
 }
 
+static void note_start(struct sim *sim, const struct task_id *task)
+{
+	unsigned long number = strtoul(task->job, NULL, 16);
+	int64_t ms = sim->now_ms - sim->workflows[number].submitted_ms;
+	uint32_t priority = sim->workflows[number].priority;
+
+	if (sim->workflows[number].has_started)
+		return;
+	sim->workflows[number].has_started = 1;
+	if (ms > sim->wait_max_ms[priority])
+		sim->wait_max_ms[priority] = ms;
+}
+
 static size_t find_run(const struct vm *vm, const struct task_id *task,
 		       uint32_t run)
 {
@@ -373,6 +413,7 @@
 		if (find_run(vm, &order->task, order->run) < vm->run_count)
 			continue;
 		assert_true(vm->run_count < WORKER_RUNS_MAX);
+		note_start(sim, &order->task);
 		vm->runs[vm->run_count++] =
 			(struct vm_run){ order->task, order->run,
 					 sim->now_ms + atoi(order->payload) };
@@ -394,9 +435,9 @@
 	while ((worker = dispatch_next_with_orders(sim->dispatch)))
 		while (dispatch_build_orders(sim->dispatch, worker, 1, &orders,
 					     reached(sim))) {
-			spend(sim, ORDERS_US +
-					   START_US *
-						   (double)orders.starts.count);
+			spend(sim,
+			      ORDERS_US +
+				      START_US * (double)orders.starts.count);
 			carry_out(sim, vm_of(sim, worker), &orders);
 			if (orders.starts.count < ORDER_STARTS_MAX)
 				break;
@@ -441,8 +482,8 @@
 		struct workflow *workflow =
 			list_entry(pos, struct workflow, node);
 
-		sim->waiting_tasks += workflow->spec.task_count -
-				      workflow->assigned_total;
+		sim->waiting_tasks +=
+			workflow->spec.task_count - workflow->assigned_total;
 		if (workflow->occurrences[0].tasks)
 			sim->waiting_tasks -=
 				workflow->occurrences[0].done_count[0];
@@ -461,18 +502,20 @@
 			continue;
 		for (i = 0; i < WORKERS; i++)
 			for (k = 0; k < sim->vms[i].run_count; k++)
-				sim->running_on += !strcmp(
-					sim->vms[i].runs[k].task.job,
-					cancel->job);
+				sim->running_on +=
+					!strcmp(sim->vms[i].runs[k].task.job,
+						cancel->job);
 	}
 }
 
-static struct sim *play(uint64_t seed, int burst)
+static struct sim *play(const struct arrival_rate *rate, uint64_t seed,
+			int burst)
 {
 	struct sim *sim = xcalloc(1, sizeof(*sim));
 	int i;
 
 	rng_seed(&sim->rng, seed);
+	sim->rate = rate;
 	sim->burst = burst;
 	sim->dispatch =
 		dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL, NULL);
@@ -504,7 +547,8 @@
 	uint64_t seed;
 
 	for (seed = 1; seed <= 5; seed++) {
-		struct sim *calm = play(seed, 0), *burst = play(seed, 1);
+		struct sim *calm = play(&usual, seed, 0);
+		struct sim *burst = play(&usual, seed, 1);
 
 		print_message("seed %d: waiting %u and %u, cancels within "
 			      "%d ms, lag %d ms, lapsed %u\n",
@@ -517,16 +561,44 @@
 		assert_true(burst->lag_max_ms < BEHIND_MS);
 		/* The arrivals of a second: the plays are not in step. */
 		assert_true(burst->waiting_tasks <=
-			    calm->waiting_tasks + TASKS_PER_SECOND);
+			    calm->waiting_tasks +
+				    usual.workflows_per_second * TASKS_MEAN);
 		free(calm);
 		free(burst);
 	}
 }
 
+/*
+ * Guards against urgent work that waits behind what cannot be started yet: for
+ * 3 s at most nothing of a workflow may run. What is assigned must be stored
+ * before it starts, and the store was asked for more than it takes.
+ */
+static void test_too_much(void **state)
+{
+	uint64_t seed;
+
+	for (seed = 1; seed <= 5; seed++) {
+		struct sim *sim = play(&too_much, seed, 1);
+
+		print_message("seed %d: first starts within %d, %d, %d ms, "
+			      "waiting %u, cancels within %d ms, lapsed %u\n",
+			      (int)seed, (int)sim->wait_max_ms[0],
+			      (int)sim->wait_max_ms[1],
+			      (int)sim->wait_max_ms[2], sim->waiting_tasks,
+			      (int)sim->cancel_max_ms, sim->lapsed);
+		assert_int_equal(sim->lapsed, 0);
+		assert_true(sim->wait_max_ms[0] <= 3000);
+		assert_true(sim->cancel_max_ms <= CANCEL_MS);
+		assert_int_equal(sim->running_on, 0);
+		free(sim);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_burst),
+		cmocka_unit_test(test_too_much),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_dispatch_scale.c
+++ b/tests/unit/test_dispatch_scale.c
@@ -139,6 +139,26 @@
 	}
 }
 
+static void save_workflows(struct dispatch *dispatch)
+{
+	struct workflow *workflow;
+
+	while ((workflow = dispatch_next_unsaved(dispatch, at(1000000))))
+		dispatch_mark_saved(dispatch, workflow, workflow->version);
+}
+
+/* Assigns all that has a place, as fast as it is stored. */
+static int assign_all(struct dispatch *dispatch, int64_t ms)
+{
+	int placed = 0;
+
+	do {
+		placed += dispatch_assign(dispatch, at(ms));
+		save_workflows(dispatch);
+	} while (dispatch_is_assigning(dispatch));
+	return placed;
+}
+
 /* Runs of the workflow at each worker. */
 static void count_runs(struct dispatch *dispatch, uint32_t *counts)
 {
@@ -180,8 +200,8 @@
 		add(by_step, 0, &shape, 3);
 		for (k = 0; k < shape.count; k++)
 			add(by_task, (int)k, &single, 3);
-		assert_int_equal(dispatch_assign(by_step, at(4)),
-				 dispatch_assign(by_task, at(4)));
+		assert_int_equal(assign_all(by_step, 4),
+				 assign_all(by_task, 4));
 		count_runs(by_step, step_counts);
 		count_runs(by_task, task_counts);
 		assert_memory_equal(step_counts, task_counts,
@@ -252,6 +272,36 @@
 				 cases[i].spacing_ms);
 }
 
+/*
+ * Guards against work that holds the room of workers while it waits to be
+ * stored: nothing else could start there.
+ */
+static void test_unsaved_bound(void **state)
+{
+	enum {
+		WORKFLOWS = 200,
+		UNSAVED_MAX = 30 /* two commits */
+	};
+	static const struct step_shape shape = { 1, 1000, 0, 1, NULL };
+	static const struct step_shape urgent = { 1, 1000, 0, 0, NULL };
+	struct dispatch *dispatch = start(WORKERS, NULL);
+	int k;
+
+	for (k = 0; k < WORKFLOWS; k++)
+		add(dispatch, k, &shape, 3);
+	assert_int_equal(dispatch_assign(dispatch, at(4)), UNSAVED_MAX);
+	assert_int_equal(dispatch_assign(dispatch, at(5)), 0);
+	/* What comes later and is more urgent is the next to be assigned. */
+	add(dispatch, k, &urgent, 5);
+	save_workflows(dispatch);
+	assert_int_equal(dispatch_assign(dispatch, at(6)), UNSAVED_MAX);
+	assert_int_equal(dispatch_find_workflow(dispatch, "j200")->state,
+			 WORKFLOW_RUNNING);
+	assert_int_equal(assign_all(dispatch, 7),
+			 WORKFLOWS + 1 - 2 * UNSAVED_MAX);
+	dispatch_delete(dispatch);
+}
+
 static double cpu_ms(void)
 {
 	struct timespec now;
@@ -339,14 +389,6 @@
 	}
 }
 
-static void save_workflows(struct dispatch *dispatch)
-{
-	struct workflow *workflow;
-
-	while ((workflow = dispatch_next_unsaved(dispatch, at(1000000))))
-		dispatch_mark_saved(dispatch, workflow, workflow->version);
-}
-
 /*
  * Guards against orders that are noticed late or never because nothing tells
  * that the worker may have some; and against looking at all workers each time.
@@ -483,6 +525,7 @@
 		cmocka_unit_test(test_search_for_step_and_for_task),
 		cmocka_unit_test(test_long_round),
 		cmocka_unit_test(test_pass_spacing),
+		cmocka_unit_test(test_unsaved_bound),
 		cmocka_unit_test(test_add_behind_backlog),
 		cmocka_unit_test(test_many_occurrences),
 		cmocka_unit_test(test_workers_with_orders),
