scheduler: store states on top of what another writer has put there

If another writer overwrites the state of one workflow, the revision that a commit compares is not there, and the commit was sent again for ever: no state of any workflow was stored any more, nothing started or ended. A stored value that isn't UTF-8 was taken for none when a term began, so that the workflow would have run anew, and every commit of it would have failed.

If the election key still is this scheduler's, the commit is sent again with the revisions that the store has; what is in memory holds. Stored bytes are kept as they are, so that a bad value is refused when it is decoded.

state_overwritten in test_workflows fails before ("timed out waiting for complete" of another workflow) and passes.

--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -85,6 +85,26 @@
 	return 1;
 }
 
+static int64_t revision_of(const struct kv_result *result, const char *key)
+{
+	const struct kv_item *item = find_item(result, key);
+
+	return item ? item->revision : 0;
+}
+
+/*
+ * Takes the revisions that the store has. The key of the election is this
+ * scheduler's, so no other one has written them, and what is in memory holds.
+ */
+static void rebase_commit(struct commit *commit, const struct kv_result *result)
+{
+	size_t i;
+
+	for (i = 0; i < commit->count; i++)
+		commit->entries[i].workflow->stored_revision =
+			revision_of(result, commit->entries[i].key);
+}
+
 static void on_conflict(struct scheduler *scheduler,
 			const struct kv_result *result)
 {
@@ -97,8 +117,10 @@
 	scheduler->commits_failed.value++;
 	log_event(EV_STATE_CONFLICT, "epoch=%lld workflows=%zu",
 		  (long long)scheduler->epoch, scheduler->commit.count);
-	/* Ends the term if the election is lost; otherwise retries. */
-	election_verify(scheduler->election);
+	if (revision_of(result, ELECTION_KEY) == scheduler->epoch)
+		rebase_commit(&scheduler->commit, result);
+	else
+		election_verify(scheduler->election);
 	loop_timer_start(scheduler->commit.retry_timer, COMMIT_RETRY_MS);
 }
 
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -165,7 +165,10 @@
 		if (id && item->value)
 			json_object_set_new(
 				scheduler->stored_states, id,
-				json_pack("[s,I]", item->value,
+				json_pack("[o,I]",
+					  /* Another writer may not care. */
+					  json_stringn_nocheck(item->value,
+							       item->len),
 					  (json_int_t)item->revision));
 	}
 	scheduler->submitted_watcher = kvwatcher_new(
