dispatch: let a size without a place stand for all larger ones

What no worker could take was remembered by class, which is an exact size, image and kind; as jobs differ in size, nearly each workflow that waits still had a search over all workers in each round, and only 64 classes were kept. And it was remembered for a round, which may now take seconds, so that room that became free was seen late.

A class now covers every one that needs as much or more of everything; the image counts for best-effort work only. It holds for one pass.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -244,7 +244,7 @@
 
 int main(void)
 {
-	static const int worker_counts[] = { 60, 240, 1000, 5000 };
+	static const int worker_counts[] = { 60, 240, 1000, 5000, 20000 };
 	static const int backlogs[] = { 100, 1000, 10000, 100000 };
 	size_t i, k;
 
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -23,7 +23,7 @@
  * and leases are not delayed.
  */
 #define PASS_EVALUATIONS_MAX 20000
-#define PASS_LOOKS_MAX 20000
+#define PASS_LOOKS_MAX 5000
 /* Pause after a pass, as a multiple of its length, and its bounds. */
 #define PASS_SPACING_FACTOR 4
 #define PASS_SPACING_MIN_MS 10
@@ -369,7 +369,6 @@
 	struct list *pos;
 
 	dispatch->round_is_open = 1;
-	dispatch->unplaced.count = 0;
 	update_urgencies(dispatch, now);
 	list_sort(&dispatch->workflows, node_goes_before);
 	list_for_each (pos, &dispatch->workflows) {
@@ -406,6 +405,7 @@
 	dispatch->pass_end.evaluations =
 		dispatch->stats.evaluations + PASS_EVALUATIONS_MAX;
 	dispatch->pass_end.looks = dispatch->stats.looks + PASS_LOOKS_MAX;
+	dispatch->unplaced.count = 0;
 	if (!dispatch->round_is_open)
 		start_round(dispatch, now);
 	list_sort(&dispatch->arrivals, arrival_goes_before);
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -90,7 +90,7 @@
 	int round_is_open;
 	struct mstime urgency_updated_at;
 	struct dispatch_stats pass_end;	  /* the pass ends at these counts */
-	struct unplaced_classes unplaced; /* in this round */
+	struct unplaced_classes unplaced; /* in this pass */
 	struct unplaced_classes not_relocatable;
 	struct mstime not_relocatable_since;
 	struct dispatch_stats stats;
--- a/packages/core/src/dispatch_place.c
+++ b/packages/core/src/dispatch_place.c
@@ -283,15 +283,22 @@
 	return class;
 }
 
-static int class_equal(const struct placement_class *a,
-		       const struct placement_class *b)
+/*
+ * Whether no worker can take a task of the second class if none could take one
+ * of the first: it needs as much or more of everything. The image only matters
+ * to best-effort work, whose pressure grows with its cores; forced work may be
+ * wherever other work may be.
+ */
+static int class_covers(const struct placement_class *a,
+			const struct placement_class *b)
 {
-	return a->image == b->image && a->is_forced == b->is_forced &&
-	       a->best_effort == b->best_effort &&
-	       a->need.cpu_milli == b->need.cpu_milli &&
-	       a->need.mem_mb == b->need.mem_mb &&
-	       a->need.accel == b->need.accel &&
-	       !strcmp(a->service, b->service);
+	if (a->best_effort != b->best_effort ||
+	    a->need.cpu_milli > b->need.cpu_milli ||
+	    a->need.mem_mb > b->need.mem_mb || a->need.accel > b->need.accel ||
+	    (a->best_effort &&
+	     (a->image != b->image || a->is_forced < b->is_forced)))
+		return 0;
+	return !strcmp(a->service, b->service);
 }
 
 const struct unplaced_class *dispatch_find_unplaced(
@@ -305,7 +312,7 @@
 		return NULL;
 	class = class_of(request);
 	for (i = 0; i < classes->count; i++)
-		if (class_equal(&classes->items[i].class, &class))
+		if (class_covers(&classes->items[i].class, &class))
 			return &classes->items[i];
 	return NULL;
 }
@@ -314,13 +321,19 @@
 			   struct unplaced_classes *classes,
 			   const struct placement_request *request)
 {
-	struct unplaced_class *added;
+	struct unplaced_class added;
+	size_t i, kept = 0;
 
-	if (!has_class(request) || classes->count == UNPLACED_CLASSES_MAX)
+	if (!has_class(request))
 		return;
-	added = &classes->items[classes->count++];
-	added->class = class_of(request);
-	memcpy(added->blocks, dispatch->blocks, sizeof(added->blocks));
+	added.class = class_of(request);
+	memcpy(added.blocks, dispatch->blocks, sizeof(added.blocks));
+	for (i = 0; i < classes->count; i++)
+		if (!class_covers(&added.class, &classes->items[i].class))
+			classes->items[kept++] = classes->items[i];
+	classes->count = kept;
+	if (classes->count < UNPLACED_CLASSES_MAX)
+		classes->items[classes->count++] = added;
 }
 
 int dispatch_can_relocate(struct dispatch *dispatch, const struct run *run,
--- a/tests/unit/test_dispatch_choice.c
+++ b/tests/unit/test_dispatch_choice.c
@@ -260,10 +260,49 @@
 	}
 }
 
+/*
+ * Guards against a search that is left out though it would have found a place:
+ * many steps of all sizes wait in the same pass.
+ */
+static void test_choice_of_many(void **state)
+{
+	struct fixture f = { 0 };
+	int round, i, k;
+
+	rng_seed(&f.rng, 20261206);
+	for (round = 0; round < ROUNDS; round++) {
+		struct workflow *probes[PROBES];
+
+		f.dispatch = dispatch_new(&dispatch_defaults, EPOCH, now(&f),
+					  NULL, NULL);
+		memset(f.seqs, 0, sizeof(f.seqs));
+		for (i = 0; i < WORKERS; i++) {
+			report(&f, i, 1);
+			report(&f, i, 0);
+		}
+		for (k = 0; k < PROBES; k++)
+			add_probe(&f, &probes[k]);
+		do {
+			dispatch_assign(f.dispatch, now(&f));
+			save_workflows(&f);
+		} while (dispatch_is_assigning(f.dispatch));
+		/* No room has become free since the pass looked at them. */
+		for (k = 0; k < PROBES; k++)
+			for (i = 0; i < WORKERS; i++)
+				assert_false(
+					probes[k]->assigned_total <
+						probes[k]->spec.task_count &&
+					is_certain(&f, get_worker(&f, i),
+						   probes[k]));
+		dispatch_delete(f.dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_choice),
+		cmocka_unit_test(test_choice_of_many),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_dispatch_scale.c
+++ b/tests/unit/test_dispatch_scale.c
@@ -159,6 +159,35 @@
 	return placed;
 }
 
+/*
+ * Guards against a search for each size of task while no worker has room: it
+ * is enough that a smaller one found none.
+ */
+static void test_evaluations_of_sizes(void **state)
+{
+	enum {
+		WORKFLOWS = 500
+	};
+	static const int best_effort[] = { 0, 1 };
+	size_t i;
+
+	for (i = 0; i < COUNT(best_effort); i++) {
+		struct dispatch *dispatch = start(WORKERS, NULL);
+		struct step_shape shape = { 3, 65000, best_effort[i], 0, "a" };
+		int k;
+
+		for (k = 0; k < WORKFLOWS; k++) {
+			add(dispatch, k, &shape, 3);
+			shape.cpu_milli++;
+		}
+		assert_int_equal(dispatch_assign(dispatch, at(4)), 0);
+		assert_false(dispatch_is_assigning(dispatch));
+		assert_true(dispatch_get_stats(dispatch)->evaluations <=
+			    WORKERS);
+		dispatch_delete(dispatch);
+	}
+}
+
 /* Runs of the workflow at each worker. */
 static void count_runs(struct dispatch *dispatch, uint32_t *counts)
 {
@@ -220,16 +249,16 @@
 	enum {
 		WORKFLOWS = 400
 	};
-	struct step_shape hopeless = { 1, 65000, 0, 1, NULL };
+	struct step_shape hopeless = { 1, 66000, 0, 1, NULL };
 	struct step_shape possible = { 1, 1000, 0, 2, NULL };
 	struct step_shape urgent = { 1, 1000, 0, 0, NULL };
 	struct dispatch *dispatch = start(WORKERS, NULL);
 	uint64_t evaluations = 0, passes = 0;
 	int k, placed = 0;
 
-	/* Each of another class. */
+	/* Each smaller than those before, which tell nothing of it. */
 	for (k = 0; k < WORKFLOWS; k++) {
-		hopeless.cpu_milli++;
+		hopeless.cpu_milli--;
 		add(dispatch, k, &hopeless, 3);
 	}
 	add(dispatch, k++, &possible, 3);
@@ -522,6 +551,7 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_evaluations),
+		cmocka_unit_test(test_evaluations_of_sizes),
 		cmocka_unit_test(test_search_for_step_and_for_task),
 		cmocka_unit_test(test_long_round),
 		cmocka_unit_test(test_pass_spacing),
