--- a/packages/base/src/list.c
+++ b/packages/base/src/list.c
@@ -13,15 +13,6 @@
 	return 1;
 }
 
-static struct list *move_first(struct list *from, struct list *to)
-{
-	struct list *node = from->next;
-
-	list_del(node);
-	list_add_tail(to, node);
-	return node;
-}
-
 /* Moves all nodes to the tail of the other list. */
 static void move_all(struct list *from, struct list *to)
 {
@@ -37,23 +28,37 @@
 /* Moves the longest sorted run at the head of the list. */
 static void take_run(struct list *from, struct list *run, list_before_fn before)
 {
-	struct list *last;
+	struct list *first = from->next, *last = first;
 
 	list_init(run);
 	if (list_empty(from))
 		return;
-	do
-		last = move_first(from, run);
-	while (!list_empty(from) && !before(from->next, last));
+	while (last->next != from && !before(last->next, last))
+		last = last->next;
+	from->next = last->next;
+	last->next->prev = from;
+	run->next = first;
+	first->prev = run;
+	run->prev = last;
+	last->next = run;
 }
 
-static void merge_runs(struct list *a, struct list *b, struct list *merged,
-		       list_before_fn before)
+/* Moves only the nodes of the second list, which is often the short one. */
+static void merge_into(struct list *a, struct list *b, list_before_fn before)
 {
-	while (!list_empty(a) && !list_empty(b))
-		move_first(before(b->next, a->next) ? b : a, merged);
-	move_all(a, merged);
-	move_all(b, merged);
+	struct list *pos = a->next;
+
+	while (!list_empty(b)) {
+		struct list *node = b->next;
+
+		while (pos != a && !before(node, pos))
+			pos = pos->next;
+		if (pos == a)
+			break;
+		list_del(node);
+		list_add_tail(pos, node);
+	}
+	move_all(b, a);
 }
 
 void list_sort(struct list *head, list_before_fn before)
@@ -65,7 +70,8 @@
 		while (!list_empty(head)) {
 			take_run(head, &a, before);
 			take_run(head, &b, before);
-			merge_runs(&a, &b, &merged, before);
+			merge_into(&a, &b, before);
+			move_all(&a, &merged);
 		}
 		move_all(&merged, head);
 	}
