scheduler: look at the clock when orders are sent

A wake took the time once, then assigned, encoded states and sent orders; its own lease was checked with that time. A scheduler that was paused or short of processor time within the pass sent starts and extended leases after its lease had run out, while the next one may lead. Their assignments are stored under the key of the election, and a runner that has heard of the next scheduler refuses them, so the window was small; the margin of the lease is 100 ms.

--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -180,7 +180,7 @@
 	if (election_is_leader(scheduler->election, now))
 		assign(scheduler, now);
 	scheduler_commit(scheduler, now);
-	scheduler_links_send(scheduler, now);
+	scheduler_links_send(scheduler);
 }
 
 void scheduler_wake(struct scheduler *scheduler)
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -130,7 +130,7 @@
  */
 void scheduler_links_start(struct scheduler *scheduler);
 void scheduler_links_stop(struct scheduler *scheduler);
-void scheduler_links_send(struct scheduler *scheduler, struct mstime now);
+void scheduler_links_send(struct scheduler *scheduler);
 void scheduler_links_check(struct scheduler *scheduler, struct mstime now);
 
 /*
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -168,9 +168,11 @@
 	}
 }
 
-static void send_orders(struct runner_link *link, struct mstime now)
+/* The clock is read here: the process may have been paused in the pass. */
+static void send_orders(struct runner_link *link)
 {
 	struct scheduler *scheduler = link->scheduler;
+	struct mstime now = sysclock_now();
 	int may_extend = election_is_leader(scheduler->election, now);
 	struct message msg = { MSG_WORK_ORDERS };
 
@@ -185,7 +187,7 @@
 	}
 }
 
-void scheduler_links_send(struct scheduler *scheduler, struct mstime now)
+void scheduler_links_send(struct scheduler *scheduler)
 {
 	struct worker *worker;
 
@@ -193,7 +195,7 @@
 		struct runner_link *link = worker->link;
 
 		if (link && link->client)
-			send_orders(link, now);
+			send_orders(link);
 	}
 }
 
