--- a/tests/unit/test_scheduler_links.c
+++ b/tests/unit/test_scheduler_links.c
@@ -98,8 +98,8 @@
 /* One worker, with a task that is stored and can be started. */
 static struct dispatch *start(struct worker **worker)
 {
-	struct dispatch *dispatch = dispatch_new(
-		&dispatch_defaults, EPOCH, sysclock_now(), NULL, NULL);
+	struct dispatch *dispatch = dispatch_new(&dispatch_defaults, EPOCH,
+						 sysclock_now(), NULL, NULL);
 	struct queue_config queue = { .name = "q", .service = "s" };
 	struct workflow_spec spec = { .id = "job", .step_count = 1 };
 	struct workflow *workflow;
