review: a job is started after its DELETE was answered with 410

A gateway is frozen for 4 s while it holds the POST of a job. The client leaves and cancels the job at another gateway, which answers 410. The job is stored and run when the first gateway wakes.

Rule UNASKED.

--- /dev/null
+++ b/review/4/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+exec python3 "$(dirname "$0")/case.py"
