review: tasks run again after their worker has restarted under its id

A worker crashes, starts again under its id and sends its first heartbeat 1 s later. Until then its runner polls it with the number of the last end of its former life. The worker forgets the ends of its new life, and their tasks, which have ended as done, are run again.

--- a/review/rig/checks.py
+++ b/review/rig/checks.py
@@ -38,6 +38,18 @@
     return found
 
 
+def started_again(rows):
+    """TWICE: starts of a task after a run of it has ended as done and the
+    worker was told that this end is stored. No lease lapses in the test."""
+    noted, found = {}, []
+    for row in rows:
+        if row["event"] == "noted" and row["how"] == "done":
+            noted.setdefault(row["task"], row)
+        elif row["event"] == "start" and row["task"] in noted:
+            found.append((noted[row["task"]], row))
+    return found
+
+
 def longest_idle(rows, job, begin, end):
     """Longest time in [begin, end] in which no task of the job runs, as
     (start, length)."""
--- a/review/rig/httpserver.py
+++ b/review/rig/httpserver.py
@@ -3,6 +3,7 @@
 import collections
 import http.server
 import json
+import socket
 import threading
 
 Request = collections.namedtuple("Request", "method path headers body")
@@ -16,6 +17,7 @@
         host, port = address.split(":")
         server = self
         self.generation = 0
+        self.connections = set()
 
         class Handler(http.server.BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -24,6 +26,11 @@
             def setup(self):
                 super().setup()
                 self.generation = server.generation
+                server.connections.add(self.connection)
+
+            def finish(self):
+                server.connections.discard(self.connection)
+                super().finish()
 
             def answer(self):
                 length = int(self.headers.get("Content-Length", 0))
@@ -69,3 +76,14 @@
     def silence_connections(self):
         """Open connections return nothing further and are not closed."""
         self.generation += 1
+
+    def close(self):
+        """Stops listening and closes all connections."""
+        self.silence_connections()
+        self.http.shutdown()
+        self.http.server_close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # the peer has closed it
--- a/review/rig/worker.py
+++ b/review/rig/worker.py
@@ -33,7 +33,8 @@
     """
 
     def __init__(self, worker_id, address, runner, record, service="work",
-                 cpu=64000, labels=("a", "r1-1"), checkpoint_bytes=16):
+                 cpu=64000, labels=("a", "r1-1"), checkpoint_bytes=16,
+                 first_heartbeat_s=0.0):
         self.id = worker_id
         self.address = address
         self.runner = runner
@@ -42,6 +43,7 @@
         self.cpu = cpu
         self.labels = list(labels)
         self.checkpoint_bytes = checkpoint_bytes
+        self.first_heartbeat_s = first_heartbeat_s
         self.started = time.monotonic()
         self.born = int(time.time() * 1000)
         self.sequence = 0
@@ -51,7 +53,6 @@
         self.highest = {}
         self.ends = []  # [number, task, run, how, saved]
         self.end_count = 0
-        self.last_seen = 0
         self.changed = threading.Condition()
         self.state = "ready"
         self.is_up = True
@@ -71,7 +72,17 @@
                 "labels": self.labels, "clockMs": self.clock_ms(),
                 "sequence": self.sequence, "born": self.born}
 
+    def crash(self):
+        with self.changed:
+            self.is_up = False
+            for run in list(self.runs.values()):
+                self.record("end", worker=self.id, task=run.task,
+                            run=run.number, how="crash")
+            self.runs.clear()
+        self.server.close()
+
     def beat(self):
+        time.sleep(self.first_heartbeat_s)
         while self.is_up:
             send_heartbeat(self.runner, self.id, self.describe())
             time.sleep(HEARTBEAT_INTERVAL_S)
@@ -80,6 +91,8 @@
         while self.is_up:
             time.sleep(0.01)
             with self.changed:
+                if not self.is_up:
+                    return
                 now = time.monotonic()
                 for run in list(self.runs.values()):
                     self.advance(run, now)
@@ -159,13 +172,11 @@
     def hold(self, body):
         self.extend(body)
         seen = body["lastSeen"]
-        if seen > self.last_seen:
-            for row in self.ends:
-                if row[0] <= seen:
-                    self.record("noted", worker=self.id, task=row[1],
-                                run=row[2], how=row[3])
-            self.last_seen = seen
-            self.ends = [row for row in self.ends if row[0] > seen]
+        for row in self.ends:
+            if row[0] <= seen:
+                self.record("noted", worker=self.id, task=row[1], run=row[2],
+                            how=row[3])
+        self.ends = [row for row in self.ends if row[0] > seen]
         end = time.monotonic() + min(body.get("waitMs", 0), 2000) / 1000
         while not self.ends:
             left = end - time.monotonic()
