runner: send reports whatever the length of a checkpoint

Case on: the last reports of each runner come before the first checkpoint; the scheduler logs runner-silent and, 4 s later, run-dropped reason=lapsed, while the runner goes on with its worker and logs nothing. Ruled out: the link (hellos arrive, the connection stays), the worker (it answers each reading of its lists), the store (no state-unsettled). message_encode() refuses the whole report with ERR_TOO_LARGE, and the error was dropped.

Change: a checkpoint may have as many bytes as a payload (4,000), and a longer one is not taken over, with a log line; the run keeps its former one. Orders are cut by size in the same way, since 24 payloads and checkpoints are longer than a message. A message that cannot be encoded is logged (message-refused).

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -96,6 +96,8 @@
 	  "The worker did not start a run; the reason is given." },
 	{ EV_PACE_CHANGED, LOG_INFO, "pace-changed",
 	  "Filling runs work slower or faster, by the latency beside them." },
+	{ EV_CHECKPOINT_DROPPED, LOG_WARN, "checkpoint-dropped",
+	  "A checkpoint is too long; the run keeps its former one." },
 
 	/* 3000: batch */
 	{ EV_JOB_PLACED, LOG_INFO, "job-placed",
@@ -232,6 +234,8 @@
 	  "What was read from the store is up to date." },
 	{ EV_NODE_REGISTERED, LOG_INFO, "node-registered",
 	  "The address of this process is in the store." },
+	{ EV_MESSAGE_REFUSED, LOG_ERROR, "message-refused",
+	  "A message exceeds the bounds of its type and was not sent." },
 
 	/* 6000: daemon */
 	{ EV_DAEMON_START, LOG_INFO, "daemon-start",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -363,8 +363,14 @@
  * caller's own lease permits extending the leases of runs and starting runs.
  *
  * RETURN VALUE
- *	1 if there is something to send, otherwise 0.
+ *	ORDERS_NONE (0) if there is nothing to send, ORDERS_PARTIAL if more
+ *	orders are due than a message holds, otherwise ORDERS_COMPLETE.
  */
+enum orders_extent {
+	ORDERS_NONE,
+	ORDERS_COMPLETE,
+	ORDERS_PARTIAL
+};
 int dispatch_build_orders(struct dispatch *dispatch, struct worker *worker,
 			  int may_extend, struct msg_work_orders *orders,
 			  struct mstime now);
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -6,6 +6,8 @@
 #include "mem.h"
 
 #define ACKNOWLEDGE_WITHIN_MS 200
+/* Largest size of a message of orders without rows. */
+#define ORDERS_HEAD_BYTES 1024
 
 static int must_not_run(const struct run *run)
 {
@@ -40,34 +42,59 @@
 	return run->state == RUN_SAVED && !run->is_ordered && must_not_run(run);
 }
 
-static void add_start(struct dispatch *dispatch, struct run *run,
-		      struct msg_work_orders *orders, struct mstime now)
+/* Takes a row with texts of text_len bytes out of what a message can hold. */
+static int reserve_row(size_t *room, size_t text_len)
+{
+	if (*room < RUN_ROW_BYTES + text_len)
+		return 0;
+	*room -= RUN_ROW_BYTES + text_len;
+	return 1;
+}
+
+/* RETURN VALUE: 0 if the message can't hold it. */
+static int add_start(struct dispatch *dispatch, struct run *run,
+		     struct msg_work_orders *orders, size_t *room,
+		     struct mstime now)
 {
 	struct workflow *workflow = run->workflow;
 	const struct workflow_step *step = &workflow->spec.steps[run->id.step];
-	struct run_order *order = &dispatch->starts[orders->starts.count++];
-
+	const char *payload = workflow->spec.payload;
+	const char *checkpoint =
+		workflow_find_task(workflow, &run->id)->checkpoint;
+	struct run_order *order = &dispatch->starts[orders->starts.count];
+
+	if (orders->starts.count == ORDER_STARTS_MAX ||
+	    !reserve_row(room, (payload ? strlen(payload) : 0) +
+				       (checkpoint ? strlen(checkpoint) : 0)))
+		return 0;
+	orders->starts.count++;
 	order->task = run->id;
 	order->run = run->number;
-	order->payload = workflow->spec.payload;
-	order->checkpoint = workflow_find_task(workflow, &run->id)->checkpoint;
+	order->payload = payload;
+	order->checkpoint = checkpoint;
 	order->best_effort = run->best_effort;
 	order->latency_target_ms = (uint32_t)step->latency_target_ms;
 	if (!run->unconfirmed_since.ms)
 		run->unconfirmed_since = now;
 	run->is_ordered = 1;
 	run->start_sent_at = now;
+	return 1;
 }
 
-static void add_stop(struct dispatch *dispatch, struct run *run,
-		     struct msg_work_orders *orders, struct mstime now)
+static int add_stop(struct dispatch *dispatch, struct run *run,
+		    struct msg_work_orders *orders, size_t *room,
+		    struct mstime now)
 {
-	struct run_id *name = &dispatch->stops[orders->stops.count++];
+	struct run_id *name = &dispatch->stops[orders->stops.count];
 
+	if (orders->stops.count == RUNS_MAX || !reserve_row(room, 0))
+		return 0;
+	orders->stops.count++;
 	name->task = run->id;
 	name->run = run->number;
 	run->is_stopping = 1;
 	run->stop_sent_at = now;
+	return 1;
 }
 
 static int pace_is_due(const struct run *run)
@@ -76,15 +103,19 @@
 	       run->pace != run->pace_sent;
 }
 
-static void add_pace(struct dispatch *dispatch, struct run *run,
-		     struct msg_work_orders *orders)
+static int add_pace(struct dispatch *dispatch, struct run *run,
+		    struct msg_work_orders *orders, size_t *room)
 {
-	struct run_pace *pace = &dispatch->paces[orders->paces.count++];
+	struct run_pace *pace = &dispatch->paces[orders->paces.count];
 
+	if (orders->paces.count == RUNS_MAX || !reserve_row(room, 0))
+		return 0;
+	orders->paces.count++;
 	pace->task = run->id;
 	pace->run = run->number;
 	pace->percent = run->pace;
 	run->pace_sent = run->pace;
+	return 1;
 }
 
 /* The next orders may take it along, so that each end needs no message. */
@@ -136,17 +167,33 @@
 	return 0;
 }
 
+/* RETURN VALUE: 0 if an order is due that the message can't hold. */
+static int add_due_order(struct dispatch *dispatch, struct run *run,
+			 int may_start, struct msg_work_orders *orders,
+			 size_t *room, struct mstime now)
+{
+	if (stop_is_due(dispatch, run, now))
+		return add_stop(dispatch, run, orders, room, now);
+	if (may_start && start_is_due(dispatch, run, now))
+		return add_start(dispatch, run, orders, room, now);
+	if (pace_is_due(run))
+		return add_pace(dispatch, run, orders, room);
+	return 1;
+}
+
 int dispatch_build_orders(struct dispatch *dispatch, struct worker *worker,
 			  int may_extend, struct msg_work_orders *orders,
 			  struct mstime now)
 {
+	size_t room = FRAME_MAX_BYTES - ORDERS_HEAD_BYTES;
 	struct list *pos, *tmp;
+	int is_complete = 1;
 
 	dispatch->now = now;
 	list_del(&worker->orders_node);
 	if (!worker->session || !worker->fence ||
 	    !dispatch_has_orders(dispatch, worker, now))
-		return 0;
+		return ORDERS_NONE;
 	memset(orders, 0, sizeof(*orders));
 	orders->epoch = dispatch->epoch;
 	orders->report_seq = worker->report_seq;
@@ -166,15 +213,10 @@
 
 		if (never_ordered(run))
 			dispatch_run_end(dispatch, run, now);
-		else if (stop_is_due(dispatch, run, now) &&
-			 orders->stops.count < RUNS_MAX)
-			add_stop(dispatch, run, orders, now);
-		else if (may_extend && worker->has_current_lists &&
-			 start_is_due(dispatch, run, now) &&
-			 orders->starts.count < ORDER_STARTS_MAX)
-			add_start(dispatch, run, orders, now);
-		else if (pace_is_due(run) && orders->paces.count < RUNS_MAX)
-			add_pace(dispatch, run, orders);
+		else if (!add_due_order(dispatch, run,
+					may_extend && worker->has_current_lists,
+					orders, &room, now))
+			is_complete = 0;
 	}
-	return 1;
+	return is_complete ? ORDERS_COMPLETE : ORDERS_PARTIAL;
 }
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -295,7 +295,7 @@
 		return 0;
 	}
 	task->phase = (enum task_phase)numbers[COLUMN_PHASE];
-	if (*checkpoint)
+	if (*checkpoint && strlen(checkpoint) <= RUN_CHECKPOINT_MAX)
 		task->checkpoint = xstrdup(checkpoint);
 	if (task->phase != TASK_ASSIGNED)
 		return 0;
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -50,7 +50,9 @@
 	int is_confirmed; /* by the worker; gone if a later list lacks it */
 	struct mstime confirmed_at;
 	struct mstime retry_at;
-	struct mstime ended_at; /* gone or refused; still reported */
+	struct mstime ended_at;		  /* gone or refused; still reported */
+	struct mstime checkpoint_sent_at; /* in a report; 0: not yet */
+	int has_long_checkpoint;	  /* which is logged once */
 };
 
 struct runner {
@@ -79,6 +81,7 @@
 	struct mstime reported_at;
 	struct loop_timer *report_timer;
 	struct mstime report_due_at;
+	size_t first_checkpoint; /* see workreport_fit() */
 
 	/* Runs and ends that the worker lists. */
 	struct list runs;
@@ -123,6 +126,9 @@
 void runner_schedule_report(struct runner *runner, int64_t delay_ms);
 void runner_report_now(void *arg);
 
+/* Sends the checkpoints of all runs again, as to a new scheduler. */
+void runner_repeat_checkpoints(struct runner *runner);
+
 /*
  * Starts a hold call unless one is in progress: it lists the worker's runs and
  * ends, and extends the lease of the runs.
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -48,6 +48,30 @@
 	*dst = text && *text ? xstrdup(text) : NULL;
 }
 
+/*
+ * One that no message can carry is not taken over: the task resumes from the
+ * former one then.
+ */
+static void set_checkpoint(struct local_run *run, const char *checkpoint)
+{
+	size_t len = strlen(checkpoint);
+
+	if (len > RUN_CHECKPOINT_MAX) {
+		if (!run->has_long_checkpoint)
+			log_event(EV_CHECKPOINT_DROPPED,
+				  "task=%s.%u.%u.%u run=%u bytes=%zu max=%d",
+				  run->task.job, run->task.occurrence,
+				  run->task.step, run->task.index, run->run,
+				  len, RUN_CHECKPOINT_MAX);
+		run->has_long_checkpoint = 1;
+		return;
+	}
+	if (run->checkpoint && !strcmp(run->checkpoint, checkpoint))
+		return;
+	replace_text(&run->checkpoint, checkpoint);
+	run->checkpoint_sent_at = mstime_from(0);
+}
+
 /* What a reading of the worker's lists has changed. */
 struct list_changes {
 	uint32_t urgent; /* ends, lost runs, latencies above their targets */
@@ -72,7 +96,7 @@
 	run->confirmed_at = runner->hold_sent_at;
 	run->progress = status->progress_percent;
 	run->latency_or_cpu = status->latency_or_cpu;
-	replace_text(&run->checkpoint, status->checkpoint);
+	set_checkpoint(run, status->checkpoint);
 }
 
 static void add_end(struct runner *runner, const struct ended_run *end,
@@ -87,13 +111,15 @@
 	if (end->number <= last)
 		return;
 	run = local_run_find(runner, &end->task, end->run);
-	if (run)
-		local_run_delete(run);
+	if (!run)
+		run = local_run_new(runner, &end->task, end->run, RUN_ACTIVE);
+	set_checkpoint(run, end->checkpoint);
 	runner->ends = xrealloc(runner->ends, (runner->end_count + 1) *
 						      sizeof(*runner->ends));
 	copy = &runner->ends[runner->end_count++];
 	*copy = *end;
-	copy->checkpoint = xstrdup(end->checkpoint);
+	copy->checkpoint = xstrdup(run->checkpoint ? run->checkpoint : "");
+	local_run_delete(run);
 	changes->urgent++;
 }
 
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -175,16 +175,20 @@
 	struct mstime now = sysclock_now();
 	int may_extend = election_is_leader(scheduler->election, now);
 	struct message msg = { MSG_WORK_ORDERS };
+	int extent;
 
-	while (dispatch_build_orders(scheduler->dispatch, link->worker,
-				     may_extend, &msg.u.work_orders, now)) {
-		int err = msglink_client_send(link->client, &msg);
+	do {
+		int err;
 
+		extent = dispatch_build_orders(scheduler->dispatch,
+					       link->worker, may_extend,
+					       &msg.u.work_orders, now);
+		if (extent == ORDERS_NONE)
+			return;
+		err = msglink_client_send(link->client, &msg);
 		if (err)
 			note_unreachable(link, err);
-		if (msg.u.work_orders.starts.count < ORDER_STARTS_MAX)
-			return;
-	}
+	} while (extent == ORDERS_PARTIAL);
 }
 
 void scheduler_links_send(struct scheduler *scheduler)
--- a/packages/io/src/msglink.c
+++ b/packages/io/src/msglink.c
@@ -89,14 +89,18 @@
 	return err;
 }
 
-static int send_message(struct msglink_conn *conn, const struct message *msg)
+static int send_message(struct msglink_conn *conn, const char *peer,
+			const struct message *msg)
 {
 	unsigned char *data;
 	size_t len;
 	int err = message_encode(msg, &data, &len);
 
-	if (err)
+	if (err) {
+		log_event(EV_MESSAGE_REFUSED, "peer=%s type=%s reason=%s", peer,
+			  message_type_name(msg->type), error_name(err));
 		return err;
+	}
 	err = msglink_conn_send(conn, data, len);
 	free(data);
 	return err;
@@ -238,7 +242,7 @@
 {
 	struct peer *found = *peer ? find_peer(server, peer) : NULL;
 
-	return found ? send_message(found->conn, msg) : ERR_UNAVAILABLE;
+	return found ? send_message(found->conn, peer, msg) : ERR_UNAVAILABLE;
 }
 
 static void connect_later(struct msglink_client *client)
@@ -361,5 +365,7 @@
 int msglink_client_send(struct msglink_client *client,
 			const struct message *msg)
 {
-	return client->conn ? send_message(client->conn, msg) : ERR_UNAVAILABLE;
+	return client->conn
+		       ? send_message(client->conn, client->address_text, msg)
+		       : ERR_UNAVAILABLE;
 }
--- a/packages/io/src/transport.c
+++ b/packages/io/src/transport.c
@@ -411,7 +411,11 @@
 	size_t len;
 	int err = message_encode(msg, &data, &len);
 
-	if (!err)
+	if (err)
+		log_event(EV_MESSAGE_REFUSED, "peer=%s type=%s reason=%s",
+			  peer ? peer : "-", message_type_name(msg->type),
+			  error_name(err));
+	else
 		err = send_frame(transport, peer, data, len);
 	if (err) {
 		transport->stats.refused_out++;
--- a/packages/wire/include/message.h
+++ b/packages/wire/include/message.h
@@ -26,7 +26,10 @@
 #define ENTRIES_MAX 64
 #define JOB_ID_SIZE 24
 #define RUNS_MAX 1024
-#define ORDER_STARTS_MAX 24 /* each with a payload of up to 4,000 bytes */
+#define ORDER_STARTS_MAX 24
+#define RUN_CHECKPOINT_MAX 4000 /* bytes; a longer one is not carried */
+/* Largest encoded row about a run, without the texts besides its task. */
+#define RUN_ROW_BYTES 64
 #define LABELS_MAX 16
 
 /* Whether a request was run, as far as is known. */
--- a/packages/wire/src/message.c
+++ b/packages/wire/src/message.c
@@ -270,7 +270,7 @@
 	ENUM(struct run_status, phase, RUN_PHASE_COUNT),
 	U32(struct run_status, progress_percent),
 	U32(struct run_status, latency_or_cpu),
-	TEXT(struct run_status, checkpoint, CHECKPOINT_MAX),
+	TEXT(struct run_status, checkpoint, RUN_CHECKPOINT_MAX),
 	TEXT(struct run_status, detail, DETAIL_MAX),
 };
 
@@ -279,14 +279,14 @@
 	NESTED(struct ended_run, task, task_id_fields),
 	U32(struct ended_run, run),
 	ENUM(struct ended_run, how, RUN_END_COUNT),
-	TEXT(struct ended_run, checkpoint, CHECKPOINT_MAX),
+	TEXT(struct ended_run, checkpoint, RUN_CHECKPOINT_MAX),
 };
 
 static const struct field run_order_fields[] = {
 	NESTED(struct run_order, task, task_id_fields),
 	U32(struct run_order, run),
 	TEXT(struct run_order, payload, PAYLOAD_MAX),
-	TEXT(struct run_order, checkpoint, CHECKPOINT_MAX),
+	TEXT(struct run_order, checkpoint, RUN_CHECKPOINT_MAX),
 	ENUM(struct run_order, best_effort, 2),
 	U32(struct run_order, latency_target_ms),
 };
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -384,6 +384,25 @@
     rig.check_records()
 
 
+def long_checkpoints(rig):
+    """Guards against a checkpoint whose length kept its runner's reports from
+    being sent: the worker got no more work, and its runs lapsed."""
+    cases = [(count, size) for count in (1, 40)
+             for size in (16, 256, 257, 320, 4000, 4001, 70000, 200000)]
+    jobs = [rig.submit(rig.gateways[0],
+                       [{"count": count, "cpu": 10, "checkpointing": True}],
+                       payload="2500 saves %d" % size)[0]
+            for count, size in cases]
+    for (count, size), job in zip(cases, jobs):
+        wait_for("%d tasks with checkpoints of %d bytes" % (count, size),
+                 lambda: rig.state(rig.gateways[0], job) == "complete")
+    lapsed = [row for _, row in rig.records()
+              if row["event"] == "end" and row["how"] != "done"]
+    check(not lapsed, "lapsed: %s" % lapsed)
+    rig.wait_workers()
+    rig.check_records()
+
+
 def store_calls(rig):
     return json.loads(http_call(rig.store, "POST", "/fake/calls")[2])["calls"]
 
@@ -438,7 +457,7 @@
              graceful_stop, graceful_stop_without_store,
              malformed_heartbeats, odd_entries, state_too_large,
              state_overwritten, election_without_store,
-             late_deregistration]
+             late_deregistration, long_checkpoints]
 
 
 def main():
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -27,6 +27,7 @@
 	struct mstime ends_at; /* 0: runs until it is stopped */
 	int fails;
 	int is_stalled; /* lists no progress */
+	char *checkpoint;
 };
 
 struct poll {
@@ -75,6 +76,24 @@
 	json_t *highest_runs; /* task -> run */
 };
 
+static void task_run_free(struct task_run *run)
+{
+	free(run->task);
+	free(run->checkpoint);
+	free(run);
+}
+
+/* The checkpoint of a payload "MS saves BYTES"; otherwise an empty one. */
+static char *make_checkpoint(const char *payload)
+{
+	const char *option = payload ? strstr(payload, "saves ") : NULL;
+	size_t len = option ? strtoul(option + strlen("saves "), NULL, 10) : 0;
+	char *text = xcalloc(len + 1, 1);
+
+	memset(text, 'c', len);
+	return text;
+}
+
 static json_int_t clock_ms(const struct workerserver *server)
 {
 	return mstime_diff(sysclock_now(), server->started_at) + 1000;
@@ -127,9 +146,10 @@
 		const struct task_run *run =
 			list_entry(pos, struct task_run, node);
 
-		json_array_append_new(
-			active, json_pack("[s,I,s,i,i]", run->task, run->run,
-					  "", progress_percent(run), 500));
+		json_array_append_new(active,
+				      json_pack("[s,I,s,i,i]", run->task,
+						run->run, run->checkpoint,
+						progress_percent(run), 500));
 	}
 	for (i = 0; i < json_array_size(server->ended_runs); i++) {
 		json_t *row = json_array_get(server->ended_runs, i);
@@ -213,10 +233,9 @@
 	json_array_append_new(server->ended_runs,
 			      json_pack("[I,s,I,s,s]",
 					++server->last_end_number, run->task,
-					run->run, how, ""));
+					run->run, how, run->checkpoint));
 	list_del(&run->node);
-	free(run->task);
-	free(run);
+	task_run_free(run);
 }
 
 static void on_announced(void *arg, int err, int status)
@@ -337,6 +356,7 @@
 	active->began_at = sysclock_now();
 	active->fails = payload && strstr(payload, "fail");
 	active->is_stalled = payload && strstr(payload, "stall");
+	active->checkpoint = make_checkpoint(payload);
 	if (work_ms)
 		active->ends_at = mstime_add(active->began_at, work_ms);
 	list_add_tail(&server->runs, &active->node);
@@ -553,10 +573,8 @@
 	if (!server)
 		return;
 	list_for_each_safe (pos, tmp, &server->runs) {
-		struct task_run *run = list_entry(pos, struct task_run, node);
-
-		free(run->task);
-		free(run);
+		list_del(pos);
+		task_run_free(list_entry(pos, struct task_run, node));
 	}
 	list_for_each_safe (pos, tmp, &server->polls)
 		free(list_entry(pos, struct poll, node));
--- a/tests/fakes/fakeplatform/workerserver.h
+++ b/tests/fakes/fakeplatform/workerserver.h
@@ -9,9 +9,10 @@
  *
  * NOTES
  *	Announces itself to its runner and carries out its orders. The payload
- *	of a task is "MS", "MS fail" or "MS stall": a run ends or fails after
- *	MS milliseconds, or lists the same progress all the time. Without a
- *	number it runs until it is stopped. Overlapping runs of a task are not
+ *	of a task is "MS", "MS fail", "MS stall" or "MS saves BYTES": a run
+ *	ends or fails after MS milliseconds, lists the same progress all the
+ *	time, or lists a checkpoint of that length. Without a number it runs
+ *	until it is stopped. Overlapping runs of a task are not
  *	detected here: the test checks the standard output, which has a line
  *	of JSON for each start and end of a run.
  *	POST /fake/starts?MODE sets what becomes of starts from then on:
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -39,6 +39,14 @@
 	return workflow_new(&spec, &queue, 0);
 }
 
+static char *new_text(size_t len)
+{
+	char *text = xcalloc(len + 1, 1);
+
+	memset(text, 't', len);
+	return text;
+}
+
 static struct dispatch *dispatch_start(void)
 {
 	return dispatch_new(&dispatch_defaults, EPOCH, at(0), NULL, NULL);
@@ -181,6 +189,62 @@
 	dispatch_delete(dispatch);
 }
 
+/*
+ * Guards against orders that no message can carry: the worker would get no
+ * orders and no lease any more.
+ */
+static void test_orders_fit_into_messages(void **state)
+{
+	static const struct {
+		size_t payload_len, checkpoint_len;
+	} cases[] = {
+		{ 1, 0 },
+		{ 1, 257 },
+		{ WORKFLOW_PAYLOAD_MAX, 0 },
+		{ 1, RUN_CHECKPOINT_MAX },
+		{ WORKFLOW_PAYLOAD_MAX, RUN_CHECKPOINT_MAX },
+	};
+	const uint32_t count = 3 * ORDER_STARTS_MAX + 1;
+	size_t i, starts;
+	uint32_t k;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct dispatch *dispatch = dispatch_start();
+		struct workflow *workflow = new_workflow("j1", count, 0, 100);
+		struct message msg = { MSG_WORK_ORDERS };
+		unsigned char *data;
+		size_t len;
+		int extent;
+
+		workflow->spec.steps[0].need.cpu_milli = 10;
+		free(workflow->spec.payload);
+		workflow->spec.payload = new_text(cases[i].payload_len);
+		dispatch_add(dispatch, workflow, at(0));
+		for (k = 0; k < count; k++) {
+			struct task_id id = { "j1", 0, 0, k };
+
+			workflow_find_task(workflow, &id)->checkpoint =
+				new_text(cases[i].checkpoint_len);
+		}
+		send_report(dispatch, 1, 1, NULL, 0, 1);
+		send_report(dispatch, 1, 2, NULL, 0, 2);
+		assert_int_equal(dispatch_assign(dispatch, at(3)), count);
+		save_workflows(dispatch);
+		for (starts = 0, extent = ORDERS_PARTIAL;
+		     extent == ORDERS_PARTIAL;
+		     starts += msg.u.work_orders.starts.count) {
+			extent = dispatch_build_orders(
+				dispatch, only_worker(dispatch), 1,
+				&msg.u.work_orders, at(4));
+			assert_int_not_equal(extent, ORDERS_NONE);
+			assert_int_equal(message_encode(&msg, &data, &len), 0);
+			free(data);
+		}
+		assert_int_equal(starts, count);
+		dispatch_delete(dispatch);
+	}
+}
+
 /*
  * Guards against waiting without end for a run whose worker hangs: a run
  * whose progress has not changed for stuck_timeout_ms is stopped.
@@ -623,6 +687,7 @@
 		cmocka_unit_test(test_start_after_save),
 		cmocka_unit_test(test_scheduler_lease),
 		cmocka_unit_test(test_urgency_order),
+		cmocka_unit_test(test_orders_fit_into_messages),
 		cmocka_unit_test(test_stuck_run),
 		cmocka_unit_test(test_assigned_to_replaced_worker),
 		cmocka_unit_test(test_late_start_at_restarted_worker),
