agent: take no part of a long checkpoint for the whole

An operator's batch run resumed from a point that it had not reached: the agent copied the first 256 bytes of a longer checkpoint, reported them, and the next start carried them.

Change: the run keeps its former checkpoint, with a log line.

--- a/packages/daemon/src/agent_task.c
+++ b/packages/daemon/src/agent_task.c
@@ -120,6 +120,17 @@
 {
 	if (!*checkpoint || !strcmp(t->checkpoint, checkpoint))
 		return;
+	/* A part of it would be another checkpoint than the task's. */
+	if (strlen(checkpoint) >= sizeof(t->checkpoint)) {
+		if (!t->has_long_checkpoint)
+			log_event(
+				EV_CHECKPOINT_DROPPED,
+				"job=%s run=%llu bytes=%zu max=%zu",
+				t->grant.job, (unsigned long long)t->grant.run,
+				strlen(checkpoint), sizeof(t->checkpoint) - 1);
+		t->has_long_checkpoint = 1;
+		return;
+	}
 	str_copy(t->checkpoint, checkpoint, sizeof(t->checkpoint));
 	t->checkpointed_at = sysclock_now();
 	agent_tasks_report_soon(t->agent);
--- a/packages/daemon/src/agent_task.h
+++ b/packages/daemon/src/agent_task.h
@@ -38,6 +38,7 @@
 	enum task_state state;
 	struct resources declared, used;
 	char checkpoint[CHECKPOINT_SIZE];
+	int has_long_checkpoint; /* which is logged once */
 	char detail[DETAIL_SIZE];
 	char *command;
 	int evictable; /* not urgent; 0 if adopted, as it may be urgent */
--- a/tests/e2e/test_agent_tasks.py
+++ b/tests/e2e/test_agent_tasks.py
@@ -309,8 +309,23 @@
     assert rig.effects("j") == list(range(steps))
 
 
+def long_checkpoint(rig):
+    """Guards against a part of a long checkpoint that is taken for the whole:
+    the run would resume from another point than the one it had reached."""
+    entry = rig.entry
+    entry.wait_state("ready")
+    for run, length in enumerate((64, 256, 257, 300), start=1):
+        entry.start_task("j", run, "%s checkpoint_len=%d" % (LONG_RUN, length))
+        entry.wait_task("j", run, "running")
+        entry.stop_task("j", run)
+        checkpoint = entry.wait_task("j", run, "stopped")["checkpoint"]
+        assert len(checkpoint) in (0, length), (length, checkpoint)
+        assert checkpoint or length > 256, length
+
+
 agent_rig.run_scenarios([resume_once, no_start_without_ack, grant_expires,
                          agent_paused, late_start, fencing, memory_capacity,
                          urgent_eviction, lost_responses, agent_restarts,
-                         stop_before_first_list, worker_restarts, worker_dies, worker_hangs],
+                         stop_before_first_list, worker_restarts, worker_dies, worker_hangs,
+                         long_checkpoint],
                         sys.argv[1])
--- a/tests/fakes/fakeworker/tasks.c
+++ b/tests/fakes/fakeworker/tasks.c
@@ -32,7 +32,8 @@
 	int64_t step, step_count, step_ms, fail_at_step;
 	int64_t throttle_percent;
 	int64_t request_delay_ms; /* added to requests at 100 percent */
-	char checkpoint[64];
+	int64_t checkpoint_len;	  /* least length, for which it is padded */
+	char checkpoint[512];
 	const char *detail;
 	struct event *step_timer, *lease_timer;
 };
@@ -113,8 +114,12 @@
 
 static void write_checkpoint(struct task *task)
 {
-	snprintf(task->checkpoint, sizeof(task->checkpoint), "step-%lld",
-		 (long long)task->step);
+	int len = snprintf(task->checkpoint, sizeof(task->checkpoint),
+			   "step-%lld", (long long)task->step);
+
+	for (; len < task->checkpoint_len; len++)
+		task->checkpoint[len] = '-';
+	task->checkpoint[len] = '\0';
 }
 
 static void on_lease_expired(evutil_socket_t fd, short what, void *arg)
@@ -192,6 +197,9 @@
 	task->step_ms = parse_option(command, "step_ms=", 10);
 	task->fail_at_step = parse_option(command, "fail_at=", -1);
 	task->request_delay_ms = parse_option(command, "slow_ms=", 0);
+	task->checkpoint_len = parse_option(command, "checkpoint_len=", 0);
+	if (task->checkpoint_len >= (int64_t)sizeof(task->checkpoint))
+		task->checkpoint_len = sizeof(task->checkpoint) - 1;
 	if (!strncmp(command, "fail", 4) && task->fail_at_step < 0)
 		task->fail_at_step = task->step;
 	task->used[USAGE_CPU] = parse_option(
