workercall: take odd numbers of lists for what they are

A number in a worker's lists that is negative, too large or of another type stood for another one: an end with the number -1 counted as the last of all, so that no later end was seen (tasks that are done run again once their lease has lapsed), and a clock of 1e300 as the latest time. The conversion of a float beyond the range of its type differs between x86-64 and arm64.

Not seen from real workers.

Change: a row whose end or run is no whole number in range is left out; a rough figure is clamped; a clock or start that can't be true counts as not given.

--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -13,6 +13,8 @@
 
 /* Starts come in bursts; a worker accepts 64 connections. */
 #define IDLE_CONNECTIONS 24
+/* Lets sums of times of a worker's clock not overflow. */
+#define CLOCK_MAX_MS (INT64_MAX / 4)
 
 struct call {
 	struct list node;
@@ -97,22 +99,47 @@
 	return ERR_UNKNOWN;
 }
 
+/* RETURN VALUE: 0 for what is no whole number from min to max. */
+static int read_whole(const json_t *value, json_int_t min, json_int_t max,
+		      json_int_t *number)
+{
+	*number = json_integer_value(value);
+	return json_is_integer(value) && *number >= min && *number <= max;
+}
+
+/* A rough figure: what is no number counts as 0. */
+static uint32_t read_figure(const json_t *value)
+{
+	double number = json_number_value(value);
+
+	if (number <= 0)
+		return 0;
+	return number < UINT32_MAX ? (uint32_t)number : UINT32_MAX;
+}
+
+static int64_t read_clock(const json_t *value)
+{
+	double number = json_is_number(value) ? json_number_value(value) : -1;
+
+	return number >= 0 && number <= CLOCK_MAX_MS ? (int64_t)number : -1;
+}
+
 /* The last column is the latency of a serving task, else its CPU use. */
 static int parse_run(struct run_status *run, const json_t *row)
 {
 	const char *task = json_string_value(json_array_get(row, 0));
 	const char *checkpoint = json_string_value(json_array_get(row, 2));
+	json_int_t number;
 
 	memset(run, 0, sizeof(*run));
-	if (!task || task_name_parse(task, &run->task))
+	if (!task || task_name_parse(task, &run->task) ||
+	    !read_whole(json_array_get(row, 1), 0, UINT32_MAX, &number))
 		return 0;
-	run->run = (uint32_t)json_integer_value(json_array_get(row, 1));
+	run->run = (uint32_t)number;
 	run->phase = RUN_ACTIVE;
 	run->checkpoint = checkpoint ? checkpoint : "";
-	run->progress_percent =
-		(uint32_t)json_number_value(json_array_get(row, 3));
-	run->latency_or_cpu =
-		(uint32_t)json_number_value(json_array_get(row, 4));
+	run->progress_percent = read_figure(json_array_get(row, 3));
+	run->latency_or_cpu = read_figure(json_array_get(row, 4));
 	run->detail = "";
 	return 1;
 }
@@ -122,17 +149,20 @@
 	const char *task = json_string_value(json_array_get(row, 1));
 	const char *how = json_string_value(json_array_get(row, 3));
 	const char *checkpoint = json_string_value(json_array_get(row, 4));
+	json_int_t number, run;
 	int i;
 
 	memset(end, 0, sizeof(*end));
-	if (!task || !how || task_name_parse(task, &end->task))
+	if (!task || !how || task_name_parse(task, &end->task) ||
+	    !read_whole(json_array_get(row, 0), 1, INT64_MAX, &number) ||
+	    !read_whole(json_array_get(row, 2), 0, UINT32_MAX, &run))
 		return 0;
 	for (i = 0; i < RUN_END_COUNT && strcmp(how, end_names[i]); i++)
 		;
 	if (i == RUN_END_COUNT)
 		return 0;
-	end->number = (uint64_t)json_integer_value(json_array_get(row, 0));
-	end->run = (uint32_t)json_integer_value(json_array_get(row, 2));
+	end->number = (uint64_t)number;
+	end->run = (uint32_t)run;
 	end->how = (uint32_t)i;
 	end->checkpoint = checkpoint ? checkpoint : "";
 	return 1;
@@ -160,19 +190,16 @@
 				 const char *body, size_t len)
 {
 	json_t *root = json_loadb(body, len, 0, NULL);
-	const json_t *clock = json_object_get(root, "clockMs");
-	const json_t *start_ms = json_object_get(root, "born");
 	struct worker_response response = { .clock_ms = -1 };
 	struct lists lists = { 0 };
+	json_int_t start_ms;
 
 	response.err = status_error(status, root);
 	if (!response.err && !json_is_object(root))
 		response.err = ERR_UNKNOWN;
-	if (json_is_number(clock))
-		response.clock_ms = (int64_t)json_number_value(clock);
-	if (json_is_integer(start_ms))
-		response.worker_start_ms =
-			(uint64_t)json_integer_value(start_ms);
+	response.clock_ms = read_clock(json_object_get(root, "clockMs"));
+	if (read_whole(json_object_get(root, "born"), 1, INT64_MAX, &start_ms))
+		response.worker_start_ms = (uint64_t)start_ms;
 	if (!response.err)
 		parse_lists(&lists, root);
 	response.runs = lists.runs;
