runner: begin each connection to a worker without effect

The polls carried the number of the last stored end of the former life, so the ends 1, 2, 3 of the new one were forgotten unseen, and its lease was reckoned from the former clock.

Case on: the worker answers again at 0.1 s, its first heartbeat comes at 1.0 s. Within this time the runner sends starts, and a poll each 40 ms whose response it drops, as "born" is another one. Ruled out: the scheduler (it waits for the lists under the new fence, which don't name these runs any more), a lapsed lease, a lost answer.

Cause: that a response comes from another life is seen only in the response, when the call has had its effect. Looking at broken calls alone does not help: the connection may be found closed just as a call is sent.

Change: a connection leads to one process. Polls have a connection of their own; the first one on it reads lists and clock and has no effect. Polls that acknowledge and extend are sent only on the connection on which the bound worker has answered (httpc reuse_only), and starts only while it is open. When another life answers, the bound worker counts as gone at once, so that its starts are placed elsewhere; the clock and the lists of the other life are not taken over. A worker that closes its connections after each response is recognized after three.

The stand-in of the worker counted ends as acknowledged before they existed, which hid the fault; the check of acknowledged ends now covers workers that are killed later, too.

--- a/packages/daemon/src/runner_identity.c
+++ b/packages/daemon/src/runner_identity.c
@@ -52,6 +52,8 @@
 	runner->is_bound = 1;
 	runner->lease_end = mstime_from(0);
 	runner->worker_clock_at = mstime_from(0);
+	runner->answered_start_ms = 0;
+	runner->connections_lost = 0;
 	runner->listed_at = sysclock_now();
 	runner->pace_percent = 100;
 }
@@ -116,7 +118,7 @@
 
 	str_copy(id, candidate->target.id, sizeof(id));
 	candidate_delete(candidate);
-	runner->is_deregistered = 0;
+	runner->has_left = 0;
 	if (is_bound_worker(runner, id, &announcement)) {
 		update_worker(runner, id, &announcement);
 		return;
@@ -177,7 +179,6 @@
 	}
 }
 
-/* Extends no lease and acknowledges no end, whoever answers. */
 static void ask_candidate(void *arg)
 {
 	struct candidate *candidate = arg;
@@ -186,8 +187,8 @@
 	/* The bound worker refuses a lower fence than this. */
 	candidate->target.fence =
 		has_bound_id(candidate) ? candidate->runner->target.fence : 0;
-	workercall_poll(candidate->runner->calls, &candidate->target, 0, 0, 0,
-			on_confirmed, candidate);
+	workercall_identify(candidate->runner->calls, &candidate->target,
+			    on_confirmed, candidate);
 }
 
 static struct candidate *find_candidate(struct runner *runner, const char *id,
@@ -236,8 +237,8 @@
 	candidate->runner = runner;
 	candidate->announcement = *announcement;
 	str_copy(candidate->target.id, id, sizeof(candidate->target.id));
-	candidate->retry_timer = loop_timer_new(runner->daemon->loop,
-						ask_candidate, candidate);
+	candidate->retry_timer =
+		loop_timer_new(runner->daemon->loop, ask_candidate, candidate);
 	list_add_tail(&runner->candidates, &candidate->node);
 	ask_candidate(candidate);
 }
@@ -251,7 +252,7 @@
 
 	if (reason)
 		log_dropped(id, announcement, reason);
-	else if (is_bound && !runner->is_deregistered)
+	else if (is_bound && !runner->has_left)
 		update_worker(runner, id, announcement);
 	else
 		add_candidate(runner, id, announcement);
@@ -300,7 +301,7 @@
 		return;
 	}
 	log_event(EV_WORKER_STATE, "worker=%s state=deregistered", id);
-	runner->is_deregistered = 1;
+	runner->has_left = 1;
 	runner->worker.state = WORKER_ABSENT;
 	runner_report_now(runner);
 }
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -68,7 +68,7 @@
 	struct worker_target target;
 	struct announcement worker;
 	int is_bound;		/* a worker has announced itself */
-	int is_deregistered;	/* the bound worker has said that it ends */
+	int has_left;		/* the bound worker has ended, or will soon */
 	struct list candidates; /* announced, not confirmed by themselves */
 
 	/* The scheduler with the highest epoch seen. */
@@ -96,6 +96,9 @@
 	int hold_in_flight;
 	struct loop_timer *hold_timer;
 	int hold_call_arg; /* its address is the argument of hold calls */
+	/* Start of the worker at the other end of the poll connection, or 0. */
+	uint64_t answered_start_ms;
+	int connections_lost; /* in a row, each after a single response */
 
 	/* Lease of the runs, and the worker's clock when last read. */
 	struct mstime lease_end;
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -11,6 +11,8 @@
 #define HOLD_WAIT_MAX_MS 400
 /* Pause between hold calls while ends wait to be stored or after a failure. */
 #define HOLD_PAUSE_MS 40
+/* A worker that closes this many in a row closes each one. */
+#define CONNECTIONS_LOST_MAX 3
 /* Allowance for a worker's clock that runs slow, in thousandths. */
 #define CLOCK_DRIFT_PERMILLE 20
 /* A latency above this percentage of its target is reported this often. */
@@ -31,10 +33,50 @@
 	       since_read_ms * (1000 - CLOCK_DRIFT_PERMILLE) / 1000;
 }
 
+/* Whether the worker closes its connections after each response. */
+static int closes_connections(const struct runner *runner)
+{
+	return runner->connections_lost >= CONNECTIONS_LOST_MAX;
+}
+
+/*
+ * Whether calls reach the worker that is bound. Another life of it, which has
+ * not announced itself yet, would take a lease by another clock.
+ */
+static int reaches_bound_worker(const struct runner *runner)
+{
+	return runner->answered_start_ms &&
+	       (closes_connections(runner) ||
+		workercall_is_connected(runner->calls));
+}
+
+/*
+ * RETURN VALUE
+ *	Whether the response is from another life of the worker, which has not
+ *	announced itself yet. The bound one has ended then.
+ */
+static int note_other_start(struct runner *runner,
+			    const struct worker_response *response)
+{
+	if (!response->worker_start_ms ||
+	    response->worker_start_ms == runner->worker.worker_start_ms)
+		return 0;
+	runner->answered_start_ms = 0;
+	if (runner->has_left)
+		return 1;
+	log_event(EV_WORKER_STATE, "worker=%s born=%llu state=restarted",
+		  runner->target.id,
+		  (unsigned long long)response->worker_start_ms);
+	runner->has_left = 1;
+	runner->worker.state = WORKER_ABSENT;
+	runner_schedule_report(runner, 0);
+	return 1;
+}
+
 static void update_clock(struct runner *runner,
 			 const struct worker_response *response)
 {
-	if (response->clock_ms < 0)
+	if (response->clock_ms < 0 || note_other_start(runner, response))
 		return;
 	runner->worker_clock_ms = response->clock_ms;
 	runner->worker_clock_at = sysclock_now();
@@ -186,6 +228,30 @@
 	runner_send_paces(runner);
 }
 
+static void fail_hold(struct runner *runner, int err)
+{
+	int is_lone = runner->answered_start_ms && err == ERR_UNAVAILABLE;
+
+	switch (err) {
+	case ERR_FENCED:
+	case ERR_FULL:
+	case ERR_INVALID:
+		break;
+	default:
+		runner->answered_start_ms = 0;
+	}
+	if (is_lone && runner->connections_lost < CONNECTIONS_LOST_MAX) {
+		runner->connections_lost++;
+		runner_hold(runner);
+		return;
+	}
+	if (!runner->holds_failed.value++ || err == ERR_FENCED ||
+	    err == ERR_NOT_FOUND)
+		log_event(EV_WORKER_UNANSWERED, "worker=%s err=%s",
+			  runner->target.id, error_name(err));
+	loop_timer_start(runner->hold_timer, HOLD_PAUSE_MS);
+}
+
 static void on_hold_response(void *arg, const struct worker_response *response)
 {
 	struct runner *runner =
@@ -193,23 +259,20 @@
 				  offsetof(struct runner, hold_call_arg));
 
 	runner->hold_in_flight = 0;
-	update_clock(runner, response);
 	if (response->err) {
-		if (!runner->holds_failed.value++ ||
-		    response->err == ERR_FENCED ||
-		    response->err == ERR_NOT_FOUND)
-			log_event(EV_WORKER_UNANSWERED, "worker=%s err=%s",
-				  runner->target.id, error_name(response->err));
-		loop_timer_start(runner->hold_timer, HOLD_PAUSE_MS);
+		update_clock(runner, response);
+		fail_hold(runner, response->err);
 		return;
 	}
-	if (response->worker_start_ms &&
-	    response->worker_start_ms != runner->worker.worker_start_ms) {
-		/* The response is from a worker that has not announced itself.
-		 */
+	if (note_other_start(runner, response)) {
 		loop_timer_start(runner->hold_timer, HOLD_PAUSE_MS);
 		return;
 	}
+	if (runner->answered_start_ms &&
+	    runner->connections_lost < CONNECTIONS_LOST_MAX)
+		runner->connections_lost = 0;
+	runner->answered_start_ms = runner->worker.worker_start_ms;
+	update_clock(runner, response);
 	apply_lists(runner, response);
 	if (runner->end_count)
 		loop_timer_start(runner->hold_timer, HOLD_PAUSE_MS);
@@ -217,9 +280,14 @@
 		runner_hold(runner);
 }
 
+/*
+ * The first call on a connection only reads the lists and the clock, as the
+ * worker may have been restarted under its id: its ends are counted anew then,
+ * and an acknowledgement or a lease of its former life must not reach it.
+ */
 void runner_hold(struct runner *runner)
 {
-	int64_t wait_ms = runner->end_count ? 0 : HOLD_WAIT_MAX_MS;
+	struct worker_poll poll = { 0 };
 
 	if (runner->hold_in_flight || !runner->is_bound ||
 	    !runner->target.fence)
@@ -228,18 +296,21 @@
 	runner->hold_in_flight = 1;
 	runner->hold_sent_at = sysclock_now();
 	runner->holds.value++;
-	/* While the worker's clock is not known, a call only reads it. */
-	if (!runner->worker_clock_at.ms)
-		wait_ms = 0;
-	workercall_poll(runner->calls, &runner->target,
-			runner_lease_until_ms(runner), runner->ends_seen,
-			wait_ms, on_hold_response, &runner->hold_call_arg);
+	if (runner->answered_start_ms) {
+		poll.until_ms = runner_lease_until_ms(runner);
+		poll.after_end_number = runner->ends_seen;
+		poll.wait_ms = runner->end_count ? 0 : HOLD_WAIT_MAX_MS;
+		poll.same_connection = !closes_connections(runner);
+	}
+	workercall_poll(runner->calls, &runner->target, &poll, on_hold_response,
+			&runner->hold_call_arg);
 }
 
 void runner_hold_restart(struct runner *runner)
 {
 	workercall_cancel(runner->calls, &runner->hold_call_arg);
 	runner->hold_in_flight = 0;
+	runner->answered_start_ms = 0;
 	runner_hold(runner);
 }
 
@@ -325,7 +396,7 @@
 				   .checkpoint = run->checkpoint };
 	int64_t until_ms = runner_lease_until_ms(runner);
 
-	if (!until_ms || !runner->listed_fence)
+	if (!until_ms || !runner->listed_fence || !reaches_bound_worker(runner))
 		return;
 	if (runner->worker.state != WORKER_READY && !run->attempts) {
 		refuse_start(run, "worker-leaves");
--- a/packages/io/include/httpc.h
+++ b/packages/io/include/httpc.h
@@ -68,6 +68,8 @@
 	size_t body_len;
 	int64_t timeout_ms;	   /* of the whole call; 0 for none */
 	size_t max_response_bytes; /* of the body; 0 for no limit */
+	/* Flag: only on an open connection that an earlier call has used. */
+	int reuse_only;
 };
 
 /*
@@ -82,12 +84,19 @@
 				  int max_idle);
 void httpc_pool_delete(struct httpc_pool *pool);
 
+/*
+ * Whether the pool has a connection that the server has not closed, as far as
+ * the kernel knows now. As long as it has, the server has not been restarted.
+ */
+int httpc_pool_is_connected(const struct httpc_pool *pool);
+
 /*
  * Starts a call; the request is copied.
  *
  * RETURN VALUE
- *	NULL when the method is unknown, or the path or a header has bytes
- *	that are not allowed there; no callback follows then.
+ *	NULL when the method is unknown, the path or a header has bytes that
+ *	are not allowed there, or there is no connection for reuse_only; no
+ *	callback follows then.
  */
 struct httpc_call *httpc_start(struct httpc_pool *pool,
 			       const struct httpc_request *request,
--- a/packages/io/src/httpc.c
+++ b/packages/io/src/httpc.c
@@ -379,7 +379,8 @@
 		i++;
 	if (i == COUNT(methods) || !is_valid_path(request->path))
 		return NULL;
-	conn = connection_acquire(pool);
+	conn = request->reuse_only ? connection_reuse(pool)
+				   : connection_acquire(pool);
 	if (!conn)
 		return NULL;
 	call = call_new(pool, conn, request, handlers, arg);
--- a/packages/io/src/httpconn.c
+++ b/packages/io/src/httpconn.c
@@ -73,7 +73,7 @@
 	 * inside a chunk.
 	 */
 	conn = xcalloc(1, sizeof(*conn));
-	list_init(&conn->node);
+	list_add_tail(&pool->active, &conn->node);
 	conn->pool = pool;
 	conn->evcon = evcon;
 	evhttp_connection_set_closecb(evcon, on_close, conn);
@@ -108,7 +108,32 @@
 	return fd >= 0 && !getpeername(fd, (struct sockaddr *)&peer, &len);
 }
 
-struct connection *connection_acquire(struct httpc_pool *pool)
+static int is_connected(const struct connection *conn)
+{
+	char byte;
+	ssize_t len;
+
+	if (conn->is_closed || !connection_is_open(conn))
+		return 0;
+	len = recv(connection_fd(conn), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return len > 0 ||
+	       (len < 0 && (errno == EAGAIN || errno == EWOULDBLOCK));
+}
+
+int httpc_pool_is_connected(const struct httpc_pool *pool)
+{
+	const struct list *pos;
+
+	list_for_each (pos, &pool->idle)
+		if (is_connected(list_entry(pos, struct connection, node)))
+			return 1;
+	list_for_each (pos, &pool->active)
+		if (is_connected(list_entry(pos, struct connection, node)))
+			return 1;
+	return 0;
+}
+
+struct connection *connection_reuse(struct httpc_pool *pool)
 {
 	struct connection *conn;
 
@@ -118,12 +143,20 @@
 		pool->idle_count--;
 		if (!is_stale(conn)) {
 			tcp_no_delay(connection_fd(conn));
+			list_add_tail(&pool->active, &conn->node);
 			return conn;
 		}
 		conn->is_closed = 1;
 		connection_free_later(conn);
 	}
-	return connection_new(pool);
+	return NULL;
+}
+
+struct connection *connection_acquire(struct httpc_pool *pool)
+{
+	struct connection *conn = connection_reuse(pool);
+
+	return conn ? conn : connection_new(pool);
 }
 
 /* Bytes after the end of a response must not be taken for the next one. */
@@ -146,6 +179,7 @@
 		connection_free_later(conn);
 		return;
 	}
+	list_del(&conn->node);
 	list_add_head(&pool->idle, &conn->node);
 	pool->idle_count++;
 }
@@ -153,6 +187,7 @@
 void connections_init(struct httpc_pool *pool)
 {
 	list_init(&pool->idle);
+	list_init(&pool->active);
 	list_init(&pool->closed);
 	list_init(&pool->calls);
 	pool->free_timer = loop_timer_new(pool->loop, free_closed, pool);
--- a/packages/io/src/httpconn.h
+++ b/packages/io/src/httpconn.h
@@ -27,12 +27,12 @@
 	char host[HOST_SIZE];
 	uint16_t port;
 	int max_idle, idle_count;
-	struct list idle, closed, calls;
+	struct list idle, active, closed, calls;
 	struct loop_timer *free_timer;
 };
 
 struct connection {
-	struct list node; /* of pool->idle or pool->closed */
+	struct list node; /* of pool->idle, active or closed */
 	struct httpc_pool *pool;
 	struct evhttp_connection *evcon;
 	struct httpc_call *call;
@@ -53,6 +53,9 @@
  */
 struct connection *connection_acquire(struct httpc_pool *pool);
 
+/* The same, but NULL when there is no idle connection. */
+struct connection *connection_reuse(struct httpc_pool *pool);
+
 /* Keeps the connection for another call if it is reusable, or closes it. */
 void connection_release(struct connection *conn, int reusable);
 
--- a/packages/platform/include/workercall.h
+++ b/packages/platform/include/workercall.h
@@ -69,14 +69,30 @@
 			 const struct task_id *task, uint32_t run,
 			 uint32_t percent, workercall_fn fn, void *arg);
 
-/*
- * Lists the active runs and the ends with numbers above after_end_number, and
- * extends the lease of all runs to until_ms (0: extends none). Waits up to
- * wait_ms for a new end.
- */
+/* What a reading of the lists asks for, besides the lists. */
+struct worker_poll {
+	int64_t until_ms;	   /* extends the lease of all runs; 0: not */
+	uint64_t after_end_number; /* ends up to it are forgotten */
+	int64_t wait_ms;	   /* longest wait for an end */
+	/*
+	 * Flag: only on the connection of the last answered poll, which leads
+	 * to the process that answered; ERR_UNAVAILABLE if it is closed.
+	 */
+	int same_connection;
+};
+
+/* One at a time. */
 void workercall_poll(struct workercall *client,
-		     const struct worker_target *target, int64_t until_ms,
-		     uint64_t after_end_number, int64_t wait_ms,
-		     workercall_fn fn, void *arg);
+		     const struct worker_target *target,
+		     const struct worker_poll *poll, workercall_fn fn,
+		     void *arg);
+
+/* Whether the connection of polls is open: the worker has not restarted. */
+int workercall_is_connected(const struct workercall *client);
+
+/* Reads the lists without any effect, whichever worker answers. */
+void workercall_identify(struct workercall *client,
+			 const struct worker_target *target, workercall_fn fn,
+			 void *arg);
 
 #endif
--- a/packages/platform/src/jsoncall.c
+++ b/packages/platform/src/jsoncall.c
@@ -18,8 +18,8 @@
 	jsoncall_fn fn;
 	void *arg;
 	struct httpc_call *http;
-	struct loop_timer
-		*error_timer; /* reports that the call cannot be sent */
+	struct loop_timer *error_timer; /* reports that it cannot be sent */
+	int start_error;
 	char *body;
 	size_t len, size;
 };
@@ -62,7 +62,9 @@
 
 static void on_error_timer(void *arg)
 {
-	call_end(arg, ERR_INVALID, 0);
+	struct jsoncall *call = arg;
+
+	call_end(call, call->start_error, 0);
 }
 
 struct jsoncall_peer *jsoncall_peer_new(struct loop *loop, const char *address,
@@ -87,6 +89,11 @@
 	free(peer);
 }
 
+int jsoncall_peer_is_connected(const struct jsoncall_peer *peer)
+{
+	return httpc_pool_is_connected(peer->pool);
+}
+
 struct jsoncall *jsoncall_start(struct jsoncall_peer *peer,
 				const struct jsoncall_request *request,
 				jsoncall_fn fn, void *arg)
@@ -101,6 +108,7 @@
 				      .headers = &headers,
 				      .body = request->body,
 				      .timeout_ms = request->timeout_ms,
+				      .reuse_only = request->reuse_only,
 				      .max_response_bytes =
 					      RESPONSE_MAX_BYTES };
 
@@ -116,6 +124,7 @@
 	call->http = httpc_start(peer->pool, &http, &handlers, call);
 	if (call->http)
 		return call;
+	call->start_error = request->reuse_only ? ERR_UNAVAILABLE : ERR_INVALID;
 	call->error_timer = loop_timer_new(peer->loop, on_error_timer, call);
 	loop_timer_start(call->error_timer, 0);
 	return call;
--- a/packages/platform/src/jsoncall.h
+++ b/packages/platform/src/jsoncall.h
@@ -29,6 +29,7 @@
 	const char *body;	   /* NULL: none */
 	struct http_header header; /* added to Content-Type; name NULL: none */
 	int64_t timeout_ms;
+	int reuse_only; /* as in httpc_request; else ERR_UNAVAILABLE */
 };
 
 /* RETURN VALUE: NULL when the address is not "ip:port". */
@@ -37,6 +38,8 @@
 /* All calls must have ended. */
 void jsoncall_peer_delete(struct jsoncall_peer *peer);
 
+int jsoncall_peer_is_connected(const struct jsoncall_peer *peer);
+
 struct jsoncall *jsoncall_start(struct jsoncall_peer *peer,
 				const struct jsoncall_request *request,
 				jsoncall_fn fn, void *arg);
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -26,6 +26,7 @@
 
 struct workercall {
 	struct jsoncall_peer *peer;
+	struct jsoncall_peer *poll_peer; /* has the connection of polls */
 	int64_t timeout_ms;
 	struct list calls;
 };
@@ -229,30 +230,38 @@
 }
 
 /* Takes over the reference to body. */
-static void call_start(struct workercall *client,
-		       const struct worker_target *target, const char *path,
-		       json_t *body, int64_t timeout_ms, workercall_fn fn,
-		       void *arg)
+static void send_call(struct workercall *client, struct jsoncall_peer *peer,
+		      struct jsoncall_request *request, json_t *body,
+		      workercall_fn fn, void *arg)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
-	struct jsoncall_request request = {
-		.method = "POST",
-		.path = path,
-		.body = text ? text : "{}",
-		.header = { "X-Expect-Instance", target->id },
-		.timeout_ms = timeout_ms,
-	};
 	struct call *call = xcalloc(1, sizeof(*call));
 
 	json_decref(body);
+	request->method = "POST";
+	request->body = text ? text : "{}";
+	request->header.name = "X-Expect-Instance";
 	call->client = client;
 	call->fn = fn;
 	call->arg = arg;
 	list_add_tail(&client->calls, &call->node);
-	call->http = jsoncall_start(client->peer, &request, on_end, call);
+	call->http = jsoncall_start(peer, request, on_end, call);
 	free(text);
 }
 
+static void send_order(struct workercall *client,
+		       const struct worker_target *target, const char *path,
+		       json_t *body, workercall_fn fn, void *arg)
+{
+	struct jsoncall_request request = {
+		.path = path,
+		.header.value = target->id,
+		.timeout_ms = client->timeout_ms,
+	};
+
+	send_call(client, client->peer, &request, body, fn, arg);
+}
+
 struct workercall *workercall_new(struct loop *loop, const char *address,
 				  int64_t timeout_ms)
 {
@@ -264,6 +273,7 @@
 		return NULL;
 	client = xcalloc(1, sizeof(*client));
 	client->peer = peer;
+	client->poll_peer = jsoncall_peer_new(loop, address, 1);
 	client->timeout_ms = timeout_ms;
 	list_init(&client->calls);
 	return client;
@@ -286,6 +296,7 @@
 	if (!client)
 		return;
 	cancel_calls(client, NULL);
+	jsoncall_peer_delete(client->poll_peer);
 	jsoncall_peer_delete(client->peer);
 	free(client);
 }
@@ -319,8 +330,7 @@
 	if (order->checkpoint && *order->checkpoint)
 		json_object_set_new(body, "checkpoint",
 				    json_string(order->checkpoint));
-	call_start(client, target, "/catkinhill/run-start", body,
-		   client->timeout_ms, fn, arg);
+	send_order(client, target, "/catkinhill/run-start", body, fn, arg);
 }
 
 void workercall_stop(struct workercall *client,
@@ -328,8 +338,8 @@
 		     const struct task_id *task, uint32_t run, workercall_fn fn,
 		     void *arg)
 {
-	call_start(client, target, "/catkinhill/run-stop",
-		   order_body(target, task, run), client->timeout_ms, fn, arg);
+	send_order(client, target, "/catkinhill/run-stop",
+		   order_body(target, task, run), fn, arg);
 }
 
 void workercall_set_pace(struct workercall *client,
@@ -340,22 +350,50 @@
 	json_t *body = order_body(target, task, run);
 
 	json_object_set_new(body, "percent", json_integer(percent));
-	call_start(client, target, "/catkinhill/pace", body, client->timeout_ms,
-		   fn, arg);
+	send_order(client, target, "/catkinhill/pace", body, fn, arg);
 }
 
-void workercall_poll(struct workercall *client,
-		     const struct worker_target *target, int64_t until_ms,
-		     uint64_t after_end_number, int64_t wait_ms,
-		     workercall_fn fn, void *arg)
+static json_t *poll_body(const struct worker_target *target,
+			 const struct worker_poll *poll)
 {
 	json_t *body = json_pack("{s:I, s:I, s:I}", "fencingToken",
 				 (json_int_t)target->fence, "lastSeen",
-				 (json_int_t)after_end_number, "waitMs",
-				 (json_int_t)wait_ms);
+				 (json_int_t)poll->after_end_number, "waitMs",
+				 (json_int_t)poll->wait_ms);
+
+	if (poll->until_ms > 0)
+		json_object_set_new(body, "untilMs",
+				    json_integer(poll->until_ms));
+	return body;
+}
+
+void workercall_poll(struct workercall *client,
+		     const struct worker_target *target,
+		     const struct worker_poll *poll, workercall_fn fn,
+		     void *arg)
+{
+	struct jsoncall_request request = {
+		.path = "/catkinhill/hold",
+		.header.value = target->id,
+		.timeout_ms = poll->wait_ms + client->timeout_ms,
+		.reuse_only = poll->same_connection,
+	};
 
-	if (until_ms > 0)
-		json_object_set_new(body, "untilMs", json_integer(until_ms));
-	call_start(client, target, "/catkinhill/hold", body,
-		   wait_ms + client->timeout_ms, fn, arg);
+	send_call(client, client->poll_peer, &request, poll_body(target, poll),
+		  fn, arg);
+}
+
+void workercall_identify(struct workercall *client,
+			 const struct worker_target *target, workercall_fn fn,
+			 void *arg)
+{
+	const struct worker_poll poll = { 0 };
+
+	send_order(client, target, "/catkinhill/hold", poll_body(target, &poll),
+		   fn, arg);
+}
+
+int workercall_is_connected(const struct workercall *client)
+{
+	return jsoncall_peer_is_connected(client->poll_peer);
 }
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -478,6 +478,54 @@
     rig.check_records()
 
 
+def submit_until(rig, stopped):
+    while not stopped.is_set():
+        rig.submit(rig.gateways[0], [{"count": 3, "cpu": 1000}], payload="120")
+        time.sleep(0.04)
+
+
+def worker_restarts_under_its_id(rig):
+    """Guards against an acknowledgement of ends of a worker's former life that
+    reaches the next one under its id: tasks that were done ran again."""
+    runner, other = rig.runners[0], rig.runners[1]
+    rig.wait_workers()
+    stopped = threading.Event()
+    client = threading.Thread(target=submit_until, args=(rig, stopped))
+    client.start()
+    killed = []
+    for down_s, delay_ms in ((0.05, 0), (0.1, 1000), (0, 200), (0.5, 1500),
+                             (0.02, 700)):
+        time.sleep(1.5)
+        for each in (runner, other)[:1 + len(killed) % 2]:
+            name = "w-" + each["name"]
+            killed.append(max(n for n in rig.log_paths
+                              if n.startswith(name + "#")))
+            rig.kill(name)
+            time.sleep(down_s)
+            rig.start_worker(each, delay_ms)
+    time.sleep(3)
+    stopped.set()
+    client.join()
+    time.sleep(1)
+    rig.wait_workers()
+    rig.check_records(killed)
+
+
+def worker_closes_connections(rig):
+    """Guards against a worker that closes its connections after each response
+    and whose runs get no lease, because each connection is new."""
+    for runner in rig.runners[:2]:
+        check(http_call(runner["worker"], "POST", "/fake/close", "")[0] == 200,
+              "mode")
+    job, _ = rig.submit(rig.gateways[0], [{"count": 12, "cpu": 1000}],
+                        payload="8000")
+    rig.wait_state(job, "complete")
+    check(len(rig.users_of(job)) == 3, "all workers are used")
+    check(not [row for _, row in rig.records()
+               if row["event"] == "end" and row["how"] != "done"], "no lapse")
+    rig.check_records()
+
+
 def deregister(runner, body):
     path = "/catkinhill/instances/w-%s/deregister" % runner["name"]
     check(http_call(runner["announcements"], "POST", path, body)[0] == 200,
@@ -504,7 +552,8 @@
              graceful_stop, graceful_stop_without_store,
              malformed_heartbeats, odd_entries, state_too_large,
              state_overwritten, election_without_store,
-             late_deregistration, long_checkpoints, foreign_heartbeats]
+             late_deregistration, long_checkpoints, foreign_heartbeats,
+             worker_restarts_under_its_id, worker_closes_connections]
 
 
 def main():
--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -109,11 +109,12 @@
         self.start_worker(runner)
         return runner
 
-    def start_worker(self, runner):
+    def start_worker(self, runner, announce_delay_ms=0):
         name = "w-" + runner["name"]
         self.start(name, ["fakeplatform", "worker",
                           runner.get("worker_id", name),
-                          runner["worker"], runner["announcements"]])
+                          runner["worker"], runner["announcements"],
+                          str(announce_delay_ms)])
 
     def restart(self, daemon):
         self.start(daemon["name"], ["catkinhilld", "--config", daemon["path"]])
@@ -263,9 +264,10 @@
 
         An end that is not acknowledged when the worker's lease expires does
         not count. killed_workers: processes of workers that were killed,
-        and their runs with them."""
+        and their runs with them, and the ends that were not acknowledged."""
         running = collections.defaultdict(dict)
         done = {}  # task -> process, or None once it is acknowledged
+        unacknowledged = {}  # task -> process that was killed later
         for process, row in self.records():
             task = row["task"]
             if row["event"] == "start":
@@ -275,14 +277,17 @@
                 check(task not in done, task + " starts after its end")
                 running[task][process] = row["run"]
             elif row["event"] == "acknowledged":
-                if done.get(task) == process:
+                if process in (done.get(task), unacknowledged.get(task)):
                     done[task] = None
             elif row["event"] == "lapsed-end":
                 if done.get(task) == process:
                     del done[task]
+                unacknowledged.pop(task, None)
             else:
                 running[task].pop(process, None)
-                if row["how"] == "done" and process not in killed_workers:
+                if row["how"] == "done" and process in killed_workers:
+                    unacknowledged[task] = process
+                elif row["how"] == "done":
                     done[task] = process
         return set(done)
 
--- a/tests/fakes/fakeplatform.c
+++ b/tests/fakes/fakeplatform.c
@@ -1,5 +1,6 @@
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "fakeplatform/kvserver.h"
@@ -20,12 +21,13 @@
 
 	if (argc == 3 && !strcmp(argv[1], "store"))
 		store = kvserver_new(loop, argv[2]);
-	else if (argc == 5 && !strcmp(argv[1], "worker"))
-		worker = workerserver_new(loop, argv[2], argv[3], argv[4]);
+	else if (argc >= 5 && argc <= 6 && !strcmp(argv[1], "worker"))
+		worker = workerserver_new(loop, argv[2], argv[3], argv[4],
+					  argc == 6 ? atoi(argv[5]) : 0);
 	if (!store && !worker) {
 		fprintf(stderr, "usage: fakeplatform store ADDRESS\n"
 				"       fakeplatform worker ID ADDRESS "
-				"RUNNER\n");
+				"RUNNER [ANNOUNCE_DELAY_MS]\n");
 		loop_delete(loop);
 		return 2;
 	}
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -185,6 +185,9 @@
 
 static void acknowledge(struct workerserver *server, json_int_t end_number)
 {
+	/* It may be the number of an end of this worker's former life. */
+	if (end_number > server->last_end_number)
+		end_number = server->last_end_number;
 	if (end_number <= server->acknowledged_end_number)
 		return;
 	print_end_events(server, "acknowledged", end_number);
@@ -535,13 +538,19 @@
 		on_control(arg, request);
 		return;
 	}
+	if (!strcmp(httpd_path(request), "/fake/close")) {
+		httpd_disable_keepalive(((struct workerserver *)arg)->httpd);
+		httpd_reply(request, 200, "{}");
+		return;
+	}
 	body = json_loadb(text, len, 0, NULL);
 	on_order(arg, request, body);
 	json_decref(body);
 }
 
 struct workerserver *workerserver_new(struct loop *loop, const char *id,
-				      const char *address, const char *runner)
+				      const char *address, const char *runner,
+				      int64_t announce_delay_ms)
 {
 	struct workerserver *server = xcalloc(1, sizeof(*server));
 
@@ -549,6 +558,8 @@
 	server->id = xstrdup(id);
 	server->address = xstrdup(address);
 	server->started_at = sysclock_now();
+	server->announced_at = mstime_add(
+		server->started_at, announce_delay_ms - ANNOUNCE_INTERVAL_MS);
 	server->start_wall_ms = sysclock_wall_ms();
 	list_init(&server->runs);
 	list_init(&server->polls);
--- a/tests/fakes/fakeplatform/workerserver.h
+++ b/tests/fakes/fakeplatform/workerserver.h
@@ -18,11 +18,14 @@
  *	POST /fake/starts?MODE sets what becomes of starts from then on:
  *	"answered"; "refused" with 503; "ignored"; "late", without an answer
  *	in time; "mixed", ignored and refused in turn. All else goes on.
+ *	After POST /fake/close, each response closes its connection.
  */
 struct workerserver;
 
+/* Accepts calls at once; its first announcement follows after the delay. */
 struct workerserver *workerserver_new(struct loop *loop, const char *id,
-				      const char *address, const char *runner);
+				      const char *address, const char *runner,
+				      int64_t announce_delay_ms);
 void workerserver_delete(struct workerserver *server);
 
 #endif
--- a/tests/unit/test_workercall.c
+++ b/tests/unit/test_workercall.c
@@ -57,7 +57,7 @@
 	static const struct worker_target target = { "w1", 1 };
 
 	f->is_done = 0;
-	workercall_poll(f->calls, &target, 0, 0, 0, on_response, f);
+	workercall_identify(f->calls, &target, on_response, f);
 	assert_true(loop_wait(f->loop, is_done, f));
 }
 
