httpc: give up all old connections after one time-out

Case on: run-assigned at 37.204 and 38.205 within milliseconds of the submissions, without a start at the worker; worker-unanswered at all three runners at 38.23; worker-lease extended=0 reason=old-lists at 38.97: nothing more is assigned, as no reading of the lists is answered. Ruled out: the scheduler and the store (it assigns and commits at once), the workers (they go on with what they have, and answer calls on new connections).

Cause: connections that are as old as one that has timed out were kept. The pool serves the store, agents and ctl, too: a route of an acknowledged configuration was refused for 3.5 to 14 s.

Change: after a time-out, or a call that is given up after 1 s without a response, all idle connections of the pool that have not answered since the call began are closed, so that the next call uses a new one. A poll that times out also closes idle connections of orders to that worker. Idle connections are probed by TCP, like those between our processes.

--- a/packages/io/include/httpc.h
+++ b/packages/io/include/httpc.h
@@ -6,6 +6,7 @@
 
 #include "loop.h"
 #include "message.h"
+#include "mstime.h"
 
 /*
  * NAME
@@ -20,6 +21,11 @@
  *	used after on_end(). No callback runs inside httpc_start(). Connecting
  *	times out after 3 s.
  *
+ *	An open connection may become silent for good, and all of them at the
+ *	same time. After a time-out, the idle connections that have not
+ *	answered since the call was started are closed, so that one call at
+ *	most waits for them. Idle connections are probed by TCP.
+ *
  *	Limits of evhttp (libevent 2.1.12):
  *	- A chunk of a chunked response is delivered once it is complete and
  *	  is held in memory until then. Without max_response_bytes the size
@@ -90,6 +96,12 @@
  */
 int httpc_pool_is_connected(const struct httpc_pool *pool);
 
+/*
+ * Closes the idle connections that have not answered since then, as after a
+ * time-out of a call in this pool. For pools that lead to the same server.
+ */
+void httpc_pool_drop_idle(struct httpc_pool *pool, struct mstime since);
+
 /*
  * Starts a call; the request is copied.
  *
--- a/packages/io/src/httpc.c
+++ b/packages/io/src/httpc.c
@@ -23,6 +23,8 @@
 
 /* Keeps a call without timeout_ms from waiting for a lost SYN. */
 #define CONNECT_TIMEOUT_MS 3000
+/* A call that is cancelled after so long without a response has timed out. */
+#define SILENT_MS 1000
 
 struct httpc_call {
 	struct list node; /* of pool->calls */
@@ -232,6 +234,15 @@
 		apply_pause(call);
 }
 
+/*
+ * Connections may become silent all at the same time, without a reset. One that
+ * has answered since the call was sent is sound.
+ */
+static void drop_silent_connections(const struct httpc_call *call)
+{
+	connections_drop_idle(call->pool, call->started_at);
+}
+
 static void on_timer(void *arg)
 {
 	struct httpc_call *call = arg;
@@ -252,6 +263,7 @@
 		return;
 	} else {
 		err = ERR_TIMEOUT;
+		drop_silent_connections(call);
 	}
 	abort_request(call);
 	call_end(call, err, 0);
@@ -400,6 +412,9 @@
 		call->is_cancelled = 1;
 		return;
 	}
+	if (!call->has_head &&
+	    mstime_diff(sysclock_now(), call->started_at) >= SILENT_MS)
+		drop_silent_connections(call);
 	abort_request(call);
 	call_free(call, 0);
 }
@@ -435,6 +450,11 @@
 	return inet_pton(AF_INET, pool->host, &ip) == 1 ? 0 : ERR_INVALID;
 }
 
+void httpc_pool_drop_idle(struct httpc_pool *pool, struct mstime since)
+{
+	connections_drop_idle(pool, since);
+}
+
 struct httpc_pool *httpc_pool_new(struct loop *loop, const char *address,
 				  int max_idle)
 {
--- a/packages/io/src/httpconn.c
+++ b/packages/io/src/httpconn.c
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 
 #include "mem.h"
+#include "sysclock.h"
 #include "tcp.h"
 
 /* evhttp's default would end streams after 50 s; each call has a timer. */
@@ -168,6 +169,22 @@
 	return evbuffer_get_length(bufferevent_get_input(bev)) > 0;
 }
 
+void connections_drop_idle(struct httpc_pool *pool, struct mstime since)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &pool->idle) {
+		struct connection *conn =
+			list_entry(pos, struct connection, node);
+
+		if (!mstime_before(conn->answered_at, since))
+			continue;
+		pool->idle_count--;
+		conn->is_closed = 1;
+		connection_free_later(conn);
+	}
+}
+
 void connection_release(struct connection *conn, int reusable)
 {
 	struct httpc_pool *pool = conn->pool;
@@ -179,6 +196,9 @@
 		connection_free_later(conn);
 		return;
 	}
+	if (!conn->answered_at.ms)
+		tcp_detect_silence(connection_fd(conn));
+	conn->answered_at = sysclock_now();
 	list_del(&conn->node);
 	list_add_head(&pool->idle, &conn->node);
 	pool->idle_count++;
--- a/packages/io/src/httpconn.h
+++ b/packages/io/src/httpconn.h
@@ -5,6 +5,7 @@
 
 #include "httpc.h"
 #include "list.h"
+#include "mstime.h"
 
 #define HOST_SIZE 64
 
@@ -36,6 +37,7 @@
 	struct httpc_pool *pool;
 	struct evhttp_connection *evcon;
 	struct httpc_call *call;
+	struct mstime answered_at; /* last response; 0: none yet */
 	int is_closed;
 };
 
@@ -59,6 +61,9 @@
 /* Keeps the connection for another call if it is reusable, or closes it. */
 void connection_release(struct connection *conn, int reusable);
 
+/* Closes the idle connections that have not answered since then. */
+void connections_drop_idle(struct httpc_pool *pool, struct mstime since);
+
 /* Whether the connection is established, so that bytes may have been sent. */
 int connection_is_open(const struct connection *conn);
 
--- a/packages/io/src/msglink_conn.c
+++ b/packages/io/src/msglink_conn.c
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
@@ -24,11 +23,6 @@
 /* Read at a time; more would delay timers. */
 #define READ_BYTES (16 * 1024)
 #define QUEUE_MAX_BYTES (2 * 1024 * 1024)
-/* A peer that does not respond is noticed within so long. */
-#define UNACKNOWLEDGED_MAX_MS 5000
-#define KEEPALIVE_IDLE_S 2
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 3
 
 struct msglink_conn {
 	int fd;
@@ -43,21 +37,6 @@
 	int is_closed;
 };
 
-static void set_option(int fd, int level, int name, int value)
-{
-	setsockopt(fd, level, name, &value, sizeof(value));
-}
-
-static void set_options(int fd)
-{
-	tcp_no_delay(fd);
-	set_option(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
-	set_option(fd, IPPROTO_TCP, TCP_KEEPCNT, KEEPALIVE_PROBES);
-	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNACKNOWLEDGED_MAX_MS);
-}
-
 static void conn_free(struct msglink_conn *conn)
 {
 	evbuffer_free(conn->output);
@@ -206,7 +185,8 @@
 	struct msglink_conn *conn = xcalloc(1, sizeof(*conn));
 	struct event_base *base = loop_base(loop);
 
-	set_options(fd);
+	tcp_no_delay(fd);
+	tcp_detect_silence(fd);
 	conn->fd = fd;
 	conn->handlers = handlers;
 	conn->owner = owner;
--- a/packages/platform/src/jsoncall.c
+++ b/packages/platform/src/jsoncall.c
@@ -89,6 +89,11 @@
 	free(peer);
 }
 
+void jsoncall_peer_drop_idle(struct jsoncall_peer *peer, struct mstime since)
+{
+	httpc_pool_drop_idle(peer->pool, since);
+}
+
 int jsoncall_peer_is_connected(const struct jsoncall_peer *peer)
 {
 	return httpc_pool_is_connected(peer->pool);
--- a/packages/platform/src/jsoncall.h
+++ b/packages/platform/src/jsoncall.h
@@ -6,6 +6,7 @@
 
 #include "loop.h"
 #include "message.h"
+#include "mstime.h"
 
 /*
  * NAME
@@ -38,6 +39,8 @@
 /* All calls must have ended. */
 void jsoncall_peer_delete(struct jsoncall_peer *peer);
 
+/* See httpc_pool_drop_idle() and httpc_pool_is_connected(). */
+void jsoncall_peer_drop_idle(struct jsoncall_peer *peer, struct mstime since);
 int jsoncall_peer_is_connected(const struct jsoncall_peer *peer);
 
 struct jsoncall *jsoncall_start(struct jsoncall_peer *peer,
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -9,6 +9,7 @@
 #include "jsoncall.h"
 #include "list.h"
 #include "mem.h"
+#include "sysclock.h"
 #include "tasknames.h"
 
 /* Starts come in bursts; a worker accepts 64 connections. */
@@ -22,6 +23,7 @@
 	workercall_fn fn;
 	void *arg;
 	struct jsoncall *http;
+	struct mstime started_at;
 };
 
 struct workercall {
@@ -219,6 +221,9 @@
 	struct call *call = arg;
 
 	call->http = NULL;
+	/* Connections of orders lead to the same worker. */
+	if (err == ERR_TIMEOUT)
+		jsoncall_peer_drop_idle(call->client->peer, call->started_at);
 	if (!err) {
 		finish_with_response(call, status, body, len);
 		return;
@@ -244,6 +249,7 @@
 	call->client = client;
 	call->fn = fn;
 	call->arg = arg;
+	call->started_at = sysclock_now();
 	list_add_tail(&client->calls, &call->node);
 	call->http = jsoncall_start(peer, request, on_end, call);
 	free(text);
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -15,7 +15,7 @@
         self.delay_s = 0.0
         self.blocked = set()  # of "up" (to the target) and "down"
         self.connections = []  # pairs of writers
-        self.muted = set()  # connections whose data is discarded from now on
+        self.muted = set()  # (connection, direction) whose data is discarded
 
     async def serve(self):
         host, port = self.listen.split(":")
@@ -37,7 +37,7 @@
                 self.forward(target_reader, client_writer, "down", pair))
         finally:
             self.connections.remove(pair)
-            self.muted.discard(pair)
+            self.muted -= {(pair, "up"), (pair, "down")}
             client_writer.transport.abort()
             target_writer.transport.abort()
 
@@ -48,7 +48,7 @@
                     await asyncio.sleep(self.delay_s)
                 while direction in self.blocked:
                     await asyncio.sleep(0.02)
-                if pair in self.muted:
+                if (pair, direction) in self.muted:
                     continue
                 writer.write(data)
                 await writer.drain()
@@ -61,8 +61,9 @@
             for writer in pair:
                 writer.transport.abort()
 
-    def mute(self):
-        self.muted |= set(self.connections)
+    def mute(self, directions=("up", "down")):
+        self.muted |= {(pair, direction) for pair in self.connections
+                       for direction in directions}
 
     def heal(self):
         self.delay_s = 0.0
--- a/tests/unit/test_httpc.c
+++ b/tests/unit/test_httpc.c
@@ -381,6 +381,29 @@
 	assert_int_equal(f->accept_count, 3);
 }
 
+/* Guards against a call that must not open a connection and does. */
+static void test_reuse_only(void **state)
+{
+	struct httpc_request request = get_request;
+	struct fixture *f = *state;
+
+	request.reuse_only = 1;
+	set_response(f, OK "Content-Length: 2\r\n\r\nhi");
+	assert_false(httpc_pool_is_connected(f->pool));
+	assert_null(httpc_start(f->pool, &request, &handlers, f));
+	run(f, &get_request);
+	assert_true(httpc_pool_is_connected(f->pool));
+	run(f, &request);
+	assert_int_equal(f->err, 0);
+	assert_int_equal(f->accept_count, 1);
+	/* Closed while idle; the client's loop has not run since. */
+	shutdown(bufferevent_getfd(f->connection), SHUT_RDWR);
+	assert_false(httpc_pool_is_connected(f->pool));
+	assert_null(httpc_start(f->pool, &request, &handlers, f));
+	run(f, &get_request);
+	assert_int_equal(f->accept_count, 2);
+}
+
 /*
  * Guards against bytes after the end of a response that are taken for the
  * response of the next call on the same connection.
@@ -497,15 +520,11 @@
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
-		CASE(test_responses),
-		CASE(test_large_bodies),
-		CASE(test_early_response),
-		CASE(test_connection_reuse),
-		CASE(test_extra_bytes),
-		CASE(test_headers),
-		CASE(test_connection_refused),
-		CASE(test_cancel),
-		CASE(test_pause),
+		CASE(test_responses),	   CASE(test_large_bodies),
+		CASE(test_early_response), CASE(test_connection_reuse),
+		CASE(test_reuse_only),	   CASE(test_extra_bytes),
+		CASE(test_headers),	   CASE(test_connection_refused),
+		CASE(test_cancel),	   CASE(test_pause),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
