scheduler: name the runner that a link is for

With two entries of one address under node/, tasks of a worker were stopped and started again: the reports of the VM at this address were taken for those of the other name, in turn, as each link of the scheduler replaced the other. An entry is left of each VM that is gone, and its address may be used again; or another writer puts one there.

Change: the id of a link names the runner it is for, and a runner takes no message of one that is for another. The runner's copy of the id was shorter than an id can be, in which case it would never have reported.

Evidence: test_workflows foreign_node_entries (three entries, and a restart of the scheduler) fails without the change (how=stopped of tasks that last), passes with it.

--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -116,10 +116,20 @@
 	runner_report_now(runner);
 }
 
+/* The id of a scheduler's link ends with the name of the runner it is for. */
+static int is_addressed(const struct runner *runner, const char *peer)
+{
+	const char *name = strrchr(peer, '/');
+
+	return name && !strcmp(name + 1, runner->daemon->settings->id);
+}
+
 static void on_message(void *arg, const char *peer, const struct message *msg)
 {
 	struct runner *runner = arg;
 
+	if (!is_addressed(runner, peer))
+		return;
 	if (msg->type == MSG_WORK_HELLO)
 		on_hello(runner, peer, &msg->u.work_hello);
 	else if (msg->type == MSG_WORK_ORDERS &&
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -73,7 +73,7 @@
 
 	/* The scheduler with the highest epoch seen. */
 	uint64_t epoch;
-	char scheduler_peer[ID_SIZE * 2];
+	char scheduler_peer[MSGLINK_PEER_SIZE];
 
 	/* Reports to the scheduler. */
 	uint64_t session;
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -84,8 +84,9 @@
 static void link_connect(struct runner_link *link, const char *address)
 {
 	struct scheduler *scheduler = link->scheduler;
-	char *id =
-		xstrfmt("%s/%lld", scheduler->id, (long long)scheduler->epoch);
+	/* The runner at the address may be another one. */
+	char *id = xstrfmt("%s/%lld/%s", scheduler->id,
+			   (long long)scheduler->epoch, link->runner);
 
 	msglink_client_delete(link->client);
 	str_copy(link->address, address, sizeof(link->address));
--- a/packages/io/include/msglink.h
+++ b/packages/io/include/msglink.h
@@ -20,6 +20,8 @@
  *	does not block. A message that was accepted is lost when the connection
  *	breaks before it is delivered.
  */
+#define MSGLINK_PEER_SIZE 256 /* of an id or address, with its terminator */
+
 struct msglink_server;
 struct msglink_client;
 
--- a/packages/io/src/msglink.c
+++ b/packages/io/src/msglink.c
@@ -17,7 +17,6 @@
 #include "mem.h"
 #include "msglink_conn.h"
 
-#define PEER_SIZE 256
 /* Connections of a server; beyond it, the oldest without an id is closed. */
 #define PEERS_MAX 512
 #define LISTEN_BACKLOG 1024
@@ -38,14 +37,14 @@
 	struct list node;
 	struct msglink_server *server;
 	struct msglink_conn *conn;
-	char id[PEER_SIZE]; /* "" until its first frame */
+	char id[MSGLINK_PEER_SIZE]; /* "" until its first frame */
 };
 
 struct msglink_client {
 	struct loop *loop;
 	struct sockaddr_in address;
-	char address_text[PEER_SIZE];
-	char id[PEER_SIZE];
+	char address_text[MSGLINK_PEER_SIZE];
+	char id[MSGLINK_PEER_SIZE];
 	msglink_fn fn;
 	void *arg;
 	struct msglink_conn *conn; /* NULL until the next attempt */
@@ -69,7 +68,7 @@
 {
 	size_t i;
 
-	if (!len || len >= PEER_SIZE)
+	if (!len || len >= MSGLINK_PEER_SIZE)
 		return 0;
 	for (i = 0; i < len; i++)
 		if (!isgraph(id[i]) || id[i] == '"')
@@ -130,7 +129,7 @@
 
 static void identify(struct peer *peer, const unsigned char *data, size_t len)
 {
-	char id[PEER_SIZE];
+	char id[MSGLINK_PEER_SIZE];
 	struct peer *former;
 
 	if (!id_is_valid(data, len)) {
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -526,6 +526,25 @@
     rig.check_records()
 
 
+def foreign_node_entries(rig):
+    """Guards against an entry with the address of another VM, as one that is
+    left of a VM whose address is used again: the reports of that VM were taken
+    for those of the other, and its tasks were stopped or started again."""
+    rig.submit_lasting()
+    rows = len(rig.records())
+    for name, runner in (("ghost", rig.runners[0]), ("a0", rig.runners[0]),
+                         ("zz", rig.runners[1])):
+        value = json.dumps({"address": runner["peers"]}).encode()
+        rig.control_store("put?key=node/" + name,
+                          base64.b64encode(value).decode())
+    time.sleep(8)
+    leader = rig.leader()
+    rig.kill(leader)
+    rig.restart(next(r for r in rig.runners if r["name"] == leader))
+    time.sleep(8)
+    check(len(rig.records()) == rows, "%s" % rig.records()[rows:])
+
+
 def deregister(runner, body):
     path = "/catkinhill/instances/w-%s/deregister" % runner["name"]
     check(http_call(runner["announcements"], "POST", path, body)[0] == 200,
@@ -553,7 +572,8 @@
              malformed_heartbeats, odd_entries, state_too_large,
              state_overwritten, election_without_store,
              late_deregistration, long_checkpoints, foreign_heartbeats,
-             worker_restarts_under_its_id, worker_closes_connections]
+             worker_restarts_under_its_id, worker_closes_connections,
+             foreign_node_entries]
 
 
 def main():
