runner: close a link on which reports are not answered

While a link was silent towards a runner alone, its runs got no lease and no task started there, for as long as the silence lasted: the scheduler heard the reports on it and kept it.

Change: after 2.5 s without an answer to five reports, the runner closes the connection (scheduler-silent); the scheduler connects again at once. A scheduler that is only paused loses nothing by it.

Evidence: test_silent_connections links_of_scheduler (towards the runner, from it, both) fails without the change ("timed out waiting for a start"), passes with it.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -98,6 +98,8 @@
 	  "Filling runs work slower or faster, by the latency beside them." },
 	{ EV_CHECKPOINT_DROPPED, LOG_WARN, "checkpoint-dropped",
 	  "A checkpoint is too long; the run keeps its former one." },
+	{ EV_SCHEDULER_SILENT, LOG_WARN, "scheduler-silent",
+	  "The scheduler answers no reports; its connection is closed." },
 
 	/* 3000: batch */
 	{ EV_JOB_PLACED, LOG_INFO, "job-placed",
--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -16,6 +16,8 @@
 #define WORKER_TIMEOUT_MS 700
 #define ANNOUNCEMENT_MAX_BYTES (4 * 1024 * 1024)
 #define TICK_INTERVAL_MS 50
+/* Five reports without an answer. */
+#define LINK_SILENT_MS 2500
 /* Lets a resignation from the election reach the store. */
 #define STOP_DELAY_MS 300
 
@@ -112,6 +114,7 @@
 			  hello->scheduler, (unsigned long long)hello->epoch);
 	runner->epoch = hello->epoch;
 	str_copy(runner->scheduler_peer, peer, sizeof(runner->scheduler_peer));
+	runner->heard_at = sysclock_now();
 	runner_repeat_checkpoints(runner);
 	runner_report_now(runner);
 }
@@ -130,6 +133,8 @@
 
 	if (!is_addressed(runner, peer))
 		return;
+	if (!strcmp(peer, runner->scheduler_peer))
+		runner->heard_at = sysclock_now();
 	if (msg->type == MSG_WORK_HELLO)
 		on_hello(runner, peer, &msg->u.work_hello);
 	else if (msg->type == MSG_WORK_ORDERS &&
@@ -137,11 +142,29 @@
 		runner_apply_orders(runner, &msg->u.work_orders);
 }
 
+/*
+ * The scheduler replaces a link on which it hears nothing. One that is silent
+ * towards the runner alone brings it reports, which it answers.
+ */
+static void check_link(struct runner *runner)
+{
+	struct mstime now = sysclock_now();
+
+	if (!runner->is_bound || !runner->scheduler_peer[0] ||
+	    mstime_diff(now, runner->heard_at) <= LINK_SILENT_MS)
+		return;
+	runner->heard_at = now;
+	log_event(EV_SCHEDULER_SILENT, "peer=%s quiet_ms=%d",
+		  runner->scheduler_peer, LINK_SILENT_MS);
+	msglink_server_disconnect(runner->links, runner->scheduler_peer);
+}
+
 static void on_tick(void *arg)
 {
 	struct runner *runner = arg;
 
 	loop_timer_start(runner->tick_timer, TICK_INTERVAL_MS);
+	check_link(runner);
 	runner_send_due(runner);
 }
 
--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -74,6 +74,7 @@
 	/* The scheduler with the highest epoch seen. */
 	uint64_t epoch;
 	char scheduler_peer[MSGLINK_PEER_SIZE];
+	struct mstime heard_at; /* last message of it, or disconnection */
 
 	/* Reports to the scheduler. */
 	uint64_t session;
--- a/packages/io/include/msglink.h
+++ b/packages/io/include/msglink.h
@@ -40,6 +40,13 @@
 /* May be called in fn, as the next one. */
 void msglink_server_delete(struct msglink_server *server);
 
+/*
+ * Closes the connection of the peer, which connects again if it is alive. For
+ * one from which nothing arrives though it should: see
+ * msglink_client_restart(). Must not be called in fn.
+ */
+void msglink_server_disconnect(struct msglink_server *server, const char *peer);
+
 /* The peer passed to fn is the address given here. */
 struct msglink_client *msglink_client_new(struct loop *loop,
 					  const char *address, const char *id,
--- a/packages/io/src/msglink.c
+++ b/packages/io/src/msglink.c
@@ -244,6 +244,14 @@
 	return found ? send_message(found->conn, peer, msg) : ERR_UNAVAILABLE;
 }
 
+void msglink_server_disconnect(struct msglink_server *server, const char *peer)
+{
+	struct peer *found = *peer ? find_peer(server, peer) : NULL;
+
+	if (found)
+		peer_delete(found);
+}
+
 static void connect_later(struct msglink_client *client)
 {
 	msglink_conn_close(client->conn);
--- a/tests/e2e/test_silent_connections.py
+++ b/tests/e2e/test_silent_connections.py
@@ -1,11 +1,13 @@
 #!/usr/bin/env python3
 """Open connections that become silent for good, without a reset, while new
-ones work: to workers and to the store.
+ones work: to workers, to the store, and between scheduler and runners.
 
 The docstring of a scenario is the failure that it guards against.
 """
 
+import base64
 import copy
+import json
 import os
 import sys
 import threading
@@ -47,10 +49,10 @@
         finally:
             self.store = store
 
-    def silence(self, suffix):
+    def silence(self, suffix, directions=("up", "down")):
         for name, link in self.proxy.links.items():
             if name.endswith(suffix):
-                self.proxy.call_soon(link.mute)
+                self.proxy.call_soon(link.mute, directions)
 
     def close(self):
         super().close()
@@ -119,6 +121,25 @@
     rig.check_records()
 
 
+def links_of_scheduler(rig):
+    """Guards against a link between scheduler and runner that is silent, in
+    both directions or only towards the runner: its runs got no lease."""
+    for runner in rig.runners:
+        address = rig.add_link(runner["name"] + "-peers", runner["peers"])
+        value = json.dumps({"address": address}).encode()
+        rig.control_store("put?key=node/" + runner["name"],
+                          base64.b64encode(value).decode())
+    job, _ = rig.submit_lasting()
+    for directions in (("up",), ("down",), ("up", "down"), ("up",)):
+        rig.silence("-peers", directions)
+        time.sleep(CONTACT_S)
+        check_prompt_starts(rig, 3)
+    ends = [row for _, row in rig.records()
+            if row["event"] == "end" and row["task"].startswith(job)]
+    check(not ends, "ends: %s" % ends)
+    rig.check_records()
+
+
 def to_all_in_series(rig):
     """Guards against a loss of work when connections become silent again and
     again, in the middle of calls."""
@@ -135,8 +156,10 @@
 
 def main():
     workflow_rig.Rig = Rig
-    workflow_rig.run_scenarios([to_workers, to_store, to_all_in_series],
-                               os.path.abspath(sys.argv[1]))
+    names = sys.argv[2:]
+    workflow_rig.run_scenarios([
+        s for s in (to_workers, to_store, links_of_scheduler, to_all_in_series)
+        if not names or s.__name__ in names], os.path.abspath(sys.argv[1]))
 
 
 if __name__ == "__main__":
