runner: let a new announcement displace the oldest candidate

Cause: eight announcements of other writers, while the worker does not answer, kept the announcement of a new worker out for up to 8 s. Change: the oldest candidate makes room. Evidence: by reading; test_workflows foreign_heartbeats still passes.

--- a/packages/daemon/src/runner_identity.c
+++ b/packages/daemon/src/runner_identity.c
@@ -9,7 +9,7 @@
 
 /* Between the clocks of a worker and of this VM, which may be stepped. */
 #define CLOCK_DIFFERENCE_MAX_MS (24 * 3600 * 1000)
-/* Announcements that wait for the worker; more are dropped. */
+/* Announcements that wait for the worker; the oldest makes room. */
 #define CANDIDATES_MAX 8
 /* A worker may announce itself shortly before it accepts calls. */
 #define CONFIRM_RETRY_MS 100
@@ -229,10 +229,10 @@
 		candidate->attempts = 0;
 		return;
 	}
-	if (count_candidates(runner) == CANDIDATES_MAX) {
-		log_dropped(id, announcement, "too-many");
-		return;
-	}
+	if (count_candidates(runner) == CANDIDATES_MAX)
+		drop_candidate(list_entry(runner->candidates.next,
+					  struct candidate, node),
+			       "too-many");
 	candidate = xcalloc(1, sizeof(*candidate));
 	candidate->runner = runner;
 	candidate->announcement = *announcement;
