gateway: count submissions while no scheduler publishes

Cause: only the scheduler publishes the number, and the gateway used it whatever its age. Ruled out: an old read (the store is asked each time), lost submissions (they run later).

Change: the gateway also reads the key of the election. If there is no scheduler, or its election is later than the publication, it adds the submissions to the queue that are later than the publication. Requests that wait for the list of submissions at the same time share one reading.

--- a/packages/daemon/include/jobstore.h
+++ b/packages/daemon/include/jobstore.h
@@ -46,6 +46,12 @@
 					size_t len, int64_t submitted_ms,
 					const char **reason);
 
+/*
+ * Name of the queue of a record of submitted/job/ID, ID_SIZE bytes at most.
+ * ERR_MALFORMED when the record does not name one.
+ */
+int jobstore_record_queue(const char *record, size_t len, char *queue);
+
 /* Pending workflows of a queue; 0 when the record does not name it. */
 uint32_t jobstore_pending_count(const char *record, size_t len,
 				const char *queue);
--- a/packages/daemon/src/gateway.c
+++ b/packages/daemon/src/gateway.c
@@ -40,6 +40,7 @@
 static void job_call_free(struct job_request *req)
 {
 	list_del(&req->node);
+	list_del(&req->count_node);
 	kv_cancel(req->gateway->kv, req);
 	loop_timer_delete(req->retry_timer);
 	loop_timer_delete(req->deadline_timer);
@@ -142,6 +143,7 @@
 	const struct platform_queue *queue;
 
 	req->gateway = gateway;
+	list_init(&req->count_node);
 	req->http = request;
 	req->started_at = sysclock_now();
 	list_add_tail(&gateway->job_requests, &req->node);
@@ -241,6 +243,7 @@
 
 	gateway->daemon = daemon;
 	list_init(&gateway->job_requests);
+	list_init(&gateway->counts);
 	add_counters(gateway);
 	gateway->kv =
 		kv_new(daemon->loop, settings->store_address, STORE_TIMEOUT_MS);
--- a/packages/daemon/src/gateway_internal.h
+++ b/packages/daemon/src/gateway_internal.h
@@ -21,6 +21,8 @@
 	struct httpd *probe_httpd;
 	struct queues *queues;
 	struct list job_requests;
+	struct list counts; /* of job_request.count_node */
+	int is_counting;    /* the submissions are being read for them */
 	struct loop_timer *stop_timer;
 	int is_stopping;
 	struct mstime drain_until;
@@ -46,6 +48,10 @@
 	int last_err;	     /* of the last attempt, for the log */
 	int may_be_stored;   /* a write without a response may be done */
 	int write_in_flight; /* a write has no response yet */
+	struct list count_node;
+	uint32_t pending_count;	  /* as published by a scheduler */
+	int64_t pending_revision; /* of that publication; 0: none */
+	uint32_t submitted;	  /* since then, while they are counted */
 };
 
 /* Sends the response and frees req. detail is logged. */
--- a/packages/daemon/src/gateway_jobs.c
+++ b/packages/daemon/src/gateway_jobs.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "election.h"
 #include "errors.h"
 #include "gateway_internal.h"
 #include "log.h"
@@ -247,28 +248,107 @@
 
 static void pending_read(void *arg);
 
+static void reply_pending(struct job_request *req, uint32_t submitted)
+{
+	uint32_t count = req->pending_count + submitted;
+	char detail[96], *body;
+
+	snprintf(detail, sizeof(detail),
+		 "pending count=%u revision=%lld submitted_since=%u", count,
+		 (long long)req->pending_revision, submitted);
+	body = platform_pending_body(count);
+	job_request_reply(req, 200, body, detail);
+	free(body);
+}
+
+static int is_submitted_since(const struct job_request *req,
+			      const struct kv_item *item, const char *queue)
+{
+	return item->revision > req->pending_revision &&
+	       !strcmp(queue, req->queue.name);
+}
+
+/* Requests that wait for the same reading share it. */
+static void on_submissions_read(void *arg, const struct kv_result *result)
+{
+	struct gateway *gateway = arg;
+	struct list *pos, *tmp;
+	size_t i;
+
+	gateway->is_counting = 0;
+	list_for_each (pos, &gateway->counts)
+		list_entry(pos, struct job_request, count_node)->submitted = 0;
+	for (i = 0; !result->err && i < result->count; i++) {
+		const struct kv_item *item = &result->items[i];
+		char queue[ID_SIZE];
+
+		if (!item->value ||
+		    jobstore_record_queue(item->value, item->len, queue))
+			continue;
+		list_for_each (pos, &gateway->counts) {
+			struct job_request *req =
+				list_entry(pos, struct job_request, count_node);
+
+			if (is_submitted_since(req, item, queue))
+				req->submitted++;
+		}
+	}
+	list_for_each_safe (pos, tmp, &gateway->counts) {
+		struct job_request *req =
+			list_entry(pos, struct job_request, count_node);
+
+		list_del(&req->count_node);
+		if (result->err)
+			job_request_retry(req, result->err, pending_read);
+		else
+			reply_pending(req, req->submitted);
+	}
+}
+
+static void count_submissions(struct job_request *req)
+{
+	struct gateway *gateway = req->gateway;
+
+	list_add_tail(&gateway->counts, &req->count_node);
+	if (gateway->is_counting)
+		return;
+	gateway->is_counting = 1;
+	kv_list(gateway->kv, SUBMITTED_JOB_PREFIX, on_submissions_read,
+		gateway);
+}
+
+/*
+ * Only a scheduler publishes the count. Without one, or until it has published
+ * its first, all that was submitted since the last publication waits, too.
+ */
+static void on_leader_read(void *arg, const struct kv_result *result)
+{
+	struct job_request *req = arg;
+
+	if (result->err && result->err != ERR_NOT_FOUND)
+		job_request_retry(req, result->err, pending_read);
+	else if (!result->err &&
+		 result->items[0].revision < req->pending_revision)
+		reply_pending(req, 0);
+	else
+		count_submissions(req);
+}
+
 static void on_pending_read(void *arg, const struct kv_result *result)
 {
 	struct job_request *req = arg;
-	int64_t revision = 0;
-	uint32_t count = 0;
-	char detail[64], *body;
 
 	if (result->err && result->err != ERR_NOT_FOUND) {
 		job_request_retry(req, result->err, pending_read);
 		return;
 	}
 	if (!result->err) {
-		count = jobstore_pending_count(result->items[0].value,
-					       result->items[0].len,
-					       req->queue.name);
-		revision = result->items[0].revision;
+		req->pending_count = jobstore_pending_count(
+			result->items[0].value, result->items[0].len,
+			req->queue.name);
+		req->pending_revision = result->items[0].revision;
 	}
-	snprintf(detail, sizeof(detail), "pending count=%u revision=%lld",
-		 count, (long long)revision);
-	body = platform_pending_body(count);
-	job_request_reply(req, 200, body, detail);
-	free(body);
+	kv_get(req->gateway->kv, ELECTION_KEY, on_leader_read, req);
 }
 
 static void pending_read(void *arg)
--- a/packages/daemon/src/jobstore.c
+++ b/packages/daemon/src/jobstore.c
@@ -6,6 +6,7 @@
 
 #include <jansson.h>
 
+#include "errors.h"
 #include "mem.h"
 #include "platformjson.h"
 
@@ -90,13 +91,22 @@
 	return workflow;
 }
 
+int jobstore_record_queue(const char *record, size_t len, char *queue)
+{
+	json_t *root = json_loadb(record, len, 0, NULL);
+	const char *name = json_string_value(json_object_get(root, "queue"));
+	int err = name && !str_copy(queue, name, ID_SIZE) ? 0 : ERR_MALFORMED;
+
+	json_decref(root);
+	return err;
+}
+
 uint32_t jobstore_pending_count(const char *record, size_t len,
 				const char *queue)
 {
 	json_t *root = json_loadb(record, len, 0, NULL);
-	uint32_t count =
-		(uint32_t)json_integer_value(json_object_get(root, queue));
+	json_int_t count = json_integer_value(json_object_get(root, queue));
 
 	json_decref(root);
-	return count;
+	return count > 0 && count <= UINT32_MAX ? (uint32_t)count : 0;
 }
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -169,6 +169,29 @@
     return json.loads(body)["pending"]
 
 
+def pending_without_scheduler(rig):
+    """Guards against a number of waiting jobs that stays as it was while there
+    is no scheduler, though jobs are accepted."""
+    done, _ = rig.submit(rig.gateways[0], TWO_STEPS)
+    rig.wait_state(done, "complete")
+    wait_for("nothing waits", lambda: pending(rig, rig.gateways[0]) == 0)
+    for runner in rig.runners:
+        rig.kill(runner["name"])
+    for count in (1, 2, 8):
+        for i in range(count):
+            rig.submit(rig.gateways[i % 2], TWO_STEPS)
+        rig.submit(rig.gateways[0], TWO_STEPS, queue="slow")
+        time.sleep(2)
+        expected = {1: 1, 2: 3, 8: 11}[count]
+        for gateway in rig.gateways:
+            check(pending(rig, gateway) == expected, "%d, not %d wait" %
+                  (pending(rig, gateway), expected))
+    for runner in rig.runners:
+        rig.restart(runner)
+    wait_for("nothing waits", lambda: pending(rig, rig.gateways[0]) == 0)
+    check(pending(rig, rig.gateways[1]) == 0, "the same at the other")
+
+
 def worker_lost_before_start(rig):
     """A job that no worker has begun and that does not count as pending."""
     job, _ = rig.submit(rig.gateways[0], TWO_STEPS)
@@ -572,7 +595,7 @@
              malformed_heartbeats, odd_entries, state_too_large,
              state_overwritten, election_without_store,
              late_deregistration, long_checkpoints, foreign_heartbeats,
-             worker_restarts_under_its_id, worker_closes_connections,
+             pending_without_scheduler, worker_restarts_under_its_id, worker_closes_connections,
              foreign_node_entries]
 
 
