gateway: keep out a submission that its cancellation has overtaken

Cause: a cancellation of a job that is not stored left nothing behind that a later write would find.

Change: it is recorded for 60 s under a lease, on condition that the job is not stored, before 410 is answered. A submission is written only if there is no such record; otherwise it is refused with 503. 60 s is far more than any call to a gateway or the store may be late.

--- a/packages/daemon/src/gateway_jobs.c
+++ b/packages/daemon/src/gateway_jobs.c
@@ -9,6 +9,12 @@
 #include "sysclock.h"
 #include "tasknames.h"
 
+/*
+ * How long a cancellation keeps out a submission that arrives after it: calls
+ * to the store and to a gateway may be carried out some seconds late.
+ */
+#define EARLY_CANCEL_TTL_MS (60 * 1000)
+
 static void submit_attempt(void *arg);
 
 static void reply_accepted(struct job_request *req, const char *detail)
@@ -26,6 +32,17 @@
 	job_request_retry(req, err, submit_attempt);
 }
 
+static int is_stored(const struct kv_result *result, const char *prefix)
+{
+	size_t i;
+
+	for (i = 0; i < result->count; i++)
+		if (result->items[i].revision &&
+		    jobstore_key_suffix(result->items[i].key, prefix))
+			return 1;
+	return 0;
+}
+
 static void on_submit_written(void *arg, const struct kv_result *result)
 {
 	struct job_request *req = arg;
@@ -33,8 +50,11 @@
 	req->write_in_flight = 0;
 	if (!result->err)
 		reply_accepted(req, "stored");
-	else if (result->err == ERR_CONFLICT)
+	else if (result->err == ERR_CONFLICT &&
+		 is_stored(result, SUBMITTED_JOB_PREFIX))
 		reply_accepted(req, "known");
+	else if (result->err == ERR_CONFLICT)
+		job_request_refuse(req, 503, "cancelled-before");
 	else if (result->err == ERR_INVALID)
 		job_request_reply(req, 400, "{}", "store-refused");
 	else
@@ -43,11 +63,13 @@
 
 static void submit_write(struct job_request *req)
 {
-	struct kv_txn txn = { .compare_count = 1, .put_count = 1 };
-	char key[JOBSTORE_KEY_SIZE];
+	struct kv_txn txn = { .compare_count = 2, .put_count = 1 };
+	char key[JOBSTORE_KEY_SIZE], cancel_key[JOBSTORE_KEY_SIZE];
 
 	jobstore_key(key, SUBMITTED_JOB_PREFIX, req->job);
+	jobstore_key(cancel_key, SUBMITTED_CANCEL_PREFIX, req->job);
 	txn.compares[0].key = key;
+	txn.compares[1].key = cancel_key;
 	txn.puts[0].key = key;
 	txn.puts[0].value = req->record;
 	txn.puts[0].len = strlen(req->record);
@@ -139,6 +161,45 @@
 	kv_txn(req->gateway->kv, &txn, on_cancel_written, req);
 }
 
+static void on_early_cancel_written(void *arg, const struct kv_result *result)
+{
+	struct job_request *req = arg;
+
+	if (!result->err)
+		job_request_reply(req, 410, "{}", "no-such-job");
+	else if (result->err == ERR_CONFLICT)
+		cancel_read(req);
+	else
+		job_request_retry(req, result->err, cancel_read);
+}
+
+static void on_early_cancel_lease(void *arg, const struct kv_result *result)
+{
+	struct job_request *req = arg;
+	struct kv_txn txn = { .compare_count = 1, .put_count = 1 };
+	char key[JOBSTORE_KEY_SIZE], cancel_key[JOBSTORE_KEY_SIZE];
+
+	if (result->err) {
+		job_request_retry(req, result->err, cancel_read);
+		return;
+	}
+	jobstore_key(key, SUBMITTED_JOB_PREFIX, req->job);
+	jobstore_key(cancel_key, SUBMITTED_CANCEL_PREFIX, req->job);
+	txn.compares[0].key = key;
+	txn.puts[0].key = cancel_key;
+	txn.puts[0].value = "{}";
+	txn.puts[0].len = 2;
+	txn.puts[0].lease = result->lease;
+	kv_txn(req->gateway->kv, &txn, on_early_cancel_written, req);
+}
+
+/* The submission may be on its way, in another gateway or to the store. */
+static void cancel_early(struct job_request *req)
+{
+	kv_lease_grant(req->gateway->kv, EARLY_CANCEL_TTL_MS,
+		       on_early_cancel_lease, req);
+}
+
 static void on_cancel_read(void *arg, const struct kv_result *result)
 {
 	struct job_request *req = arg;
@@ -146,7 +207,7 @@
 	if (!result->err)
 		cancel_write(req);
 	else if (result->err == ERR_NOT_FOUND)
-		job_request_reply(req, 410, "{}", "no-such-job");
+		cancel_early(req);
 	else
 		job_request_retry(req, result->err, cancel_read);
 }
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -568,6 +568,32 @@
     check(len(rig.records()) == rows, "%s" % rig.records()[rows:])
 
 
+def cancelled_before_submission(rig):
+    """Guards against a job that is started after its DELETE was answered with
+    410, as its submission was still on its way."""
+    frozen, other = rig.gateways
+    jobs = []
+    for pause_s in (0.3, 1.5):
+        job = rig.new_job_id()
+        jobs.append(job)
+        rig.processes[frozen["name"]].signal(signal.SIGSTOP)
+        client = threading.Thread(target=rig.submit, args=(
+            frozen, TWO_STEPS), kwargs={"job": job})
+        client.start()
+        time.sleep(pause_s)
+        status = rig.call(other, "DELETE", "/fast/" + job, "fast.example")[0]
+        check(status == 410, "not known: %s" % status)
+        rig.processes[frozen["name"]].signal(signal.SIGCONT)
+        client.join()
+        check(rig.submit(other, TWO_STEPS, job=job)[1] == 503, "refused")
+        check(rig.state(other, job) == 410, "not known")
+        status = rig.call(other, "DELETE", "/fast/" + job, "fast.example")[0]
+        check(status == 410, "still not known: %s" % status)
+    last, _ = rig.submit(other, TWO_STEPS)
+    rig.wait_state(last, "complete")
+    check(not [job for job in jobs if rig.users_of(job)], "no start")
+
+
 def deregister(runner, body):
     path = "/catkinhill/instances/w-%s/deregister" % runner["name"]
     check(http_call(runner["announcements"], "POST", path, body)[0] == 200,
@@ -595,7 +621,7 @@
              malformed_heartbeats, odd_entries, state_too_large,
              state_overwritten, election_without_store,
              late_deregistration, long_checkpoints, foreign_heartbeats,
-             pending_without_scheduler, worker_restarts_under_its_id, worker_closes_connections,
+             cancelled_before_submission, pending_without_scheduler, worker_restarts_under_its_id, worker_closes_connections,
              foreign_node_entries]
 
 
