platformjson: read long texts of queues, and each queue by itself

A route whose host or prefix has 128 bytes or more, or whose name has 64, made the whole configuration unreadable: the former one stayed in force for all routes (queues-rejected), for good.

Change: hosts and prefixes have any length. A queue whose name or service is longer than a message can carry, or that cannot be read otherwise, is left out alone; queues-applied tells how many are.

Evidence: test_workflows long_routes (a prefix of 202 bytes, a name of 70) ends in a time-out with the former daemon, passes now; test_long_texts_of_queues has 11 rows.

--- a/packages/daemon/src/queues.c
+++ b/packages/daemon/src/queues.c
@@ -34,9 +34,10 @@
 	platform_config_clear(&queues->config);
 	queues->config = config;
 	queues->is_known = 1;
-	log_event(EV_QUEUES_APPLIED, "version=%lld queues=%zu revision=%lld",
+	log_event(EV_QUEUES_APPLIED,
+		  "version=%lld queues=%zu rejected=%zu revision=%lld",
 		  (long long)config.version, config.queue_count,
-		  (long long)item->revision);
+		  config.rejected_count, (long long)item->revision);
 	if (queues->fn)
 		queues->fn(queues->arg, &queues->config);
 }
--- a/packages/platform/include/platformjson.h
+++ b/packages/platform/include/platformjson.h
@@ -51,8 +51,8 @@
 uint64_t platform_decode_deregistration(const char *json, size_t len);
 
 struct platform_queue {
-	char host[128];
-	char prefix[128];
+	char *host;
+	char *prefix;
 	struct queue_config queue;
 };
 
@@ -60,6 +60,7 @@
 	int64_t version;
 	struct platform_queue *queues;
 	size_t queue_count;
+	size_t rejected_count;	/* of further queues, which cannot be used */
 	int64_t body_max_bytes; /* bytes of a request's body; 0: not limited */
 };
 
--- a/packages/platform/src/platformjson.c
+++ b/packages/platform/src/platformjson.c
@@ -289,9 +289,10 @@
 static void read_queue(struct reader *reader, const json_t *route,
 		       struct platform_queue *queue)
 {
-	read_fixed(reader, route, "host", queue->host, sizeof(queue->host));
-	read_fixed(reader, route, "prefix", queue->prefix,
-		   sizeof(queue->prefix));
+	queue->host = read_text(reader, route, "host");
+	queue->prefix = read_text(reader, route, "prefix");
+	if (!queue->host || !queue->prefix)
+		reject(reader, "host or prefix");
 	read_fixed(reader, route, "name", queue->queue.name,
 		   sizeof(queue->queue.name));
 	read_fixed(reader, route, "service", queue->queue.service,
@@ -308,6 +309,35 @@
 		json_is_object(json_object_get(route, "advice"));
 }
 
+static void queue_clear(struct platform_queue *queue)
+{
+	free(queue->host);
+	free(queue->prefix);
+	memset(queue, 0, sizeof(*queue));
+}
+
+/* A queue that cannot be read does not keep the others out. */
+static void read_queues(const json_t *routes, struct platform_config *config)
+{
+	size_t i;
+
+	config->queues =
+		xcalloc(json_array_size(routes) + 1, sizeof(*config->queues));
+	for (i = 0; i < json_array_size(routes); i++) {
+		struct platform_queue *queue =
+			&config->queues[config->queue_count];
+		struct reader reader = { 0, "" };
+
+		read_queue(&reader, json_array_get(routes, i), queue);
+		if (!reader.err) {
+			config->queue_count++;
+			continue;
+		}
+		queue_clear(queue);
+		config->rejected_count++;
+	}
+}
+
 int platform_decode_config(const char *json, size_t len,
 			   struct platform_config *config)
 {
@@ -315,7 +345,6 @@
 	const json_t *routes = json_object_get(root, "routes");
 	struct platform_config decoded = { 0 };
 	struct reader reader = { 0, "" };
-	size_t i;
 
 	if (!json_is_array(routes))
 		reject(&reader, "routes");
@@ -323,12 +352,7 @@
 	decoded.body_max_bytes =
 		read_number(&reader, json_object_get(root, "limits"),
 			    "maxBodyBytes", INT32_MAX);
-	decoded.queue_count = json_array_size(routes);
-	decoded.queues =
-		xcalloc(decoded.queue_count + 1, sizeof(*decoded.queues));
-	for (i = 0; i < decoded.queue_count; i++)
-		read_queue(&reader, json_array_get(routes, i),
-			   &decoded.queues[i]);
+	read_queues(routes, &decoded);
 	json_decref(root);
 	if (reader.err) {
 		platform_config_clear(&decoded);
@@ -341,6 +365,10 @@
 
 void platform_config_clear(struct platform_config *config)
 {
+	size_t i;
+
+	for (i = 0; i < config->queue_count; i++)
+		queue_clear(&config->queues[i]);
 	free(config->queues);
 	memset(config, 0, sizeof(*config));
 }
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -253,6 +253,20 @@
               "an older version is not applied")
 
 
+def long_routes(rig):
+    """Guards against a route with a long text that keeps a configuration, and
+    with it all other routes, from being in force."""
+    prefix = "/%s/" % ("p" * 200)
+    route = dict(CONFIG["routes"][0], name="q-long", prefix=prefix)
+    rig.put_config(dict(CONFIG, version=4, routes=CONFIG["routes"] + [
+        route, dict(route, name="n" * 70, prefix="/other/")]))
+    wait_for("the long route", lambda: rig.call(
+        rig.gateways[0], "GET", prefix, "fast.example")[0] == 200)
+    job, status = rig.submit(rig.gateways[1], TWO_STEPS)
+    check(status == 200, "accepted: %s" % status)
+    rig.wait_state(job, "complete")
+
+
 def graceful_stop(rig):
     """A stop that aborts a request, or a reload that ends the process."""
     gateway = rig.gateways[0]
@@ -617,7 +631,7 @@
              long_running_tasks, scheduler_killed, scheduler_frozen,
              runner_killed, worker_killed, worker_leaves,
              worker_lost_before_start, store_faults, configuration,
-             graceful_stop, graceful_stop_without_store,
+             long_routes, graceful_stop, graceful_stop_without_store,
              malformed_heartbeats, odd_entries, state_too_large,
              state_overwritten, election_without_store,
              late_deregistration, long_checkpoints, foreign_heartbeats,
--- a/tests/unit/test_platformjson.c
+++ b/tests/unit/test_platformjson.c
@@ -256,6 +256,57 @@
 	platform_config_clear(&config);
 }
 
+/*
+ * Guards against a queue with a long text that keeps the whole configuration
+ * from being read, or is cut.
+ */
+static void test_long_texts_of_queues(void **state)
+{
+	static const struct {
+		size_t host, prefix, name, service;
+		int is_usable;
+	} cases[] = {
+		{ 12, 6, 8, 7, 1 },	{ 127, 127, 8, 7, 1 },
+		{ 128, 6, 8, 7, 1 },	{ 253, 6, 8, 7, 1 },
+		{ 12, 128, 8, 7, 1 },	{ 12, 3000, 8, 7, 1 },
+		{ 12, 6, 63, 63, 1 },	{ 12, 6, 64, 7, 0 },
+		{ 12, 6, 8, 64, 0 },	{ 0, 6, 8, 7, 0 },
+		{ 12, 6, 300, 300, 0 },
+	};
+	char text[4][4096];
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		const size_t lens[] = { cases[i].host, cases[i].prefix,
+					cases[i].name, cases[i].service };
+		struct platform_config config = { 0 };
+		char *body;
+		size_t k;
+
+		for (k = 0; k < 4; k++) {
+			memset(text[k], 'a' + (int)k, lens[k]);
+			text[k][lens[k]] = '\0';
+		}
+		text[1][0] = '/';
+		body = xstrfmt("{\"version\":1,\"routes\":[{\"host\":\"%s\","
+			       "\"prefix\":\"%s\",\"name\":\"%s\",\"service\":"
+			       "\"%s\"},{\"host\":\"h\",\"prefix\":\"/p/\","
+			       "\"name\":\"n\",\"service\":\"s\"}]}",
+			       text[0], text[1], text[2], text[3]);
+		assert_int_equal(
+			platform_decode_config(body, strlen(body), &config), 0);
+		assert_non_null(platform_queue_find(&config, "h", "/p/1"));
+		assert_int_equal(config.rejected_count, !cases[i].is_usable);
+		if (cases[i].is_usable)
+			assert_string_equal(
+				platform_queue_find(&config, text[0], text[1])
+					->queue.name,
+				text[2]);
+		platform_config_clear(&config);
+		free(body);
+	}
+}
+
 static void test_task_name_codec(void **state)
 {
 	static const struct {
@@ -320,6 +371,7 @@
 		cmocka_unit_test(test_decode_announcement),
 		cmocka_unit_test(test_decode_deregistration),
 		cmocka_unit_test(test_find_queue),
+		cmocka_unit_test(test_long_texts_of_queues),
 		cmocka_unit_test(test_task_name_codec),
 		cmocka_unit_test(test_parse_call),
 	};
