runner: follow schedulers of former releases

While releases are mixed, runners of this one would not have been heard by a scheduler of the former, whose links do not name the runner.

Change: a link without the name is accepted as before.

--- a/packages/daemon/src/runner.c
+++ b/packages/daemon/src/runner.c
@@ -119,12 +119,16 @@
 	runner_report_now(runner);
 }
 
-/* The id of a scheduler's link ends with the name of the runner it is for. */
+/*
+ * The id of a scheduler's link is "scheduler/epoch/runner". Former releases do
+ * not name the runner that the link is for.
+ */
 static int is_addressed(const struct runner *runner, const char *peer)
 {
-	const char *name = strrchr(peer, '/');
+	const char *epoch = strchr(peer, '/');
+	const char *name = epoch ? strchr(epoch + 1, '/') : NULL;
 
-	return name && !strcmp(name + 1, runner->daemon->settings->id);
+	return !name || !strcmp(name + 1, runner->daemon->settings->id);
 }
 
 static void on_message(void *arg, const char *peer, const struct message *msg)
