runner: expect answers to reports only with a worker

Change: the time without an answer counts from when the worker is bound.

Evidence: test_silent_connections first_worker_is_late (a link with a delay of 0.15 s, the first announcement after 4 s) fails before ("the link was closed"), passes now; links_of_scheduler still passes.

--- a/packages/daemon/src/runner_identity.c
+++ b/packages/daemon/src/runner_identity.c
@@ -55,6 +55,8 @@
 	runner->answered_start_ms = 0;
 	runner->connections_lost = 0;
 	runner->listed_at = sysclock_now();
+	/* Reports without a worker are not answered. */
+	runner->heard_at = runner->listed_at;
 	runner->pace_percent = 100;
 }
 
--- a/tests/e2e/test_silent_connections.py
+++ b/tests/e2e/test_silent_connections.py
@@ -121,14 +121,21 @@
     rig.check_records()
 
 
+def register_link(rig, runner):
+    """Lets schedulers reach the runner through a link."""
+    address = rig.add_link(runner["name"] + "-peers", runner["peers"])
+    value = json.dumps({"address": address}).encode()
+    wait_for("the runner's own entry",
+             lambda: rig.processes[runner["name"]].lines(5004))
+    rig.control_store("put?key=node/" + runner["name"],
+                      base64.b64encode(value).decode())
+
+
 def links_of_scheduler(rig):
     """Guards against a link between scheduler and runner that is silent, in
     both directions or only towards the runner: its runs got no lease."""
     for runner in rig.runners:
-        address = rig.add_link(runner["name"] + "-peers", runner["peers"])
-        value = json.dumps({"address": address}).encode()
-        rig.control_store("put?key=node/" + runner["name"],
-                          base64.b64encode(value).decode())
+        register_link(rig, runner)
     job, _ = rig.submit_lasting()
     for directions in (("up",), ("down",), ("up", "down"), ("up",)):
         rig.silence("-peers", directions)
@@ -140,6 +147,19 @@
     rig.check_records()
 
 
+def first_worker_is_late(rig):
+    """Guards against a runner without a worker, whose reports need no answer,
+    that closes its link to the scheduler as soon as it has a worker."""
+    runner = rig.add_runner("r9", announce_delay_ms=4000)
+    register_link(rig, runner)
+    link = rig.proxy.links["r9-peers"]
+    rig.proxy.call_soon(setattr, link, "delay_s", 0.15)
+    process = rig.processes["r9"]
+    wait_for("the worker", lambda: process.lines(2101))
+    time.sleep(1)
+    check(not process.lines(2109), "the link was closed")
+
+
 def to_all_in_series(rig):
     """Guards against a loss of work when connections become silent again and
     again, in the middle of calls."""
@@ -158,7 +178,8 @@
     workflow_rig.Rig = Rig
     names = sys.argv[2:]
     workflow_rig.run_scenarios([
-        s for s in (to_workers, to_store, links_of_scheduler, to_all_in_series)
+        s for s in (to_workers, to_store, links_of_scheduler,
+                        first_worker_is_late, to_all_in_series)
         if not names or s.__name__ in names], os.path.abspath(sys.argv[1]))
 
 
--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -100,13 +100,13 @@
         self.start(name, ["catkinhilld", "--config", path])
         return {"name": name, "path": path, **fields}
 
-    def add_runner(self, name):
+    def add_runner(self, name, announce_delay_ms=0):
         fields = {key: free_address() for key in
                   ("peers", "admin", "announcements", "worker")}
         path = self.write_settings(name, RUNNER_SETTINGS, **fields)
         runner = {"name": name, "path": path, **fields}
         self.start(name, ["catkinhilld", "--config", path])
-        self.start_worker(runner)
+        self.start_worker(runner, announce_delay_ms)
         return runner
 
     def start_worker(self, runner, announce_delay_ms=0):
