--- a/review/7/case.py
+++ b/review/7/case.py
@@ -15,7 +15,7 @@
 MEMORY_MB = 128        # memoryMb of the machines beside workers
 RESTART_S = 0.5
 TRAFFIC_S = 30
-JOBS_PER_S = 8
+JOBS_PER_S = 7
 POISON_AT_S = 5
 FINISH_S = 14
 NOTHING_RUNS_S = 3
