runner: keep runs whose end an answer may have left out

The runner took each run that neither list named for lost (run-dropped reason=not-listed, all 36), the scheduler started its task again, and the end came with the next page, when nothing knew the run any more.

Change: the client of the worker tells whether the list of ends may be cut. A run in neither list is then kept and reported as finished (100%) until its end is listed; only a whole list proves a run lost.

Ruled out by the logs: leases that lapse (no worker-lapsed), a report that leaves runs out (not-reported), a second scheduler (one epoch).

--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -180,10 +180,28 @@
 	return 0;
 }
 
-/* Marks runs gone that the worker had and that neither list names now. */
-static void mark_gone(struct runner *runner,
-		      const struct worker_response *response,
-		      struct list_changes *changes)
+/*
+ * Handles a run that the worker had and that neither list names now. Without
+ * all ends it may be one that has ended: it is then kept, as finished, until
+ * its end is listed.
+ */
+static void handle_unlisted(struct local_run *run,
+			    const struct worker_response *response,
+			    struct list_changes *changes)
+{
+	if (response->has_more_ends) {
+		run->progress = 100;
+		return;
+	}
+	run->phase = RUN_GONE;
+	run->ended_at = run->runner->listed_at;
+	replace_text(&run->detail, "not-listed");
+	changes->urgent++;
+}
+
+static void handle_unlisted_runs(struct runner *runner,
+				 const struct worker_response *response,
+				 struct list_changes *changes)
 {
 	struct list *pos;
 
@@ -195,10 +213,7 @@
 		    !mstime_before(run->confirmed_at, runner->hold_sent_at) ||
 		    is_listed(response, run))
 			continue;
-		run->phase = RUN_GONE;
-		run->ended_at = runner->listed_at;
-		replace_text(&run->detail, "not-listed");
-		changes->urgent++;
+		handle_unlisted(run, response, changes);
 	}
 }
 
@@ -216,7 +231,7 @@
 		add_end(runner, &response->ends[i], &changes);
 	for (i = 0; i < response->run_count; i++)
 		update_run(runner, &response->runs[i], &changes);
-	mark_gone(runner, response, &changes);
+	handle_unlisted_runs(runner, response, &changes);
 	if (runner_worst_latency_percent(runner) > REPORT_LATENCY_PERCENT &&
 	    mstime_diff(runner->listed_at, runner->reported_at) >
 		    REPORT_LATENCY_INTERVAL_MS)
--- a/packages/platform/include/workercall.h
+++ b/packages/platform/include/workercall.h
@@ -44,6 +44,11 @@
 	size_t run_count;
 	const struct ended_run *ends;
 	size_t end_count;
+	/*
+	 * Flag: there may be more ends, which are listed once these are
+	 * acknowledged. A run in neither list may have ended then.
+	 */
+	int has_more_ends;
 };
 
 typedef void (*workercall_fn)(void *arg,
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -14,6 +14,8 @@
 
 /* Starts come in bursts; a worker accepts 64 connections. */
 #define IDLE_CONNECTIONS 24
+/* A worker returns the first ones of more ends than this. */
+#define ENDS_LISTED_MAX 500
 /* Lets sums of times of a worker's clock not overflow. */
 #define CLOCK_MAX_MS (INT64_MAX / 4)
 
@@ -39,6 +41,7 @@
 	size_t run_count;
 	struct ended_run *ends;
 	size_t end_count;
+	int has_more_ends;
 };
 
 static const struct {
@@ -179,6 +182,7 @@
 
 	lists->runs = xcalloc(json_array_size(runs) + 1, sizeof(*lists->runs));
 	lists->ends = xcalloc(json_array_size(ends) + 1, sizeof(*lists->ends));
+	lists->has_more_ends = json_array_size(ends) >= ENDS_LISTED_MAX;
 	for (i = 0; i < json_array_size(runs); i++)
 		lists->run_count +=
 			(size_t)parse_run(&lists->runs[lists->run_count],
@@ -209,6 +213,7 @@
 	response.run_count = lists.run_count;
 	response.ends = lists.ends;
 	response.end_count = lists.end_count;
+	response.has_more_ends = lists.has_more_ends;
 	call_finish(call, &response);
 	free(lists.runs);
 	free(lists.ends);
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -18,6 +18,7 @@
 #define LEASE_MAX_MS 6000
 #define REQUEST_BODY_MAX_BYTES (1024 * 1024)
 #define LATE_START_MS 3000
+#define ENDS_LISTED_MAX 500
 
 struct task_run {
 	struct list node;
@@ -151,7 +152,9 @@
 						run->run, run->checkpoint,
 						progress_percent(run), 500));
 	}
-	for (i = 0; i < json_array_size(server->ended_runs); i++) {
+	for (i = 0; i < json_array_size(server->ended_runs) &&
+		    json_array_size(ended) < ENDS_LISTED_MAX;
+	     i++) {
 		json_t *row = json_array_get(server->ended_runs, i);
 
 		if (json_integer_value(json_array_get(row, 0)) >
--- a/tests/unit/test_workercall.c
+++ b/tests/unit/test_workercall.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include <cmocka.h>
+#include <jansson.h>
 
 #include "errors.h"
 #include "httpd.h"
@@ -21,6 +22,7 @@
 	int64_t clock_ms;
 	uint64_t worker_start_ms, end_number;
 	size_t run_count, end_count;
+	int has_more_ends;
 	struct run_status run; /* the first */
 };
 
@@ -41,6 +43,7 @@
 	f->worker_start_ms = response->worker_start_ms;
 	f->run_count = response->run_count;
 	f->end_count = response->end_count;
+	f->has_more_ends = response->has_more_ends;
 	if (response->run_count)
 		f->run = response->runs[0];
 	if (response->end_count)
@@ -136,6 +139,47 @@
 	}
 }
 
+/* A list of ends as a worker with so many of them answers. */
+static char *list_ends(size_t count)
+{
+	json_t *ends = json_array(), *root = json_pack("{s:o}", "ended", ends);
+	char *text;
+	size_t i;
+
+	for (i = 1; i <= count; i++)
+		json_array_append_new(ends,
+				      json_pack("[I,s,i,s,s]", (json_int_t)i,
+						"0123456789abcdef.0.0.1", 1,
+						"done", ""));
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+/*
+ * Guards against tasks that run twice: of more than 500 ends an answer lists
+ * 500, and the runs of the others counted as gone.
+ */
+static void test_list_of_ends_that_is_cut(void **state)
+{
+	static const struct {
+		size_t count;
+		int has_more_ends;
+	} cases[] = { { 0, 0 }, { 1, 0 }, { 499, 0 }, { 500, 1 } };
+	struct fixture *f = *state;
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		char *body = list_ends(cases[i].count);
+
+		f->body = body;
+		poll_worker(f);
+		assert_int_equal(f->end_count, cases[i].count);
+		assert_int_equal(f->has_more_ends, cases[i].has_more_ends);
+		free(body);
+	}
+}
+
 /* Guards against a lease that is reckoned from a clock that can't be true. */
 static void test_odd_clocks(void **state)
 {
@@ -167,6 +211,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test_setup_teardown(test_odd_numbers, setup,
 						teardown),
+		cmocka_unit_test_setup_teardown(test_list_of_ends_that_is_cut,
+						setup, teardown),
 		cmocka_unit_test_setup_teardown(test_odd_clocks, setup,
 						teardown),
 	};
