dispatch: give runs up only by reports that name all of them

A report names at most 1,024 runs and 1,024 ends. A runner with more left the rest out, and the scheduler counted each confirmed run that it missed as lost (not-reported) and started its task again beside it, or after its end. The same happened to ends beyond 1,024 that waited to be stored, as in a long outage of the store.

Change: a report with as many runs as a message can carry proves nothing about the others; the next one begins with what it left out. Pending ends of a worker have no limit any more, and take memory only while they are pending.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -150,9 +150,10 @@
 	struct mstime lease_end;
 	struct mstime inherited_lease_end;
 	enum lease_basis lease_basis;
-	uint64_t last_end_number;		   /* last one processed */
-	struct pending_end pending_ends[RUNS_MAX]; /* unacknowledged */
+	uint64_t last_end_number;	  /* last one processed */
+	struct pending_end *pending_ends; /* unacknowledged */
 	size_t pending_end_count;
+	size_t pending_ends_size;   /* allocated rows */
 	struct list ends_node;	    /* in the workers with pending ends */
 	uint64_t stored_end_number; /* last one acknowledged */
 	uint32_t consecutive_failures;
--- a/packages/core/include/workreport.h
+++ b/packages/core/include/workreport.h
@@ -10,8 +10,8 @@
  *	workreport - fits a runner's report into one message
  *
  * NOTES
- *	The scheduler gives a run up that a report names neither as a run nor
- *	as an end, so each stays named. An end that does not fit is listed as
+ *	The scheduler gives a run up that a whole report names neither as a run
+ *	nor as an end. An end that does not fit is listed as
  *	an active run instead, and follows in a later report: the scheduler
  *	takes ends in the order of their numbers. A checkpoint that does not
  *	fit is left out, which means that it is unchanged.
@@ -29,4 +29,10 @@
  */
 size_t workreport_fit(struct msg_work_report *report, size_t first);
 
+/*
+ * Whether the report names all runs of the worker. One with as many runs as a
+ * message can carry may have left some out, which the next ones name.
+ */
+int workreport_is_whole(const struct msg_work_report *report);
+
 #endif
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -92,6 +92,7 @@
 	list_for_each_safe (pos, tmp, &worker->runs)
 		free(list_entry(pos, struct run, node));
 	list_del(&worker->node);
+	free(worker->pending_ends);
 	free(worker);
 }
 
@@ -590,8 +591,12 @@
 	worker->pending_end_count -= stored;
 	memmove(worker->pending_ends, worker->pending_ends + stored,
 		worker->pending_end_count * sizeof(worker->pending_ends[0]));
-	if (!worker->pending_end_count)
-		list_del(&worker->ends_node);
+	if (worker->pending_end_count)
+		return;
+	list_del(&worker->ends_node);
+	free(worker->pending_ends);
+	worker->pending_ends = NULL;
+	worker->pending_ends_size = 0;
 }
 
 static void settle_ends(struct worker *worker, const struct workflow *workflow,
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -7,6 +7,7 @@
 #include "dispatch_internal.h"
 #include "errors.h"
 #include "mem.h"
+#include "workreport.h"
 
 /* Number of fences of one scheduler epoch; the epoch is the high part. */
 #define FENCES_PER_EPOCH 4096
@@ -17,6 +18,9 @@
  */
 #define RESPONSE_INTERVAL_MS 300
 
+/* Rows of the first list of pending ends. */
+#define PENDING_ENDS_MIN 16
+
 /* Consecutive failed or refused runs after which the worker gets a penalty. */
 #define CONSECUTIVE_FAILURES_MAX 4
 
@@ -202,20 +206,36 @@
 	dispatch_check_final(dispatch, workflow, now);
 }
 
-static int process_end(struct dispatch *dispatch, struct worker *worker,
-		       const struct ended_run *end, struct mstime now)
+/* As many may be pending as runs have ended since something was stored. */
+static struct pending_end *add_pending_end(struct worker *worker,
+					   uint64_t number)
+{
+	struct pending_end *end;
+
+	if (worker->pending_end_count == worker->pending_ends_size) {
+		worker->pending_ends_size =
+			2 * worker->pending_ends_size + PENDING_ENDS_MIN;
+		worker->pending_ends =
+			xrealloc(worker->pending_ends,
+				 worker->pending_ends_size * sizeof(*end));
+	}
+	end = &worker->pending_ends[worker->pending_end_count++];
+	end->number = number;
+	end->workflow = NULL;
+	end->version = 0;
+	return end;
+}
+
+static void process_end(struct dispatch *dispatch, struct worker *worker,
+			const struct ended_run *end, struct mstime now)
 {
 	struct run *run;
 	struct pending_end *record;
 
 	if (end->number <= worker->last_end_number)
-		return 0;
-	if (worker->pending_end_count == RUNS_MAX)
-		return ERR_FULL;
+		return;
 	worker->last_end_number = end->number;
-	record = &worker->pending_ends[worker->pending_end_count++];
-	record->number = end->number;
-	record->workflow = NULL;
+	record = add_pending_end(worker, end->number);
 	if (list_empty(&worker->ends_node))
 		list_add_tail(&dispatch->workers_with_ends, &worker->ends_node);
 	note_started(dispatch, dispatch_find_workflow(dispatch, end->task.job));
@@ -224,15 +244,14 @@
 		      worker, &end->task, end->run,
 		      run_end_name((enum run_end)end->how));
 	if (!run)
-		return 0;
+		return;
 	if (run->is_orphan) {
 		dispatch_run_end(dispatch, run, now);
-		return 0;
+		return;
 	}
 	record->workflow = run->workflow;
 	handle_run_end(dispatch, run, end, now);
 	record->version = dispatch->version;
-	return 0;
 }
 
 static struct run *orphan_new(struct dispatch *dispatch, struct worker *worker,
@@ -363,15 +382,15 @@
 	size_t i;
 
 	for (i = 0; i < report->ends.count; i++)
-		if (process_end(dispatch, worker, &report->ends.items[i], now))
-			break;
+		process_end(dispatch, worker, &report->ends.items[i], now);
 	/* Ends without a change to store are acknowledged at once. */
 	dispatch_acknowledge_ends(worker);
 	for (i = 0; i < report->runs.count; i++)
 		process_status(dispatch, worker, &report->runs.items[i],
 			       report->seq, now);
 	drop_previous_runs(dispatch, worker, now);
-	drop_unreported(dispatch, worker, report->seq, now);
+	if (workreport_is_whole(report))
+		drop_unreported(dispatch, worker, report->seq, now);
 	dispatch_update_paces(dispatch, worker, now);
 }
 
--- a/packages/daemon/src/runner_report.c
+++ b/packages/daemon/src/runner_report.c
@@ -99,14 +99,23 @@
 	}
 }
 
-/* Reports may be lost, so a run that has ended is sent in several. */
-static void drop_ended(struct runner *runner, struct mstime now)
+/*
+ * Reports may be lost, so a run that has ended is sent in several. What a
+ * report had no room for comes first in the next one.
+ */
+static void drop_ended(struct runner *runner,
+		       const struct msg_work_report *report, struct mstime now)
 {
-	struct list *pos, *tmp;
+	size_t sent = report->runs.count < runner->run_count
+			      ? report->runs.count
+			      : runner->run_count;
 
-	list_for_each_safe (pos, tmp, &runner->runs) {
-		struct local_run *run = list_entry(pos, struct local_run, node);
+	while (sent--) {
+		struct local_run *run =
+			list_entry(runner->runs.next, struct local_run, node);
 
+		list_del(&run->node);
+		list_add_tail(&runner->runs, &run->node);
 		if (run->ended_at.ms &&
 		    mstime_diff(now, run->ended_at) > ENDED_KEPT_MS)
 			local_run_delete(run);
@@ -131,7 +140,7 @@
 	err = msglink_server_send(runner->links, runner->scheduler_peer, &msg);
 	if (!err) {
 		note_sent_checkpoints(runner, &msg.u.work_report, now);
-		drop_ended(runner, now);
+		drop_ended(runner, &msg.u.work_report, now);
 	}
 	free(msg.u.work_report.runs.items);
 	runner->reports.value++;
--- /dev/null
+++ b/tests/unit/test_dispatch_reports.c
@@ -0,0 +1,201 @@
+/* Reports with as much as a message can carry. */
+#include "dispatch.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "mem.h"
+
+#define EPOCH 7
+#define BATCH 512 /* runs that a worker is given at most */
+
+struct fixture {
+	struct dispatch *dispatch;
+	uint64_t seq, last_end_number;
+	int lost, ended;
+};
+
+static struct mstime at(int64_t ms)
+{
+	return mstime_from(100000 + ms);
+}
+
+static void on_event(void *arg, const struct dispatch_event *event)
+{
+	struct fixture *f = arg;
+
+	f->lost += event->kind == DISPATCH_RUN_LOST;
+	f->ended += event->kind == DISPATCH_RUN_ENDED;
+}
+
+static void add_workflow(struct fixture *f, const char *id, uint32_t count)
+{
+	struct queue_config queue = { .name = "q", .service = "s" };
+	struct workflow_spec spec = { .step_count = 1 };
+	const char *reason;
+
+	str_copy(spec.id, id, sizeof(spec.id));
+	spec.steps = xcalloc(1, sizeof(*spec.steps));
+	spec.steps[0].task_count = count;
+	spec.steps[0].need.cpu_milli = 1;
+	assert_int_equal(workflow_spec_check(&spec, &reason), 0);
+	dispatch_add(f->dispatch, workflow_new(&spec, &queue, 0), at(0));
+}
+
+static void report(struct fixture *f, struct run_status *runs, size_t run_count,
+		   struct ended_run *ends, size_t end_count)
+{
+	struct worker *worker =
+		dispatch_get_worker(f->dispatch, "r1", at((int64_t)f->seq));
+	struct msg_work_report msg = { .epoch = EPOCH,
+				       .seq = ++f->seq,
+				       .session = 1,
+				       .worker = "w1",
+				       .worker_start_ms = 5,
+				       .fence = worker->fence,
+				       .state = WORKER_READY,
+				       .lease_left_ms = 5500,
+				       .service = "s",
+				       .capacity = { .cpu_milli = 64000 } };
+
+	msg.runs.items = runs;
+	msg.runs.count = run_count;
+	msg.ends.items = ends;
+	msg.ends.count = end_count;
+	assert_int_equal(
+		dispatch_report(f->dispatch, "r1", &msg, at((int64_t)f->seq)),
+		0);
+}
+
+static void fill_runs(struct run_status *runs, const char *job, size_t count,
+		      enum run_phase phase)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		runs[i] = (struct run_status){ .task.index = (uint32_t)i,
+					       .run = 1,
+					       .phase = phase,
+					       .checkpoint = "",
+					       .detail = "" };
+		str_copy(runs[i].task.job, job, sizeof(runs[i].task.job));
+	}
+}
+
+/* Lets all tasks of the workflow be assigned, stored and started. */
+static void start_workflow(struct fixture *f, const char *job, uint32_t count)
+{
+	struct run_status *runs = xcalloc(count, sizeof(*runs));
+	struct workflow *workflow;
+
+	add_workflow(f, job, count);
+	assert_int_equal(dispatch_assign(f->dispatch, at((int64_t)f->seq)),
+			 count);
+	workflow = dispatch_find_workflow(f->dispatch, job);
+	dispatch_mark_saved(f->dispatch, workflow, workflow->version);
+	fill_runs(runs, job, count, RUN_ACTIVE);
+	report(f, runs, count, NULL, 0);
+	free(runs);
+}
+
+static void end_workflow(struct fixture *f, const char *job, uint32_t count)
+{
+	struct ended_run *ends = xcalloc(count, sizeof(*ends));
+	uint32_t i;
+
+	for (i = 0; i < count; i++) {
+		ends[i] = (struct ended_run){ .number = ++f->last_end_number,
+					      .task.index = i,
+					      .run = 1,
+					      .how = RUN_END_DONE,
+					      .checkpoint = "" };
+		str_copy(ends[i].task.job, job, sizeof(ends[i].task.job));
+	}
+	report(f, NULL, 0, ends, count);
+	free(ends);
+}
+
+static void setup(struct fixture *f)
+{
+	memset(f, 0, sizeof(*f));
+	f->dispatch =
+		dispatch_new(&dispatch_defaults, EPOCH, at(0), on_event, f);
+	report(f, NULL, 0, NULL, 0);
+	report(f, NULL, 0, NULL, 0);
+}
+
+/*
+ * Guards against tasks that run twice: a report with as many runs as a message
+ * can carry may leave some out, and those counted as lost.
+ */
+static void test_report_that_is_cut(void **state)
+{
+	static const struct {
+		size_t others; /* refused runs in the report, without ours */
+		int lost;
+	} cases[] = {
+		{ 0, 10 },
+		{ 100, 10 },
+		{ RUNS_MAX - 1, 10 },
+		{ RUNS_MAX, 0 },
+	};
+	static struct run_status runs[RUNS_MAX];
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct fixture f;
+
+		setup(&f);
+		start_workflow(&f, "ours", 10);
+		fill_runs(runs, "others", cases[i].others, RUN_REFUSED);
+		report(&f, runs, cases[i].others, NULL, 0);
+		assert_int_equal(f.lost, cases[i].lost);
+		dispatch_delete(f.dispatch);
+	}
+}
+
+/*
+ * Guards against tasks that run twice: of more ends than 1,024 that wait to be
+ * stored, those beyond counted as lost runs.
+ */
+static void test_many_ends_wait_to_be_stored(void **state)
+{
+	static const uint32_t cases[] = { 1, 2, 3, 9 }; /* batches of runs */
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct worker *worker;
+		struct fixture f;
+		uint32_t k;
+
+		setup(&f);
+		for (k = 0; k < cases[i]; k++) {
+			char job[JOB_ID_SIZE];
+
+			snprintf(job, sizeof(job), "job-%u", k);
+			start_workflow(&f, job, BATCH);
+			end_workflow(&f, job, BATCH);
+		}
+		worker = dispatch_get_worker(f.dispatch, "r1", at(0));
+		assert_int_equal(f.lost, 0);
+		assert_int_equal(f.ended, cases[i] * BATCH);
+		assert_int_equal(worker->pending_end_count, cases[i] * BATCH);
+		dispatch_delete(f.dispatch);
+	}
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_report_that_is_cut),
+		cmocka_unit_test(test_many_ends_wait_to_be_stored),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
