dispatch: keep runs that may have ended from counting as stuck

Change: while ends of a worker wait to be stored, a run of it that is finished by its progress does not count as stuck; its time begins anew.

Evidence: test_finished_run_is_not_stuck fails before with an evicted run; a run that stands at 60%, or at 100% while no end waits, is still moved.

--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -315,6 +315,13 @@
 	dispatch_run_end(dispatch, run, now);
 }
 
+/* Its end may be listed only once those that wait to be stored are. */
+static int may_have_ended(const struct worker *worker,
+			  const struct run_status *status)
+{
+	return status->progress_percent == 100 && worker->pending_end_count;
+}
+
 static void process_status(struct dispatch *dispatch, struct worker *worker,
 			   const struct run_status *status, uint64_t seq,
 			   struct mstime now)
@@ -346,7 +353,7 @@
 		note_started(dispatch, run->workflow);
 	}
 	if (run->progress != status->progress_percent || !run->progress_at.ms ||
-	    run->pace < 100)
+	    run->pace < 100 || may_have_ended(worker, status))
 		run->progress_at = now;
 	run->progress = status->progress_percent;
 	run->latency_or_cpu = status->latency_or_cpu;
--- a/tests/unit/test_dispatch_reports.c
+++ b/tests/unit/test_dispatch_reports.c
@@ -190,11 +190,57 @@
 	}
 }
 
+/*
+ * Guards against a worker that gets no work for 3 s, and useless stops: a run
+ * that is done seemed stuck while its end was not listed yet.
+ */
+static void test_finished_run_is_not_stuck(void **state)
+{
+	static const struct {
+		size_t ends_wait; /* for the store */
+		uint32_t progress;
+		int is_evicted;
+	} cases[] = {
+		{ 1, 100, 0 },
+		{ 1, 60, 1 },
+		{ 0, 100, 1 },
+	};
+	size_t i;
+
+	for (i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct run_status runs[2];
+		struct ended_run end;
+		struct fixture f;
+		struct worker *worker;
+		int k;
+
+		setup(&f);
+		start_workflow(&f, "ours", 2);
+		fill_runs(runs, "ours", 2, RUN_ACTIVE);
+		runs[0].progress_percent = cases[i].progress;
+		end = (struct ended_run){ .number = 1,
+					  .task = runs[1].task,
+					  .run = 1,
+					  .how = RUN_END_DONE,
+					  .checkpoint = "" };
+		for (k = 0; k < 6; k++) {
+			f.seq += 500;
+			report(&f, runs, 1, &end, cases[i].ends_wait);
+			dispatch_expire(f.dispatch, at((int64_t)f.seq));
+		}
+		worker = dispatch_get_worker(f.dispatch, "r1", at(0));
+		assert_int_equal(mstime_before(at(0), worker->penalty_until),
+				 cases[i].is_evicted);
+		dispatch_delete(f.dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_report_that_is_cut),
 		cmocka_unit_test(test_many_ends_wait_to_be_stored),
+		cmocka_unit_test(test_finished_run_is_not_stuck),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
