--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -241,6 +241,9 @@
 struct workflow *dispatch_find_workflow(struct dispatch *dispatch,
 					const char *job);
 
+/* Bytes of memory, about, that the workflows take. */
+size_t dispatch_memory(const struct dispatch *dispatch);
+
 /* Returns 0, also for a workflow that is already final, or ERR_NOT_FOUND. */
 int dispatch_cancel(struct dispatch *dispatch, const char *job,
 		    struct mstime now);
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -14,9 +14,10 @@
  *
  * NOTES
  *	The specification never changes after submission. The scheduler keeps
- *	the state of the tasks and stores it as one JSON document for each
- *	workflow; see workflow_encode(). The module has no I/O. It knows of
- *	workers only the location that is recorded with an assigned task.
+ *	the state of the tasks that are at work and stores it as one JSON
+ *	document for each workflow; see workflow_encode(). The module has no
+ *I/O. It knows of workers only the location that is recorded with an assigned
+ *task.
  */
 #define STEPS_MAX 256
 #define TASKS_PER_WORKFLOW_MAX 20000
@@ -97,18 +98,36 @@
 	uint32_t failures; /* failed runs */
 	char *checkpoint;  /* NULL: none */
 	struct run_location *location;
-	struct run *current_run;      /* owned by dispatch */
-	struct mstime not_before;     /* delay after a failure */
-	struct mstime waiting_from;   /* end of its last run */
-	struct mstime unplaced_since; /* no worker could take it; 0: none */
+	struct run *current_run;    /* owned by dispatch */
+	struct mstime not_before;   /* delay after a failure */
+	struct mstime waiting_from; /* end of its last run */
 };
 
-/* Task states of one occurrence; the arrays are NULL until the first use. */
+/* The tasks have states from the first assignment until the last end. */
+struct step_state {
+	struct workflow_task *tasks; /* NULL: none has begun, or all are done */
+	uint32_t done_count, assigned_count;
+};
+
+/* An occurrence that has begun and is not done. */
 struct occurrence {
-	struct workflow_task *tasks;
-	uint32_t *done_count;	  /* of each step */
-	uint32_t *assigned_count; /* of each step */
+	uint32_t number;
 	uint32_t steps_done;
+	uint32_t assigned_count; /* sum of those of the steps */
+	struct step_state steps[];
+};
+
+/* Occurrences that are done, after one that is not. */
+struct done_range {
+	struct list node;
+	uint32_t first, last;
+};
+
+/* Where in a workflow a pass has ended. */
+enum look_stage {
+	LOOK_FROM_START,
+	LOOK_BEGUN, /* at the occurrences that have begun, from a number on */
+	LOOK_FRESH  /* at those that have not */
 };
 
 /* Whether a workflow can still meet its objective; sorts in this order. */
@@ -126,12 +145,18 @@
 	struct workflow_spec spec;
 	struct queue_config queue;
 	enum workflow_state state;
-	struct occurrence *occurrences;
+	struct occurrence **begun; /* by number */
+	size_t begun_count, begun_size;
 	uint32_t first_open;	   /* all occurrences before it are done */
-	uint32_t done_occurrences; /* also after the first open one */
-	uint32_t look_from;	   /* where a pass has stopped; 0: it has not */
-	uint32_t assigned_total;   /* sum of the assigned_count */
-	int64_t submitted_ms;	   /* by the store's clock, ms since 1970 */
+	struct list done_ranges;   /* after first_open, by number */
+	uint32_t done_occurrences; /* with those in the ranges */
+	enum look_stage look_stage;
+	uint32_t look_from;	 /* occurrence */
+	uint32_t assigned_total; /* sum of the assigned_count */
+	uint32_t state_count;	 /* tasks that have a state */
+	size_t memory;		 /* bytes, about */
+	size_t *memory_sum;	 /* of all workflows; NULL: not counted */
+	int64_t submitted_ms;	 /* by the store's clock, ms since 1970 */
 	struct mstime submitted_at;
 	int64_t critical_path_ms; /* by the estimates */
 	int64_t remaining_ms;	  /* of the critical path */
@@ -146,6 +171,10 @@
 	struct mstime idle_since;
 	struct mstime looked_at; /* by a pass; before it, when it arrived */
 	int block; /* enum placement_block of the last look; 0: none */
+	/* The first task that found no worker at the last look, and how long.
+	 */
+	struct task_id unplaced_task;
+	struct mstime unplaced_since;	 /* 0: each task found one */
 	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	unsigned cancelled : 1;
 	unsigned started : 1;	/* a worker has begun a task */
@@ -173,15 +202,54 @@
 
 int workflow_is_final(const struct workflow *workflow);
 
-struct workflow_task *workflow_task(struct workflow *workflow,
-				    uint32_t occurrence, uint32_t step,
-				    uint32_t index);
+/* Bytes of memory, about, without the documents of the store. */
+size_t workflow_memory(const struct workflow *workflow);
 
-/* Returns NULL if the workflow has no such task. */
-struct workflow_task *workflow_find_task(struct workflow *workflow,
+int workflow_has_task(const struct workflow *workflow,
+		      const struct task_id *id);
+
+/*
+ * Returns the state of a task, or NULL: the workflow has no such task, none of
+ * its step was assigned yet, or all of them are done. Looking at a task costs
+ * no memory.
+ */
+struct workflow_task *workflow_find_task(const struct workflow *workflow,
 					 const struct task_id *id);
 
-/* Counts an assigned task more (1) or less (-1). */
+/* The same for a task that exists and whose step is not done; creates it. */
+struct workflow_task *workflow_begin_task(struct workflow *workflow,
+					  const struct task_id *id);
+
+enum task_phase workflow_task_phase(const struct workflow *workflow,
+				    const struct task_id *id);
+
+/*
+ * Whether a task of the occurrence may be assigned: states are kept for at
+ * most TASKS_PER_WORKFLOW_MAX tasks, so that they can be stored. Occurrences
+ * that have begun, and one in any case, go on.
+ */
+int workflow_may_begin(const struct workflow *workflow, uint32_t occurrence);
+
+/* Returns NULL if the occurrence has not begun, or is done. */
+struct occurrence *workflow_occurrence(const struct workflow *workflow,
+				       uint32_t number);
+
+/* Index in workflow->begun of the first one with this number or a higher one.
+ */
+size_t workflow_begun_from(const struct workflow *workflow, uint32_t number);
+
+/* The first one from number on that has not begun; spec.occurrences: none. */
+uint32_t workflow_next_fresh(const struct workflow *workflow, uint32_t number);
+
+/* Takes a copy of the text. */
+void workflow_set_checkpoint(struct workflow *workflow,
+			     struct workflow_task *task,
+			     const char *checkpoint);
+
+/*
+ * Counts an assigned task more (1) or less (-1). The states of a step that is
+ * done end with its last assigned task.
+ */
 void workflow_count_assigned(struct workflow *workflow,
 			     const struct task_id *id, int change);
 
@@ -205,6 +273,10 @@
 /* Marks the first occurrences of a new workflow done. */
 void workflow_set_complete(struct workflow *workflow, uint32_t occurrences);
 
+/* Marks occurrences done that have not begun; first is after first_open. */
+void workflow_add_done(struct workflow *workflow, uint32_t first,
+		       uint32_t last);
+
 /*
  * Returns the state as newly allocated JSON. Tasks that have never been
  * assigned are omitted.
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -147,6 +147,11 @@
 	return &dispatch->workers;
 }
 
+size_t dispatch_memory(const struct dispatch *dispatch)
+{
+	return dispatch->memory;
+}
+
 const struct dispatch_stats *dispatch_get_stats(const struct dispatch *dispatch)
 {
 	return &dispatch->stats;
@@ -244,31 +249,29 @@
 }
 
 static void adopt_step(struct dispatch *dispatch, struct workflow *workflow,
-		       uint32_t k, uint32_t step, struct mstime now)
+		       const struct occurrence *occurrence, uint32_t step,
+		       struct mstime now)
 {
-	uint32_t index;
-
-	for (index = 0; index < workflow->spec.steps[step].task_count;
-	     index++) {
-		struct workflow_task *task =
-			workflow_task(workflow, k, step, index);
-		struct task_id id = { "", k, step, index };
+	const struct step_state *state = &occurrence->steps[step];
+	struct task_id id = { "", occurrence->number, step, 0 };
 
-		if (task->phase == TASK_ASSIGNED)
-			adopt_run(dispatch, workflow, task, &id, now);
-	}
+	for (; state->tasks && id.index < workflow->spec.steps[step].task_count;
+	     id.index++)
+		if (state->tasks[id.index].phase == TASK_ASSIGNED)
+			adopt_run(dispatch, workflow, &state->tasks[id.index],
+				  &id, now);
 }
 
 static void adopt_runs(struct dispatch *dispatch, struct workflow *workflow,
 		       struct mstime now)
 {
-	uint32_t k, step;
+	uint32_t step;
+	size_t i;
 
-	for (k = 0; k < workflow->spec.occurrences; k++)
-		for (step = 0; workflow->occurrences[k].tasks &&
-			       step < workflow->spec.step_count;
-		     step++)
-			adopt_step(dispatch, workflow, k, step, now);
+	for (i = 0; i < workflow->begun_count; i++)
+		for (step = 0; step < workflow->spec.step_count; step++)
+			adopt_step(dispatch, workflow, workflow->begun[i], step,
+				   now);
 }
 
 /* The age may be negative: the store's clock and this one differ slightly. */
@@ -307,6 +310,8 @@
 	}
 	*link = xcalloc(1, sizeof(**link));
 	(*link)->workflow = workflow;
+	workflow->memory_sum = &dispatch->memory;
+	dispatch->memory += workflow_memory(workflow);
 	set_age(dispatch, workflow, now);
 	set_images(dispatch, workflow);
 	dispatch_update_urgency(workflow, now);
@@ -322,20 +327,26 @@
 	return 0;
 }
 
-static void check_orders_of_runs(struct workflow *workflow)
+static void check_orders_of_step(const struct step_state *state, uint32_t count)
 {
-	uint32_t k, i;
+	uint32_t i;
+
+	for (i = 0; state->assigned_count && i < count; i++)
+		if (state->tasks[i].current_run)
+			dispatch_note_orders(
+				state->tasks[i].current_run->worker);
+}
 
-	for (k = 0; k < workflow->spec.occurrences; k++)
-		for (i = 0; workflow->occurrences[k].tasks &&
-			    i < workflow->spec.task_count;
-		     i++) {
-			const struct run *run =
-				workflow->occurrences[k].tasks[i].current_run;
+static void check_orders_of_runs(const struct workflow *workflow)
+{
+	uint32_t step;
+	size_t i;
 
-			if (run)
-				dispatch_note_orders(run->worker);
-		}
+	for (i = 0; i < workflow->begun_count; i++)
+		for (step = 0; step < workflow->spec.step_count; step++)
+			check_orders_of_step(
+				&workflow->begun[i]->steps[step],
+				workflow->spec.steps[step].task_count);
 }
 
 void dispatch_check_final(struct dispatch *dispatch, struct workflow *workflow,
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -39,29 +39,33 @@
 	return (enum placement_block)most;
 }
 
-/* Reports a task that waits for a worker, with what rules the workers out. */
+/* The first task that a look leaves without a worker stands for the others. */
 static void note_unplaced(struct dispatch *dispatch,
 			  const struct placement_request *request,
 			  uint32_t index, const uint32_t *blocks,
 			  struct mstime now)
 {
 	struct workflow *workflow = request->workflow;
-	struct workflow_task *task = workflow_task(
-		workflow, request->occurrence, request->step_index, index);
 	struct task_id id = { "", request->occurrence, request->step_index,
 			      index };
+	const struct workflow_task *task = workflow_find_task(workflow, &id);
 	struct dispatch_event event = {
 		.kind = DISPATCH_TASK_UNPLACED,
 		.workflow = workflow,
 		.task = &id,
-		.run = task->last_run,
+		.run = task ? task->last_run : 0,
 		.blocks = blocks,
 	};
 
+	if (workflow->block != PLACEMENT_POSSIBLE)
+		return;
 	workflow->block = most_frequent(blocks);
-	if (!task->unplaced_since.ms)
-		task->unplaced_since = now;
-	event.value = (uint32_t)mstime_diff(now, task->unplaced_since);
+	if (!workflow->unplaced_since.ms ||
+	    !task_id_equal(&workflow->unplaced_task, &id)) {
+		workflow->unplaced_task = id;
+		workflow->unplaced_since = now;
+	}
+	event.value = (uint32_t)mstime_diff(now, workflow->unplaced_since);
 	if (event.value < UNPLACED_MS ||
 	    mstime_diff(now, workflow->unplaced_noted_at) < UNPLACED_MS ||
 	    mstime_diff(now, dispatch->unplaced_noted_at) < UNPLACED_SPACING_MS)
@@ -73,38 +77,52 @@
 		dispatch->event_fn(dispatch->event_arg, &event);
 }
 
-static struct run *assign_task(struct dispatch *dispatch,
-			       const struct placement_request *request,
-			       uint32_t index, struct worker *worker,
-			       uint32_t number)
+static struct task_id request_task(const struct placement_request *request,
+				   uint32_t index)
 {
-	struct workflow *workflow = request->workflow;
-	struct workflow_task *task = workflow_task(
-		workflow, request->occurrence, request->step_index, index);
 	struct task_id id = { "", request->occurrence, request->step_index,
 			      index };
 
-	str_copy(id.job, workflow->spec.id, sizeof(id.job));
+	str_copy(id.job, request->workflow->spec.id, sizeof(id.job));
+	return id;
+}
+
+/* Reserves the worker's resources; the task does not change. */
+static struct run *place_task(struct dispatch *dispatch,
+			      const struct placement_request *request,
+			      uint32_t index, struct worker *worker,
+			      uint32_t number)
+{
+	struct task_id id = request_task(request, index);
+	struct run *run = dispatch_run_new(dispatch, worker, request->workflow,
+					   &id, number);
+
+	run->worker_start_ms = worker->start_ms;
+	return run;
+}
+
+static void assign_run(struct run *run)
+{
+	struct workflow *workflow = run->workflow;
+	struct workflow_task *task = workflow_begin_task(workflow, &run->id);
+
 	task->phase = TASK_ASSIGNED;
-	task->unplaced_since = mstime_from(0);
-	task->last_run = number;
+	task->last_run = run->number;
 	task->location = xcalloc(1, sizeof(*task->location));
-	str_copy(task->location->node, worker->runner,
+	str_copy(task->location->node, run->worker->runner,
 		 sizeof(task->location->node));
-	str_copy(task->location->worker, worker->id,
+	str_copy(task->location->worker, run->worker->id,
 		 sizeof(task->location->worker));
-	task->location->worker_start_ms = worker->start_ms;
-	task->current_run =
-		dispatch_run_new(dispatch, worker, workflow, &id, number);
-	task->current_run->worker_start_ms = worker->start_ms;
-	workflow_count_assigned(workflow, &id, 1);
-	return task->current_run;
+	task->location->worker_start_ms = run->worker_start_ms;
+	task->current_run = run;
+	workflow_count_assigned(workflow, &run->id, 1);
 }
 
 static void commit_run(struct dispatch *dispatch, struct run *run)
 {
 	struct workflow *workflow = run->workflow;
 
+	assign_run(run);
 	if (workflow->state == WORKFLOW_QUEUED)
 		workflow->state = WORKFLOW_RUNNING;
 	list_add_tail(&workflow->unsaved_runs, &run->unsaved_node);
@@ -114,10 +132,28 @@
 		      &run->id, run->number, "least-loaded");
 }
 
-static int task_ready(const struct workflow_task *task, struct mstime now)
+/* A task without a state has not begun; its step is not done. */
+static int task_ready(const struct placement_request *request, uint32_t index,
+		      struct mstime now)
+{
+	struct task_id id = { "", request->occurrence, request->step_index,
+			      index };
+	const struct workflow_task *task =
+		workflow_find_task(request->workflow, &id);
+
+	return !task || (task->phase == TASK_WAITING && !task->current_run &&
+			 !mstime_before(now, task->not_before));
+}
+
+static uint32_t last_run(const struct placement_request *request,
+			 uint32_t index)
 {
-	return task->phase == TASK_WAITING && !task->current_run &&
-	       !mstime_before(now, task->not_before);
+	struct task_id id = { "", request->occurrence, request->step_index,
+			      index };
+	const struct workflow_task *task =
+		workflow_find_task(request->workflow, &id);
+
+	return task ? task->last_run : 0;
 }
 
 /* Assigns all tasks of the gang, with the same run number, or none. */
@@ -129,14 +165,10 @@
 	int placed = 0;
 
 	for (i = 0; i < count; i++) {
-		struct workflow_task *task =
-			workflow_task(request->workflow, request->occurrence,
-				      request->step_index, i);
-
-		if (!task_ready(task, now))
+		if (!task_ready(request, i, now))
 			return 0;
-		if (task->last_run > number)
-			number = task->last_run;
+		if (last_run(request, i) > number)
+			number = last_run(request, i);
 	}
 	runs = xcalloc(count, sizeof(struct run *));
 	dispatch_find_candidates(dispatch, request, now);
@@ -150,14 +182,14 @@
 			break;
 		}
 		runs[placed++] =
-			assign_task(dispatch, request, i, worker, number + 1);
+			place_task(dispatch, request, i, worker, number + 1);
 		dispatch_update_best(dispatch, request, now);
 	}
 	for (i = 0; i < (uint32_t)placed; i++) {
 		if ((uint32_t)placed == count)
 			commit_run(dispatch, runs[i]);
 		else
-			dispatch_run_end(dispatch, runs[i], now);
+			dispatch_run_free(runs[i]);
 	}
 	free(runs);
 	return (uint32_t)placed == count ? placed : 0;
@@ -167,10 +199,7 @@
 static uint32_t next_ready(const struct placement_request *request, uint32_t i,
 			   struct mstime now)
 {
-	while (i < request->step->task_count &&
-	       !task_ready(workflow_task(request->workflow, request->occurrence,
-					 request->step_index, i),
-			   now))
+	while (i < request->step->task_count && !task_ready(request, i, now))
 		i++;
 	return i;
 }
@@ -205,16 +234,13 @@
 	dispatch_find_candidates(dispatch, request, now);
 	while (i < request->step->task_count && placed < max) {
 		struct worker *worker = dispatch_best_candidate(dispatch);
-		struct workflow_task *task;
 
 		if (!worker) {
 			note_no_place(dispatch, request, i, now);
 			break;
 		}
-		task = workflow_task(request->workflow, request->occurrence,
-				     request->step_index, i);
-		commit_run(dispatch, assign_task(dispatch, request, i, worker,
-						 task->last_run + 1));
+		commit_run(dispatch, place_task(dispatch, request, i, worker,
+						last_run(request, i) + 1));
 		placed++;
 		dispatch_update_best(dispatch, request, now);
 		i = next_ready(request, i + 1, now);
@@ -247,11 +273,13 @@
 static int step_has_waiting(const struct workflow *workflow, uint32_t k,
 			    uint32_t step)
 {
-	const struct occurrence *state = &workflow->occurrences[k];
+	const struct occurrence *occurrence = workflow_occurrence(workflow, k);
+	const struct step_state *state;
 
-	if (!state->tasks)
+	if (!occurrence)
 		return 1;
-	return state->done_count[step] + state->assigned_count[step] <
+	state = &occurrence->steps[step];
+	return state->done_count + state->assigned_count <
 	       workflow->spec.steps[step].task_count;
 }
 
@@ -269,6 +297,17 @@
 	size_t count;
 };
 
+/*
+ * Whether another occurrence may find a worker where this one found none: tasks
+ * of this one are in its way. A gang has none when it is placed.
+ */
+static int depends_on_occurrence(const struct dispatch *dispatch,
+				 const struct placement_request *request)
+{
+	return request->step->max_per_worker && !request->step->gang &&
+	       dispatch->blocks[PLACEMENT_SPREAD];
+}
+
 static int assign_occurrence(struct dispatch *dispatch,
 			     struct workflow *workflow, uint32_t k,
 			     struct blocked_steps *blocked, struct mstime now)
@@ -291,8 +330,8 @@
 		request.image = request.step->image_index;
 		request.is_forced = is_starved(workflow, now);
 		placed += assign_step(dispatch, &request, now);
-		/* Where tasks of a step may be depends on its occurrence. */
-		if (!request.has_no_place || request.step->max_per_worker)
+		if (!request.has_no_place ||
+		    depends_on_occurrence(dispatch, &request))
 			continue;
 		blocked->is_blocked[step] = 1;
 		blocked->count++;
@@ -307,34 +346,98 @@
 	       dispatch_waits_for_saves(dispatch);
 }
 
-/* If the pass ends within the workflow, sets where the next one goes on. */
+/*
+ * RETURN VALUE
+ *	Whether the pass has ended before the occurrence; the next one goes on
+ *	there.
+ */
+static int ends_pass(struct dispatch *dispatch, struct workflow *workflow,
+		     enum look_stage stage, uint32_t k)
+{
+	if (!pass_is_over(dispatch))
+		return 0;
+	workflow->look_stage = stage;
+	workflow->look_from = k;
+	return 1;
+}
+
+static int assign_begun(struct dispatch *dispatch, struct workflow *workflow,
+			uint32_t from, struct blocked_steps *blocked,
+			struct mstime now)
+{
+	size_t i = workflow_begun_from(workflow, from);
+	int placed = 0;
+
+	for (; i < workflow->begun_count &&
+	       blocked->count < workflow->spec.step_count;
+	     i++) {
+		uint32_t k = workflow->begun[i]->number;
+
+		if (k > from && ends_pass(dispatch, workflow, LOOK_BEGUN, k))
+			break;
+		dispatch->stats.looks++;
+		placed +=
+			assign_occurrence(dispatch, workflow, k, blocked, now);
+	}
+	return placed;
+}
+
+static int may_begin(const struct dispatch *dispatch,
+		     const struct workflow *workflow, uint32_t k)
+{
+	return k < workflow->spec.occurrences &&
+	       occurrence_is_due(dispatch, workflow, k) &&
+	       workflow_may_begin(workflow, k);
+}
+
+/*
+ * Occurrences that have not begun are alike: where one finds no place, none
+ * does.
+ */
+static int assign_fresh(struct dispatch *dispatch, struct workflow *workflow,
+			uint32_t from, struct blocked_steps *blocked,
+			struct mstime now)
+{
+	uint32_t k = workflow_next_fresh(workflow, from);
+	int placed = 0, added = 1;
+
+	for (; added && may_begin(dispatch, workflow, k) &&
+	       blocked->count < workflow->spec.step_count;
+	     k = workflow_next_fresh(workflow, k + 1)) {
+		if (k > from && ends_pass(dispatch, workflow, LOOK_FRESH, k))
+			break;
+		dispatch->stats.looks++;
+		added = assign_occurrence(dispatch, workflow, k, blocked, now);
+		placed += added;
+	}
+	return placed;
+}
+
+/* If the pass ends within the workflow, look_stage tells so. */
 static int assign_workflow(struct dispatch *dispatch, struct workflow *workflow,
 			   struct mstime now)
 {
 	struct blocked_steps blocked = { 0 };
-	uint32_t k = workflow->first_open, start;
+	enum look_stage stage = workflow->look_stage;
+	uint32_t from = stage == LOOK_FROM_START ? 0 : workflow->look_from;
 	int placed = 0;
 
-	if (workflow->look_from > k)
-		k = workflow->look_from;
-	workflow->look_from = 0;
+	workflow->look_stage = LOOK_FROM_START;
 	workflow->looked_at = now;
-	workflow->block = PLACEMENT_POSSIBLE;
+	if (stage == LOOK_FROM_START)
+		workflow->block = PLACEMENT_POSSIBLE;
 	if (workflow->assigned_total ||
 	    !occurrence_is_due(dispatch, workflow, workflow->first_open))
 		workflow->idle_since = now;
-	for (start = k; k < workflow->spec.occurrences &&
-			occurrence_is_due(dispatch, workflow, k) &&
-			blocked.count < workflow->spec.step_count;
-	     k++) {
-		if (k > start && pass_is_over(dispatch)) {
-			workflow->look_from = k;
-			break;
-		}
-		dispatch->stats.looks++;
-		placed +=
-			assign_occurrence(dispatch, workflow, k, &blocked, now);
+	if (stage != LOOK_FRESH) {
+		placed = assign_begun(dispatch, workflow, from, &blocked, now);
+		from = 0;
 	}
+	if (workflow->look_stage == LOOK_FROM_START)
+		placed += assign_fresh(dispatch, workflow, from, &blocked, now);
+	if (workflow->block == PLACEMENT_POSSIBLE &&
+	    workflow->look_stage == LOOK_FROM_START)
+		workflow->unplaced_since = mstime_from(0);
 	return placed;
 }
 
@@ -414,7 +517,7 @@
 			return placed;
 		list_del(&workflow->round_node);
 		placed += assign_workflow(dispatch, workflow, now);
-		if (workflow->look_from)
+		if (workflow->look_stage != LOOK_FROM_START)
 			list_add_head(&dispatch->to_look,
 				      &workflow->round_node);
 	}
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -61,6 +61,7 @@
 	struct mstime takeover_at;
 	struct mstime now;     /* of the call in progress */
 	struct list workflows; /* not final */
+	size_t memory;	       /* of all workflows */
 	struct list finals;    /* final, in the order in which they ended */
 	struct list workers;
 	size_t worker_count;
@@ -154,6 +155,9 @@
 void dispatch_run_end(struct dispatch *dispatch, struct run *run,
 		      struct mstime now);
 
+/* Releases its resources and frees it; its task is not changed. */
+void dispatch_run_free(struct run *run);
+
 struct run *dispatch_run_find(struct worker *worker, const struct task_id *id,
 			      uint32_t number);
 
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -59,8 +59,9 @@
 	struct workflow *workflow = run->workflow;
 	const struct workflow_step *step = &workflow->spec.steps[run->id.step];
 	const char *payload = workflow->spec.payload;
-	const char *checkpoint =
-		workflow_find_task(workflow, &run->id)->checkpoint;
+	const struct workflow_task *task =
+		workflow_find_task(workflow, &run->id);
+	const char *checkpoint = task ? task->checkpoint : NULL;
 	struct run_order *order = &dispatch->starts[orders->starts.count];
 
 	if (orders->starts.count == ORDER_STARTS_MAX ||
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -142,6 +142,8 @@
 	const struct workflow_step *step = &workflow->spec.steps[id->step];
 	struct workflow_task *task = workflow_find_task(workflow, id);
 
+	if (!task)
+		return;
 	task->not_before = mstime_add(now, dispatch->limits.retry_delay_ms);
 	if (step->long_running)
 		return;
@@ -160,17 +162,20 @@
 	return json != NULL;
 }
 
-static void set_checkpoint(struct workflow_task *task, const char *checkpoint)
+/* A task without a state needs none: its step is done. */
+static void set_checkpoint(struct workflow *workflow, const struct task_id *id,
+			   const char *checkpoint)
 {
-	if (!checkpoint || !*checkpoint)
+	struct workflow_task *task = workflow_find_task(workflow, id);
+
+	if (!task || !checkpoint || !*checkpoint)
 		return;
 	if (task->checkpoint && !strcmp(task->checkpoint, checkpoint))
 		return;
 	/* The stored state would be unreadable for the next scheduler. */
 	if (!text_is_utf8(checkpoint))
 		return;
-	free(task->checkpoint);
-	task->checkpoint = xstrdup(checkpoint);
+	workflow_set_checkpoint(workflow, task, checkpoint);
 }
 
 /* Only the worker tells that it has begun a task; an order may never start. */
@@ -187,11 +192,10 @@
 			   const struct ended_run *end, struct mstime now)
 {
 	struct workflow *workflow = run->workflow;
-	struct workflow_task *task = workflow_find_task(workflow, &run->id);
 	const struct workflow_step *step = &workflow->spec.steps[run->id.step];
 	struct task_id id = run->id;
 
-	set_checkpoint(task, end->checkpoint);
+	set_checkpoint(workflow, &id, end->checkpoint);
 	if (end->how == RUN_END_FAILED) {
 		handle_failed_task(dispatch, workflow, &id, now);
 		count_failure(dispatch, run->worker, now);
@@ -261,7 +265,7 @@
 		dispatch_find_workflow(dispatch, status->task.job);
 	struct run *run;
 
-	if (workflow && workflow_find_task(workflow, &status->task)) {
+	if (workflow && workflow_has_task(workflow, &status->task)) {
 		run = dispatch_run_new(dispatch, worker, workflow,
 				       &status->task, status->run);
 	} else {
@@ -309,8 +313,9 @@
 	}
 	if (run->workflow && !run->is_orphan) {
 		task = workflow_find_task(run->workflow, &run->id);
-		task->not_before =
-			mstime_add(now, dispatch->limits.retry_delay_ms);
+		if (task)
+			task->not_before = mstime_add(
+				now, dispatch->limits.retry_delay_ms);
 	}
 	dispatch_run_end(dispatch, run, now);
 }
@@ -358,8 +363,7 @@
 	run->progress = status->progress_percent;
 	run->latency_or_cpu = status->latency_or_cpu;
 	if (run->workflow && !run->is_orphan)
-		set_checkpoint(workflow_find_task(run->workflow, &run->id),
-			       status->checkpoint);
+		set_checkpoint(run->workflow, &run->id, status->checkpoint);
 }
 
 /* Drops confirmed runs that the runner no longer reports. */
--- a/packages/core/src/dispatch_run.c
+++ b/packages/core/src/dispatch_run.c
@@ -72,16 +72,16 @@
 	struct workflow *workflow = run->workflow;
 	struct workflow_task *task = workflow_find_task(workflow, &run->id);
 
-	if (task->current_run != run)
+	if (!task || task->current_run != run)
 		return;
 	task->current_run = NULL;
 	task->waiting_from = now;
+	if (task->phase == TASK_ASSIGNED) {
+		task->phase = TASK_WAITING;
+		free(task->location);
+		task->location = NULL;
+	}
 	workflow_count_assigned(workflow, &run->id, -1);
-	if (task->phase != TASK_ASSIGNED)
-		return;
-	task->phase = TASK_WAITING;
-	free(task->location);
-	task->location = NULL;
 }
 
 void dispatch_evict(struct run *run)
@@ -93,12 +93,17 @@
 void dispatch_run_end(struct dispatch *dispatch, struct run *run,
 		      struct mstime now)
 {
-	struct worker *worker = run->worker;
-
 	if (run->workflow && !run->is_orphan) {
 		release_task(run, now);
 		dispatch_mark_changed(dispatch, run->workflow);
 	}
+	dispatch_run_free(run);
+}
+
+void dispatch_run_free(struct run *run)
+{
+	struct worker *worker = run->worker;
+
 	worker->run_count--;
 	worker->used.mem_mb -= run->reserved.mem_mb;
 	worker->used.accel -= run->reserved.accel;
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -90,6 +90,25 @@
 	return 0;
 }
 
+/* Bytes of a specification besides that of the workflow. */
+static size_t spec_memory(const struct workflow_spec *spec)
+{
+	size_t i, bytes = spec->step_count * sizeof(*spec->steps);
+
+	bytes += spec->payload ? strlen(spec->payload) + 1 : 0;
+	for (i = 0; i < spec->step_count; i++) {
+		const struct workflow_step *step = &spec->steps[i];
+		const char *const texts[] = { step->required_label,
+					      step->data_rack, step->image };
+		size_t k;
+
+		bytes += step->dependency_count * sizeof(*step->depends_on);
+		for (k = 0; k < sizeof(texts) / sizeof(texts[0]); k++)
+			bytes += texts[k] ? strlen(texts[k]) + 1 : 0;
+	}
+	return bytes;
+}
+
 struct workflow *workflow_new(struct workflow_spec *spec,
 			      const struct queue_config *queue,
 			      int64_t submitted_ms)
@@ -100,38 +119,148 @@
 	list_init(&workflow->round_node);
 	list_init(&workflow->unsaved_node);
 	list_init(&workflow->unsaved_runs);
+	list_init(&workflow->done_ranges);
 	workflow->spec = *spec;
 	workflow->queue = *queue;
 	workflow->submitted_ms = submitted_ms;
-	workflow->occurrences =
-		xcalloc(spec->occurrences, sizeof(*workflow->occurrences));
+	workflow->memory = sizeof(*workflow) + spec_memory(spec);
 	memset(spec, 0, sizeof(*spec));
 	return workflow;
 }
 
-static void occurrence_clear(struct occurrence *occurrence, uint32_t count)
+static void change_memory(struct workflow *workflow, size_t added,
+			  size_t removed)
+{
+	workflow->memory += added - removed;
+	if (workflow->memory_sum)
+		*workflow->memory_sum += added - removed;
+}
+
+size_t workflow_memory(const struct workflow *workflow)
+{
+	return workflow->memory;
+}
+
+void workflow_set_checkpoint(struct workflow *workflow,
+			     struct workflow_task *task, const char *checkpoint)
+{
+	change_memory(workflow, checkpoint ? strlen(checkpoint) + 1 : 0,
+		      task->checkpoint ? strlen(task->checkpoint) + 1 : 0);
+	free(task->checkpoint);
+	task->checkpoint = checkpoint ? xstrdup(checkpoint) : NULL;
+}
+
+static void end_step(struct workflow *workflow, struct step_state *state,
+		     uint32_t count)
 {
 	uint32_t i;
 
-	for (i = 0; occurrence->tasks && i < count; i++) {
-		free(occurrence->tasks[i].checkpoint);
-		free(occurrence->tasks[i].location);
+	if (!state->tasks)
+		return;
+	for (i = 0; i < count; i++) {
+		workflow_set_checkpoint(workflow, &state->tasks[i], NULL);
+		free(state->tasks[i].location);
 	}
-	free(occurrence->tasks);
-	free(occurrence->done_count);
-	free(occurrence->assigned_count);
+	free(state->tasks);
+	state->tasks = NULL;
+	workflow->state_count -= count;
+	change_memory(workflow, 0, count * sizeof(struct workflow_task));
 }
 
-void workflow_delete(struct workflow *workflow)
+static size_t occurrence_memory(const struct workflow *workflow)
+{
+	return sizeof(struct occurrence) +
+	       workflow->spec.step_count * sizeof(struct step_state) +
+	       sizeof(struct occurrence *);
+}
+
+size_t workflow_begun_from(const struct workflow *workflow, uint32_t number)
 {
-	uint32_t k;
+	size_t low = 0, high = workflow->begun_count;
 
+	while (low < high) {
+		size_t middle = (low + high) / 2;
+
+		if (workflow->begun[middle]->number < number)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+struct occurrence *workflow_occurrence(const struct workflow *workflow,
+				       uint32_t number)
+{
+	size_t i = workflow_begun_from(workflow, number);
+
+	return i < workflow->begun_count && workflow->begun[i]->number == number
+		       ? workflow->begun[i]
+		       : NULL;
+}
+
+static struct occurrence *begin_occurrence(struct workflow *workflow,
+					   uint32_t number)
+{
+	size_t i = workflow_begun_from(workflow, number);
+	struct occurrence *occurrence;
+
+	if (i < workflow->begun_count && workflow->begun[i]->number == number)
+		return workflow->begun[i];
+	if (workflow->begun_count == workflow->begun_size) {
+		workflow->begun_size = 2 * workflow->begun_size + 1;
+		workflow->begun = xrealloc(workflow->begun,
+					   workflow->begun_size *
+						   sizeof(*workflow->begun));
+	}
+	occurrence = xcalloc(1, sizeof(*occurrence) +
+					workflow->spec.step_count *
+						sizeof(struct step_state));
+	occurrence->number = number;
+	memmove(workflow->begun + i + 1, workflow->begun + i,
+		(workflow->begun_count - i) * sizeof(*workflow->begun));
+	workflow->begun[i] = occurrence;
+	workflow->begun_count++;
+	change_memory(workflow, occurrence_memory(workflow), 0);
+	return occurrence;
+}
+
+static void end_occurrence(struct workflow *workflow,
+			   struct occurrence *occurrence)
+{
+	size_t i = workflow_begun_from(workflow, occurrence->number);
+	size_t step;
+
+	for (step = 0; step < workflow->spec.step_count; step++)
+		end_step(workflow, &occurrence->steps[step],
+			 workflow->spec.steps[step].task_count);
+	workflow->begun_count--;
+	memmove(workflow->begun + i, workflow->begun + i + 1,
+		(workflow->begun_count - i) * sizeof(*workflow->begun));
+	change_memory(workflow, 0, occurrence_memory(workflow));
+	free(occurrence);
+}
+
+static void remove_range(struct workflow *workflow, struct done_range *range)
+{
+	list_del(&range->node);
+	free(range);
+	change_memory(workflow, 0, sizeof(*range));
+}
+
+void workflow_delete(struct workflow *workflow)
+{
 	if (!workflow)
 		return;
-	for (k = 0; k < workflow->spec.occurrences; k++)
-		occurrence_clear(&workflow->occurrences[k],
-				 workflow->spec.task_count);
-	free(workflow->occurrences);
+	while (workflow->begun_count)
+		end_occurrence(workflow,
+			       workflow->begun[workflow->begun_count - 1]);
+	free(workflow->begun);
+	while (!list_empty(&workflow->done_ranges))
+		remove_range(workflow, list_entry(workflow->done_ranges.next,
+						  struct done_range, node));
+	if (workflow->memory_sum)
+		*workflow->memory_sum -= workflow->memory;
 	list_del(&workflow->node);
 	list_del(&workflow->round_node);
 	list_del(&workflow->unsaved_node);
@@ -144,83 +273,214 @@
 	return workflow->state >= WORKFLOW_COMPLETE;
 }
 
-static void set_all_done(const struct workflow_spec *spec,
-			 struct occurrence *occurrence)
+/* The range with the number or, else, the first one after it. */
+static struct list *range_from(const struct workflow *workflow, uint32_t number)
 {
-	uint32_t i;
+	struct list *pos;
 
-	for (i = 0; i < spec->task_count; i++)
-		occurrence->tasks[i].phase = TASK_DONE;
-	for (i = 0; i < spec->step_count; i++)
-		occurrence->done_count[i] = spec->steps[i].task_count;
+	list_for_each (pos, &workflow->done_ranges)
+		if (list_entry(pos, struct done_range, node)->last >= number)
+			break;
+	return pos;
 }
 
-/* Occurrences are allocated on first use, because there may be many. */
-static struct occurrence *get_occurrence(struct workflow *workflow, uint32_t k)
+static int occurrence_is_done(const struct workflow *workflow, uint32_t number)
 {
-	struct occurrence *occurrence = &workflow->occurrences[k];
-	size_t steps = workflow->spec.step_count;
+	struct list *pos = range_from(workflow, number);
 
-	if (occurrence->tasks)
-		return occurrence;
-	occurrence->tasks =
-		xcalloc(workflow->spec.task_count, sizeof(*occurrence->tasks));
-	occurrence->done_count =
-		xcalloc(steps, sizeof(*occurrence->done_count));
-	occurrence->assigned_count =
-		xcalloc(steps, sizeof(*occurrence->assigned_count));
-	if (occurrence->steps_done == steps)
-		set_all_done(&workflow->spec, occurrence);
-	return occurrence;
+	return number < workflow->first_open ||
+	       (pos != &workflow->done_ranges &&
+		list_entry(pos, struct done_range, node)->first <= number);
+}
+
+/* The ranges before first_open belong to what is done before it. */
+static void advance_first_open(struct workflow *workflow)
+{
+	while (!list_empty(&workflow->done_ranges)) {
+		struct done_range *range = list_entry(
+			workflow->done_ranges.next, struct done_range, node);
+
+		if (range->first > workflow->first_open)
+			return;
+		workflow->first_open = range->last + 1;
+		remove_range(workflow, range);
+	}
+}
+
+void workflow_add_done(struct workflow *workflow, uint32_t first, uint32_t last)
+{
+	struct list *next = range_from(workflow, first);
+	struct done_range *before, *after, *range;
+
+	before = next->prev == &workflow->done_ranges
+			 ? NULL
+			 : list_entry(next->prev, struct done_range, node);
+	after = next == &workflow->done_ranges
+			? NULL
+			: list_entry(next, struct done_range, node);
+	if (before && before->last + 1 == first) {
+		before->last = last;
+		range = before;
+	} else {
+		range = xcalloc(1, sizeof(*range));
+		range->first = first;
+		range->last = last;
+		list_add_tail(next, &range->node);
+		change_memory(workflow, sizeof(*range), 0);
+	}
+	if (after && after->first == last + 1) {
+		range->last = after->last;
+		remove_range(workflow, after);
+	}
+	advance_first_open(workflow);
 }
 
-struct workflow_task *workflow_task(struct workflow *workflow,
-				    uint32_t occurrence, uint32_t step,
-				    uint32_t index)
+uint32_t workflow_next_fresh(const struct workflow *workflow, uint32_t number)
 {
-	return &get_occurrence(workflow, occurrence)
-			->tasks[workflow->spec.steps[step].first_task + index];
+	size_t i;
+	struct list *pos;
+
+	if (number < workflow->first_open)
+		number = workflow->first_open;
+	i = workflow_begun_from(workflow, number);
+	pos = range_from(workflow, number);
+	while (number < workflow->spec.occurrences) {
+		struct done_range *range =
+			pos == &workflow->done_ranges
+				? NULL
+				: list_entry(pos, struct done_range, node);
+
+		if (range && range->first <= number) {
+			number = range->last + 1;
+			pos = pos->next;
+		} else if (i < workflow->begun_count &&
+			   workflow->begun[i]->number <= number) {
+			number = workflow->begun[i++]->number + 1;
+		} else {
+			break;
+		}
+	}
+	return number;
 }
 
-struct workflow_task *workflow_find_task(struct workflow *workflow,
+int workflow_may_begin(const struct workflow *workflow, uint32_t occurrence)
+{
+	return !workflow->begun_count ||
+	       workflow_occurrence(workflow, occurrence) ||
+	       workflow->begun_count * (uint64_t)workflow->spec.task_count <=
+		       TASKS_PER_WORKFLOW_MAX - workflow->spec.task_count;
+}
+
+int workflow_has_task(const struct workflow *workflow, const struct task_id *id)
+{
+	return id->occurrence < workflow->spec.occurrences &&
+	       id->step < workflow->spec.step_count &&
+	       id->index < workflow->spec.steps[id->step].task_count;
+}
+
+struct workflow_task *workflow_find_task(const struct workflow *workflow,
 					 const struct task_id *id)
 {
-	if (id->occurrence >= workflow->spec.occurrences ||
-	    id->step >= workflow->spec.step_count ||
-	    id->index >= workflow->spec.steps[id->step].task_count)
+	struct occurrence *occurrence;
+
+	if (!workflow_has_task(workflow, id))
 		return NULL;
-	return workflow_task(workflow, id->occurrence, id->step, id->index);
+	occurrence = workflow_occurrence(workflow, id->occurrence);
+	return occurrence && occurrence->steps[id->step].tasks
+		       ? &occurrence->steps[id->step].tasks[id->index]
+		       : NULL;
+}
+
+static struct step_state *begin_step(struct workflow *workflow,
+				     const struct task_id *id)
+{
+	uint32_t count = workflow->spec.steps[id->step].task_count;
+	struct occurrence *occurrence =
+		begin_occurrence(workflow, id->occurrence);
+	struct step_state *state = &occurrence->steps[id->step];
+
+	if (state->tasks || state->done_count == count)
+		return state;
+	state->tasks = xcalloc(count, sizeof(*state->tasks));
+	workflow->state_count += count;
+	change_memory(workflow, count * sizeof(struct workflow_task), 0);
+	return state;
+}
+
+struct workflow_task *workflow_begin_task(struct workflow *workflow,
+					  const struct task_id *id)
+{
+	return &begin_step(workflow, id)->tasks[id->index];
+}
+
+enum task_phase workflow_task_phase(const struct workflow *workflow,
+				    const struct task_id *id)
+{
+	const struct occurrence *occurrence;
+	const struct step_state *state;
+
+	if (occurrence_is_done(workflow, id->occurrence))
+		return TASK_DONE;
+	occurrence = workflow_occurrence(workflow, id->occurrence);
+	if (!occurrence)
+		return TASK_WAITING;
+	state = &occurrence->steps[id->step];
+	if (state->tasks)
+		return state->tasks[id->index].phase;
+	return state->done_count ? TASK_DONE : TASK_WAITING;
+}
+
+/* Frees what is no longer at work. */
+static void release_done(struct workflow *workflow,
+			 struct occurrence *occurrence, uint32_t step)
+{
+	struct step_state *state = &occurrence->steps[step];
+	uint32_t number = occurrence->number;
+
+	if (state->done_count == workflow->spec.steps[step].task_count &&
+	    !state->assigned_count)
+		end_step(workflow, state, state->done_count);
+	if (occurrence->steps_done < workflow->spec.step_count ||
+	    occurrence->assigned_count)
+		return;
+	end_occurrence(workflow, occurrence);
+	workflow_add_done(workflow, number, number);
 }
 
 void workflow_count_assigned(struct workflow *workflow,
 			     const struct task_id *id, int change)
 {
-	workflow->occurrences[id->occurrence].assigned_count[id->step] +=
-		(uint32_t)change;
+	struct occurrence *occurrence =
+		workflow_occurrence(workflow, id->occurrence);
+
+	occurrence->steps[id->step].assigned_count += (uint32_t)change;
+	occurrence->assigned_count += (uint32_t)change;
 	workflow->assigned_total += (uint32_t)change;
+	release_done(workflow, occurrence, id->step);
 }
 
-int workflow_step_ready(const struct workflow *workflow, uint32_t occurrence,
+int workflow_step_ready(const struct workflow *workflow, uint32_t number,
 			uint32_t step)
 {
-	const struct occurrence *state = &workflow->occurrences[occurrence];
+	const struct occurrence *occurrence =
+		workflow_occurrence(workflow, number);
 	const struct workflow_step *spec = &workflow->spec.steps[step];
 	size_t i;
 
 	for (i = 0; i < spec->dependency_count; i++) {
 		uint32_t before = spec->depends_on[i];
 
-		if (!state->done_count ||
-		    state->done_count[before] <
+		if (!occurrence ||
+		    occurrence->steps[before].done_count <
 			    workflow->spec.steps[before].task_count)
 			return 0;
 	}
 	return 1;
 }
 
-/* done: number of done tasks of each step, or NULL to count all steps. */
+/* occurrence: its done steps do not count; NULL: all count. */
 static int64_t longest_chain(const struct workflow_spec *spec,
-			     const uint32_t *done)
+			     const struct occurrence *occurrence)
 {
 	int64_t ends[STEPS_MAX], longest = 0;
 	size_t i, k;
@@ -232,7 +492,8 @@
 		for (k = 0; k < step->dependency_count; k++)
 			if (ends[step->depends_on[k]] > ends[i])
 				ends[i] = ends[step->depends_on[k]];
-		if (!done || done[i] < step->task_count)
+		if (!occurrence ||
+		    occurrence->steps[i].done_count < step->task_count)
 			ends[i] += step->estimate_ms;
 		if (ends[i] > longest)
 			longest = ends[i];
@@ -247,60 +508,60 @@
 
 int64_t workflow_remaining_ms(const struct workflow *workflow)
 {
-	return longest_chain(&workflow->spec,
-			     workflow->occurrences[0].done_count);
+	if (occurrence_is_done(workflow, 0))
+		return 0;
+	return longest_chain(&workflow->spec, workflow_occurrence(workflow, 0));
 }
 
-static void mark_done(struct workflow_task *task)
+static void mark_done(struct workflow *workflow, struct workflow_task *task)
 {
 	task->phase = TASK_DONE;
-	free(task->checkpoint);
-	task->checkpoint = NULL;
+	workflow_set_checkpoint(workflow, task, NULL);
 	free(task->location);
 	task->location = NULL;
 }
 
-static void count_done_step(struct workflow *workflow, struct occurrence *state)
-{
-	const struct workflow_spec *spec = &workflow->spec;
-
-	if (++state->steps_done < spec->step_count)
-		return;
-	workflow->done_occurrences++;
-	while (workflow->first_open < spec->occurrences &&
-	       workflow->occurrences[workflow->first_open].steps_done ==
-		       spec->step_count)
-		workflow->first_open++;
-}
-
 void workflow_set_complete(struct workflow *workflow, uint32_t occurrences)
 {
-	uint32_t k;
-
-	for (k = 0; k < occurrences; k++)
-		workflow->occurrences[k].steps_done =
-			(uint32_t)workflow->spec.step_count;
 	workflow->first_open = occurrences;
 	workflow->done_occurrences = occurrences;
 }
 
-void workflow_task_done(struct workflow *workflow, uint32_t occurrence,
+/* RETURN VALUE: whether it was the last task of its step. */
+static int count_done(struct workflow *workflow, struct occurrence *occurrence,
+		      uint32_t step)
+{
+	if (++occurrence->steps[step].done_count <
+	    workflow->spec.steps[step].task_count)
+		return 0;
+	if (++occurrence->steps_done == workflow->spec.step_count)
+		workflow->done_occurrences++;
+	return 1;
+}
+
+void workflow_task_done(struct workflow *workflow, uint32_t number,
 			uint32_t step, uint32_t index)
 {
 	const struct workflow_step *spec = &workflow->spec.steps[step];
-	struct occurrence *state = get_occurrence(workflow, occurrence);
 	uint32_t i, first = spec->gang ? 0 : index;
 	uint32_t last = spec->gang ? spec->task_count - 1 : index;
+	struct task_id id = { "", number, step, index };
+	struct occurrence *occurrence;
 
+	if (workflow_task_phase(workflow, &id) == TASK_DONE)
+		return;
+	workflow_begin_task(workflow, &id);
+	occurrence = workflow_occurrence(workflow, number);
 	for (i = first; i <= last; i++) {
-		struct workflow_task *task =
-			&state->tasks[spec->first_task + i];
+		struct workflow_task *task = &occurrence->steps[step].tasks[i];
 
 		if (task->phase == TASK_DONE)
 			continue;
-		mark_done(task);
-		if (++state->done_count[step] == spec->task_count)
-			count_done_step(workflow, state);
+		mark_done(workflow, task);
+		if (!count_done(workflow, occurrence, step))
+			continue;
+		release_done(workflow, occurrence, step);
+		break;
 	}
 	if (!workflow_is_final(workflow) &&
 	    workflow->done_occurrences == workflow->spec.occurrences)
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -9,8 +9,12 @@
 #include "jsontext.h"
 #include "mem.h"
 
-/* Version of the document. In version 1 done tasks have rows in "tasks". */
-#define FORMAT 2
+/*
+ * Version of the document. In version 1 done tasks have rows in "tasks".
+ * Version 3 has "ranges"; without any, version 2 is written.
+ */
+#define FORMAT 3
+#define FORMAT_WITHOUT_RANGES 2
 #define FORMAT_MIN 1
 
 /* Columns of a row in "tasks". */
@@ -79,7 +83,7 @@
 struct document {
 	enum detail detail;
 	struct locations locations;
-	struct jsontext done, tasks;
+	struct jsontext done, tasks, ranges;
 };
 
 static void put_row(struct jsontext *json, const int64_t *columns, size_t count)
@@ -119,44 +123,64 @@
 	jsontext_raw(&document->tasks, "]");
 }
 
+static void put_done(struct document *document, uint32_t k, uint32_t step,
+		     uint32_t first, uint32_t last)
+{
+	const int64_t columns[DONE_COLUMN_COUNT] = {
+		[DONE_OCCURRENCE] = k,
+		[DONE_STEP] = step,
+		[DONE_FIRST] = first,
+		[DONE_LAST] = last,
+	};
+
+	put_row(&document->done, columns, DONE_COLUMN_COUNT);
+	jsontext_raw(&document->done, "]");
+}
+
 /* Done tasks are written as ranges: a workflow has many of them at its end. */
 static void put_step(struct document *document, const struct workflow *workflow,
-		     uint32_t k, uint32_t step)
+		     const struct occurrence *occurrence, uint32_t step)
 {
-	const struct workflow_step *spec = &workflow->spec.steps[step];
-	const struct workflow_task *tasks =
-		&workflow->occurrences[k].tasks[spec->first_task];
+	const struct step_state *state = &occurrence->steps[step];
+	uint32_t count = workflow->spec.steps[step].task_count;
 	uint32_t i, first;
 
-	for (i = 0; i < spec->task_count; i++) {
-		int64_t columns[DONE_COLUMN_COUNT] = { k, step };
+	if (!state->tasks && state->done_count)
+		put_done(document, occurrence->number, step, 0, count - 1);
+	for (i = 0; state->tasks && i < count; i++) {
+		const struct workflow_task *task = &state->tasks[i];
 
-		if (tasks[i].phase != TASK_DONE) {
-			if (tasks[i].phase != TASK_WAITING || tasks[i].last_run)
-				put_task(document, &tasks[i], k, step, i);
+		if (task->phase != TASK_DONE) {
+			if (task->phase != TASK_WAITING || task->last_run)
+				put_task(document, task, occurrence->number,
+					 step, i);
 			continue;
 		}
 		first = i;
-		while (i + 1 < spec->task_count &&
-		       tasks[i + 1].phase == TASK_DONE)
+		while (i + 1 < count && task[i + 1 - first].phase == TASK_DONE)
 			i++;
-		columns[DONE_FIRST] = first;
-		columns[DONE_LAST] = i;
-		put_row(&document->done, columns, DONE_COLUMN_COUNT);
-		jsontext_raw(&document->done, "]");
+		put_done(document, occurrence->number, step, first, i);
 	}
 }
 
-static void put_open_occurrences(struct document *document,
-				 const struct workflow *workflow)
+static void put_occurrences(struct document *document,
+			    const struct workflow *workflow)
 {
-	uint32_t k, step;
+	const struct list *pos;
+	uint32_t step;
+	size_t i;
+
+	for (i = 0; i < workflow->begun_count; i++)
+		for (step = 0; step < workflow->spec.step_count; step++)
+			put_step(document, workflow, workflow->begun[i], step);
+	list_for_each (pos, &workflow->done_ranges) {
+		const struct done_range *range =
+			list_entry(pos, struct done_range, node);
+		const int64_t columns[] = { range->first, range->last };
 
-	for (k = workflow->first_open; k < workflow->spec.occurrences; k++)
-		for (step = 0; workflow->occurrences[k].tasks &&
-			       step < workflow->spec.step_count;
-		     step++)
-			put_step(document, workflow, k, step);
+		put_row(&document->ranges, columns, 2);
+		jsontext_raw(&document->ranges, "]");
+	}
 }
 
 /* Written as text, because each change of a task renews the document. */
@@ -168,9 +192,10 @@
 	document.locations.items = xcalloc(workflow->assigned_total + 1,
 					   sizeof(*document.locations.items));
 	if (detail != DETAIL_STATE)
-		put_open_occurrences(&document, workflow);
+		put_occurrences(&document, workflow);
 	jsontext_raw(&root, "{\"format\":");
-	jsontext_number(&root, FORMAT);
+	jsontext_number(&root,
+			document.ranges.len ? FORMAT : FORMAT_WITHOUT_RANGES);
 	jsontext_raw(&root, ",\"state\":");
 	jsontext_string(&root, workflow_state_name(workflow->state));
 	jsontext_raw(&root, workflow->cancelled ? ",\"cancelled\":true"
@@ -181,6 +206,11 @@
 	jsontext_number(&root, workflow->first_open);
 	jsontext_raw(&root, ",\"done\":[");
 	jsontext_append(&root, document.done.text, document.done.len);
+	if (document.ranges.len) {
+		jsontext_raw(&root, "],\"ranges\":[");
+		jsontext_append(&root, document.ranges.text,
+				document.ranges.len);
+	}
 	jsontext_raw(&root, "],\"places\":[");
 	jsontext_append(&root, document.locations.rows.text,
 			document.locations.rows.len);
@@ -191,6 +221,7 @@
 	free(document.locations.rows.text);
 	free(document.done.text);
 	free(document.tasks.text);
+	free(document.ranges.text);
 	return jsontext_end(&root);
 }
 
@@ -284,19 +315,22 @@
 	id.occurrence = (uint32_t)numbers[COLUMN_OCCURRENCE];
 	id.step = (uint32_t)numbers[COLUMN_STEP];
 	id.index = (uint32_t)numbers[COLUMN_INDEX];
-	task = workflow_find_task(workflow, &id);
-	if (!task || !checkpoint || numbers[COLUMN_PHASE] < TASK_WAITING ||
+	if (!workflow_has_task(workflow, &id) || !checkpoint ||
+	    numbers[COLUMN_PHASE] < TASK_WAITING ||
 	    numbers[COLUMN_PHASE] > TASK_DONE)
 		return ERR_MALFORMED;
-	task->last_run = (uint32_t)numbers[COLUMN_RUN];
-	task->failures = (uint32_t)numbers[COLUMN_FAILURES];
 	if (numbers[COLUMN_PHASE] == TASK_DONE) {
 		workflow_task_done(workflow, id.occurrence, id.step, id.index);
 		return 0;
 	}
+	if (workflow_task_phase(workflow, &id) == TASK_DONE)
+		return ERR_MALFORMED;
+	task = workflow_begin_task(workflow, &id);
+	task->last_run = (uint32_t)numbers[COLUMN_RUN];
+	task->failures = (uint32_t)numbers[COLUMN_FAILURES];
 	task->phase = (enum task_phase)numbers[COLUMN_PHASE];
 	if (*checkpoint && strlen(checkpoint) <= RUN_CHECKPOINT_MAX)
-		task->checkpoint = xstrdup(checkpoint);
+		workflow_set_checkpoint(workflow, task, checkpoint);
 	if (task->phase != TASK_ASSIGNED)
 		return 0;
 	workflow_count_assigned(workflow, &id, 1);
@@ -329,6 +363,21 @@
 	return 0;
 }
 
+static int decode_range(struct workflow *workflow, const json_t *row)
+{
+	json_int_t first = json_integer_value(json_array_get(row, 0));
+	json_int_t last = json_integer_value(json_array_get(row, 1));
+
+	if (!json_is_integer(json_array_get(row, 0)) ||
+	    !json_is_integer(json_array_get(row, 1)) || first < 0 ||
+	    last < first || last >= workflow->spec.occurrences ||
+	    workflow_next_fresh(workflow, (uint32_t)first) != first)
+		return ERR_MALFORMED;
+	workflow_add_done(workflow, (uint32_t)first, (uint32_t)last);
+	workflow->done_occurrences += (uint32_t)(last - first + 1);
+	return 0;
+}
+
 static int decode_complete(struct workflow *workflow, const json_t *complete)
 {
 	json_int_t count = json_integer_value(complete);
@@ -345,6 +394,7 @@
 	const json_t *locations = json_object_get(root, "places");
 	const json_t *tasks = json_object_get(root, "tasks");
 	const json_t *done = json_object_get(root, "done");
+	const json_t *ranges = json_object_get(root, "ranges");
 	enum workflow_state state;
 	size_t i;
 	int err = parse_state(root, &state);
@@ -352,6 +402,8 @@
 	if (!err)
 		err = decode_complete(workflow,
 				      json_object_get(root, "complete"));
+	for (i = 0; !err && i < json_array_size(ranges); i++)
+		err = decode_range(workflow, json_array_get(ranges, i));
 	for (i = 0; !err && i < json_array_size(done); i++)
 		err = decode_done(workflow, json_array_get(done, i));
 	for (i = 0; !err && i < json_array_size(tasks); i++)
--- a/tests/unit/test_dispatch.c
+++ b/tests/unit/test_dispatch.c
@@ -39,6 +39,22 @@
 	return workflow_new(&spec, &queue, 0);
 }
 
+static struct workflow_task *begin_task(struct workflow *workflow, uint32_t k,
+					uint32_t step, uint32_t index)
+{
+	struct task_id id = { "", k, step, index };
+
+	return workflow_begin_task(workflow, &id);
+}
+
+static enum task_phase phase_of(const struct workflow *workflow, uint32_t k,
+				uint32_t step, uint32_t index)
+{
+	struct task_id id = { "", k, step, index };
+
+	return workflow_task_phase(workflow, &id);
+}
+
 static char *new_text(size_t len)
 {
 	char *text = xcalloc(len + 1, 1);
@@ -221,10 +237,11 @@
 		workflow->spec.payload = new_text(cases[i].payload_len);
 		dispatch_add(dispatch, workflow, at(0));
 		for (k = 0; k < count; k++) {
-			struct task_id id = { "j1", 0, 0, k };
+			char *text = new_text(cases[i].checkpoint_len);
 
-			workflow_find_task(workflow, &id)->checkpoint =
-				new_text(cases[i].checkpoint_len);
+			workflow_set_checkpoint(
+				workflow, begin_task(workflow, 0, 0, k), text);
+			free(text);
 		}
 		send_report(dispatch, 1, 1, NULL, 0, 1);
 		send_report(dispatch, 1, 2, NULL, 0, 2);
@@ -282,10 +299,10 @@
 static struct workflow *new_assigned_workflow(uint64_t worker_start_ms)
 {
 	struct workflow *workflow = new_workflow("j1", 1, 0, 100);
-	struct workflow_task *task = workflow_task(workflow, 0, 0, 0);
+	struct workflow_task *task = begin_task(workflow, 0, 0, 0);
 
 	workflow->state = WORKFLOW_RUNNING;
-	workflow->occurrences[0].assigned_count[0] = 1;
+	workflow_count_assigned(workflow, &(struct task_id){ "", 0, 0, 0 }, 1);
 	task->phase = TASK_ASSIGNED;
 	task->last_run = 1;
 	task->location = xcalloc(1, sizeof(*task->location));
@@ -665,10 +682,9 @@
 		json = workflow_encode(workflow);
 		assert_int_equal(workflow_decode(decoded, json, strlen(json)),
 				 0);
-		assert_int_equal(workflow_task(decoded, 0, 0, 0)->phase,
-				 TASK_ASSIGNED);
-		assert_int_equal(workflow_task(decoded, 0, 0, 0)->last_run, 1);
-		checkpoint = workflow_task(decoded, 0, 0, 0)->checkpoint;
+		assert_int_equal(phase_of(decoded, 0, 0, 0), TASK_ASSIGNED);
+		assert_int_equal(begin_task(decoded, 0, 0, 0)->last_run, 1);
+		checkpoint = begin_task(decoded, 0, 0, 0)->checkpoint;
 		assert_int_equal(!checkpoint, !cases[i].stored);
 		if (checkpoint)
 			assert_string_equal(checkpoint, cases[i].stored);
--- a/tests/unit/test_dispatch_collapse.c
+++ b/tests/unit/test_dispatch_collapse.c
@@ -526,9 +526,9 @@
 
 		sim->waiting_tasks +=
 			workflow->spec.task_count - workflow->assigned_total;
-		if (workflow->occurrences[0].tasks)
+		if (workflow->begun_count)
 			sim->waiting_tasks -=
-				workflow->occurrences[0].done_count[0];
+				workflow->begun[0]->steps[0].done_count;
 	}
 }
 
--- a/tests/unit/test_dispatch_scale.c
+++ b/tests/unit/test_dispatch_scale.c
@@ -397,9 +397,6 @@
 		workflow->spec.occurrences = cases[i].occurrences;
 		workflow->spec.interval_ms = 1;
 		workflow->spec.first_due_ms = 1;
-		free(workflow->occurrences);
-		workflow->occurrences = xcalloc(cases[i].occurrences,
-						sizeof(*workflow->occurrences));
 		dispatch_set_wall_clock(dispatch, 1000000);
 		assert_int_equal(dispatch_add(dispatch, workflow, at(3)), 0);
 		add(dispatch, 0, &other, 3);
--- a/tests/unit/test_workflow.c
+++ b/tests/unit/test_workflow.c
@@ -45,6 +45,22 @@
 	return workflow_new(spec, &queue, 1000);
 }
 
+static struct workflow_task *begin_task(struct workflow *workflow, uint32_t k,
+					uint32_t step, uint32_t index)
+{
+	struct task_id id = { "", k, step, index };
+
+	return workflow_begin_task(workflow, &id);
+}
+
+static enum task_phase phase_of(const struct workflow *workflow, uint32_t k,
+				uint32_t step, uint32_t index)
+{
+	struct task_id id = { "", k, step, index };
+
+	return workflow_task_phase(workflow, &id);
+}
+
 /* Guards against accepting workflows that never end or exhaust memory. */
 static void test_spec_bounds(void **state)
 {
@@ -141,7 +157,7 @@
 static void assign_task(struct workflow *workflow, uint32_t index,
 			uint64_t worker_start_ms)
 {
-	struct workflow_task *task = workflow_task(workflow, 0, 1, index);
+	struct workflow_task *task = begin_task(workflow, 0, 1, index);
 
 	task->phase = TASK_ASSIGNED;
 	task->last_run = 7;
@@ -174,9 +190,10 @@
 	assert_int_equal(workflow_decode(decoded, json, strlen(json)), 0);
 	assert_int_equal(decoded->state, WORKFLOW_RUNNING);
 	assert_true(decoded->started);
-	assert_int_equal(workflow_task(decoded, 0, 0, 2)->phase, TASK_DONE);
-	assert_int_equal(decoded->occurrences[0].done_count[0], 1);
-	task = workflow_task(decoded, 0, 1, 1);
+	assert_int_equal(phase_of(decoded, 0, 0, 2), TASK_DONE);
+	assert_int_equal(workflow_occurrence(decoded, 0)->steps[0].done_count,
+			 1);
+	task = begin_task(decoded, 0, 1, 1);
 	assert_int_equal(task->phase, TASK_ASSIGNED);
 	assert_int_equal(task->last_run, 7);
 	assert_int_equal(task->failures, 1);
@@ -202,9 +219,8 @@
 	for (k = 0; k < a->spec.occurrences; k++)
 		for (step = 0; step < a->spec.step_count; step++)
 			for (i = 0; i < a->spec.steps[step].task_count; i++)
-				assert_int_equal(
-					workflow_task(a, k, step, i)->phase,
-					workflow_task(b, k, step, i)->phase);
+				assert_int_equal(phase_of(a, k, step, i),
+						 phase_of(b, k, step, i));
 }
 
 /* Guards against done tasks that a new scheduler runs again, or never runs. */
@@ -221,7 +237,7 @@
 		struct workflow *workflow, *decoded;
 		char *json;
 
-		specs[0].occurrences = 1 + rng_below(&rng, 4);
+		specs[0].occurrences = 1 + rng_below(&rng, 9);
 		specs[0].interval_ms = 1;
 		specs[1].occurrences = specs[0].occurrences;
 		specs[1].interval_ms = 1;
@@ -242,6 +258,148 @@
 	}
 }
 
+/*
+ * Guards against a scheduler whose memory grows with what was accepted, looked
+ * at or asked for: one recurring workflow that found no place took all of it.
+ * Only tasks at work take memory.
+ */
+static void test_memory_of_work(void **state)
+{
+	static const struct {
+		uint32_t occurrences, tasks, steps, done;
+	} cases[] = {
+		{ 1, 1, 1, 0 },	     { 1, TASKS_PER_WORKFLOW_MAX, 1, 0 },
+		{ 86400, 24, 1, 0 }, { OCCURRENCES_MAX, 200, 100, 0 },
+		{ 3000, 24, 2, 0 },  { 3000, 24, 2, 2999 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct workflow_spec spec = spec_new(
+			cases[i].steps, cases[i].tasks / cases[i].steps);
+		struct workflow *workflow;
+		size_t sum = 0, memory;
+		uint32_t k, step, index;
+
+		spec.occurrences = cases[i].occurrences;
+		spec.interval_ms = 1;
+		workflow = build_workflow(&spec);
+		memory = workflow_memory(workflow);
+		workflow->memory_sum = &sum;
+		/* The first one stays open, the others end. */
+		for (k = 1; k <= cases[i].done; k++)
+			for (step = 0; step < cases[i].steps; step++)
+				for (index = 0;
+				     index < cases[i].tasks / cases[i].steps;
+				     index++)
+					workflow_task_done(workflow, k, step,
+							   index);
+		for (k = 0; k < cases[i].occurrences; k++) {
+			struct task_id id = { "", k, 0, 0 };
+
+			workflow_find_task(workflow, &id);
+			workflow_task_phase(workflow, &id);
+			workflow_step_ready(workflow, k, 0);
+		}
+		assert_true(workflow_memory(workflow) <=
+			    memory + sizeof(struct done_range));
+		assert_int_equal(workflow->state_count, 0);
+		if (!cases[i].done) {
+			begin_task(workflow, 0, 0, 0);
+			assert_int_equal(workflow->state_count,
+					 cases[i].tasks / cases[i].steps);
+		}
+		workflow_delete(workflow);
+	}
+}
+
+/*
+ * Guards against a state of many occurrences that is too large for the store;
+ * an occurrence that has begun goes on, and a single one always may begin.
+ */
+static void test_occurrences_that_may_begin(void **state)
+{
+	static const struct {
+		uint32_t tasks, begun;
+		int may_begin;
+	} cases[] = {
+		{ TASKS_PER_WORKFLOW_MAX, 0, 1 },
+		{ TASKS_PER_WORKFLOW_MAX, 1, 0 },
+		{ 1000, 19, 1 },
+		{ 1000, 20, 0 },
+		{ 24, 832, 1 },
+		{ 24, 833, 0 },
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct workflow_spec spec = spec_new(1, cases[i].tasks);
+		struct workflow *workflow;
+		char *json;
+		uint32_t k, n;
+
+		spec.occurrences = 1000;
+		spec.interval_ms = 1;
+		workflow = build_workflow(&spec);
+		for (k = 0; k < cases[i].begun; k++)
+			for (n = 0; n < cases[i].tasks; n++)
+				begin_task(workflow, k, 0, n)->last_run = 1;
+		assert_int_equal(workflow_may_begin(workflow, k),
+				 cases[i].may_begin);
+		assert_true(!k || workflow_may_begin(workflow, k - 1));
+		json = workflow_encode_within(workflow, 1 << 20);
+		assert_non_null(json);
+		free(json);
+		workflow_delete(workflow);
+	}
+}
+
+/* Guards against an occurrence that is begun twice or never. */
+static void test_next_fresh(void **state)
+{
+	enum {
+		FRESH,
+		BEGUN,
+		DONE
+	};
+	struct rng rng;
+	int round;
+
+	rng_seed(&rng, 20261207);
+	for (round = 0; round < 3000; round++) {
+		uint32_t count = 1 + rng_below(&rng, 12), k, events;
+		unsigned char model[12] = { FRESH };
+		struct workflow_spec spec = spec_new(1, 2);
+		struct workflow *workflow;
+
+		spec.occurrences = count;
+		spec.interval_ms = 1;
+		workflow = build_workflow(&spec);
+		for (events = rng_below(&rng, 20); events > 0; events--) {
+			k = rng_below(&rng, count);
+			workflow_task_done(workflow, k, 0, 0);
+			if (rng_below(&rng, 2))
+				workflow_task_done(workflow, k, 0, 1);
+			if (model[k] != DONE)
+				model[k] = workflow_occurrence(workflow, k)
+						   ? BEGUN
+						   : DONE;
+		}
+		for (k = 0; k <= count; k++) {
+			uint32_t next = k;
+
+			while (next < count && model[next] != FRESH)
+				next++;
+			assert_int_equal(workflow_next_fresh(workflow, k),
+					 next);
+			assert_true(k == count ||
+				    (phase_of(workflow, k, 0, 1) ==
+				     TASK_DONE) == (model[k] == DONE));
+		}
+		workflow_delete(workflow);
+	}
+}
+
 /* Guards against records of the release before that are taken for new work. */
 static void test_decode_format_1(void **state)
 {
@@ -253,9 +411,10 @@
 	struct workflow *workflow = build_workflow(&spec);
 
 	assert_int_equal(workflow_decode(workflow, json, strlen(json)), 0);
-	assert_int_equal(workflow->occurrences[0].done_count[0], 2);
-	assert_int_equal(workflow_task(workflow, 0, 1, 0)->phase, TASK_WAITING);
-	assert_int_equal(workflow_task(workflow, 0, 1, 1)->last_run, 3);
+	assert_int_equal(workflow_occurrence(workflow, 0)->steps[0].done_count,
+			 2);
+	assert_int_equal(phase_of(workflow, 0, 1, 0), TASK_WAITING);
+	assert_int_equal(begin_task(workflow, 0, 1, 1)->last_run, 3);
 	workflow_delete(workflow);
 }
 
@@ -292,7 +451,7 @@
 			workflow_task_done(workflow, k, 0, 0);
 		for (k = 0; k < cases[i].assigned; k++) {
 			struct workflow_task *task =
-				workflow_task(workflow, 0, 0, k);
+				begin_task(workflow, 0, 0, k);
 
 			task->phase = TASK_ASSIGNED;
 			task->last_run = 1;
@@ -319,7 +478,7 @@
 	static const char *const cases[] = {
 		"",
 		"[]",
-		"{\"format\":3,\"state\":\"queued\"}",
+		"{\"format\":4,\"state\":\"queued\"}",
 		"{\"format\":0,\"state\":\"queued\"}",
 		"{\"format\":2,\"state\":\"running\",\"complete\":2}",
 		"{\"format\":2,\"state\":\"running\",\"complete\":-1}",
@@ -332,6 +491,11 @@
 		"{\"format\":2,\"state\":\"running\",\"done\":[[0,0,0,0.5]]}",
 		"{\"format\":2,\"state\":\"running\",\"done\":"
 		"[[4294967296,0,0,0]]}",
+		"{\"format\":3,\"state\":\"running\",\"ranges\":[[1]]}",
+		"{\"format\":3,\"state\":\"running\",\"ranges\":[[1,1]]}",
+		"{\"format\":3,\"state\":\"running\",\"ranges\":[[0,-1]]}",
+		"{\"format\":3,\"state\":\"running\",\"complete\":1,"
+		"\"ranges\":[[0,0]]}",
 		"{\"format\":1,\"state\":\"odd\"}",
 		"{\"format\":1,\"state\":\"running\",\"tasks\":[[0,0]]}",
 		"{\"format\":1,\"state\":\"running\",\"tasks\":"
@@ -365,6 +529,9 @@
 		cmocka_unit_test(test_gang_done),
 		cmocka_unit_test(test_encode_decode),
 		cmocka_unit_test(test_encode_decode_random),
+		cmocka_unit_test(test_memory_of_work),
+		cmocka_unit_test(test_occurrences_that_may_begin),
+		cmocka_unit_test(test_next_fresh),
 		cmocka_unit_test(test_decode_format_1),
 		cmocka_unit_test(test_encoded_size),
 		cmocka_unit_test(test_decode_malformed),
