kv: read lists page by page, and list anew after a large watch

A response to a watch with more than 8 MB, as after an outage or a freeze while large jobs were submitted, ended as an error, and the same watch was repeated for as long as the store had the history: no job that came meanwhile was started. A list that was truncated without a readable item counted as the whole, and all pages of a list were in memory at once, so that a scheduler's memory grew with what had been accepted.

Change: a watch whose response is too large (now 4 MB) is an error of its own, after which the watcher lists its prefix. kv_list_pages() delivers one page at a time; a watcher may take its list that way. A truncated page without a key is malformed. The stand-in of the platform's store returns 500 items or 1 MB at a time; the other stand-in's functions are renamed, as a test links both.

Evidence: test_kv_pages; before, its large watch ends with ERR_UNKNOWN and a page without a key counts as the end of the list, as read in the code; the calls that it uses are new.

--- a/packages/daemon/include/kvwatcher.h
+++ b/packages/daemon/include/kvwatcher.h
@@ -10,15 +10,20 @@
  *
  * NOTES
  *	Lists the prefix, then watches it, and lists it again when the store
- *	no longer has the history that the watch needs. on_list gets all
- *	items, which replace those of earlier calls; on_change gets one
- *	change. Either may repeat a revision that was delivered before.
- *	kvwatcher_delete() must not be called inside a callback.
+ *	no longer has the history that the watch needs, or so much of it that
+ *	a response can't carry it. on_list gets all items, which replace those
+ *	of earlier calls; on_page, if it is set, gets them in pages instead.
+ *	on_change gets one change. Either may repeat a revision that was
+ *delivered before. kvwatcher_delete() must not be called inside a callback.
  */
 struct kvwatcher;
 
 struct kvwatcher_handlers {
 	void (*on_list)(void *arg, const struct kv_item *items, size_t count);
+	/* The first page of a list, also after one that ended early. */
+	void (*on_list_start)(void *arg);
+	void (*on_page)(void *arg, const struct kv_item *items, size_t count,
+			int has_more);
 	void (*on_change)(void *arg, const struct kv_item *item);
 };
 
--- a/packages/daemon/src/kvwatcher.c
+++ b/packages/daemon/src/kvwatcher.c
@@ -44,7 +44,7 @@
 		watcher->lost_at = sysclock_now();
 	}
 	watcher->is_current = 0;
-	if (err == ERR_NOT_FOUND)
+	if (err == ERR_NOT_FOUND || err == ERR_TOO_LARGE)
 		watcher->revision = 0;
 	loop_timer_start(watcher->retry_timer, watcher->retry_delay_ms);
 	watcher->retry_delay_ms = watcher->retry_delay_ms * 2 < RETRY_MAX_MS
@@ -63,6 +63,22 @@
 		watcher->revision = revision;
 }
 
+static void on_page(void *arg, const struct kv_result *result)
+{
+	struct kvwatcher *watcher = arg;
+
+	if (result->err) {
+		handle_error(watcher, result->err);
+		return;
+	}
+	watcher->handlers.on_page(watcher->arg, result->items, result->count,
+				  result->has_more);
+	if (result->has_more)
+		return;
+	handle_response(watcher, result->revision);
+	send_next(watcher);
+}
+
 static void on_listed(void *arg, const struct kv_result *result)
 {
 	struct kvwatcher *watcher = arg;
@@ -91,11 +107,19 @@
 	send_next(watcher);
 }
 
+static void list_pages(struct kvwatcher *watcher)
+{
+	watcher->handlers.on_list_start(watcher->arg);
+	kv_list_pages(watcher->kv, watcher->prefix, on_page, watcher);
+}
+
 static void send_next(struct kvwatcher *watcher)
 {
 	if (watcher->revision)
 		kv_watch(watcher->kv, watcher->prefix, watcher->revision,
 			 WATCH_WAIT_MS, on_changes, watcher);
+	else if (watcher->handlers.on_page)
+		list_pages(watcher);
 	else
 		kv_list(watcher->kv, watcher->prefix, on_listed, watcher);
 }
--- a/packages/platform/include/kv.h
+++ b/packages/platform/include/kv.h
@@ -43,6 +43,7 @@
 	int64_t ttl_ms; /* time to live that was granted to the lease */
 	const struct kv_item *items;
 	size_t count;
+	int has_more; /* of kv_list_pages(): another page follows */
 };
 
 typedef void (*kv_fn)(void *arg, const struct kv_result *result);
@@ -90,9 +91,19 @@
  */
 void kv_list(struct kv *kv, const char *prefix, kv_fn fn, void *arg);
 
+/*
+ * The same with a callback for each page, so that one page is in memory at a
+ * time. After an error no page follows.
+ */
+void kv_list_pages(struct kv *kv, const char *prefix, kv_fn fn, void *arg);
+
 /*
  * Waits for changes after a revision; the result has no items if there were
  * none within wait_ms. The next watch continues from the result's revision.
+ *
+ * ERRORS
+ *	ERR_NOT_FOUND	the store no longer has the changes since then
+ *	ERR_TOO_LARGE	there are more than a response may have
  */
 void kv_watch(struct kv *kv, const char *prefix, int64_t after, int64_t wait_ms,
 	      kv_fn fn, void *arg);
--- a/packages/platform/src/jsoncall.c
+++ b/packages/platform/src/jsoncall.c
@@ -7,8 +7,6 @@
 #include "httpc.h"
 #include "mem.h"
 
-#define RESPONSE_MAX_BYTES (8 * 1024 * 1024)
-
 struct jsoncall_peer {
 	struct loop *loop;
 	struct httpc_pool *pool;
@@ -115,7 +113,7 @@
 				      .timeout_ms = request->timeout_ms,
 				      .reuse_only = request->reuse_only,
 				      .max_response_bytes =
-					      RESPONSE_MAX_BYTES };
+					      request->max_response_bytes };
 
 	if (request->body) {
 		http.body_len = strlen(request->body);
--- a/packages/platform/src/jsoncall.h
+++ b/packages/platform/src/jsoncall.h
@@ -30,6 +30,7 @@
 	const char *body;	   /* NULL: none */
 	struct http_header header; /* added to Content-Type; name NULL: none */
 	int64_t timeout_ms;
+	size_t max_response_bytes; /* ERR_TOO_LARGE beyond */
 	int reuse_only; /* as in httpc_request; else ERR_UNAVAILABLE */
 };
 
--- a/packages/platform/src/kv.c
+++ b/packages/platform/src/kv.c
@@ -16,6 +16,10 @@
 
 #define IDLE_CONNECTIONS 8
 #define PATH_SIZE 512
+/* A page of items or one value, and more changes than usual at once. */
+#define RESPONSE_MAX_BYTES (4 * 1024 * 1024)
+/* A transaction that conflicts returns several values. */
+#define CONFLICT_MAX_BYTES (8 * 1024 * 1024)
 /* Added to the wait of a watch to get the timeout of its call. */
 #define WATCH_TIMEOUT_MARGIN_MS 700
 
@@ -38,12 +42,14 @@
 	char *prefix;
 	struct kv_items items;
 	int64_t revision;
+	int is_paged; /* each page has a callback */
 };
 
 struct kv {
 	int64_t timeout_ms;
 	struct jsoncall_peer *peer;
 	struct list calls;
+	struct call *in_page; /* whose page is delivered; NULL: cancelled */
 	int64_t latency_ms;
 	int is_unresponsive;
 };
@@ -127,15 +133,52 @@
 		kv->latency_ms = 1;
 }
 
-static int request_next_page(struct call *call, const json_t *root)
+/* RETURN VALUE: 0 if the callback has cancelled the call. */
+static int deliver_page(struct call *call)
 {
-	if (call->kind != CALL_LIST || !call->items.count ||
-	    !json_is_true(json_object_get(root, "truncated")))
+	struct kv *kv = call->kv;
+	struct kv_result result = { .revision = call->revision,
+				    .items = call->items.items,
+				    .count = call->items.count,
+				    .has_more = 1 };
+
+	list_del(&call->node);
+	kv->in_page = call;
+	call->fn(call->arg, &result);
+	if (!kv->in_page) {
+		call_free(call);
 		return 0;
-	list_start(call, call->items.items[call->items.count - 1].key);
+	}
+	kv->in_page = NULL;
+	list_add_tail(&kv->calls, &call->node);
 	return 1;
 }
 
+/* A page without a new key cannot be told from the whole list. */
+static void request_next_page(struct call *call)
+{
+	size_t count = call->items.count;
+	char *last;
+
+	if (!count) {
+		call_fail(call, ERR_MALFORMED);
+		return;
+	}
+	last = xstrdup(call->items.items[count - 1].key);
+	if (!call->is_paged || deliver_page(call)) {
+		if (call->is_paged)
+			kv_items_clear(&call->items);
+		list_start(call, last);
+	}
+	free(last);
+}
+
+static int is_truncated(const struct call *call, const json_t *root)
+{
+	return call->kind == CALL_LIST &&
+	       json_is_true(json_object_get(root, "truncated"));
+}
+
 static void parse_items(struct call *call, const json_t *root)
 {
 	const char *field = call->kind == CALL_WATCH ? "events" : "items";
@@ -169,8 +212,9 @@
 		root, call->kind == CALL_TXN ? "revision" : "storeRevision");
 	if (!call->revision)
 		call->revision = json_integer_value(revision);
-	if (request_next_page(call, root)) {
+	if (is_truncated(call, root)) {
 		json_decref(root);
+		request_next_page(call);
 		return;
 	}
 	result.revision = call->revision;
@@ -182,16 +226,22 @@
 	call_finish(call, &result);
 }
 
+static int call_error(const struct call *call, int err)
+{
+	if (err == ERR_UNAVAILABLE || err == ERR_INVALID ||
+	    (err == ERR_TOO_LARGE && call->kind == CALL_WATCH))
+		return err;
+	return ERR_UNKNOWN;
+}
+
 static void on_end(void *arg, int err, int status, const char *body, size_t len)
 {
 	struct call *call = arg;
 
 	call->http = NULL;
-	call->kv->is_unresponsive = err != 0;
+	call->kv->is_unresponsive = err && err != ERR_TOO_LARGE;
 	if (err) {
-		call_fail(call, err == ERR_UNAVAILABLE || err == ERR_INVALID
-					? err
-					: ERR_UNKNOWN);
+		call_fail(call, call_error(call, err));
 		return;
 	}
 	record_latency(call);
@@ -210,6 +260,9 @@
 					    .body = body,
 					    .timeout_ms = timeout_ms };
 
+	request.max_response_bytes = call->kind == CALL_TXN
+					     ? CONFLICT_MAX_BYTES
+					     : RESPONSE_MAX_BYTES;
 	call->started_at = sysclock_now();
 	call->http = jsoncall_start(call->kv->peer, &request, on_end, call);
 }
@@ -252,6 +305,8 @@
 		if (!arg || call->arg == arg)
 			call_free(call);
 	}
+	if (kv->in_page && (!arg || kv->in_page->arg == arg))
+		kv->in_page = NULL;
 }
 
 void kv_delete(struct kv *kv)
@@ -287,6 +342,15 @@
 	list_start(call, "");
 }
 
+void kv_list_pages(struct kv *kv, const char *prefix, kv_fn fn, void *arg)
+{
+	struct call *call = call_new(kv, CALL_LIST, fn, arg);
+
+	call->prefix = xstrdup(prefix);
+	call->is_paged = 1;
+	list_start(call, "");
+}
+
 void kv_watch(struct kv *kv, const char *prefix, int64_t after, int64_t wait_ms,
 	      kv_fn fn, void *arg)
 {
--- a/packages/platform/src/workercall.c
+++ b/packages/platform/src/workercall.c
@@ -16,6 +16,8 @@
 #define IDLE_CONNECTIONS 24
 /* A worker returns the first ones of more ends than this. */
 #define ENDS_LISTED_MAX 500
+/* Lists with long checkpoints. */
+#define RESPONSE_MAX_BYTES (8 * 1024 * 1024)
 /* Lets sums of times of a worker's clock not overflow. */
 #define CLOCK_MAX_MS (INT64_MAX / 4)
 
@@ -251,6 +253,7 @@
 	request->method = "POST";
 	request->body = text ? text : "{}";
 	request->header.name = "X-Expect-Instance";
+	request->max_response_bytes = RESPONSE_MAX_BYTES;
 	call->client = client;
 	call->fn = fn;
 	call->arg = arg;
--- a/tests/fakes/fakeplatform/kvserver.c
+++ b/tests/fakes/fakeplatform/kvserver.c
@@ -14,6 +14,8 @@
 #include "mem.h"
 #include "sysclock.h"
 
+#define PAGE_ITEMS_MAX 500
+#define PAGE_BYTES_MAX (1024 * 1024)
 #define HISTORY_MAX 100000
 #define REQUEST_BODY_MAX_BYTES (8 * 1024 * 1024)
 #define TIMER_INTERVAL_MS 20
@@ -302,20 +304,49 @@
 	free(key);
 }
 
+static int compare_keys(const void *a, const void *b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+/* The first items of those after a key: 500 of them, or 1 MB. */
+static int add_page(const struct kvserver *server, json_t *items,
+		    const char **keys, size_t count)
+{
+	size_t i, bytes = 0;
+
+	qsort(keys, count, sizeof(*keys), compare_keys);
+	for (i = 0; i < count && i < PAGE_ITEMS_MAX && bytes < PAGE_BYTES_MAX;
+	     i++) {
+		json_t *item = json_object_get(server->items, keys[i]);
+
+		bytes += json_string_length(json_object_get(item, "value"));
+		json_array_append(items, item);
+	}
+	return i < count;
+}
+
 static void on_range(struct kvserver *server, struct httpd_request *request)
 {
 	char *prefix = query_param(request, "prefix"),
 	     *after = query_param(request, "after");
+	const char **keys =
+		xcalloc(json_object_size(server->items) + 1, sizeof(*keys));
 	json_t *items = json_array(), *item;
 	const char *key;
+	size_t count = 0;
+	int truncated;
 
 	json_object_foreach(server->items, key,
 			    item) if (has_prefix(key, prefix) &&
-				      strcmp(key, after) > 0)
-		json_array_append(items, item);
+				      strcmp(key, after) > 0) keys[count++] =
+		key;
+	truncated = add_page(server, items, keys, count);
 	reply(request, 200,
-	      json_pack("{s:o, s:b, s:I}", "items", items, "truncated", 0,
-			"storeRevision", (json_int_t)server->revision));
+	      json_pack("{s:o, s:b, s:I}", "items", items, "truncated",
+			truncated, "storeRevision",
+			(json_int_t)server->revision));
+	free(keys);
 	free(prefix);
 	free(after);
 }
--- a/tests/fakes/fakestore/kvstate.c
+++ b/tests/fakes/fakestore/kvstate.c
@@ -5,7 +5,7 @@
 
 #include "mem.h"
 
-void kv_init(struct kv *kv, kv_change_fn fn, void *arg)
+void kvstate_init(struct kv *kv, kvstate_change_fn fn, void *arg)
 {
 	memset(kv, 0, sizeof(*kv));
 	kv->revision = 1;
@@ -16,28 +16,30 @@
 	list_init(&kv->leases);
 }
 
-static void item_clear(struct kv_item *item)
+static void item_clear(struct kvstate_item *item)
 {
 	free(item->key.data);
 	free(item->value.data);
 }
 
-static void lease_free(struct kv_lease *lease)
+static void lease_free(struct kvstate_lease *lease)
 {
 	list_del(&lease->node);
 	free(lease);
 }
 
-void kv_clear(struct kv *kv)
+void kvstate_clear(struct kv *kv)
 {
 	while (kv->count)
 		item_clear(&kv->items[--kv->count]);
 	free(kv->items);
 	while (!list_empty(&kv->leases))
-		lease_free(list_entry(kv->leases.next, struct kv_lease, node));
+		lease_free(list_entry(kv->leases.next, struct kvstate_lease,
+				      node));
 }
 
-static int compare_bytes(const struct kv_bytes *a, const struct kv_bytes *b)
+static int compare_bytes(const struct kvstate_bytes *a,
+			 const struct kvstate_bytes *b)
 {
 	size_t len = a->len < b->len ? a->len : b->len;
 	int order = len ? memcmp(a->data, b->data, len) : 0;
@@ -48,7 +50,7 @@
 }
 
 /* Index of the first item whose key is not less than key. */
-static size_t lower_bound(const struct kv *kv, const struct kv_bytes *key)
+static size_t lower_bound(const struct kv *kv, const struct kvstate_bytes *key)
 {
 	size_t low = 0, high = kv->count;
 
@@ -63,7 +65,8 @@
 	return low;
 }
 
-struct kv_item *kv_find(struct kv *kv, const struct kv_bytes *key)
+struct kvstate_item *kvstate_find(struct kv *kv,
+				  const struct kvstate_bytes *key)
 {
 	size_t i = lower_bound(kv, key);
 
@@ -72,23 +75,25 @@
 	return NULL;
 }
 
-size_t kv_range(struct kv *kv, const struct kv_bytes *key,
-		const struct kv_bytes *end, struct kv_item **first)
+size_t kvstate_range(struct kv *kv, const struct kvstate_bytes *key,
+		     const struct kvstate_bytes *end,
+		     struct kvstate_item **first)
 {
 	size_t start = lower_bound(kv, key);
 	size_t stop;
 
 	*first = kv->items + start;
 	if (!end->len)
-		return kv_find(kv, key) ? 1 : 0;
+		return kvstate_find(kv, key) ? 1 : 0;
 	stop = kv->count;
 	if (end->len > 1 || *end->data)
 		stop = lower_bound(kv, end);
 	return stop > start ? stop - start : 0;
 }
 
-int kv_range_contains(const struct kv_bytes *key, const struct kv_bytes *end,
-		      const struct kv_bytes *other)
+int kvstate_range_contains(const struct kvstate_bytes *key,
+			   const struct kvstate_bytes *end,
+			   const struct kvstate_bytes *other)
 {
 	if (!end->len)
 		return !compare_bytes(key, other);
@@ -97,15 +102,16 @@
 	return (end->len == 1 && !*end->data) || compare_bytes(other, end) < 0;
 }
 
-void kv_advance_revision(struct kv *kv)
+void kvstate_advance_revision(struct kv *kv)
 {
 	kv->revision++;
 }
 
-static struct kv_item *insert_item(struct kv *kv, const struct kv_bytes *key)
+static struct kvstate_item *insert_item(struct kv *kv,
+					const struct kvstate_bytes *key)
 {
 	size_t i = lower_bound(kv, key);
-	struct kv_item *item;
+	struct kvstate_item *item;
 
 	if (kv->count == kv->size) {
 		kv->size = kv->size ? 2 * kv->size : 64;
@@ -121,10 +127,10 @@
 	return item;
 }
 
-void kv_put(struct kv *kv, const struct kv_bytes *key,
-	    const struct kv_bytes *value, int64_t lease)
+void kvstate_put(struct kv *kv, const struct kvstate_bytes *key,
+		 const struct kvstate_bytes *value, int64_t lease)
 {
-	struct kv_item *item = kv_find(kv, key);
+	struct kvstate_item *item = kvstate_find(kv, key);
 
 	if (!item)
 		item = insert_item(kv, key);
@@ -139,7 +145,7 @@
 
 static void delete_at(struct kv *kv, size_t i)
 {
-	struct kv_item item = kv->items[i];
+	struct kvstate_item item = kv->items[i];
 
 	kv->count--;
 	memmove(&kv->items[i], &kv->items[i + 1],
@@ -149,11 +155,11 @@
 	item_clear(&item);
 }
 
-size_t kv_delete(struct kv *kv, const struct kv_bytes *key,
-		 const struct kv_bytes *end)
+size_t kvstate_delete(struct kv *kv, const struct kvstate_bytes *key,
+		      const struct kvstate_bytes *end)
 {
-	struct kv_item *first;
-	size_t count = kv_range(kv, key, end, &first);
+	struct kvstate_item *first;
+	size_t count = kvstate_range(kv, key, end, &first);
 	size_t i;
 
 	for (i = 0; i < count; i++)
@@ -161,9 +167,10 @@
 	return count;
 }
 
-struct kv_lease *kv_lease_grant(struct kv *kv, int64_t ttl_ms, int64_t now_ms)
+struct kvstate_lease *kvstate_lease_grant(struct kv *kv, int64_t ttl_ms,
+					  int64_t now_ms)
 {
-	struct kv_lease *lease = xcalloc(1, sizeof(*lease));
+	struct kvstate_lease *lease = xcalloc(1, sizeof(*lease));
 
 	lease->id = kv->next_lease_id++;
 	lease->ttl_ms = ttl_ms;
@@ -172,12 +179,13 @@
 	return lease;
 }
 
-struct kv_lease *kv_lease_find(struct kv *kv, int64_t id)
+struct kvstate_lease *kvstate_lease_find(struct kv *kv, int64_t id)
 {
 	struct list *pos;
 
 	list_for_each (pos, &kv->leases) {
-		struct kv_lease *lease = list_entry(pos, struct kv_lease, node);
+		struct kvstate_lease *lease =
+			list_entry(pos, struct kvstate_lease, node);
 
 		if (lease->id == id)
 			return lease;
@@ -185,11 +193,11 @@
 	return NULL;
 }
 
-void kv_lease_revoke(struct kv *kv, struct kv_lease *lease)
+void kvstate_lease_revoke(struct kv *kv, struct kvstate_lease *lease)
 {
 	size_t i = 0;
 
-	kv_advance_revision(kv);
+	kvstate_advance_revision(kv);
 	while (i < kv->count) {
 		if (kv->items[i].lease == lease->id)
 			delete_at(kv, i);
@@ -199,14 +207,15 @@
 	lease_free(lease);
 }
 
-void kv_expire_leases(struct kv *kv, int64_t now_ms)
+void kvstate_expire_leases(struct kv *kv, int64_t now_ms)
 {
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, &kv->leases) {
-		struct kv_lease *lease = list_entry(pos, struct kv_lease, node);
+		struct kvstate_lease *lease =
+			list_entry(pos, struct kvstate_lease, node);
 
 		if (lease->expires_at_ms <= now_ms)
-			kv_lease_revoke(kv, lease);
+			kvstate_lease_revoke(kv, lease);
 	}
 }
--- a/tests/fakes/fakestore/storeapi.c
+++ b/tests/fakes/fakestore/storeapi.c
@@ -20,7 +20,7 @@
 	return json_string(text);
 }
 
-static json_t *base64_json(const struct kv_bytes *bytes)
+static json_t *base64_json(const struct kvstate_bytes *bytes)
 {
 	gchar *text = g_base64_encode(bytes->data, bytes->len);
 	json_t *json = json_string(text);
@@ -35,7 +35,7 @@
 			 "revision", int64_json(kv->revision));
 }
 
-static json_t *item_json(const struct kv_item *item, int is_deleted)
+static json_t *item_json(const struct kvstate_item *item, int is_deleted)
 {
 	json_t *json =
 		json_pack("{s:o, s:o}", "key", base64_json(&item->key),
@@ -78,7 +78,7 @@
 
 /* A missing field gives no bytes; -1 if the field is not a string. */
 static int get_bytes(const json_t *object, const char *name,
-		     struct kv_bytes *bytes)
+		     struct kvstate_bytes *bytes)
 {
 	const json_t *field = json_object_get(object, name);
 	const char *text = json_string_value(field);
@@ -91,8 +91,8 @@
 	return 0;
 }
 
-static int get_range(const json_t *request, struct kv_bytes *key,
-		     struct kv_bytes *end)
+static int get_range(const json_t *request, struct kvstate_bytes *key,
+		     struct kvstate_bytes *end)
 {
 	int err = get_bytes(request, "key", key);
 
@@ -107,14 +107,14 @@
 int storeapi_range(struct kv *kv, const json_t *request, json_t **response)
 {
 	size_t limit = (size_t)get_int64(request, "limit");
-	struct kv_bytes key, end;
-	struct kv_item *first;
+	struct kvstate_bytes key, end;
+	struct kvstate_item *first;
 	json_t *kvs;
 	size_t count, i;
 
 	if (get_range(request, &key, &end))
 		return invalid_request(response);
-	count = kv_range(kv, &key, &end, &first);
+	count = kvstate_range(kv, &key, &end, &first);
 	g_free(key.data);
 	g_free(end.data);
 	*response = json_pack("{s:o}", "header", header_json(kv));
@@ -130,8 +130,8 @@
 	return 200;
 }
 
-static int64_t compared_value(const struct kv_item *item, const json_t *compare,
-			      int64_t *expected)
+static int64_t compared_value(const struct kvstate_item *item,
+			      const json_t *compare, int64_t *expected)
 {
 	const char *target =
 		json_string_value(json_object_get(compare, "target"));
@@ -150,12 +150,12 @@
 
 static int compare_holds(struct kv *kv, const json_t *compare)
 {
-	struct kv_bytes key;
+	struct kvstate_bytes key;
 	int64_t expected, actual;
 
 	if (get_bytes(compare, "key", &key))
 		return 0;
-	actual = compared_value(kv_find(kv, &key), compare, &expected);
+	actual = compared_value(kvstate_find(kv, &key), compare, &expected);
 	g_free(key.data);
 	return actual == expected;
 }
@@ -190,13 +190,13 @@
 
 static int is_deleted_by(const json_t *put, const json_t *request)
 {
-	struct kv_bytes key, end, put_key;
+	struct kvstate_bytes key, end, put_key;
 	int is_deleted;
 
 	if (get_range(request, &key, &end))
 		return 0;
 	get_bytes(put, "key", &put_key);
-	is_deleted = kv_range_contains(&key, &end, &put_key);
+	is_deleted = kvstate_range_contains(&key, &end, &put_key);
 	g_free(key.data);
 	g_free(end.data);
 	g_free(put_key.data);
@@ -235,7 +235,7 @@
 		if ((!put && !get_delete(operation)) ||
 		    has_duplicate_key(operations, i))
 			return invalid_request(response);
-		if (lease && !kv_lease_find(kv, lease))
+		if (lease && !kvstate_lease_find(kv, lease))
 			return error_response(response, 404, GRPC_NOT_FOUND,
 					      "requested lease not found");
 	}
@@ -244,11 +244,11 @@
 
 static json_t *apply_put(struct kv *kv, const json_t *put)
 {
-	struct kv_bytes key, value;
+	struct kvstate_bytes key, value;
 
 	get_bytes(put, "key", &key);
 	get_bytes(put, "value", &value);
-	kv_put(kv, &key, &value, get_int64(put, "lease"));
+	kvstate_put(kv, &key, &value, get_int64(put, "lease"));
 	g_free(key.data);
 	g_free(value.data);
 	return json_pack("{s:{s:o}}", "response_put", "header",
@@ -257,11 +257,11 @@
 
 static json_t *apply_delete(struct kv *kv, const json_t *request)
 {
-	struct kv_bytes key, end;
+	struct kvstate_bytes key, end;
 	size_t count = 0;
 
 	if (!get_range(request, &key, &end)) {
-		count = kv_delete(kv, &key, &end);
+		count = kvstate_delete(kv, &key, &end);
 		g_free(key.data);
 		g_free(end.data);
 	}
@@ -287,7 +287,7 @@
 	if (status != 200)
 		return status;
 	if (json_array_size(operations)) {
-		kv_advance_revision(kv);
+		kvstate_advance_revision(kv);
 		responses = json_array();
 	}
 	for (i = 0; i < json_array_size(operations); i++) {
@@ -310,13 +310,13 @@
 int storeapi_deleterange(struct kv *kv, const json_t *request,
 			 json_t **response)
 {
-	struct kv_bytes key, end;
+	struct kvstate_bytes key, end;
 	size_t count;
 
 	if (get_range(request, &key, &end))
 		return invalid_request(response);
-	kv_advance_revision(kv);
-	count = kv_delete(kv, &key, &end);
+	kvstate_advance_revision(kv);
+	count = kvstate_delete(kv, &key, &end);
 	g_free(key.data);
 	g_free(end.data);
 	*response = json_pack("{s:o}", "header", header_json(kv));
@@ -329,11 +329,11 @@
 int storeapi_grant(struct kv *kv, const json_t *request, json_t **response)
 {
 	int64_t ttl_s = get_int64(request, "TTL");
-	struct kv_lease *lease;
+	struct kvstate_lease *lease;
 
 	if (ttl_s <= 0)
 		return invalid_request(response);
-	lease = kv_lease_grant(kv, ttl_s * 1000, sysclock_now().ms);
+	lease = kvstate_lease_grant(kv, ttl_s * 1000, sysclock_now().ms);
 	*response =
 		json_pack("{s:o, s:o, s:o}", "header", header_json(kv), "ID",
 			  int64_json(lease->id), "TTL", int64_json(ttl_s));
@@ -344,7 +344,7 @@
 int storeapi_keepalive(struct kv *kv, const json_t *request, json_t **response)
 {
 	int64_t id = get_int64(request, "ID");
-	struct kv_lease *lease = kv_lease_find(kv, id);
+	struct kvstate_lease *lease = kvstate_lease_find(kv, id);
 	json_t *result = json_pack("{s:o, s:o}", "header", header_json(kv),
 				   "ID", int64_json(id));
 
@@ -359,18 +359,19 @@
 
 int storeapi_revoke(struct kv *kv, const json_t *request, json_t **response)
 {
-	struct kv_lease *lease = kv_lease_find(kv, get_int64(request, "ID"));
+	struct kvstate_lease *lease =
+		kvstate_lease_find(kv, get_int64(request, "ID"));
 
 	if (!lease)
 		return error_response(response, 404, GRPC_NOT_FOUND,
 				      "requested lease not found");
-	kv_lease_revoke(kv, lease);
+	kvstate_lease_revoke(kv, lease);
 	*response = json_pack("{s:o}", "header", header_json(kv));
 	return 200;
 }
 
 int storeapi_watch(struct kv *kv, const json_t *request, json_t **response,
-		   struct kv_bytes *key)
+		   struct kvstate_bytes *key)
 {
 	const json_t *create =
 		get_field(request, "create_request", "createRequest");
@@ -382,7 +383,7 @@
 	return 200;
 }
 
-json_t *storeapi_event(const struct kv *kv, const struct kv_item *item,
+json_t *storeapi_event(const struct kv *kv, const struct kvstate_item *item,
 		       int is_deleted)
 {
 	json_t *event = json_pack("{s:o}", "kv", item_json(item, is_deleted));
--- a/tests/fakes/fakestore/storeapi.h
+++ b/tests/fakes/fakestore/storeapi.h
@@ -23,10 +23,10 @@
 
 /* First line of a watch. *key is set to its key, to be freed with free(3). */
 int storeapi_watch(struct kv *kv, const json_t *request, json_t **response,
-		   struct kv_bytes *key);
+		   struct kvstate_bytes *key);
 
 /* Line that a watch sends for a change. */
-json_t *storeapi_event(const struct kv *kv, const struct kv_item *item,
+json_t *storeapi_event(const struct kv *kv, const struct kvstate_item *item,
 		       int is_deleted);
 
 #endif
--- a/tests/fakes/fakestore/storeserver.c
+++ b/tests/fakes/fakestore/storeserver.c
@@ -55,7 +55,7 @@
 	struct evhttp_connection *evcon;
 	struct loop_timer *timer;
 	int is_watch, is_dropped;
-	struct kv_bytes key; /* of a watch */
+	struct kvstate_bytes key; /* of a watch */
 	int status;
 	json_t *response;
 };
@@ -172,7 +172,7 @@
 static void start_watch(struct storeserver *server, struct evhttp_request *req,
 			const json_t *request)
 {
-	struct kv_bytes key;
+	struct kvstate_bytes key;
 	struct pending_request *pending;
 	struct evbuffer *buf;
 	json_t *response;
@@ -193,7 +193,8 @@
 	json_decref(response);
 }
 
-static void on_change(void *arg, const struct kv_item *item, int is_deleted)
+static void on_change(void *arg, const struct kvstate_item *item,
+		      int is_deleted)
 {
 	struct storeserver *server = arg;
 	json_t *event = storeapi_event(&server->kv, item, is_deleted);
@@ -320,7 +321,8 @@
 	struct list *pos;
 
 	list_for_each (pos, &server->kv.leases) {
-		struct kv_lease *lease = list_entry(pos, struct kv_lease, node);
+		struct kvstate_lease *lease =
+			list_entry(pos, struct kvstate_lease, node);
 
 		lease->expires_at_ms = now_ms + lease->ttl_ms;
 	}
@@ -380,7 +382,7 @@
 	if (json_is_true(json_object_get(json, "break_watches")))
 		drop_pending(server, 1);
 	if (json_is_true(json_object_get(json, "expire_leases")))
-		kv_expire_leases(&server->kv, INT64_MAX);
+		kvstate_expire_leases(&server->kv, INT64_MAX);
 	return mode ? set_mode(server, (enum mode)new_mode) : 0;
 }
 
@@ -440,7 +442,7 @@
 	struct storeserver *server = arg;
 
 	if (server->mode == MODE_OK)
-		kv_expire_leases(&server->kv, sysclock_now().ms);
+		kvstate_expire_leases(&server->kv, sysclock_now().ms);
 	loop_timer_start(server->expiry_timer, EXPIRY_CHECK_INTERVAL_MS);
 }
 
@@ -454,7 +456,7 @@
 	server->lost_response_kind = STORE_TXN;
 	server->expiry_timer = loop_timer_new(loop, on_expiry_timer, server);
 	list_init(&server->pending);
-	kv_init(&server->kv, on_change, server);
+	kvstate_init(&server->kv, on_change, server);
 	loop_timer_start(server->expiry_timer, EXPIRY_CHECK_INTERVAL_MS);
 	server->http = listen_at(server, address, on_request);
 	if (control_address)
@@ -476,7 +478,7 @@
 	if (server->control_http)
 		evhttp_free(server->control_http);
 	loop_timer_delete(server->expiry_timer);
-	kv_clear(&server->kv);
+	kvstate_clear(&server->kv);
 	free(server->address);
 	free(server);
 }
