httpc: tell from the bytes sent whether a call may have been carried out

Cause: after a stop the wait for events ends without any, so timers go before the reset is read. The timer of the call found the socket without a peer, took it for one that had never been connected, and the call ended as not sent; so the gateway did not know that the job might be stored.

Change: a connection notes when bytes of the call are handed to it, which evhttp does only once it is established. Without an answer, a call with such bytes has an unknown outcome, whatever became of the socket. The same holds for starts at workers, which the runner took for not sent and reported as refused.

Ruled out: a second attempt of the gateway (attempts=1 in the answers), a write that was refused by the store (it is in its records).

--- a/packages/io/src/httpc.c
+++ b/packages/io/src/httpc.c
@@ -128,6 +128,15 @@
 	       (encoding && !strcasecmp(encoding, "chunked"));
 }
 
+/*
+ * Whether bytes were sent decides, not whether the connection is still there:
+ * after a stop of the process, a timer may go before the reset is read.
+ */
+static int unanswered_error(const struct httpc_call *call)
+{
+	return call->conn->has_sent ? ERR_UNKNOWN : ERR_UNAVAILABLE;
+}
+
 /*
  * evhttp passes NULL when there is no response, but passes the request when it
  * could not connect.
@@ -138,7 +147,7 @@
 	if (!req)
 		return call->err ? call->err : ERR_UNKNOWN;
 	if (!evhttp_request_get_response_code(req))
-		return ERR_UNAVAILABLE;
+		return unanswered_error(call);
 	return has_known_end(req) ? 0 : ERR_UNKNOWN;
 }
 
@@ -251,11 +260,11 @@
 	int err = call->err;
 
 	if (!call->req) {
-		call_end(call, err ? err : ERR_UNAVAILABLE, 0);
+		call_end(call, err ? err : unanswered_error(call), 0);
 		return;
 	}
 	if (!connection_is_open(call->conn)) {
-		err = ERR_UNAVAILABLE;
+		err = unanswered_error(call);
 	} else if (!call->timeout_ms) {
 		return;
 	} else if (remaining_ms > 0) {
@@ -351,6 +360,7 @@
 	call->started_at = sysclock_now();
 	call->timer = loop_timer_new(pool->loop, on_timer, call);
 	conn->call = call;
+	conn->has_sent = 0;
 	list_add_tail(&pool->calls, &call->node);
 	return call;
 }
--- a/packages/io/src/httpconn.c
+++ b/packages/io/src/httpconn.c
@@ -17,10 +17,24 @@
 #define NO_TIMEOUT_S (365 * 24 * 3600)
 #define RESPONSE_HEAD_MAX_BYTES (64 * 1024)
 
+/* evhttp writes a request only once the connection is established. */
+static void on_output(struct evbuffer *buf, const struct evbuffer_cb_info *info,
+		      void *arg)
+{
+	struct connection *conn = arg;
+
+	if (info->n_added)
+		conn->has_sent = 1;
+}
+
 static void connection_free(struct connection *conn)
 {
 	list_del(&conn->node);
 	evhttp_connection_set_closecb(conn->evcon, NULL, NULL);
+	evbuffer_remove_cb(
+		bufferevent_get_output(
+			evhttp_connection_get_bufferevent(conn->evcon)),
+		on_output, conn);
 	evhttp_connection_free(conn->evcon);
 	free(conn);
 }
@@ -78,6 +92,9 @@
 	conn->pool = pool;
 	conn->evcon = evcon;
 	evhttp_connection_set_closecb(evcon, on_close, conn);
+	evbuffer_add_cb(bufferevent_get_output(
+				evhttp_connection_get_bufferevent(evcon)),
+			on_output, conn);
 	return conn;
 }
 
--- a/packages/io/src/httpconn.h
+++ b/packages/io/src/httpconn.h
@@ -39,6 +39,7 @@
 	struct httpc_call *call;
 	struct mstime answered_at; /* last response; 0: none yet */
 	int is_closed;
+	int has_sent; /* bytes of the call were handed to the connection */
 };
 
 /*
