scheduler: bound the memory of accepted jobs; the rest waits in the store

A scheduler held the specification of each accepted job in memory, the whole of each job that had ended for 130 s, and while it loaded all states and all records at once.

Change: 24 MB of workflows are taken in. A job beyond that stays in the store and has an entry with its id and queue, by which it is counted as pending, cancelled, and read in when there is room: by priority, and those that were set aside in turn. Workflows of which nothing is at work and that found no place are set aside for others. Steps begin up to 32 MB (task-unplaced memory=1). A job that has ended is an entry after 15 s. Lists are taken page by page; texts of states are kept until their jobs are listed only for jobs with runs, or up to 4 MB. From 100,000 entries on gateways refuse submissions at once with 429 and Retry-After: 30, by a comparison in the transaction that they make anyway; a request whose earlier attempt may be carried out gets 504.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -200,6 +200,10 @@
 	  "The store has refused a change; it is tried in smaller parts." },
 	{ EV_STATE_TOO_LARGE, LOG_ERROR, "state-too-large",
 	  "A workflow is ended: its progress is too large to be stored." },
+	{ EV_WORKFLOW_SET_ASIDE, LOG_INFO, "workflow-set-aside",
+	  "A workflow without a place waits in the store, for others' turn." },
+	{ EV_BACKLOG_FULL, LOG_WARN, "backlog-full",
+	  "So many jobs wait that submissions are refused, or no longer." },
 
 	/* 4000: operators and configuration */
 	{ EV_CONFIG_APPLIED, LOG_INFO, "config-applied",
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -38,6 +38,7 @@
 	int64_t worker_penalty_ms; /* no new runs after repeated failures */
 	int64_t stuck_timeout_ms;  /* a run not started, or stuck, is moved */
 	uint32_t assumed_usage_percent; /* of CPU reserved by serving runs */
+	size_t memory_max; /* bytes of all workflows: beyond, no step begins */
 };
 
 extern const struct dispatch_limits dispatch_defaults;
@@ -180,6 +181,7 @@
 	PLACEMENT_ROOM,
 	PLACEMENT_SPREAD,   /* enough tasks of the step are there */
 	PLACEMENT_PRESSURE, /* would slow serving runs */
+	PLACEMENT_MEMORY,   /* of the scheduler, whatever the worker */
 	PLACEMENT_BLOCK_COUNT
 };
 
@@ -238,8 +240,14 @@
  */
 int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
 		 struct mstime now);
+/* Makes known a job that has ended, so that it is removed later. */
+void dispatch_add_ended(struct dispatch *dispatch, const char *job,
+			struct mstime now);
+
+/* Returns NULL for an unknown job, and for one that ended some time ago. */
 struct workflow *dispatch_find_workflow(struct dispatch *dispatch,
 					const char *job);
+int dispatch_knows(struct dispatch *dispatch, const char *job);
 
 /* Bytes of memory, about, that the workflows take. */
 size_t dispatch_memory(const struct dispatch *dispatch);
@@ -286,22 +294,37 @@
 void dispatch_expire(struct dispatch *dispatch, struct mstime now);
 
 /*
- * Iterates over the final workflows that are old enough to be removed from the
+ * Iterates over the jobs that ended long enough ago to be removed from the
  * store. after is the previous one, or NULL for the first.
  *
  * RETURN VALUE
- *	The next one, or NULL.
+ *	The next one, valid until it is removed, or NULL.
  */
-struct workflow *dispatch_next_removable(struct dispatch *dispatch,
-					 const struct workflow *after,
-					 struct mstime now);
+const char *dispatch_next_removable(struct dispatch *dispatch,
+				    const char *after, struct mstime now);
 
 /*
- * Removes a final workflow. Call it only once its records are removed from the
- * store; otherwise the workflow would be loaded and run again.
+ * Forgets a job that has ended. Call it only once its records are removed from
+ * the store; otherwise the job would be loaded and run again.
  */
 void dispatch_remove(struct dispatch *dispatch, const char *job);
 
+/*
+ * Frees the workflows that ended some time ago and whose state is stored;
+ * their jobs stay known until they are removed.
+ */
+void dispatch_forget_finals(struct dispatch *dispatch, struct mstime now);
+
+/*
+ * Returns a workflow that waits and may be set aside for others: nothing of it
+ * is at work, and the store has its last state. NULL: there is none.
+ */
+struct workflow *dispatch_find_idle(struct dispatch *dispatch,
+				    struct mstime now);
+
+/* Forgets it; the caller adds it again when there is memory for it. */
+void dispatch_set_aside(struct dispatch *dispatch, struct workflow *workflow);
+
 /* Wall clock in ms since 1970: due times of occurrences, ages of workflows. */
 void dispatch_set_wall_clock(struct dispatch *dispatch, int64_t wall_ms);
 
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -152,12 +152,14 @@
 	uint32_t done_occurrences; /* with those in the ranges */
 	enum look_stage look_stage;
 	uint32_t look_from;	 /* occurrence */
+	uint32_t run_count;	 /* at workers, also of tasks that are done */
 	uint32_t assigned_total; /* sum of the assigned_count */
 	uint32_t state_count;	 /* tasks that have a state */
 	size_t memory;		 /* bytes, about */
 	size_t *memory_sum;	 /* of all workflows; NULL: not counted */
 	int64_t submitted_ms;	 /* by the store's clock, ms since 1970 */
 	struct mstime submitted_at;
+	struct mstime known_at;	  /* when the scheduler took it in */
 	int64_t critical_path_ms; /* by the estimates */
 	int64_t remaining_ms;	  /* of the critical path */
 	enum urgency urgency;
@@ -300,6 +302,17 @@
  */
 int workflow_decode(struct workflow *workflow, const char *json, size_t len);
 
+/* What a stored document tells without the specification. */
+struct workflow_summary {
+	enum workflow_state state;
+	int started;  /* a worker has begun a task */
+	int has_runs; /* tasks are assigned */
+};
+
+/* ERR_MALFORMED: the document has no state. */
+int workflow_decode_summary(const char *json, size_t len,
+			    struct workflow_summary *summary);
+
 /* Reads only the state of the workflow from a document. ERR_MALFORMED: none. */
 int workflow_decode_state(const char *json, size_t len,
 			  enum workflow_state *state);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -29,6 +29,7 @@
 	.stuck_timeout_ms = 2000,
 	/* The average usage is well below the declared sizes. */
 	.assumed_usage_percent = 45,
+	.memory_max = 32 * 1024 * 1024,
 };
 
 /*
@@ -43,6 +44,12 @@
  */
 #define UNSAVED_MAX 30
 
+/* Orders are carried out up to 12 s late. */
+#define FINAL_DETAILS_MS 15000
+/* So long after it was taken in, a workflow without a place may be set aside.
+ */
+#define IDLE_AFTER_MS 2000
+
 /* At a lower pace a run makes no measurable progress. */
 #define STUCK_PACE_MIN 50
 
@@ -77,6 +84,7 @@
 	list_init(&dispatch->to_look);
 	list_init(&dispatch->arrivals);
 	list_init(&dispatch->finals);
+	list_init(&dispatch->ended);
 	list_init(&dispatch->workers);
 	list_init(&dispatch->unsaved);
 	list_init(&dispatch->urgent_unsaved);
@@ -102,20 +110,31 @@
 	struct workflow_entry **link =
 		&dispatch->buckets[hash_str(job) % JOB_BUCKETS];
 
-	while (*link && strcmp((*link)->workflow->spec.id, job))
+	while (*link && strcmp((*link)->id, job))
 		link = &(*link)->next;
 	return link;
 }
 
-static void remove_workflow(struct dispatch *dispatch,
-			    struct workflow *workflow)
+static struct workflow_entry *entry_new(const char *job)
 {
-	struct workflow_entry **link = find_link(dispatch, workflow->spec.id);
+	struct workflow_entry *entry = xcalloc(1, sizeof(*entry));
+
+	list_init(&entry->node);
+	str_copy(entry->id, job, sizeof(entry->id));
+	return entry;
+}
+
+static void remove_entry(struct dispatch *dispatch, const char *job)
+{
+	struct workflow_entry **link = find_link(dispatch, job);
 	struct workflow_entry *found = *link;
 
+	if (!found)
+		return;
 	*link = found->next;
+	list_del(&found->node);
+	workflow_delete(found->workflow);
 	free(found);
-	workflow_delete(workflow);
 }
 
 static void remove_workflows(struct dispatch *dispatch, struct list *head)
@@ -123,8 +142,8 @@
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, head)
-		remove_workflow(dispatch,
-				list_entry(pos, struct workflow, node));
+		remove_entry(dispatch,
+			     list_entry(pos, struct workflow, node)->spec.id);
 }
 
 void dispatch_delete(struct dispatch *dispatch)
@@ -137,6 +156,10 @@
 		worker_delete(list_entry(pos, struct worker, node));
 	remove_workflows(dispatch, &dispatch->workflows);
 	remove_workflows(dispatch, &dispatch->finals);
+	while (!list_empty(&dispatch->ended))
+		remove_entry(dispatch, list_entry(dispatch->ended.next,
+						  struct workflow_entry, node)
+					       ->id);
 	colocation_delete(dispatch->colocation);
 	free(dispatch->candidates);
 	free(dispatch);
@@ -170,6 +193,23 @@
 	return entry ? entry->workflow : NULL;
 }
 
+void dispatch_add_ended(struct dispatch *dispatch, const char *job,
+			struct mstime now)
+{
+	struct workflow_entry **link = find_link(dispatch, job);
+
+	if (*link)
+		return;
+	*link = entry_new(job);
+	(*link)->ended_at = now;
+	list_add_tail(&dispatch->ended, &(*link)->node);
+}
+
+int dispatch_knows(struct dispatch *dispatch, const char *job)
+{
+	return *find_link(dispatch, job) != NULL;
+}
+
 /* Starts, callers and takeovers wait for these changes. */
 static int save_is_urgent(const struct workflow *workflow)
 {
@@ -308,8 +348,9 @@
 		workflow_delete(workflow);
 		return ERR_EXISTS;
 	}
-	*link = xcalloc(1, sizeof(**link));
+	*link = entry_new(workflow->spec.id);
 	(*link)->workflow = workflow;
+	workflow->known_at = now;
 	workflow->memory_sum = &dispatch->memory;
 	dispatch->memory += workflow_memory(workflow);
 	set_age(dispatch, workflow, now);
@@ -370,7 +411,7 @@
 
 	dispatch->now = now;
 	if (!workflow)
-		return ERR_NOT_FOUND;
+		return dispatch_knows(dispatch, job) ? 0 : ERR_NOT_FOUND;
 	if (workflow_is_final(workflow))
 		return 0;
 	workflow->cancelled = 1;
@@ -532,29 +573,96 @@
 	}
 }
 
-struct workflow *dispatch_next_removable(struct dispatch *dispatch,
-					 const struct workflow *after,
-					 struct mstime now)
+static int is_settled(const struct workflow *workflow)
 {
-	struct list *pos = after ? after->node.next : dispatch->finals.next;
-	struct workflow *workflow;
+	return !workflow->saving && !workflow->run_count &&
+	       workflow->saved_version == workflow->version;
+}
 
-	if (pos == &dispatch->finals)
-		return NULL;
-	workflow = list_entry(pos, struct workflow, node);
-	if (mstime_diff(now, workflow->ended_at) <
-		    dispatch->limits.final_retention_ms ||
-	    workflow->saving || workflow->saved_version != workflow->version)
+/* A late start may still come for some time, and has to find its task. */
+static int needs_details(const struct dispatch *dispatch,
+			 const struct workflow *workflow, struct mstime now)
+{
+	int64_t age_ms = mstime_diff(now, workflow->ended_at);
+
+	return age_ms < FINAL_DETAILS_MS &&
+	       age_ms < dispatch->limits.final_retention_ms;
+}
+
+void dispatch_forget_finals(struct dispatch *dispatch, struct mstime now)
+{
+	struct list *pos, *tmp;
+
+	list_for_each_safe (pos, tmp, &dispatch->finals) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
+		struct workflow_entry *entry;
+
+		if (needs_details(dispatch, workflow, now))
+			return;
+		if (!is_settled(workflow))
+			continue;
+		entry = *find_link(dispatch, workflow->spec.id);
+		entry->workflow = NULL;
+		entry->ended_at = workflow->ended_at;
+		list_add_tail(&dispatch->ended, &entry->node);
+		workflow_delete(workflow);
+	}
+}
+
+const char *dispatch_next_removable(struct dispatch *dispatch,
+				    const char *after, struct mstime now)
+{
+	struct workflow_entry *entry;
+	struct list *pos = &dispatch->ended;
+
+	dispatch_forget_finals(dispatch, now);
+	if (after)
+		pos = &(*find_link(dispatch, after))->node;
+	if (pos->next == &dispatch->ended)
 		return NULL;
-	return workflow;
+	entry = list_entry(pos->next, struct workflow_entry, node);
+	return mstime_diff(now, entry->ended_at) <
+			       dispatch->limits.final_retention_ms
+		       ? NULL
+		       : entry->id;
 }
 
 void dispatch_remove(struct dispatch *dispatch, const char *job)
 {
-	struct workflow *workflow = dispatch_find_workflow(dispatch, job);
+	const struct workflow_entry *entry = *find_link(dispatch, job);
+
+	if (entry && !entry->workflow)
+		remove_entry(dispatch, job);
+}
+
+/* Nothing is lost with it: its records in the store are all there is. */
+static int is_idle(const struct workflow *workflow, struct mstime now)
+{
+	return is_settled(workflow) && !workflow->begun_count &&
+	       mstime_diff(now, workflow->known_at) >= IDLE_AFTER_MS &&
+	       mstime_before(workflow->known_at, workflow->looked_at);
+}
+
+struct workflow *dispatch_find_idle(struct dispatch *dispatch,
+				    struct mstime now)
+{
+	struct list *pos;
+
+	for (pos = dispatch->workflows.prev; pos != &dispatch->workflows;
+	     pos = pos->prev) {
+		struct workflow *workflow =
+			list_entry(pos, struct workflow, node);
 
-	if (workflow && workflow_is_final(workflow))
-		remove_workflow(dispatch, workflow);
+		if (is_idle(workflow, now))
+			return workflow;
+	}
+	return NULL;
+}
+
+void dispatch_set_aside(struct dispatch *dispatch, struct workflow *workflow)
+{
+	remove_entry(dispatch, workflow->spec.id);
 }
 
 /* The first one in the queue that is not being saved, or NULL. */
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -248,9 +248,28 @@
 	return placed;
 }
 
+/* The states of a step take memory from its first assignment on. */
+static int has_memory(const struct dispatch *dispatch,
+		      const struct placement_request *request)
+{
+	struct task_id first = { "", request->occurrence, request->step_index,
+				 0 };
+	size_t bytes = request->step->task_count * sizeof(struct workflow_task);
+
+	return workflow_find_task(request->workflow, &first) ||
+	       dispatch->memory + bytes <= dispatch->limits.memory_max;
+}
+
 static int assign_step(struct dispatch *dispatch,
 		       struct placement_request *request, struct mstime now)
 {
+	if (!has_memory(dispatch, request)) {
+		memset(dispatch->blocks, 0, sizeof(dispatch->blocks));
+		dispatch->blocks[PLACEMENT_MEMORY] = 1;
+		request->has_no_place = 1;
+		note_unplaced(dispatch, request, 0, dispatch->blocks, now);
+		return 0;
+	}
 	if (request->step->gang)
 		return assign_gang(dispatch, request, now);
 	/* A forced task only lets the workflow make progress. */
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -11,9 +11,13 @@
 #define JOB_BUCKETS 4096
 #define WORKER_BUCKETS 1024
 
+/* A known workflow. Once it has ended, only the entry is left of it. */
 struct workflow_entry {
-	struct workflow *workflow;
+	struct list node; /* in the ended ones, in the order of their ends */
 	struct workflow_entry *next;
+	struct workflow *workflow; /* NULL: it has ended */
+	char id[JOB_ID_SIZE];
+	struct mstime ended_at;
 };
 
 /* Placement request; the same for all tasks of a step. */
@@ -63,6 +67,7 @@
 	struct list workflows; /* not final */
 	size_t memory;	       /* of all workflows */
 	struct list finals;    /* final, in the order in which they ended */
+	struct list ended;     /* entries of those without a workflow */
 	struct list workers;
 	size_t worker_count;
 	struct list unsaved;	    /* workflows, by the time of a change */
--- a/packages/core/src/dispatch_place.c
+++ b/packages/core/src/dispatch_place.c
@@ -27,6 +27,7 @@
 		[PLACEMENT_ROOM] = "room",
 		[PLACEMENT_SPREAD] = "spread",
 		[PLACEMENT_PRESSURE] = "pressure",
+		[PLACEMENT_MEMORY] = "memory",
 	};
 
 	return names[block];
--- a/packages/core/src/dispatch_run.c
+++ b/packages/core/src/dispatch_run.c
@@ -44,6 +44,7 @@
 		list_add_tail(&worker->serving_runs, &run->serving_node);
 	worker->fill_version += run->best_effort;
 	worker->run_count++;
+	workflow->run_count++;
 	worker->used.mem_mb += run->reserved.mem_mb;
 	worker->used.accel += run->reserved.accel;
 	if (run->best_effort)
@@ -105,6 +106,8 @@
 	struct worker *worker = run->worker;
 
 	worker->run_count--;
+	if (run->workflow)
+		run->workflow->run_count--;
 	worker->used.mem_mb -= run->reserved.mem_mb;
 	worker->used.accel -= run->reserved.accel;
 	if (run->best_effort)
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -273,6 +273,19 @@
 	return err;
 }
 
+int workflow_decode_summary(const char *json, size_t len,
+			    struct workflow_summary *summary)
+{
+	json_t *root = json_loadb(json, len, 0, NULL);
+	int err = root ? parse_state(root, &summary->state) : ERR_MALFORMED;
+
+	summary->started = json_is_true(json_object_get(root, "started"));
+	summary->has_runs =
+		json_array_size(json_object_get(root, "places")) > 0;
+	json_decref(root);
+	return err;
+}
+
 static int decode_location(const json_t *locations, json_int_t index,
 			   struct run_location **location)
 {
--- a/packages/daemon/include/jobstore.h
+++ b/packages/daemon/include/jobstore.h
@@ -18,6 +18,8 @@
  *				workflow_encode()
  *	pending			number of workflows without a started task,
  *				by queue
+ *	full			exists while so many jobs wait that submissions
+ *				are refused; written by the scheduler
  *	handover		leases of runs when the last scheduler resigned;
  *				removed by the next one
  */
@@ -26,6 +28,7 @@
 #define SUBMITTED_CANCEL_PREFIX "submitted/cancel/"
 #define STATE_PREFIX "state/"
 #define PENDING_KEY "pending"
+#define FULL_KEY "full"
 #define HANDOVER_KEY "handover"
 #define JOBSTORE_KEY_SIZE 64
 
@@ -46,6 +49,10 @@
 					size_t len, int64_t submitted_ms,
 					const char **reason);
 
+/* Queue of a record of submitted/job/ID. ERR_MALFORMED: it names none. */
+int jobstore_record_config(const char *record, size_t len,
+			   struct queue_config *queue);
+
 /*
  * Name of the queue of a record of submitted/job/ID, ID_SIZE bytes at most.
  * ERR_MALFORMED when the record does not name one.
--- a/packages/daemon/src/gateway.c
+++ b/packages/daemon/src/gateway.c
@@ -1,5 +1,6 @@
 #include "gateway.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -34,8 +35,6 @@
  */
 #define STOP_SERVE_MS 2500
 #define STOP_POLL_MS 50
-/* If the store is the cause, it is back within seconds. */
-#define RETRY_AFTER_S "1"
 
 static void job_call_free(struct job_request *req)
 {
@@ -65,10 +64,14 @@
 	job_call_free(req);
 }
 
-void job_request_refuse(struct job_request *req, int status, const char *detail)
+void job_request_refuse(struct job_request *req, int status, const char *detail,
+			int retry_after_s)
 {
+	char text[16];
+
+	snprintf(text, sizeof(text), "%d", retry_after_s);
 	req->gateway->refused.value++;
-	httpd_add_header(req->http, "Retry-After", RETRY_AFTER_S);
+	httpd_add_header(req->http, "Retry-After", text);
 	job_request_reply(req, status, "{}", detail);
 }
 
@@ -92,18 +95,24 @@
 	return ms < STORE_TIME_MAX_MS ? ms : STORE_TIME_MAX_MS;
 }
 
+void job_request_reply_unknown(struct job_request *req)
+{
+	req->gateway->unknown_outcomes.value++;
+	job_request_reply(req, 504, "{}", "store-silent");
+}
+
 static void on_deadline(void *arg)
 {
 	struct job_request *req = arg;
 
 	if (!req->may_be_stored && !req->write_in_flight) {
-		job_request_refuse(req, 503,
-				   error_name(req->last_err ? req->last_err
-							    : ERR_TIMEOUT));
+		job_request_refuse(
+			req, 503,
+			error_name(req->last_err ? req->last_err : ERR_TIMEOUT),
+			STORE_RETRY_AFTER_S);
 		return;
 	}
-	req->gateway->unknown_outcomes.value++;
-	job_request_reply(req, 504, "{}", "store-silent");
+	job_request_reply_unknown(req);
 }
 
 static void dispatch_request(struct job_request *req)
@@ -148,11 +157,12 @@
 	req->started_at = sysclock_now();
 	list_add_tail(&gateway->job_requests, &req->node);
 	if (has_drained(gateway)) {
-		job_request_refuse(req, 503, "stopping");
+		job_request_refuse(req, 503, "stopping", STORE_RETRY_AFTER_S);
 		return;
 	}
 	if (!config) {
-		job_request_refuse(req, 503, "no-configuration");
+		job_request_refuse(req, 503, "no-configuration",
+				   STORE_RETRY_AFTER_S);
 		return;
 	}
 	queue = platform_queue_find(config, httpd_header(request, "Host"),
--- a/packages/daemon/src/gateway_internal.h
+++ b/packages/daemon/src/gateway_internal.h
@@ -59,8 +59,16 @@
 		       const char *detail);
 
 /* For a request that has no effect, also later; adds Retry-After. */
-void job_request_refuse(struct job_request *req, int status,
-			const char *detail);
+void job_request_refuse(struct job_request *req, int status, const char *detail,
+			int retry_after_s);
+
+/* If the store is the cause, it is back within seconds. */
+#define STORE_RETRY_AFTER_S 1
+/* A tenth of a full backlog takes about so long. */
+#define FULL_RETRY_AFTER_S 30
+
+/* The request may have an effect, now or later. */
+void job_request_reply_unknown(struct job_request *req);
 
 /* Calls retry(req) after a pause; the deadline timer ends the attempts. */
 void job_request_retry(struct job_request *req, int err, loop_fn retry);
--- a/packages/daemon/src/gateway_jobs.c
+++ b/packages/daemon/src/gateway_jobs.c
@@ -53,8 +53,15 @@
 	else if (result->err == ERR_CONFLICT &&
 		 is_stored(result, SUBMITTED_JOB_PREFIX))
 		reply_accepted(req, "known");
+	else if (result->err == ERR_CONFLICT &&
+		 is_stored(result, SUBMITTED_CANCEL_PREFIX))
+		job_request_refuse(req, 503, "cancelled-before",
+				   STORE_RETRY_AFTER_S);
+	else if (result->err == ERR_CONFLICT && req->may_be_stored)
+		job_request_reply_unknown(req);
 	else if (result->err == ERR_CONFLICT)
-		job_request_refuse(req, 503, "cancelled-before");
+		job_request_refuse(req, 429, "too-many-waiting",
+				   FULL_RETRY_AFTER_S);
 	else if (result->err == ERR_INVALID)
 		job_request_reply(req, 400, "{}", "store-refused");
 	else
@@ -63,13 +70,14 @@
 
 static void submit_write(struct job_request *req)
 {
-	struct kv_txn txn = { .compare_count = 2, .put_count = 1 };
+	struct kv_txn txn = { .compare_count = 3, .put_count = 1 };
 	char key[JOBSTORE_KEY_SIZE], cancel_key[JOBSTORE_KEY_SIZE];
 
 	jobstore_key(key, SUBMITTED_JOB_PREFIX, req->job);
 	jobstore_key(cancel_key, SUBMITTED_CANCEL_PREFIX, req->job);
 	txn.compares[0].key = key;
 	txn.compares[1].key = cancel_key;
+	txn.compares[2].key = FULL_KEY;
 	txn.puts[0].key = key;
 	txn.puts[0].value = req->record;
 	txn.puts[0].len = strlen(req->record);
@@ -281,7 +289,8 @@
 	if (workflow_decode_state(result->items[0].value, result->items[0].len,
 				  &state)) {
 		log_event(EV_WORKFLOW_INVALID, "job=%s reason=state", req->job);
-		job_request_refuse(req, 503, "state-unreadable");
+		job_request_refuse(req, 503, "state-unreadable",
+				   STORE_RETRY_AFTER_S);
 		return;
 	}
 	reply_state(req, state);
--- a/packages/daemon/src/jobstore.c
+++ b/packages/daemon/src/jobstore.c
@@ -91,6 +91,16 @@
 	return workflow;
 }
 
+int jobstore_record_config(const char *record, size_t len,
+			   struct queue_config *queue)
+{
+	json_t *root = json_loadb(record, len, 0, NULL);
+	int err = decode_queue(root, queue) ? ERR_MALFORMED : 0;
+
+	json_decref(root);
+	return err;
+}
+
 int jobstore_record_queue(const char *record, size_t len, char *queue)
 {
 	json_t *root = json_loadb(record, len, 0, NULL);
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -177,6 +177,7 @@
 	if (!scheduler->is_loaded)
 		return;
 	dispatch_set_wall_clock(scheduler->dispatch, sysclock_wall_ms());
+	scheduler_backlog_check(scheduler, now);
 	if (election_is_leader(scheduler->election, now))
 		assign(scheduler, now);
 	scheduler_commit(scheduler, now);
@@ -241,6 +242,7 @@
 	if (mstime_diff(now, scheduler->metrics_at) >= METRICS_INTERVAL_MS)
 		scheduler_metrics_update(scheduler, now);
 	scheduler_remove_old(scheduler, now);
+	scheduler_backlog_check(scheduler, now);
 	scheduler_wake(scheduler);
 }
 
@@ -253,6 +255,7 @@
 		dispatch_new(&dispatch_defaults, (uint64_t)epoch,
 			     sysclock_now(), on_dispatch_event, scheduler);
 	scheduler_links_start(scheduler);
+	scheduler_backlog_start(scheduler);
 	scheduler_load_start(scheduler);
 	scheduler->is_behind = 0;
 	scheduler->value_max = KV_VALUE_MAX;
@@ -272,6 +275,7 @@
 	kv_cancel(scheduler->kv, &scheduler->self);
 	scheduler_load_stop(scheduler);
 	scheduler_commit_stop(scheduler);
+	scheduler_backlog_stop(scheduler);
 	scheduler_links_stop(scheduler);
 	dispatch_delete(scheduler->dispatch);
 	scheduler->dispatch = NULL;
--- a/packages/daemon/src/scheduler_commit.c
+++ b/packages/daemon/src/scheduler_commit.c
@@ -294,7 +294,10 @@
 		json_object_set_new(root, queue, json_integer(count + 1));
 		scheduler->pending_count++;
 	}
+	scheduler_backlog_pending(scheduler, root);
 	scheduler->waiting.value = scheduler->pending_count;
+	scheduler->backlog_count.value =
+		(int64_t)scheduler_backlog_count(scheduler);
 	text = json_dumps(root, JSON_COMPACT | JSON_SORT_KEYS);
 	json_decref(root);
 	return text;
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -1,6 +1,7 @@
 #ifndef CATKINHILL_SCHEDULER_INTERNAL_H
 #define CATKINHILL_SCHEDULER_INTERNAL_H
 
+#include <glib.h>
 #include <jansson.h>
 
 #include "metrics.h"
@@ -61,6 +62,22 @@
 	struct loop_timer *retry_timer;
 };
 
+/*
+ * Jobs beyond those that the scheduler has taken into memory. Their records
+ * are in the store; an entry has what is needed to count them and to choose
+ * the next one.
+ */
+struct backlog {
+	GHashTable *jobs;   /* struct backlog_job, by id */
+	struct list queues; /* struct backlog_queue, by priority */
+	struct list aside;  /* jobs that were set aside, the first one first */
+	size_t read_count;  /* jobs that are being read */
+	size_t read_bytes;  /* of memory that they will take, about */
+	struct mstime aside_read_at; /* last time that one of them was read */
+	int is_full_stored, is_full_sent; /* see FULL_KEY; -1: not known */
+	int full_in_flight;
+};
+
 struct scheduler {
 	struct daemon *daemon;
 	struct kv *kv;
@@ -78,7 +95,10 @@
 	struct queues *queues;
 	struct list links;
 	struct commit commit;
-	json_t *stored_states; /* id -> [value, revision], until loaded */
+	struct backlog backlog;
+	/* Until loaded: struct stored_state, and the cancelled jobs, by id. */
+	GHashTable *stored_states, *cancelled;
+	size_t stored_bytes; /* of the texts of states */
 
 	struct loop_timer *tick_timer;
 	struct loop_timer *wake_timer;
@@ -100,6 +120,7 @@
 	size_t removal_count;
 
 	struct metric commits, commits_failed, runs_assigned, runs_lost;
+	struct metric backlog_count, memory;
 	struct metric waiting, evaluations, unsaved, idle_ms, look_ms;
 	struct metric unplaced[PLACEMENT_BLOCK_COUNT];
 	char unplaced_labels[PLACEMENT_BLOCK_COUNT][NAME_SIZE];
@@ -145,6 +166,55 @@
 
 void scheduler_load_states(struct scheduler *scheduler);
 
+/*
+ * Adds a workflow whose record with this revision has been read; its queue is
+ * as configured now.
+ */
+void scheduler_take_in(struct scheduler *scheduler, struct workflow *workflow,
+		       int64_t revision);
+
+/* Whether there is memory for another workflow. */
+int scheduler_has_room(const struct scheduler *scheduler);
+
+void scheduler_backlog_start(struct scheduler *scheduler);
+void scheduler_backlog_stop(struct scheduler *scheduler);
+size_t scheduler_backlog_count(const struct scheduler *scheduler);
+int scheduler_backlog_knows(const struct scheduler *scheduler, const char *id);
+
+struct backlog_entry {
+	const char *id;
+	const struct queue_config *queue;
+	size_t bytes;  /* of memory that it will take, about */
+	int started;   /* flag: a worker has begun a task */
+	int has_state; /* flag: the store has a state of it */
+	int is_aside;  /* flag: it was in memory and found no place */
+};
+
+/* Copies the entry. */
+void scheduler_backlog_add(struct scheduler *scheduler,
+			   const struct backlog_entry *entry);
+
+/*
+ * queue is set to the name of the job's queue, ID_SIZE bytes at most; NULL:
+ *not.
+ *
+ * RETURN VALUE
+ *	Whether the job was there.
+ */
+int scheduler_backlog_remove(struct scheduler *scheduler, const char *id,
+			     char *queue);
+
+/* Takes over the priority of the queue. */
+void scheduler_backlog_configure(struct scheduler *scheduler,
+				 const struct queue_config *config);
+
+/* Adds the jobs that no worker has begun, by queue. */
+void scheduler_backlog_pending(const struct scheduler *scheduler,
+			       json_t *counts);
+
+/* Reads in what there is memory for, and refuses submissions beyond a bound. */
+void scheduler_backlog_check(struct scheduler *scheduler, struct mstime now);
+
 /* Loads states, then watches submitted workflows and the configuration. */
 void scheduler_load_start(struct scheduler *scheduler);
 void scheduler_load_stop(struct scheduler *scheduler);
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -8,65 +8,121 @@
 #include "scheduler_internal.h"
 #include "sysclock.h"
 
-/* Restores the state that the scheduler of an earlier term has stored. */
-static int restore_state(struct scheduler *scheduler, struct workflow *workflow)
+/*
+ * Texts of states are kept until their jobs are listed, up to so many bytes;
+ * those of jobs with runs at work in any case.
+ */
+#define STATE_TEXTS_MAX (4 * 1024 * 1024)
+
+/* A state that the scheduler of an earlier term has stored. */
+struct stored_state {
+	int64_t revision;
+	struct workflow_summary summary;
+	char *text; /* NULL: to be read again */
+	size_t len;
+};
+
+static void stored_state_free(void *data)
 {
-	const json_t *record =
-		json_object_get(scheduler->stored_states, workflow->spec.id);
-	const char *value;
+	struct stored_state *state = data;
 
-	if (!record)
-		return 0;
-	value = json_string_value(json_array_get(record, 0));
-	workflow->stored_revision =
-		json_integer_value(json_array_get(record, 1));
-	return workflow_decode(workflow, value, strlen(value));
+	free(state->text);
+	free(state);
+}
+
+static void clear_stored(struct scheduler *scheduler)
+{
+	if (scheduler->stored_states)
+		g_hash_table_destroy(scheduler->stored_states);
+	if (scheduler->cancelled)
+		g_hash_table_destroy(scheduler->cancelled);
+	scheduler->stored_states = NULL;
+	scheduler->cancelled = NULL;
+	scheduler->stored_bytes = 0;
+}
+
+static const struct stored_state *find_state(const struct scheduler *scheduler,
+					     const char *id)
+{
+	return scheduler->stored_states
+		       ? g_hash_table_lookup(scheduler->stored_states, id)
+		       : NULL;
 }
 
-/* RETURN VALUE: revision of the state if the workflow is complete, else 0. */
-static int64_t complete_revision(const struct scheduler *scheduler,
-				 const char *id)
+static void add_workflow(struct scheduler *scheduler, struct workflow *workflow,
+			 int64_t revision)
 {
-	const json_t *record = json_object_get(scheduler->stored_states, id);
-	const char *value = json_string_value(json_array_get(record, 0));
-	enum workflow_state state;
+	log_event(EV_WORKFLOW_TAKEN,
+		  "job=%s queue=%s priority=%u steps=%zu tasks=%u state=%s "
+		  "revision=%lld",
+		  workflow->spec.id, workflow->queue.name,
+		  workflow->queue.priority, workflow->spec.step_count,
+		  workflow->spec.task_count,
+		  workflow_state_name(workflow->state), (long long)revision);
+	dispatch_set_wall_clock(scheduler->dispatch, sysclock_wall_ms());
+	dispatch_add(scheduler->dispatch, workflow, sysclock_now());
+}
 
-	if (!value || workflow_decode_state(value, strlen(value), &state) ||
-	    state != WORKFLOW_COMPLETE)
+void scheduler_take_in(struct scheduler *scheduler, struct workflow *workflow,
+		       int64_t revision)
+{
+	const struct platform_config *config = queues_config(scheduler->queues);
+	size_t i;
+
+	for (i = 0; config && i < config->queue_count; i++)
+		if (!strcmp(config->queues[i].queue.name, workflow->queue.name))
+			workflow->queue = config->queues[i].queue;
+	add_workflow(scheduler, workflow, revision);
+}
+
+/* Runs at work hold room at their workers, whatever the memory. */
+static int must_wait(const struct scheduler *scheduler,
+		     const struct stored_state *state)
+{
+	if (state && state->summary.has_runs)
 		return 0;
-	return json_integer_value(json_array_get(record, 1));
+	return (state && !state->text) ||
+	       scheduler_backlog_count(scheduler) > 0 ||
+	       !scheduler_has_room(scheduler);
 }
 
-/* No task of a complete workflow can run, so its record is not decoded. */
-static struct workflow *new_complete_workflow(const char *id, int64_t revision)
+static void add_to_backlog(struct scheduler *scheduler, const char *id,
+			   const struct kv_item *item,
+			   const struct stored_state *state)
 {
-	struct workflow_spec spec = { .step_count = 1, .occurrences = 1 };
-	struct queue_config queue = { .name = "" };
-	struct workflow *workflow;
+	struct queue_config queue;
+	struct backlog_entry entry = {
+		.id = id,
+		.queue = &queue,
+		.bytes = item->len,
+		.started = state && state->summary.started,
+		.has_state = state != NULL,
+	};
 
-	str_copy(spec.id, id, sizeof(spec.id));
-	spec.steps = xcalloc(1, sizeof(*spec.steps));
-	spec.steps[0].task_count = 1;
-	spec.task_count = 1;
-	workflow = workflow_new(&spec, &queue, 0);
-	workflow->state = WORKFLOW_COMPLETE;
-	workflow->stored_revision = revision;
-	return workflow;
+	if (jobstore_record_config(item->value, item->len, &queue)) {
+		log_event(EV_WORKFLOW_INVALID, "job=%s reason=record", id);
+		return;
+	}
+	scheduler_backlog_add(scheduler, &entry);
 }
 
 static void add_job(struct scheduler *scheduler, const char *id,
 		    const struct kv_item *item)
 {
-	struct mstime now = sysclock_now();
+	const struct stored_state *state = find_state(scheduler, id);
 	struct workflow *workflow;
-	int64_t revision = complete_revision(scheduler, id);
 	const char *reason;
 
-	if (!item->value || dispatch_find_workflow(scheduler->dispatch, id))
+	if (!item->value || dispatch_knows(scheduler->dispatch, id) ||
+	    scheduler_backlog_knows(scheduler, id))
 		return;
-	if (revision) {
-		dispatch_add(scheduler->dispatch,
-			     new_complete_workflow(id, revision), now);
+	/* No task of it can run, so its record is not decoded. */
+	if (state && state->summary.state == WORKFLOW_COMPLETE) {
+		dispatch_add_ended(scheduler->dispatch, id, sysclock_now());
+		return;
+	}
+	if (must_wait(scheduler, state)) {
+		add_to_backlog(scheduler, id, item, state);
 		return;
 	}
 	workflow = jobstore_record_decode(id, item->value, item->len,
@@ -76,56 +132,85 @@
 			  reason);
 		return;
 	}
-	if (restore_state(scheduler, workflow)) {
+	workflow->stored_revision = state ? state->revision : 0;
+	if (state && workflow_decode(workflow, state->text, state->len)) {
 		log_event(EV_WORKFLOW_INVALID, "job=%s reason=state", id);
 		workflow_delete(workflow);
 		return;
 	}
-	log_event(EV_WORKFLOW_TAKEN,
-		  "job=%s queue=%s priority=%u steps=%zu tasks=%u state=%s "
-		  "revision=%lld",
-		  id, workflow->queue.name, workflow->queue.priority,
-		  workflow->spec.step_count, workflow->spec.task_count,
-		  workflow_state_name(workflow->state),
-		  (long long)item->revision);
-	dispatch_set_wall_clock(scheduler->dispatch, sysclock_wall_ms());
-	dispatch_add(scheduler->dispatch, workflow, now);
+	add_workflow(scheduler, workflow, item->revision);
+}
+
+/* A job of which nothing is at work needs only its end to be stored. */
+static void add_cancelled(struct scheduler *scheduler, const char *id,
+			  const struct queue_config *queue)
+{
+	struct workflow_spec spec = { .step_count = 1, .occurrences = 1 };
+
+	str_copy(spec.id, id, sizeof(spec.id));
+	spec.steps = xcalloc(1, sizeof(*spec.steps));
+	spec.steps[0].task_count = 1;
+	spec.task_count = 1;
+	dispatch_add(scheduler->dispatch,
+		     workflow_new(&spec, queue, sysclock_wall_ms()),
+		     sysclock_now());
 }
 
-static void apply_cancel(struct scheduler *scheduler, const char *id,
-			 const struct kv_item *item)
+static void apply_cancel(struct scheduler *scheduler, const char *id)
 {
+	struct queue_config queue = { .name = "" };
 	int err;
 
-	if (!item->value)
-		return;
+	if (scheduler_backlog_remove(scheduler, id, queue.name))
+		add_cancelled(scheduler, id, &queue);
 	err = dispatch_cancel(scheduler->dispatch, id, sysclock_now());
 	log_event(EV_WORKFLOW_CANCELLED, "job=%s result=%s", id,
 		  error_name(err));
 }
 
-/* Jobs first: a cancellation is listed before the job that it refers to. */
-static void on_submission_list(void *arg, const struct kv_item *items,
-			       size_t count)
+static void on_submission_list_start(void *arg)
 {
 	struct scheduler *scheduler = arg;
+
+	if (scheduler->cancelled)
+		g_hash_table_destroy(scheduler->cancelled);
+	scheduler->cancelled =
+		g_hash_table_new_full(g_str_hash, g_str_equal, free, NULL);
+}
+
+/* Cancellations are listed before the jobs that they refer to. */
+static void add_submission(struct scheduler *scheduler,
+			   const struct kv_item *item)
+{
 	const char *id;
+
+	if ((id = jobstore_key_suffix(item->key, SUBMITTED_CANCEL_PREFIX)) &&
+	    item->value)
+		g_hash_table_add(scheduler->cancelled, xstrdup(id));
+	id = jobstore_key_suffix(item->key, SUBMITTED_JOB_PREFIX);
+	if (!id)
+		return;
+	add_job(scheduler, id, item);
+	if (g_hash_table_contains(scheduler->cancelled, id))
+		apply_cancel(scheduler, id);
+}
+
+static void on_submission_page(void *arg, const struct kv_item *items,
+			       size_t count, int has_more)
+{
+	struct scheduler *scheduler = arg;
 	size_t i;
 
 	for (i = 0; i < count; i++)
-		if ((id = jobstore_key_suffix(items[i].key,
-					      SUBMITTED_JOB_PREFIX)))
-			add_job(scheduler, id, &items[i]);
-	for (i = 0; i < count; i++)
-		if ((id = jobstore_key_suffix(items[i].key,
-					      SUBMITTED_CANCEL_PREFIX)))
-			apply_cancel(scheduler, id, &items[i]);
+		add_submission(scheduler, &items[i]);
+	if (has_more)
+		return;
 	if (!scheduler->is_loaded)
-		log_event(EV_SCHEDULER_LOADED, "epoch=%lld records=%zu",
-			  (long long)scheduler->epoch, count);
+		log_event(EV_SCHEDULER_LOADED, "epoch=%lld waiting=%zu",
+			  (long long)scheduler->epoch,
+			  scheduler_backlog_count(scheduler));
 	scheduler->is_loaded = 1;
-	json_decref(scheduler->stored_states);
-	scheduler->stored_states = NULL;
+	clear_stored(scheduler);
 	scheduler_wake(scheduler);
 }
 
@@ -136,17 +221,43 @@
 
 	if ((id = jobstore_key_suffix(item->key, SUBMITTED_JOB_PREFIX)))
 		add_job(scheduler, id, item);
-	else if ((id = jobstore_key_suffix(item->key, SUBMITTED_CANCEL_PREFIX)))
-		apply_cancel(scheduler, id, item);
+	else if (item->value &&
+		 (id = jobstore_key_suffix(item->key, SUBMITTED_CANCEL_PREFIX)))
+		apply_cancel(scheduler, id);
 	scheduler_wake(scheduler);
 }
 
 static const struct kvwatcher_handlers submission_handlers = {
-	.on_list = on_submission_list,
+	.on_list_start = on_submission_list_start,
+	.on_page = on_submission_page,
 	.on_change = on_submission_change,
 };
 
-static void on_states_read(void *arg, const struct kv_result *result)
+static void add_state(struct scheduler *scheduler, const struct kv_item *item)
+{
+	const char *id = jobstore_key_suffix(item->key, STATE_PREFIX);
+	struct stored_state *state;
+
+	if (!id || !item->value)
+		return;
+	state = xcalloc(1, sizeof(*state));
+	state->revision = item->revision;
+	/* One that can't be read is reported with its job. */
+	if (workflow_decode_summary(item->value, item->len, &state->summary))
+		state->summary.has_runs = 1;
+	if (state->summary.state != WORKFLOW_COMPLETE &&
+	    (state->summary.has_runs ||
+	     scheduler->stored_bytes + item->len <= STATE_TEXTS_MAX)) {
+		state->text = xmalloc(item->len + 1);
+		memcpy(state->text, item->value, item->len);
+		state->text[item->len] = '\0';
+		state->len = item->len;
+		scheduler->stored_bytes += item->len;
+	}
+	g_hash_table_replace(scheduler->stored_states, xstrdup(id), state);
+}
+
+static void on_states_page(void *arg, const struct kv_result *result)
 {
 	struct scheduler *scheduler = *(struct scheduler **)arg;
 	size_t i;
@@ -157,20 +268,10 @@
 		loop_timer_start(scheduler->load_retry_timer, 200);
 		return;
 	}
-	scheduler->stored_states = json_object();
-	for (i = 0; i < result->count; i++) {
-		const struct kv_item *item = &result->items[i];
-		const char *id = jobstore_key_suffix(item->key, STATE_PREFIX);
-
-		if (id && item->value)
-			json_object_set_new(
-				scheduler->stored_states, id,
-				json_pack("[o,I]",
-					  /* Another writer may not care. */
-					  json_stringn_nocheck(item->value,
-							       item->len),
-					  (json_int_t)item->revision));
-	}
+	for (i = 0; i < result->count; i++)
+		add_state(scheduler, &result->items[i]);
+	if (result->has_more)
+		return;
 	scheduler->submitted_watcher = kvwatcher_new(
 		scheduler->daemon->loop, scheduler->kv, SUBMITTED_PREFIX,
 		&submission_handlers, scheduler);
@@ -191,11 +292,18 @@
 				    workflow->queue.name))
 				workflow->queue = config->queues[i].queue;
 	}
+	for (i = 0; i < config->queue_count; i++)
+		scheduler_backlog_configure(scheduler,
+					    &config->queues[i].queue);
 }
 
 void scheduler_load_states(struct scheduler *scheduler)
 {
-	kv_list(scheduler->kv, STATE_PREFIX, on_states_read, &scheduler->self);
+	clear_stored(scheduler);
+	scheduler->stored_states = g_hash_table_new_full(
+		g_str_hash, g_str_equal, free, stored_state_free);
+	kv_list_pages(scheduler->kv, STATE_PREFIX, on_states_page,
+		      &scheduler->self);
 }
 
 void scheduler_load_start(struct scheduler *scheduler)
@@ -212,7 +320,6 @@
 	queues_delete(scheduler->queues);
 	scheduler->submitted_watcher = NULL;
 	scheduler->queues = NULL;
-	json_decref(scheduler->stored_states);
-	scheduler->stored_states = NULL;
+	clear_stored(scheduler);
 	scheduler->is_loaded = 0;
 }
--- a/packages/daemon/src/scheduler_metrics.c
+++ b/packages/daemon/src/scheduler_metrics.c
@@ -44,6 +44,16 @@
 		.name = "catkinhill_scheduler_waiting_workflows",
 		.help = "Workflows of which no worker has begun a task.",
 	};
+	scheduler->backlog_count = (struct metric){
+		.kind = METRIC_GAUGE,
+		.name = "catkinhill_scheduler_backlog_jobs",
+		.help = "Jobs beyond those in memory; they are in the store.",
+	};
+	scheduler->memory = (struct metric){
+		.kind = METRIC_GAUGE,
+		.name = "catkinhill_scheduler_workflow_bytes",
+		.help = "Memory, about, of the workflows.",
+	};
 	scheduler->evaluations = (struct metric){
 		.name = "catkinhill_scheduler_evaluations_total",
 		.help = "Evaluations of a worker for a task, in this term.",
@@ -65,6 +75,8 @@
 		.help = "Longest time since a pass has looked at a workflow.",
 	};
 	metric_register(set, &scheduler->waiting);
+	metric_register(set, &scheduler->backlog_count);
+	metric_register(set, &scheduler->memory);
 	metric_register(set, &scheduler->unsaved);
 	metric_register(set, &scheduler->idle_ms);
 	metric_register(set, &scheduler->look_ms);
@@ -103,6 +115,10 @@
 		dispatch_count_waiting(scheduler->dispatch, &waiting, now);
 	else
 		scheduler->waiting.value = 0;
+	scheduler->memory.value =
+		scheduler->dispatch
+			? (int64_t)dispatch_memory(scheduler->dispatch)
+			: 0;
 	scheduler->unsaved.value = waiting.unsaved;
 	scheduler->idle_ms.value = waiting.idle_ms;
 	scheduler->look_ms.value = waiting.look_ms;
--- a/packages/daemon/src/scheduler_remove.c
+++ b/packages/daemon/src/scheduler_remove.c
@@ -29,13 +29,12 @@
 
 static void choose_workflows(struct scheduler *scheduler, struct mstime now)
 {
-	const struct workflow *workflow = NULL;
+	const char *job = NULL;
 
 	while (scheduler->removal_count < REMOVE_WORKFLOWS_MAX &&
-	       (workflow = dispatch_next_removable(scheduler->dispatch,
-						   workflow, now)))
-		str_copy(scheduler->removals[scheduler->removal_count++],
-			 workflow->spec.id, JOB_ID_SIZE);
+	       (job = dispatch_next_removable(scheduler->dispatch, job, now)))
+		str_copy(scheduler->removals[scheduler->removal_count++], job,
+			 JOB_ID_SIZE);
 }
 
 void scheduler_remove_old(struct scheduler *scheduler, struct mstime now)
--- a/tests/unit/test_dispatch_memory.c
+++ b/tests/unit/test_dispatch_memory.c
@@ -203,10 +203,69 @@
 			play(&shapes[i], jobs[k]);
 }
 
+/*
+ * Guards against memory that grows with the steps that have begun. What waits
+ * for memory is told apart, and all of it runs once others have ended.
+ */
+static void test_begun_steps_are_bounded(void **state)
+{
+	static const struct {
+		size_t steps; /* for which there is memory */
+		int jobs;
+		uint32_t waiting; /* at first */
+	} cases[] = {
+		{ 1, 1, 0 },
+		{ 1, 5, 4 },
+		{ 3, 5, 2 },
+		{ 5, 5, 0 },
+	};
+	enum {
+		JOBS_MAX = 5
+	};
+	const struct shape shape = { .cpu_milli = 10 };
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct dispatch_limits limits = dispatch_defaults;
+		struct workflow *workflows[JOBS_MAX];
+		struct dispatch_waiting waiting;
+		struct fixture f = { 0 };
+		int n, k;
+
+		/* Half a step is left over for what has begun besides. */
+		limits.memory_max = (2 * cases[i].steps + 1) * TASKS *
+				    sizeof(struct workflow_task) / 2;
+		for (n = 0; n < cases[i].jobs; n++) {
+			workflows[n] = new_workflow(&shape, n);
+			workflows[n]->spec.occurrences = 1;
+			limits.memory_max += workflow_memory(workflows[n]);
+		}
+		f.dispatch = dispatch_new(&limits, EPOCH, at(0), NULL, NULL);
+		for (n = 0; n < 2 * WORKERS; n++)
+			report(&f, n % WORKERS, 1);
+		for (n = 0; n < cases[i].jobs; n++)
+			dispatch_add(f.dispatch, workflows[n], at(2));
+		dispatch_set_wall_clock(f.dispatch, 2000);
+		dispatch_assign(f.dispatch, at(10));
+		dispatch_count_waiting(f.dispatch, &waiting, at(10));
+		assert_int_equal(waiting.by_block[PLACEMENT_MEMORY],
+				 cases[i].waiting);
+		for (k = 1; k <= 10; k++) {
+			save_workflows(f.dispatch);
+			for (n = 0; n < WORKERS; n++)
+				report(&f, n, 10 + 20 * k);
+			dispatch_assign(f.dispatch, at(11 + 20 * k));
+		}
+		assert_true(list_empty(dispatch_workflows(f.dispatch)));
+		dispatch_delete(f.dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_looks_take_no_memory),
+		cmocka_unit_test(test_begun_steps_are_bounded),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
