workflow: keep states in blocks of 32 tasks

Change: a step has its tasks in blocks; one has states from the first assignment of one of its tasks until all of them are done.

--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -103,9 +103,23 @@
 	struct mstime waiting_from; /* end of its last run */
 };
 
-/* The tasks have states from the first assignment until the last end. */
+/* Neighbouring tasks of a step; its last block may be shorter. */
+#define TASK_BLOCK_SIZE 32
+
+struct task_block {
+	uint32_t done_count, assigned_count;
+	struct workflow_task tasks[];
+};
+
+/* Stands for a block of tasks that are all done. */
+extern struct task_block task_block_done;
+
+/*
+ * A block has states from its first assignment until its tasks are done and
+ * have no runs. blocks is NULL if no task has begun, or all are done.
+ */
 struct step_state {
-	struct workflow_task *tasks; /* NULL: none has begun, or all are done */
+	struct task_block **blocks; /* NULL: none of its tasks has begun */
 	uint32_t done_count, assigned_count;
 };
 
@@ -207,18 +221,21 @@
 /* Bytes of memory, about, without the documents of the store. */
 size_t workflow_memory(const struct workflow *workflow);
 
+/* Returns NULL if the task has no state. */
+struct workflow_task *step_task(const struct step_state *state, uint32_t index);
+
 int workflow_has_task(const struct workflow *workflow,
 		      const struct task_id *id);
 
 /*
  * Returns the state of a task, or NULL: the workflow has no such task, none of
- * its step was assigned yet, or all of them are done. Looking at a task costs
+ * its block was assigned yet, or all of them are done. Looking at a task costs
  * no memory.
  */
 struct workflow_task *workflow_find_task(const struct workflow *workflow,
 					 const struct task_id *id);
 
-/* The same for a task that exists and whose step is not done; creates it. */
+/* The same for a task that exists and is not done; creates it. */
 struct workflow_task *workflow_begin_task(struct workflow *workflow,
 					  const struct task_id *id);
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -295,11 +295,14 @@
 	const struct step_state *state = &occurrence->steps[step];
 	struct task_id id = { "", occurrence->number, step, 0 };
 
-	for (; state->tasks && id.index < workflow->spec.steps[step].task_count;
-	     id.index++)
-		if (state->tasks[id.index].phase == TASK_ASSIGNED)
-			adopt_run(dispatch, workflow, &state->tasks[id.index],
-				  &id, now);
+	for (; state->assigned_count &&
+	       id.index < workflow->spec.steps[step].task_count;
+	     id.index++) {
+		struct workflow_task *task = step_task(state, id.index);
+
+		if (task && task->phase == TASK_ASSIGNED)
+			adopt_run(dispatch, workflow, task, &id, now);
+	}
 }
 
 static void adopt_runs(struct dispatch *dispatch, struct workflow *workflow,
@@ -372,10 +375,12 @@
 {
 	uint32_t i;
 
-	for (i = 0; state->assigned_count && i < count; i++)
-		if (state->tasks[i].current_run)
-			dispatch_note_orders(
-				state->tasks[i].current_run->worker);
+	for (i = 0; state->assigned_count && i < count; i++) {
+		const struct workflow_task *task = step_task(state, i);
+
+		if (task && task->current_run)
+			dispatch_note_orders(task->current_run->worker);
+	}
 }
 
 static void check_orders_of_runs(const struct workflow *workflow)
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -132,7 +132,6 @@
 		      &run->id, run->number, "least-loaded");
 }
 
-/* A task without a state has not begun; its step is not done. */
 static int task_ready(const struct placement_request *request, uint32_t index,
 		      struct mstime now)
 {
@@ -141,8 +140,11 @@
 	const struct workflow_task *task =
 		workflow_find_task(request->workflow, &id);
 
-	return !task || (task->phase == TASK_WAITING && !task->current_run &&
-			 !mstime_before(now, task->not_before));
+	if (!task)
+		return workflow_task_phase(request->workflow, &id) ==
+		       TASK_WAITING;
+	return task->phase == TASK_WAITING && !task->current_run &&
+	       !mstime_before(now, task->not_before);
 }
 
 static uint32_t last_run(const struct placement_request *request,
@@ -199,9 +201,20 @@
 static uint32_t next_ready(const struct placement_request *request, uint32_t i,
 			   struct mstime now)
 {
-	while (i < request->step->task_count && !task_ready(request, i, now))
+	const struct occurrence *occurrence =
+		workflow_occurrence(request->workflow, request->occurrence);
+	const struct step_state *state =
+		occurrence ? &occurrence->steps[request->step_index] : NULL;
+
+	if (!state || !state->blocks)
+		return i;
+	while (i < request->step->task_count && !task_ready(request, i, now)) {
 		i++;
-	return i;
+		while (i < request->step->task_count &&
+		       state->blocks[i / TASK_BLOCK_SIZE] == &task_block_done)
+			i = (i / TASK_BLOCK_SIZE + 1) * TASK_BLOCK_SIZE;
+	}
+	return i < request->step->task_count ? i : request->step->task_count;
 }
 
 /* The first task that waits stands for the others of its step. */
@@ -248,22 +261,18 @@
 	return placed;
 }
 
-/* The states of a step take memory from its first assignment on. */
-static int has_memory(const struct dispatch *dispatch,
-		      const struct placement_request *request)
+/* The states of tasks take memory from the first assignment on. */
+static int has_memory(const struct dispatch *dispatch)
 {
-	struct task_id first = { "", request->occurrence, request->step_index,
-				 0 };
-	size_t bytes = request->step->task_count * sizeof(struct workflow_task);
-
-	return workflow_find_task(request->workflow, &first) ||
-	       dispatch->memory + bytes <= dispatch->limits.memory_max;
+	return dispatch->memory +
+		       TASK_BLOCK_SIZE * sizeof(struct workflow_task) <=
+	       dispatch->limits.memory_max;
 }
 
 static int assign_step(struct dispatch *dispatch,
 		       struct placement_request *request, struct mstime now)
 {
-	if (!has_memory(dispatch, request)) {
+	if (!has_memory(dispatch)) {
 		memset(dispatch->blocks, 0, sizeof(dispatch->blocks));
 		dispatch->blocks[PLACEMENT_MEMORY] = 1;
 		request->has_no_place = 1;
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -150,21 +150,55 @@
 	task->checkpoint = checkpoint ? xstrdup(checkpoint) : NULL;
 }
 
+struct task_block task_block_done;
+
+static uint32_t block_count(uint32_t tasks)
+{
+	return (tasks + TASK_BLOCK_SIZE - 1) / TASK_BLOCK_SIZE;
+}
+
+static uint32_t block_size(uint32_t tasks, uint32_t block)
+{
+	uint32_t left = tasks - block * TASK_BLOCK_SIZE;
+
+	return left < TASK_BLOCK_SIZE ? left : TASK_BLOCK_SIZE;
+}
+
+static size_t block_memory(uint32_t size)
+{
+	return sizeof(struct task_block) + size * sizeof(struct workflow_task);
+}
+
+static void end_block(struct workflow *workflow, struct step_state *state,
+		      uint32_t tasks, uint32_t index)
+{
+	struct task_block *block = state->blocks[index];
+	uint32_t i, size = block_size(tasks, index);
+
+	if (!block || block == &task_block_done)
+		return;
+	for (i = 0; i < size; i++) {
+		workflow_set_checkpoint(workflow, &block->tasks[i], NULL);
+		free(block->tasks[i].location);
+	}
+	free(block);
+	state->blocks[index] = &task_block_done;
+	workflow->state_count -= size;
+	change_memory(workflow, 0, block_memory(size));
+}
+
 static void end_step(struct workflow *workflow, struct step_state *state,
-		     uint32_t count)
+		     uint32_t tasks)
 {
 	uint32_t i;
 
-	if (!state->tasks)
+	if (!state->blocks)
 		return;
-	for (i = 0; i < count; i++) {
-		workflow_set_checkpoint(workflow, &state->tasks[i], NULL);
-		free(state->tasks[i].location);
-	}
-	free(state->tasks);
-	state->tasks = NULL;
-	workflow->state_count -= count;
-	change_memory(workflow, 0, count * sizeof(struct workflow_task));
+	for (i = 0; i < block_count(tasks); i++)
+		end_block(workflow, state, tasks, i);
+	free(state->blocks);
+	state->blocks = NULL;
+	change_memory(workflow, 0, block_count(tasks) * sizeof(*state->blocks));
 }
 
 static size_t occurrence_memory(const struct workflow *workflow)
@@ -378,6 +412,16 @@
 	       id->index < workflow->spec.steps[id->step].task_count;
 }
 
+struct workflow_task *step_task(const struct step_state *state, uint32_t index)
+{
+	struct task_block *block =
+		state->blocks ? state->blocks[index / TASK_BLOCK_SIZE] : NULL;
+
+	return block && block != &task_block_done
+		       ? &block->tasks[index % TASK_BLOCK_SIZE]
+		       : NULL;
+}
+
 struct workflow_task *workflow_find_task(const struct workflow *workflow,
 					 const struct task_id *id)
 {
@@ -386,37 +430,50 @@
 	if (!workflow_has_task(workflow, id))
 		return NULL;
 	occurrence = workflow_occurrence(workflow, id->occurrence);
-	return occurrence && occurrence->steps[id->step].tasks
-		       ? &occurrence->steps[id->step].tasks[id->index]
-		       : NULL;
+	return occurrence ? step_task(&occurrence->steps[id->step], id->index)
+			  : NULL;
 }
 
 static struct step_state *begin_step(struct workflow *workflow,
 				     const struct task_id *id)
 {
-	uint32_t count = workflow->spec.steps[id->step].task_count;
+	uint32_t blocks =
+		block_count(workflow->spec.steps[id->step].task_count);
 	struct occurrence *occurrence =
 		begin_occurrence(workflow, id->occurrence);
 	struct step_state *state = &occurrence->steps[id->step];
 
-	if (state->tasks || state->done_count == count)
+	if (state->blocks)
 		return state;
-	state->tasks = xcalloc(count, sizeof(*state->tasks));
-	workflow->state_count += count;
-	change_memory(workflow, count * sizeof(struct workflow_task), 0);
+	state->blocks = xcalloc(blocks, sizeof(*state->blocks));
+	change_memory(workflow, blocks * sizeof(*state->blocks), 0);
 	return state;
 }
 
 struct workflow_task *workflow_begin_task(struct workflow *workflow,
 					  const struct task_id *id)
 {
-	return &begin_step(workflow, id)->tasks[id->index];
+	struct step_state *state = begin_step(workflow, id);
+	uint32_t index = id->index / TASK_BLOCK_SIZE;
+	struct task_block *block = state->blocks[index];
+
+	if (!block) {
+		uint32_t size = block_size(
+			workflow->spec.steps[id->step].task_count, index);
+
+		block = xcalloc(1, block_memory(size));
+		state->blocks[index] = block;
+		workflow->state_count += size;
+		change_memory(workflow, block_memory(size), 0);
+	}
+	return &block->tasks[id->index % TASK_BLOCK_SIZE];
 }
 
 enum task_phase workflow_task_phase(const struct workflow *workflow,
 				    const struct task_id *id)
 {
 	const struct occurrence *occurrence;
+	const struct workflow_task *task;
 	const struct step_state *state;
 
 	if (occurrence_is_done(workflow, id->occurrence))
@@ -425,21 +482,32 @@
 	if (!occurrence)
 		return TASK_WAITING;
 	state = &occurrence->steps[id->step];
-	if (state->tasks)
-		return state->tasks[id->index].phase;
+	task = step_task(state, id->index);
+	if (task)
+		return task->phase;
+	if (state->blocks)
+		return state->blocks[id->index / TASK_BLOCK_SIZE]
+			       ? TASK_DONE
+			       : TASK_WAITING;
 	return state->done_count ? TASK_DONE : TASK_WAITING;
 }
 
 /* Frees what is no longer at work. */
 static void release_done(struct workflow *workflow,
-			 struct occurrence *occurrence, uint32_t step)
+			 struct occurrence *occurrence,
+			 const struct task_id *id)
 {
-	struct step_state *state = &occurrence->steps[step];
+	struct step_state *state = &occurrence->steps[id->step];
+	uint32_t tasks = workflow->spec.steps[id->step].task_count;
+	uint32_t index = id->index / TASK_BLOCK_SIZE;
 	uint32_t number = occurrence->number;
+	const struct task_block *block = state->blocks[index];
 
-	if (state->done_count == workflow->spec.steps[step].task_count &&
-	    !state->assigned_count)
-		end_step(workflow, state, state->done_count);
+	if (!block->assigned_count &&
+	    block->done_count == block_size(tasks, index))
+		end_block(workflow, state, tasks, index);
+	if (state->done_count == tasks && !state->assigned_count)
+		end_step(workflow, state, tasks);
 	if (occurrence->steps_done < workflow->spec.step_count ||
 	    occurrence->assigned_count)
 		return;
@@ -454,9 +522,12 @@
 		workflow_occurrence(workflow, id->occurrence);
 
 	occurrence->steps[id->step].assigned_count += (uint32_t)change;
+	occurrence->steps[id->step]
+		.blocks[id->index / TASK_BLOCK_SIZE]
+		->assigned_count += (uint32_t)change;
 	occurrence->assigned_count += (uint32_t)change;
 	workflow->assigned_total += (uint32_t)change;
-	release_done(workflow, occurrence, id->step);
+	release_done(workflow, occurrence, id);
 }
 
 int workflow_step_ready(const struct workflow *workflow, uint32_t number,
@@ -527,42 +598,44 @@
 	workflow->done_occurrences = occurrences;
 }
 
-/* RETURN VALUE: whether it was the last task of its step. */
-static int count_done(struct workflow *workflow, struct occurrence *occurrence,
-		      uint32_t step)
+static void count_done(struct workflow *workflow, struct occurrence *occurrence,
+		       const struct task_id *id)
 {
-	if (++occurrence->steps[step].done_count <
-	    workflow->spec.steps[step].task_count)
-		return 0;
+	struct step_state *state = &occurrence->steps[id->step];
+
+	state->blocks[id->index / TASK_BLOCK_SIZE]->done_count++;
+	if (++state->done_count < workflow->spec.steps[id->step].task_count)
+		return;
 	if (++occurrence->steps_done == workflow->spec.step_count)
 		workflow->done_occurrences++;
-	return 1;
+}
+
+/* The end of the last task ends the occurrence. */
+static void set_done(struct workflow *workflow, const struct task_id *id)
+{
+	struct workflow_task *task;
+	struct occurrence *occurrence;
+
+	if (workflow_task_phase(workflow, id) == TASK_DONE)
+		return;
+	task = workflow_begin_task(workflow, id);
+	occurrence = workflow_occurrence(workflow, id->occurrence);
+	mark_done(workflow, task);
+	count_done(workflow, occurrence, id);
+	release_done(workflow, occurrence, id);
 }
 
 void workflow_task_done(struct workflow *workflow, uint32_t number,
 			uint32_t step, uint32_t index)
 {
 	const struct workflow_step *spec = &workflow->spec.steps[step];
-	uint32_t i, first = spec->gang ? 0 : index;
-	uint32_t last = spec->gang ? spec->task_count - 1 : index;
 	struct task_id id = { "", number, step, index };
-	struct occurrence *occurrence;
 
-	if (workflow_task_phase(workflow, &id) == TASK_DONE)
-		return;
-	workflow_begin_task(workflow, &id);
-	occurrence = workflow_occurrence(workflow, number);
-	for (i = first; i <= last; i++) {
-		struct workflow_task *task = &occurrence->steps[step].tasks[i];
-
-		if (task->phase == TASK_DONE)
-			continue;
-		mark_done(workflow, task);
-		if (!count_done(workflow, occurrence, step))
-			continue;
-		release_done(workflow, occurrence, step);
-		break;
-	}
+	if (!spec->gang)
+		set_done(workflow, &id);
+	for (id.index = 0; spec->gang && id.index < spec->task_count;
+	     id.index++)
+		set_done(workflow, &id);
 	if (!workflow_is_final(workflow) &&
 	    workflow->done_occurrences == workflow->spec.occurrences)
 		workflow->state = WORKFLOW_COMPLETE;
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -143,23 +143,28 @@
 {
 	const struct step_state *state = &occurrence->steps[step];
 	uint32_t count = workflow->spec.steps[step].task_count;
-	uint32_t i, first;
+	uint32_t i, first = 0; /* of the done ones before i */
 
-	if (!state->tasks && state->done_count)
-		put_done(document, occurrence->number, step, 0, count - 1);
-	for (i = 0; state->tasks && i < count; i++) {
-		const struct workflow_task *task = &state->tasks[i];
+	if (!state->blocks) {
+		if (state->done_count)
+			put_done(document, occurrence->number, step, 0,
+				 count - 1);
+		return;
+	}
+	for (i = 0; i <= count; i++) {
+		const struct workflow_task *task =
+			i < count ? step_task(state, i) : NULL;
 
-		if (task->phase != TASK_DONE) {
-			if (task->phase != TASK_WAITING || task->last_run)
-				put_task(document, task, occurrence->number,
-					 step, i);
+		if (i < count &&
+		    (task ? task->phase == TASK_DONE
+			  : state->blocks[i / TASK_BLOCK_SIZE] != NULL))
 			continue;
-		}
-		first = i;
-		while (i + 1 < count && task[i + 1 - first].phase == TASK_DONE)
-			i++;
-		put_done(document, occurrence->number, step, first, i);
+		if (first < i)
+			put_done(document, occurrence->number, step, first,
+				 i - 1);
+		first = i + 1;
+		if (task && (task->phase != TASK_WAITING || task->last_run))
+			put_task(document, task, occurrence->number, step, i);
 	}
 }
 
