runner: start nothing at a worker that leaves

Only the first attempt was refused there. The scheduler stops such a run only while it has recent lists, which it has not while the readings of the lists have no answer either.

Change: a start at a worker that leaves is refused, whether or not it was sent before.

The other tests of the unit suite pass.

--- a/packages/daemon/src/runner_internal.h
+++ b/packages/daemon/src/runner_internal.h
@@ -43,7 +43,6 @@
 	int pace_in_flight;   /* a pace call has no response yet */
 	uint32_t
 		latency_or_cpu; /* latency in ms if it has a target, else cpu */
-	int attempts;		/* start calls sent */
 	int unanswered_starts;	/* start calls whose outcome is unknown */
 	int call_in_flight;	/* a start or stop has no response yet */
 	int stop_requested;
--- a/packages/daemon/src/runner_worker.c
+++ b/packages/daemon/src/runner_worker.c
@@ -413,11 +413,11 @@
 
 	if (!until_ms || !runner->listed_fence || !reaches_bound_worker(runner))
 		return;
-	if (runner->worker.state != WORKER_READY && !run->attempts) {
+	/* Also one without an answer: what it starts ends with the worker. */
+	if (runner->worker.state != WORKER_READY) {
 		refuse_start(run, "worker-leaves");
 		return;
 	}
-	run->attempts++;
 	run->call_in_flight = 1;
 	runner->starts.value++;
 	workercall_start(runner->calls, &runner->target, &order, until_ms,
