scheduler: forget runners that are gone for good

Change: a runner whose registration has ended is forgotten once its lease is over, its runs are given up, its ends are stored and it has not reported for the longest lease. One that comes back gets higher fences than before.

Evidence: test_forgotten_runners; the call is new.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -263,6 +263,16 @@
 /* Returns the worker of a runner; creates it for a new runner. */
 struct worker *dispatch_get_worker(struct dispatch *dispatch,
 				   const char *runner, struct mstime now);
+
+/*
+ * Forgets a runner that is gone for good, unless there may still be runs at its
+ * worker or ends of it that are not stored. The worker is freed.
+ *
+ * RETURN VALUE
+ *	Whether it was forgotten.
+ */
+int dispatch_forget_worker(struct dispatch *dispatch, struct worker *worker,
+			   struct mstime now);
 struct list *dispatch_workers(struct dispatch *dispatch);
 struct list *dispatch_workflows(struct dispatch *dispatch);
 
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -462,6 +462,7 @@
 	*bucket = worker;
 	str_copy(worker->runner, runner, sizeof(worker->runner));
 	worker->reported_at = now;
+	worker->incarnations = dispatch->incarnations_floor;
 	worker->inherited_lease_end = mstime_add(
 		dispatch->takeover_at, dispatch->limits.takeover_grace_ms +
 					       dispatch->limits.lease_max_ms);
@@ -469,6 +470,31 @@
 	return worker;
 }
 
+/* The fences of a runner that comes back must be higher than before. */
+int dispatch_forget_worker(struct dispatch *dispatch, struct worker *worker,
+			   struct mstime now)
+{
+	struct worker **link =
+		&dispatch->worker_buckets[hash_str(worker->runner) %
+					  WORKER_BUCKETS];
+
+	if (worker->run_count || worker->pending_end_count ||
+	    dispatch_lease_left_ms(worker, now) > 0 ||
+	    mstime_diff(now, worker->reported_at) <
+		    dispatch->limits.lease_max_ms)
+		return 0;
+	while (*link != worker)
+		link = &(*link)->hash_next;
+	*link = worker->hash_next;
+	if (worker->incarnations > dispatch->incarnations_floor)
+		dispatch->incarnations_floor = worker->incarnations;
+	list_del(&worker->orders_node);
+	list_del(&worker->ends_node);
+	worker_delete(worker);
+	dispatch->worker_count--;
+	return 1;
+}
+
 static int is_stuck(const struct dispatch *dispatch, const struct run *run,
 		    struct mstime now)
 {
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -70,9 +70,10 @@
 	struct list ended;     /* entries of those without a workflow */
 	struct list workers;
 	size_t worker_count;
-	struct list unsaved;	    /* workflows, by the time of a change */
-	struct list urgent_unsaved; /* those that something waits for */
-	int urgent_turn;	    /* the last one to be stored was urgent */
+	uint64_t incarnations_floor; /* of workers that were forgotten */
+	struct list unsaved;	     /* workflows, by the time of a change */
+	struct list urgent_unsaved;  /* those that something waits for */
+	int urgent_turn;	     /* the last one to be stored was urgent */
 	struct list workers_with_ends; /* that are not acknowledged */
 	struct list workers_with_orders;
 	struct workflow_entry *buckets[JOB_BUCKETS];
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -43,6 +43,7 @@
 	struct mstime hello_sent_at;
 	struct mstime restarted_at;    /* last connection given up as silent */
 	int is_silent, is_unreachable; /* as logged */
+	int is_gone;		       /* it is not registered any more */
 };
 
 struct commit_entry {
--- a/packages/daemon/src/scheduler_links.c
+++ b/packages/daemon/src/scheduler_links.c
@@ -107,11 +107,14 @@
 	struct runner_link *link;
 	char address[ID_SIZE];
 
-	if (!runner || !item->value ||
-	    registration_decode(item->value, item->len, address))
+	if (!runner)
 		return;
 	link = find_link(scheduler, runner);
-	if (link && !strcmp(link->address, address))
+	if (link)
+		link->is_gone = !item->value;
+	if (!item->value ||
+	    registration_decode(item->value, item->len, address) ||
+	    (link && !strcmp(link->address, address)))
 		return;
 	if (!link) {
 		link = xcalloc(1, sizeof(*link));
@@ -130,8 +133,12 @@
 
 static void on_node_list(void *arg, const struct kv_item *items, size_t count)
 {
+	struct scheduler *scheduler = arg;
+	struct list *pos;
 	size_t i;
 
+	list_for_each (pos, &scheduler->links)
+		list_entry(pos, struct runner_link, node)->is_gone = 1;
 	for (i = 0; i < count; i++)
 		update_link(arg, &items[i]);
 }
@@ -153,20 +160,21 @@
 			      NODE_PREFIX, &handlers, scheduler);
 }
 
+static void link_delete(struct runner_link *link)
+{
+	msglink_client_delete(link->client);
+	list_del(&link->node);
+	free(link);
+}
+
 void scheduler_links_stop(struct scheduler *scheduler)
 {
 	struct list *pos, *tmp;
 
 	kvwatcher_delete(scheduler->node_watcher);
 	scheduler->node_watcher = NULL;
-	list_for_each_safe (pos, tmp, &scheduler->links) {
-		struct runner_link *link =
-			list_entry(pos, struct runner_link, node);
-
-		msglink_client_delete(link->client);
-		list_del(&link->node);
-		free(link);
-	}
+	list_for_each_safe (pos, tmp, &scheduler->links)
+		link_delete(list_entry(pos, struct runner_link, node));
 }
 
 /* The clock is read here: the process may have been paused in the pass. */
@@ -206,13 +214,20 @@
 
 void scheduler_links_check(struct scheduler *scheduler, struct mstime now)
 {
-	struct list *pos;
+	struct list *pos, *tmp;
 
-	list_for_each (pos, &scheduler->links) {
+	list_for_each_safe (pos, tmp, &scheduler->links) {
 		struct runner_link *link =
 			list_entry(pos, struct runner_link, node);
 		int64_t quiet_ms = mstime_diff(now, link->last_report_at);
 
+		/* VMs are replaced all the time. */
+		if (link->is_gone &&
+		    dispatch_forget_worker(scheduler->dispatch, link->worker,
+					   now)) {
+			link_delete(link);
+			continue;
+		}
 		if (!link->client)
 			continue;
 		if (quiet_ms > RUNNER_SILENT_MS && link->last_report_at.ms &&
--- a/tests/unit/test_dispatch_reports.c
+++ b/tests/unit/test_dispatch_reports.c
@@ -12,6 +12,7 @@
 
 #include "mem.h"
 
+#define COUNT(table) (sizeof(table) / sizeof((table)[0]))
 #define EPOCH 7
 #define BATCH 512 /* runs that a worker is given at most */
 
@@ -235,12 +236,60 @@
 	}
 }
 
+/*
+ * Guards against memory that grows with each runner that was ever seen, and
+ * against forgetting one whose runs or ends still matter. One that comes back
+ * gets higher fences than before, as its worker may be the same.
+ */
+static void test_forgotten_runners(void **state)
+{
+	static const struct {
+		int has_run, has_end;
+		int64_t silent_ms;
+		int is_forgotten;
+	} cases[] = {
+		{ 0, 0, 60000, 1 },
+		{ 0, 0, 1000, 0 },
+		{ 1, 0, 60000, 0 },
+		{ 1, 1, 60000, 0 }, /* the end is not stored yet */
+	};
+	size_t i;
+
+	for (i = 0; i < COUNT(cases); i++) {
+		struct fixture f;
+		struct worker *worker;
+		uint64_t fence;
+		int64_t ms;
+
+		setup(&f);
+		if (cases[i].has_run)
+			start_workflow(&f, "job", 1);
+		if (cases[i].has_end)
+			end_workflow(&f, "job", 1);
+		worker = dispatch_get_worker(f.dispatch, "r1", at(0));
+		fence = worker->fence;
+		ms = (int64_t)f.seq + cases[i].silent_ms;
+		assert_int_equal(
+			dispatch_forget_worker(f.dispatch, worker, at(ms)),
+			cases[i].is_forgotten);
+		if (cases[i].is_forgotten) {
+			assert_true(list_empty(dispatch_workers(f.dispatch)));
+			f.seq = (uint64_t)ms;
+			report(&f, NULL, 0, NULL, 0);
+			worker = dispatch_get_worker(f.dispatch, "r1", at(ms));
+			assert_true(worker->fence > fence);
+		}
+		dispatch_delete(f.dispatch);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_report_that_is_cut),
 		cmocka_unit_test(test_many_ends_wait_to_be_stored),
 		cmocka_unit_test(test_finished_run_is_not_stuck),
+		cmocka_unit_test(test_forgotten_runners),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
