--- a/packages/platform/src/kv.c
+++ b/packages/platform/src/kv.c
@@ -42,14 +42,15 @@
 	char *prefix;
 	struct kv_items items;
 	int64_t revision;
-	int is_paged; /* each page has a callback */
+	int is_paged;	  /* each page has a callback */
+	int is_cancelled; /* in the callback of a page */
 };
 
 struct kv {
 	int64_t timeout_ms;
 	struct jsoncall_peer *peer;
 	struct list calls;
-	struct call *in_page; /* whose page is delivered; NULL: cancelled */
+	struct call *in_page; /* whose page is delivered; NULL: none is */
 	int64_t latency_ms;
 	int is_unresponsive;
 };
@@ -145,11 +146,11 @@
 	list_del(&call->node);
 	kv->in_page = call;
 	call->fn(call->arg, &result);
-	if (!kv->in_page) {
+	kv->in_page = NULL;
+	if (call->is_cancelled) {
 		call_free(call);
 		return 0;
 	}
-	kv->in_page = NULL;
 	list_add_tail(&kv->calls, &call->node);
 	return 1;
 }
@@ -306,7 +307,7 @@
 			call_free(call);
 	}
 	if (kv->in_page && (!arg || kv->in_page->arg == arg))
-		kv->in_page = NULL;
+		kv->in_page->is_cancelled = 1;
 }
 
 void kv_delete(struct kv *kv)
