scheduler: pause after a reading of the backlog that failed

Found in reading the diff: while the store refuses calls, each wake of the scheduler read up to four jobs again, some hundred calls a second. A reading that failed is followed by a pause of 200 ms. backlog-full is logged only when the backlog was or is full, not at each election. Evidence: test_backlog passes.

--- a/packages/daemon/src/scheduler_backlog.c
+++ b/packages/daemon/src/scheduler_backlog.c
@@ -12,6 +12,8 @@
 /* Workflows are taken in up to so many bytes; the rest is for their tasks. */
 #define TAKEN_MEMORY_MAX (24 * 1024 * 1024)
 #define READS_MAX 4
+/* Pause after a reading that failed. */
+#define READ_RETRY_MS 200
 /* One job that was set aside gets another turn so often. */
 #define ASIDE_INTERVAL_MS 200
 /* Submissions are refused from so many jobs on, until fewer wait. */
@@ -220,6 +222,9 @@
 /* Reads it again later; it keeps its turn. */
 static void put_back(struct backlog_job *job)
 {
+	struct backlog *backlog = &job->scheduler->backlog;
+
+	backlog->retry_at = mstime_add(sysclock_now(), READ_RETRY_MS);
 	end_reading(job);
 	workflow_delete(job->workflow);
 	job->workflow = NULL;
@@ -402,8 +407,9 @@
 	}
 	backlog->is_full_sent = is_full;
 	backlog->full_in_flight = 1;
-	log_event(EV_BACKLOG_FULL, "full=%d waiting=%zu", is_full,
-		  scheduler_backlog_count(scheduler));
+	if (is_full || backlog->is_full_stored > 0)
+		log_event(EV_BACKLOG_FULL, "full=%d waiting=%zu", is_full,
+			  scheduler_backlog_count(scheduler));
 	kv_txn(scheduler->kv, &txn, on_full_written, &scheduler->self);
 }
 
@@ -418,6 +424,7 @@
 	else if (count <= BACKLOG_REOPEN)
 		write_full(scheduler, 0);
 	while (backlog->read_count < READS_MAX &&
+	       !mstime_before(now, backlog->retry_at) &&
 	       scheduler_has_room(scheduler) && (job = next_job(backlog, now)))
 		read_next(scheduler, job, now);
 	make_room(scheduler, now);
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -74,6 +74,7 @@
 	struct list aside;  /* jobs that were set aside, the first one first */
 	size_t read_count;  /* jobs that are being read */
 	size_t read_bytes;  /* of memory that they will take, about */
+	struct mstime retry_at;	     /* nothing is read before */
 	struct mstime aside_read_at; /* last time that one of them was read */
 	int is_full_stored, is_full_sent; /* see FULL_KEY; -1: not known */
 	int full_in_flight;
