--- a/bench/bench_memory.py
+++ b/bench/bench_memory.py
@@ -45,6 +45,8 @@
                   dict(NO_PLACE, count=24, after=[0])])),
     ("20,000 waiting jobs of 2 steps", lambda rig: plain(
         20000, [dict(NO_PLACE, count=8), dict(NO_PLACE, count=8, after=[0])])),
+    ("150,000 submitted jobs of 1 step", lambda rig: plain(
+        150000, [dict(NO_PLACE, count=1)])),
     ("1,500 waiting jobs of 60 KB", lambda rig: plain(
         1500, [dict(NO_PLACE, count=1, dataRack="x" * 60000)])),
     ("400 waiting jobs of 256 steps, each after all others",
@@ -57,7 +59,8 @@
 
 
 def submit_all(rig, bodies):
-    lock, left, accepted = threading.Lock(), list(bodies), []
+    """Returns the accepted jobs and the number of those refused with 429."""
+    lock, left, accepted, refused = threading.Lock(), list(bodies), [], [0]
 
     def send(gateway):
         while True:
@@ -66,19 +69,23 @@
                     return
                 body = left.pop()
                 job = rig.new_job_id()
+            status = 0
             for _ in range(5):
-                if rig.call(gateway, "POST", "/slow/" + job, "slow.example",
-                            body)[0] == 200:
-                    with lock:
-                        accepted.append(job)
+                status = rig.call(gateway, "POST", "/slow/" + job,
+                                  "slow.example", body)[0]
+                if status in (200, 429):
                     break
+            with lock:
+                if status == 200:
+                    accepted.append(job)
+                refused[0] += status == 429
     threads = [threading.Thread(target=send, args=(rig.gateways[i % 2],))
                for i in range(SENDERS)]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
-    return accepted
+    return accepted, refused[0]
 
 
 def peak_mb(rig, name):
@@ -101,7 +108,7 @@
     try:
         rig.wait_ready()
         rig.wait_workers()
-        jobs = submit_all(rig, make_bodies(rig))
+        jobs, refused = submit_all(rig, make_bodies(rig))
         time.sleep(5)
         leader = rig.leader()
         first = peak_mb(rig, leader)
@@ -121,6 +128,7 @@
         begin = time.monotonic()
         rig.wait_state(job, "complete")
         row = {"scenario": name, "jobs": len(jobs),
+               "refused": refused,
                "first_mb": round(first, 1), "next_mb": round(max(peaks), 1),
                "limit_mb": MEMORY_MB, "loaded_s": round(loaded_s, 2),
                "known_of_200": known,
--- a/tests/e2e/test_backlog.py
+++ b/tests/e2e/test_backlog.py
@@ -6,6 +6,7 @@
 jobs without a place that keep others out.
 """
 
+import base64
 import json
 import os
 import sys
@@ -111,7 +112,27 @@
     check_memory(rig)
 
 
-SCENARIOS = [no_place, all_end]
+def full(rig):
+    """Too many jobs wait: others are refused at once, known ones are not, and
+    a new scheduler with room accepts them again."""
+    step = [{"count": 1, "cpu": 1}]
+    job, _ = rig.submit(rig.gateways[0], step, payload="50")
+    rig.wait_state(job, "complete")
+    rig.control_store("put?key=full", base64.b64encode(b"{}").decode())
+    status, headers, _ = rig.call(
+        rig.gateways[0], "POST", "/fast/" + rig.new_job_id(), "fast.example",
+        {"spec": "50", "steps": step})
+    check(status == 429, "refused: %s" % status)
+    check(int(headers["Retry-After"]) > 1, "not at once again")
+    check(rig.submit(rig.gateways[1], step, job=job)[1] == 200, "known")
+    restart_scheduler(rig)
+    wait_for("room", lambda: rig.submit(rig.gateways[0], step,
+                                        payload="50")[1] == 200)
+    other, _ = rig.submit(rig.gateways[1], step, payload="50")
+    rig.wait_state(other, "complete")
+
+
+SCENARIOS = [no_place, all_end, full]
 
 
 def main():
