dispatch: a source of its own for the known jobs

It is in dispatch_jobs.c now; step_task() is workflow_step_task(), as the other functions of its header. Nothing else changes.

--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -222,7 +222,8 @@
 size_t workflow_memory(const struct workflow *workflow);
 
 /* Returns NULL if the task has no state. */
-struct workflow_task *step_task(const struct step_state *state, uint32_t index);
+struct workflow_task *workflow_step_task(const struct step_state *state,
+					 uint32_t index);
 
 int workflow_has_task(const struct workflow *workflow,
 		      const struct task_id *id);
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -44,12 +44,6 @@
  */
 #define UNSAVED_MAX 30
 
-/* Orders are carried out up to 12 s late. */
-#define FINAL_DETAILS_MS 15000
-/* So long after it was taken in, a workflow without a place may be set aside.
- */
-#define IDLE_AFTER_MS 2000
-
 /* At a lower pace a run makes no measurable progress. */
 #define STUCK_PACE_MIN 50
 
@@ -104,46 +98,14 @@
 	free(worker);
 }
 
-static struct workflow_entry **find_link(struct dispatch *dispatch,
-					 const char *job)
-{
-	struct workflow_entry **link =
-		&dispatch->buckets[hash_str(job) % JOB_BUCKETS];
-
-	while (*link && strcmp((*link)->id, job))
-		link = &(*link)->next;
-	return link;
-}
-
-static struct workflow_entry *entry_new(const char *job)
-{
-	struct workflow_entry *entry = xcalloc(1, sizeof(*entry));
-
-	list_init(&entry->node);
-	str_copy(entry->id, job, sizeof(entry->id));
-	return entry;
-}
-
-static void remove_entry(struct dispatch *dispatch, const char *job)
-{
-	struct workflow_entry **link = find_link(dispatch, job);
-	struct workflow_entry *found = *link;
-
-	if (!found)
-		return;
-	*link = found->next;
-	list_del(&found->node);
-	workflow_delete(found->workflow);
-	free(found);
-}
-
 static void remove_workflows(struct dispatch *dispatch, struct list *head)
 {
 	struct list *pos, *tmp;
 
 	list_for_each_safe (pos, tmp, head)
-		remove_entry(dispatch,
-			     list_entry(pos, struct workflow, node)->spec.id);
+		dispatch_remove_entry(
+			dispatch,
+			list_entry(pos, struct workflow, node)->spec.id);
 }
 
 void dispatch_delete(struct dispatch *dispatch)
@@ -157,9 +119,10 @@
 	remove_workflows(dispatch, &dispatch->workflows);
 	remove_workflows(dispatch, &dispatch->finals);
 	while (!list_empty(&dispatch->ended))
-		remove_entry(dispatch, list_entry(dispatch->ended.next,
-						  struct workflow_entry, node)
-					       ->id);
+		dispatch_remove_entry(dispatch,
+				      list_entry(dispatch->ended.next,
+						 struct workflow_entry, node)
+					      ->id);
 	colocation_delete(dispatch->colocation);
 	free(dispatch->candidates);
 	free(dispatch);
@@ -185,31 +148,6 @@
 	return &dispatch->workflows;
 }
 
-struct workflow *dispatch_find_workflow(struct dispatch *dispatch,
-					const char *job)
-{
-	struct workflow_entry *entry = *find_link(dispatch, job);
-
-	return entry ? entry->workflow : NULL;
-}
-
-void dispatch_add_ended(struct dispatch *dispatch, const char *job,
-			struct mstime now)
-{
-	struct workflow_entry **link = find_link(dispatch, job);
-
-	if (*link)
-		return;
-	*link = entry_new(job);
-	(*link)->ended_at = now;
-	list_add_tail(&dispatch->ended, &(*link)->node);
-}
-
-int dispatch_knows(struct dispatch *dispatch, const char *job)
-{
-	return *find_link(dispatch, job) != NULL;
-}
-
 /* Starts, callers and takeovers wait for these changes. */
 static int save_is_urgent(const struct workflow *workflow)
 {
@@ -298,7 +236,8 @@
 	for (; state->assigned_count &&
 	       id.index < workflow->spec.steps[step].task_count;
 	     id.index++) {
-		struct workflow_task *task = step_task(state, id.index);
+		struct workflow_task *task =
+			workflow_step_task(state, id.index);
 
 		if (task && task->phase == TASK_ASSIGNED)
 			adopt_run(dispatch, workflow, task, &id, now);
@@ -344,14 +283,15 @@
 int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
 		 struct mstime now)
 {
-	struct workflow_entry **link = find_link(dispatch, workflow->spec.id);
+	struct workflow_entry **link =
+		dispatch_entry_link(dispatch, workflow->spec.id);
 
 	dispatch->now = now;
 	if (*link) {
 		workflow_delete(workflow);
 		return ERR_EXISTS;
 	}
-	*link = entry_new(workflow->spec.id);
+	*link = dispatch_entry_new(workflow->spec.id);
 	(*link)->workflow = workflow;
 	workflow->known_at = now;
 	workflow->memory_sum = &dispatch->memory;
@@ -376,7 +316,7 @@
 	uint32_t i;
 
 	for (i = 0; state->assigned_count && i < count; i++) {
-		const struct workflow_task *task = step_task(state, i);
+		const struct workflow_task *task = workflow_step_task(state, i);
 
 		if (task && task->current_run)
 			dispatch_note_orders(task->current_run->worker);
@@ -604,98 +544,6 @@
 	}
 }
 
-static int is_settled(const struct workflow *workflow)
-{
-	return !workflow->saving && !workflow->run_count &&
-	       workflow->saved_version == workflow->version;
-}
-
-/* A late start may still come for some time, and has to find its task. */
-static int needs_details(const struct dispatch *dispatch,
-			 const struct workflow *workflow, struct mstime now)
-{
-	int64_t age_ms = mstime_diff(now, workflow->ended_at);
-
-	return age_ms < FINAL_DETAILS_MS &&
-	       age_ms < dispatch->limits.final_retention_ms;
-}
-
-void dispatch_forget_finals(struct dispatch *dispatch, struct mstime now)
-{
-	struct list *pos, *tmp;
-
-	list_for_each_safe (pos, tmp, &dispatch->finals) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
-		struct workflow_entry *entry;
-
-		if (needs_details(dispatch, workflow, now))
-			return;
-		if (!is_settled(workflow))
-			continue;
-		entry = *find_link(dispatch, workflow->spec.id);
-		entry->workflow = NULL;
-		entry->ended_at = workflow->ended_at;
-		list_add_tail(&dispatch->ended, &entry->node);
-		workflow_delete(workflow);
-	}
-}
-
-const char *dispatch_next_removable(struct dispatch *dispatch,
-				    const char *after, struct mstime now)
-{
-	struct workflow_entry *entry;
-	struct list *pos = &dispatch->ended;
-
-	dispatch_forget_finals(dispatch, now);
-	if (after)
-		pos = &(*find_link(dispatch, after))->node;
-	if (pos->next == &dispatch->ended)
-		return NULL;
-	entry = list_entry(pos->next, struct workflow_entry, node);
-	return mstime_diff(now, entry->ended_at) <
-			       dispatch->limits.final_retention_ms
-		       ? NULL
-		       : entry->id;
-}
-
-void dispatch_remove(struct dispatch *dispatch, const char *job)
-{
-	const struct workflow_entry *entry = *find_link(dispatch, job);
-
-	if (entry && !entry->workflow)
-		remove_entry(dispatch, job);
-}
-
-/* Nothing is lost with it: its records in the store are all there is. */
-static int is_idle(const struct workflow *workflow, struct mstime now)
-{
-	return is_settled(workflow) && !workflow->begun_count &&
-	       mstime_diff(now, workflow->known_at) >= IDLE_AFTER_MS &&
-	       mstime_before(workflow->known_at, workflow->looked_at);
-}
-
-struct workflow *dispatch_find_idle(struct dispatch *dispatch,
-				    struct mstime now)
-{
-	struct list *pos;
-
-	for (pos = dispatch->workflows.prev; pos != &dispatch->workflows;
-	     pos = pos->prev) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
-
-		if (is_idle(workflow, now))
-			return workflow;
-	}
-	return NULL;
-}
-
-void dispatch_set_aside(struct dispatch *dispatch, struct workflow *workflow)
-{
-	remove_entry(dispatch, workflow->spec.id);
-}
-
 /* The first one in the queue that is not being saved, or NULL. */
 static struct workflow *first_unsaved(struct list *queue)
 {
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -109,6 +109,16 @@
 		   const struct task_id *task, uint32_t run,
 		   const char *reason);
 
+/*
+ * Entries of known jobs, in dispatch_jobs.c: the place of a job's entry, which
+ * is NULL if there is none, a new one, and the removal of one with its
+ * workflow.
+ */
+struct workflow_entry **dispatch_entry_link(struct dispatch *dispatch,
+					    const char *job);
+struct workflow_entry *dispatch_entry_new(const char *job);
+void dispatch_remove_entry(struct dispatch *dispatch, const char *job);
+
 /* Extends the lease of the worker's runs if the last report justifies it. */
 void dispatch_extend_lease(struct dispatch *dispatch, struct worker *worker,
 			   int may_extend, struct msg_work_orders *orders,
--- a/packages/core/src/workflow.c
+++ b/packages/core/src/workflow.c
@@ -412,7 +412,8 @@
 	       id->index < workflow->spec.steps[id->step].task_count;
 }
 
-struct workflow_task *step_task(const struct step_state *state, uint32_t index)
+struct workflow_task *workflow_step_task(const struct step_state *state,
+					 uint32_t index)
 {
 	struct task_block *block =
 		state->blocks ? state->blocks[index / TASK_BLOCK_SIZE] : NULL;
@@ -430,7 +431,8 @@
 	if (!workflow_has_task(workflow, id))
 		return NULL;
 	occurrence = workflow_occurrence(workflow, id->occurrence);
-	return occurrence ? step_task(&occurrence->steps[id->step], id->index)
+	return occurrence ? workflow_step_task(&occurrence->steps[id->step],
+					       id->index)
 			  : NULL;
 }
 
@@ -482,7 +484,7 @@
 	if (!occurrence)
 		return TASK_WAITING;
 	state = &occurrence->steps[id->step];
-	task = step_task(state, id->index);
+	task = workflow_step_task(state, id->index);
 	if (task)
 		return task->phase;
 	if (state->blocks)
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -153,7 +153,7 @@
 	}
 	for (i = 0; i <= count; i++) {
 		const struct workflow_task *task =
-			i < count ? step_task(state, i) : NULL;
+			i < count ? workflow_step_task(state, i) : NULL;
 
 		if (i < count &&
 		    (task ? task->phase == TASK_DONE
