--- a/review/rig-3/rig.py
+++ b/review/rig-3/rig.py
@@ -97,6 +97,7 @@
         wait_for("the store", lambda: self.control("mode?name=none"))
         self.gateways = ["g%d" % i for i in range(gateways)]
         self.callers, self.probes = {}, {}
+        self.store_links = {}  # process -> address at which it calls the store
         for name in self.gateways:
             self.start_gateway(name)
 
@@ -145,7 +146,7 @@
             "address = %s\n%s" % (
                 role, name, 5000 if role == "gateway" else 2000,
                 "\n".join("%s = %s" % row for row in listen.items()),
-                self.store, more)
+                self.store_links.get(name, self.store), more)
         path = os.path.join(self.directory, name + ".ini")
         with open(path, "w") as out:
             out.write(text)
