review: case 11, a gateway of its own in the other region

The script restarted a gateway before its first job to move it to the other region; now a third one starts there, so that no process is killed.

--- a/review/11/run.py
+++ b/review/11/run.py
@@ -38,7 +38,7 @@
         time.sleep(max(0, begin + i * SPAN_S / JOBS - time.monotonic()))
         for _ in range(4):
             statuses[job_id(i)] = rig.submit("q", job_id(i), str(STEP_MS),
-                                             steps, rig.gateways[1])
+                                             steps, rig.gateways[2])
             if statuses[job_id(i)] == 200:
                 return
             time.sleep(0.5)
@@ -61,10 +61,9 @@
 
 
 def scenario(rig):
-    link = Link(rig.store, ONE_WAY_S)
-    rig.kill("g1")
-    rig.store_links["g1"] = link.address
-    rig.start_gateway("g1")
+    rig.store_links["g2"] = Link(rig.store, ONE_WAY_S).address
+    rig.start_gateway("g2")
+    rig.gateways.append("g2")
     rig.configure(route("q", "old"))
     rig.add("r0", service="old")
     rig.add("r1", service="new")
@@ -74,7 +73,7 @@
               **({"after": [i - 1]} if i else {})} for i in range(STEPS)]
     # Until the runners' workers are known at the gateways.
     wait_for("acceptance", lambda: rig.submit(
-        "q", job_id(JOBS), "100", steps[:1], rig.gateways[1]) == 200)
+        "q", job_id(JOBS), "100", steps[:1], rig.gateways[2]) == 200)
     wait_for("the first job",
              lambda: rig.state("q", job_id(JOBS)) == "complete")
     if TROUBLE:
