tests: workers of several services in the rig of workflows

Cause: all workers of the stand-in announce the service "work", so that no test can move a queue to another service.

Change: the stand-in takes a service as its last argument, and add_runner() of the rig passes one; "work" without it.

--- a/tests/e2e/workflow_rig.py
+++ b/tests/e2e/workflow_rig.py
@@ -100,12 +100,13 @@
         self.start(name, ["catkinhilld", "--config", path])
         return {"name": name, "path": path, **fields}
 
-    def add_runner(self, name, announce_delay_ms=0, domain="z1"):
+    def add_runner(self, name, announce_delay_ms=0, domain="z1",
+                   service="work"):
         fields = {key: free_address() for key in
                   ("peers", "admin", "announcements", "worker")}
         fields["domain"] = domain
         path = self.write_settings(name, RUNNER_SETTINGS, **fields)
-        runner = {"name": name, "path": path, **fields}
+        runner = {"name": name, "path": path, "service": service, **fields}
         self.start(name, ["catkinhilld", "--config", path])
         self.start_worker(runner, announce_delay_ms)
         return runner
@@ -115,7 +116,7 @@
         self.start(name, ["fakeplatform", "worker",
                           runner.get("worker_id", name),
                           runner["worker"], runner["announcements"],
-                          str(announce_delay_ms)])
+                          str(announce_delay_ms), runner["service"]])
 
     def restart(self, daemon):
         self.start(daemon["name"], ["catkinhilld", "--config", daemon["path"]])
--- a/tests/fakes/fakeplatform.c
+++ b/tests/fakes/fakeplatform.c
@@ -21,13 +21,14 @@
 
 	if (argc == 3 && !strcmp(argv[1], "store"))
 		store = kvserver_new(loop, argv[2]);
-	else if (argc >= 5 && argc <= 6 && !strcmp(argv[1], "worker"))
+	else if (argc >= 5 && argc <= 7 && !strcmp(argv[1], "worker"))
 		worker = workerserver_new(loop, argv[2], argv[3], argv[4],
-					  argc == 6 ? atoi(argv[5]) : 0);
+					  argc > 5 ? atoi(argv[5]) : 0,
+					  argc > 6 ? argv[6] : "work");
 	if (!store && !worker) {
 		fprintf(stderr, "usage: fakeplatform store ADDRESS\n"
 				"       fakeplatform worker ID ADDRESS "
-				"RUNNER [ANNOUNCE_DELAY_MS]\n");
+				"RUNNER [ANNOUNCE_DELAY_MS [SERVICE]]\n");
 		loop_delete(loop);
 		return 2;
 	}
--- a/tests/fakes/fakeplatform/workerserver.c
+++ b/tests/fakes/fakeplatform/workerserver.c
@@ -66,7 +66,7 @@
 	struct httpc_pool *runner;
 	struct loop_timer *timer;
 	struct mstime started_at, announced_at, lease_expires_at;
-	char *id, *address;
+	char *id, *address, *service;
 	json_int_t start_wall_ms, sequence, fence;
 	json_int_t last_end_number, acknowledged_end_number;
 	int is_lease_expired; /* at the last check */
@@ -255,10 +255,10 @@
 	json_t *body = json_pack(
 		"{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:{s:i, s:i, s:i}, "
 		"s:[s,s], s:I, s:I, s:I}",
-		"service", "work", "address", server->address, "zone", "z1",
-		"version", "v1", "slots", 8, "state", "ready", "coldLeftMs", 0,
-		"capacity", "cpu", 8000, "memMb", 8000, "gpu", 0, "labels", "a",
-		"r1", "clockMs", clock_ms(server), "sequence",
+		"service", server->service, "address", server->address, "zone",
+		"z1", "version", "v1", "slots", 8, "state", "ready",
+		"coldLeftMs", 0, "capacity", "cpu", 8000, "memMb", 8000, "gpu",
+		0, "labels", "a", "r1", "clockMs", clock_ms(server), "sequence",
 		++server->sequence, "born", server->start_wall_ms);
 	char *text = json_dumps(body, JSON_COMPACT);
 	char *path = xstrfmt("/catkinhill/instances/%s/heartbeat", server->id);
@@ -553,13 +553,15 @@
 
 struct workerserver *workerserver_new(struct loop *loop, const char *id,
 				      const char *address, const char *runner,
-				      int64_t announce_delay_ms)
+				      int64_t announce_delay_ms,
+				      const char *service)
 {
 	struct workerserver *server = xcalloc(1, sizeof(*server));
 
 	server->loop = loop;
 	server->id = xstrdup(id);
 	server->address = xstrdup(address);
+	server->service = xstrdup(service);
 	server->started_at = sysclock_now();
 	server->announced_at = mstime_add(
 		server->started_at, announce_delay_ms - ANNOUNCE_INTERVAL_MS);
@@ -607,5 +609,6 @@
 	json_decref(server->highest_runs);
 	free(server->id);
 	free(server->address);
+	free(server->service);
 	free(server);
 }
--- a/tests/fakes/fakeplatform/workerserver.h
+++ b/tests/fakes/fakeplatform/workerserver.h
@@ -25,7 +25,8 @@
 /* Accepts calls at once; its first announcement follows after the delay. */
 struct workerserver *workerserver_new(struct loop *loop, const char *id,
 				      const char *address, const char *runner,
-				      int64_t announce_delay_ms);
+				      int64_t announce_delay_ms,
+				      const char *service);
 void workerserver_delete(struct workerserver *server);
 
 #endif
