scheduler: apply the queue in force to each job that is added

Cause: a gateway stores the settings of the queue with the job, as it knows them. add_job() took them as they are, from a watch as well as at a takeover; only jobs from the backlog got what is configured, and on_queues() corrects what is there when a version arrives, not what comes later. Rival causes, ruled out by the logs of both cases: no room or unfit workers (task-unplaced names "service" for both idle ones), a scheduler that lacks the version (queues-applied version=2 precedes workflow-taken of each lost job; the three jobs taken before it went on), a gateway that accepts too late (the lost jobs are exactly those of the 30 ms before its own queues-applied).

Change: settings carry the version of the configuration that they are of, also in the stored record. dispatch keeps the settings of all queues and applies the higher version when a workflow is added and when a version arrives, so that no path to it can miss them. A record that is newer than the scheduler's configuration holds, too: to apply what the scheduler has in force to all would have sent jobs back whenever it lags behind a gateway. workflow-taken tells service and version, workflow-queue-changed what replaces them.

--- a/packages/base/src/events.c
+++ b/packages/base/src/events.c
@@ -211,6 +211,8 @@
 	  "A worker keeps room for a large task that waits." },
 	{ EV_RESERVATION_ENDED, LOG_INFO, "reservation-ended",
 	  "The room is no longer kept; the reason is given." },
+	{ EV_WORKFLOW_QUEUE_CHANGED, LOG_INFO, "workflow-queue-changed",
+	  "A workflow follows its queue, which is configured otherwise now." },
 	{ EV_OUTLOOK_PUBLISHED, LOG_INFO, "outlook-published",
 	  "Gateways are told that tasks wait for room, or no longer." },
 
--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -216,7 +216,8 @@
 	DISPATCH_RUN_UNCONFIRMED,
 	DISPATCH_TASK_UNPLACED,
 	DISPATCH_RESERVATION_MADE,
-	DISPATCH_RESERVATION_ENDED
+	DISPATCH_RESERVATION_ENDED,
+	DISPATCH_QUEUE_CHANGED /* of a workflow: other settings */
 };
 
 struct dispatch_event {
@@ -260,6 +261,18 @@
  */
 int dispatch_add(struct dispatch *dispatch, struct workflow *workflow,
 		 struct mstime now);
+
+/*
+ * Sets the settings of a queue; see queuetable.h. They hold for workflows that
+ * are added later, and after dispatch_apply_queues() for all.
+ */
+void dispatch_configure_queue(struct dispatch *dispatch,
+			      const struct queue_config *queue);
+void dispatch_apply_queues(struct dispatch *dispatch, struct mstime now);
+
+/* Forgets the queues of lower versions that no workflow at hand is in. */
+void dispatch_forget_queues(struct dispatch *dispatch, int64_t version);
+
 /* Makes known a job that has ended, so that it is removed later. */
 void dispatch_add_ended(struct dispatch *dispatch, const char *job,
 			struct mstime now);
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -55,6 +55,7 @@
 	double stretch;	     /* objective as a multiple of the critical path */
 	int64_t extra_ms;    /* added to the objective */
 	uint32_t has_advice; /* an advisor restricts the choice of workers */
+	int64_t version;     /* of the configuration; 0: not known */
 };
 
 struct workflow_spec {
--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -87,6 +87,7 @@
 	list_init(&dispatch->urgent_unsaved);
 	list_init(&dispatch->workers_with_ends);
 	list_init(&dispatch->workers_with_orders);
+	queue_table_init(&dispatch->queues);
 	for (i = 0; i < COLOCATION_IMAGES_MAX; i++)
 		list_init(&dispatch->fills[i]);
 	return dispatch;
@@ -129,6 +130,7 @@
 				      list_entry(dispatch->ended.next,
 						 struct workflow_entry, node)
 					      ->id);
+	queue_table_clear(&dispatch->queues);
 	colocation_delete(dispatch->colocation);
 	durations_delete(dispatch->durations);
 	free(dispatch->candidates);
@@ -305,6 +307,7 @@
 	dispatch->memory += workflow_memory(workflow);
 	set_age(dispatch, workflow, now);
 	set_images(dispatch, workflow);
+	dispatch_update_queue(dispatch, workflow);
 	workflow->share =
 		queue_shares_get(&dispatch->queue_shares, &workflow->queue);
 	dispatch_update_urgency(workflow, now);
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -6,6 +6,7 @@
 #include "dispatch_reserve.h"
 #include "durations.h"
 #include "queueshare.h"
+#include "queuetable.h"
 
 /*
  * NAME
@@ -112,6 +113,7 @@
 	struct list arrivals;
 	int round_is_open;
 	struct mstime urgency_updated_at;
+	struct queue_table queues;
 	struct queue_shares queue_shares;
 	struct dispatch_stats pass_end;	  /* the pass ends at these counts */
 	struct unplaced_classes unplaced; /* in this pass */
@@ -331,6 +333,10 @@
 int dispatch_can_relocate(struct dispatch *dispatch, const struct run *run,
 			  struct mstime now);
 
+/* Gives the workflow the settings of its queue that hold now. */
+void dispatch_update_queue(struct dispatch *dispatch,
+			   struct workflow *workflow);
+
 /* Counts the work of a run that was assigned for the share of its queue. */
 void dispatch_count_share(const struct run *run, struct mstime now);
 
--- a/packages/daemon/include/jobstore.h
+++ b/packages/daemon/include/jobstore.h
@@ -11,8 +11,9 @@
  *
  * NOTES
  *	submitted/job/ID	the caller's request body and the settings of
- *				its queue; written once by a gateway, before
- *				the caller is told that it is accepted
+ *				its queue, as the gateway knew them; written
+ *				once, before the caller is told that it is
+ *				accepted
  *	submitted/cancel/ID	exists once the caller has cancelled it
  *	state/ID		progress, written by the scheduler only; see
  *				workflow_encode()
--- a/packages/daemon/src/jobstore.c
+++ b/packages/daemon/src/jobstore.c
@@ -26,12 +26,13 @@
 			     size_t len)
 {
 	json_t *root =
-		json_pack("{s:s, s:s, s:i, s:i, s:f, s:I, s:b, s:s%}", "queue",
-			  queue->name, "service", queue->service, "priority",
-			  (int)queue->priority, "max_attempts",
+		json_pack("{s:s, s:s, s:i, s:i, s:f, s:I, s:b, s:I, s:s%}",
+			  "queue", queue->name, "service", queue->service,
+			  "priority", (int)queue->priority, "max_attempts",
 			  (int)queue->max_attempts, "stretch", queue->stretch,
 			  "extra_ms", (json_int_t)queue->extra_ms, "has_advice",
-			  (int)queue->has_advice, "body", body, len);
+			  (int)queue->has_advice, "config_version",
+			  (json_int_t)queue->version, "body", body, len);
 	char *text;
 
 	if (!root)
@@ -59,6 +60,8 @@
 	queue->stretch = json_number_value(json_object_get(root, "stretch"));
 	queue->extra_ms = json_integer_value(json_object_get(root, "extra_ms"));
 	queue->has_advice = json_is_true(json_object_get(root, "has_advice"));
+	queue->version =
+		json_integer_value(json_object_get(root, "config_version"));
 	return 0;
 }
 
--- a/packages/daemon/src/scheduler.c
+++ b/packages/daemon/src/scheduler.c
@@ -139,6 +139,14 @@
 			  "task=%s runner=%s waited_ms=%u reason=%s", task,
 			  event->worker->runner, event->value, event->reason);
 		break;
+	case DISPATCH_QUEUE_CHANGED:
+		log_event(EV_WORKFLOW_QUEUE_CHANGED,
+			  "job=%s queue=%s service=%s version=%lld priority=%u",
+			  event->workflow->spec.id, event->workflow->queue.name,
+			  event->workflow->queue.service,
+			  (long long)event->workflow->queue.version,
+			  event->workflow->queue.priority);
+		break;
 	case DISPATCH_PACE_CHANGED:
 		log_event(EV_RUN_SLOWED, "task=%s runner=%s percent=%u", task,
 			  event->worker->runner, event->value);
--- a/packages/daemon/src/scheduler_internal.h
+++ b/packages/daemon/src/scheduler_internal.h
@@ -197,10 +197,7 @@
 
 void scheduler_load_states(struct scheduler *scheduler);
 
-/*
- * Adds a workflow whose record with this revision has been read; its queue is
- * as configured now.
- */
+/* Adds a workflow whose record with this revision has been read. */
 void scheduler_take_in(struct scheduler *scheduler, struct workflow *workflow,
 		       int64_t revision);
 
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -49,13 +49,14 @@
 		       : NULL;
 }
 
-static void add_workflow(struct scheduler *scheduler, struct workflow *workflow,
-			 int64_t revision)
+void scheduler_take_in(struct scheduler *scheduler, struct workflow *workflow,
+		       int64_t revision)
 {
 	log_event(EV_WORKFLOW_TAKEN,
-		  "job=%s queue=%s priority=%u steps=%zu tasks=%u state=%s "
-		  "revision=%lld",
+		  "job=%s queue=%s service=%s version=%lld priority=%u "
+		  "steps=%zu tasks=%u state=%s revision=%lld",
 		  workflow->spec.id, workflow->queue.name,
+		  workflow->queue.service, (long long)workflow->queue.version,
 		  workflow->queue.priority, workflow->spec.step_count,
 		  workflow->spec.task_count,
 		  workflow_state_name(workflow->state), (long long)revision);
@@ -63,18 +64,6 @@
 	dispatch_add(scheduler->dispatch, workflow, sysclock_now());
 }
 
-void scheduler_take_in(struct scheduler *scheduler, struct workflow *workflow,
-		       int64_t revision)
-{
-	const struct platform_config *config = queues_config(scheduler->queues);
-	size_t i;
-
-	for (i = 0; config && i < config->queue_count; i++)
-		if (!strcmp(config->queues[i].queue.name, workflow->queue.name))
-			workflow->queue = config->queues[i].queue;
-	add_workflow(scheduler, workflow, revision);
-}
-
 /* Runs at work hold room at their workers, whatever the memory. */
 static int must_wait(const struct scheduler *scheduler,
 		     const struct stored_state *state)
@@ -138,7 +127,7 @@
 		workflow_delete(workflow);
 		return;
 	}
-	add_workflow(scheduler, workflow, item->revision);
+	scheduler_take_in(scheduler, workflow, item->revision);
 }
 
 /* A job of which nothing is at work needs only its end to be stored. */
@@ -280,21 +269,19 @@
 static void on_queues(void *arg, const struct platform_config *config)
 {
 	struct scheduler *scheduler = arg;
-	struct list *pos;
 	size_t i;
 
-	list_for_each (pos, dispatch_workflows(scheduler->dispatch)) {
-		struct workflow *workflow =
-			list_entry(pos, struct workflow, node);
+	for (i = 0; i < config->queue_count; i++) {
+		const struct queue_config *queue = &config->queues[i].queue;
 
-		for (i = 0; i < config->queue_count; i++)
-			if (!strcmp(config->queues[i].queue.name,
-				    workflow->queue.name))
-				workflow->queue = config->queues[i].queue;
+		dispatch_configure_queue(scheduler->dispatch, queue);
+		scheduler_backlog_configure(scheduler, queue);
 	}
-	for (i = 0; i < config->queue_count; i++)
-		scheduler_backlog_configure(scheduler,
-					    &config->queues[i].queue);
+	dispatch_apply_queues(scheduler->dispatch, sysclock_now());
+	/* Jobs in the backlog are not known by their queues. */
+	if (!scheduler_backlog_count(scheduler))
+		dispatch_forget_queues(scheduler->dispatch, config->version);
+	scheduler_wake(scheduler);
 }
 
 static void on_evacuations(void *arg, const struct evacuations *evacuations)
--- a/packages/platform/src/platformjson.c
+++ b/packages/platform/src/platformjson.c
@@ -297,8 +297,9 @@
 }
 
 static void read_queue(struct reader *reader, const json_t *route,
-		       struct platform_queue *queue)
+		       int64_t version, struct platform_queue *queue)
 {
+	queue->queue.version = version;
 	queue->host = read_text(reader, route, "host");
 	queue->prefix = read_text(reader, route, "prefix");
 	if (!queue->host)
@@ -342,7 +343,7 @@
 		const json_t *route = json_array_get(routes, i);
 		struct reader reader = { 0, "" };
 
-		read_queue(&reader, route, queue);
+		read_queue(&reader, route, config->version, queue);
 		if (!reader.err) {
 			decode_report_replaced(report, i, route);
 			queue->index = i;
--- a/tests/unit/test_platformjson.c
+++ b/tests/unit/test_platformjson.c
@@ -249,6 +249,7 @@
 		assert_string_equal(queue->queue.name, cases[i].name);
 	}
 	assert_int_equal(config.queues[0].queue.max_attempts, 4);
+	assert_int_equal(config.queues[0].queue.version, config.version);
 	assert_int_equal(config.queues[0].queue.extra_ms, 600);
 	assert_int_equal(platform_decode_config("{", 1, &config),
 			 ERR_MALFORMED);
