dispatch: release the reservation of a job whose service changes

Callers of the former service waited up to 10 s for room that its worker kept for a job that can't start there any more, and the job itself could not get a reservation at its new service meanwhile. Its work also counted for the share of its queue at the former service.

A reservation names a worker of the service that the queue had when it was made, and nothing but its time limit ends it; the share is looked up by name and service once, when the workflow is added. Found by reading each use of workflow->queue.

Change: dispatch_update_queue(), through which all changes of a workflow's queue go now, releases the reservation (reservation-ended reason=service-changed) and looks the share up again.

Measured: test_reservation and test_share of test_dispatch_queues failed before and pass; test_dispatch_reserve and test_dispatch_schedule pass.

--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -308,8 +308,6 @@
 	set_age(dispatch, workflow, now);
 	set_images(dispatch, workflow);
 	dispatch_update_queue(dispatch, workflow);
-	workflow->share =
-		queue_shares_get(&dispatch->queue_shares, &workflow->queue);
 	dispatch_update_urgency(workflow, now);
 	adopt_runs(dispatch, workflow, now);
 	if (workflow_is_final(workflow)) {
--- a/packages/core/src/dispatch_queues.c
+++ b/packages/core/src/dispatch_queues.c
@@ -8,6 +8,11 @@
 	struct queue_config former = workflow->queue;
 
 	queue_table_update(&dispatch->queues, &workflow->queue);
+	workflow->share =
+		queue_shares_get(&dispatch->queue_shares, &workflow->queue);
+	if (strcmp(former.service, workflow->queue.service) != 0)
+		dispatch_release_workflow(dispatch, workflow,
+					  "service-changed");
 	if (!queue_config_equal(&former, &workflow->queue))
 		dispatch_emit(dispatch, DISPATCH_QUEUE_CHANGED, workflow, NULL,
 			      NULL, 0, NULL);
--- a/tests/unit/test_dispatch_queues.c
+++ b/tests/unit/test_dispatch_queues.c
@@ -10,6 +10,7 @@
 #include <cmocka.h>
 
 #include "mem.h"
+#include "queueshare.h"
 
 #define EPOCH 7
 #define JOB "0123456789abcdef"
@@ -45,21 +46,29 @@
 	dispatch_apply_queues(dispatch, at(0));
 }
 
-/* A job as it is stored by a gateway that has this version. */
-static struct workflow *make_job(const char *service, int64_t version)
+/* A job of some tasks as it is stored by a gateway that has this version. */
+static struct workflow *make_tasks(const char *id, const char *service,
+				   int64_t version, uint32_t count,
+				   uint32_t cpu_milli)
 {
 	struct queue_config queue = make_queue(service, version);
-	struct workflow_spec spec = { .id = JOB, .step_count = 1 };
+	struct workflow_spec spec = { .step_count = 1 };
 	const char *reason;
 
+	str_copy(spec.id, id, sizeof(spec.id));
 	spec.steps = xcalloc(1, sizeof(*spec.steps));
-	spec.steps[0].task_count = 1;
-	spec.steps[0].estimate_ms = 1000;
-	spec.steps[0].need.cpu_milli = 1000;
+	spec.steps[0].task_count = count;
+	spec.steps[0].estimate_ms = 5000;
+	spec.steps[0].need.cpu_milli = cpu_milli;
 	assert_int_equal(workflow_spec_check(&spec, &reason), 0);
 	return workflow_new(&spec, &queue, 0);
 }
 
+static struct workflow *make_job(const char *service, int64_t version)
+{
+	return make_tasks(JOB, service, version, 1, 1000);
+}
+
 static const struct queue_config *queue_of_job(struct dispatch *dispatch)
 {
 	return &dispatch_find_workflow(dispatch, JOB)->queue;
@@ -132,11 +141,77 @@
 	dispatch_delete(dispatch);
 }
 
+/* A worker of two cores that reports no runs. */
+static void report(struct dispatch *dispatch, const char *service, int64_t ms)
+{
+	struct worker *worker = dispatch_get_worker(dispatch, "r0", at(ms));
+	struct msg_work_report msg = { .epoch = EPOCH,
+				       .seq = worker->report_seq + 1,
+				       .session = 1,
+				       .worker = "r0",
+				       .worker_start_ms = 5,
+				       .state = WORKER_READY,
+				       .fence = worker->fence,
+				       .capacity = { .cpu_milli = 2000 } };
+
+	str_copy(msg.service, service, sizeof(msg.service));
+	assert_int_equal(dispatch_report(dispatch, "r0", &msg, at(ms)), 0);
+}
+
+static void pass_time(struct dispatch *dispatch, int64_t from_ms, int64_t to_ms)
+{
+	for (; from_ms <= to_ms; from_ms += 100) {
+		report(dispatch, "first", from_ms);
+		dispatch_set_wall_clock(dispatch, from_ms);
+		dispatch_assign(dispatch, at(from_ms));
+	}
+}
+
+/*
+ * Guards against room that a worker of the former service keeps, for seconds,
+ * for a job that will not start there.
+ */
+static void test_reservation(void **state)
+{
+	struct dispatch *dispatch = start();
+	const struct workflow *large;
+
+	configure(dispatch, "first", 4);
+	report(dispatch, "first", 1);
+	dispatch_add(dispatch, make_tasks("small", "first", 4, 2, 1000), at(2));
+	pass_time(dispatch, 100, 200);
+	dispatch_add(dispatch, make_tasks(JOB, "first", 4, 1, 2000), at(250));
+	pass_time(dispatch, 300, 1800);
+	large = dispatch_find_workflow(dispatch, JOB);
+	assert_true(large->has_reservation);
+	configure(dispatch, "first", 6);
+	assert_true(large->has_reservation);
+	configure(dispatch, "second", 8);
+	assert_false(large->has_reservation);
+	assert_null(dispatch_get_worker(dispatch, "r0", at(1800))->reservation);
+	dispatch_delete(dispatch);
+}
+
+/* Guards against a job that counts for its queue at the former service. */
+static void test_share(void **state)
+{
+	struct dispatch *dispatch = start();
+
+	dispatch_add(dispatch, make_job("first", 4), at(1));
+	configure(dispatch, "second", 6);
+	assert_string_equal(
+		dispatch_find_workflow(dispatch, JOB)->share->service,
+		"second");
+	dispatch_delete(dispatch);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_versions),
 		cmocka_unit_test(test_withdrawn),
+		cmocka_unit_test(test_reservation),
+		cmocka_unit_test(test_share),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
