scheduler: store the settings of a queue that change after the submission

Cause: jobs of a withdrawn queue go on with its last settings, but these were in the memory of the scheduler alone. The next one finds neither the queue in the configuration nor the change in the record, which has the settings of the submission. Found while looking for further moments at which the record is read, shown by a test.

Change: the state of a workflow has the settings of its queue once they differ from the record, and a change of them is a change of the workflow that gets stored. The highest version holds of record, state and configuration. Records and states share one codec (queueconfig).

Not covered: a job that waits in the backlog, of which no state was written, while its queue changes and is withdrawn, if the scheduler is replaced afterwards; and a change that no scheduler has seen before the withdrawal.

--- a/packages/core/include/queuetable.h
+++ b/packages/core/include/queuetable.h
@@ -45,10 +45,6 @@
 void queue_table_update(const struct queue_table *table,
 			struct queue_config *queue);
 
-/* Whether two queues have the same settings, of whatever version. */
-int queue_config_equal(const struct queue_config *a,
-		       const struct queue_config *b);
-
 /* Removes the queues of lower versions for which is_used() returns 0. */
 void queue_table_forget(struct queue_table *table, int64_t version,
 			int (*is_used)(const void *arg, const char *name),
--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -200,6 +200,7 @@
 	struct mstime unplaced_noted_at; /* last report of an unplaced task */
 	struct mstime reservation_sought_at;
 	unsigned cancelled : 1;
+	unsigned queue_changed : 1;   /* its settings, since the submission */
 	unsigned started : 1;	      /* a worker has begun a task */
 	unsigned saving : 1;	      /* part of the commit in progress */
 	unsigned has_reservation : 1; /* a worker is reserved for a step */
--- a/packages/core/src/dispatch_queues.c
+++ b/packages/core/src/dispatch_queues.c
@@ -2,6 +2,7 @@
 
 #include "dispatch.h"
 #include "dispatch_internal.h"
+#include "queueconfig.h"
 
 void dispatch_update_queue(struct dispatch *dispatch, struct workflow *workflow)
 {
@@ -10,12 +11,17 @@
 	queue_table_update(&dispatch->queues, &workflow->queue);
 	workflow->share =
 		queue_shares_get(&dispatch->queue_shares, &workflow->queue);
+	if (queue_config_equal(&former, &workflow->queue))
+		return;
 	if (strcmp(former.service, workflow->queue.service) != 0)
 		dispatch_release_workflow(dispatch, workflow,
 					  "service-changed");
-	if (!queue_config_equal(&former, &workflow->queue))
-		dispatch_emit(dispatch, DISPATCH_QUEUE_CHANGED, workflow, NULL,
-			      NULL, 0, NULL);
+	/* Stored, as the queue may be withdrawn before the next takeover. */
+	workflow->queue_changed = 1;
+	if (!workflow_is_final(workflow))
+		dispatch_mark_changed(dispatch, workflow);
+	dispatch_emit(dispatch, DISPATCH_QUEUE_CHANGED, workflow, NULL, NULL, 0,
+		      NULL);
 }
 
 void dispatch_configure_queue(struct dispatch *dispatch,
--- a/packages/core/src/queuetable.c
+++ b/packages/core/src/queuetable.c
@@ -82,16 +82,6 @@
 		*queue = *known;
 }
 
-int queue_config_equal(const struct queue_config *a,
-		       const struct queue_config *b)
-{
-	return !strcmp(a->name, b->name) && !strcmp(a->service, b->service) &&
-	       a->priority == b->priority &&
-	       a->max_attempts == b->max_attempts &&
-	       !(a->stretch < b->stretch || a->stretch > b->stretch) &&
-	       a->extra_ms == b->extra_ms && a->has_advice == b->has_advice;
-}
-
 void queue_table_forget(struct queue_table *table, int64_t version,
 			int (*is_used)(const void *arg, const char *name),
 			const void *arg)
--- a/packages/core/src/workflow_codec.c
+++ b/packages/core/src/workflow_codec.c
@@ -8,6 +8,7 @@
 #include "errors.h"
 #include "jsontext.h"
 #include "mem.h"
+#include "queueconfig.h"
 
 /*
  * Version of the document. In version 1 done tasks have rows in "tasks".
@@ -188,6 +189,18 @@
 	}
 }
 
+/* The submitted record has the settings that the queue had then. */
+static void put_queue(struct jsontext *root, const struct queue_config *queue)
+{
+	json_t *object = queue_config_encode(queue);
+	char *text = json_dumps(object, JSON_COMPACT);
+
+	jsontext_raw(root, ",\"queue\":");
+	jsontext_raw(root, text);
+	free(text);
+	json_decref(object);
+}
+
 /* Written as text, because each change of a task renews the document. */
 static char *encode(const struct workflow *workflow, enum detail detail)
 {
@@ -207,6 +220,8 @@
 						: ",\"cancelled\":false");
 	jsontext_raw(&root, workflow->started ? ",\"started\":true"
 					      : ",\"started\":false");
+	if (workflow->queue_changed)
+		put_queue(&root, &workflow->queue);
 	jsontext_raw(&root, ",\"complete\":");
 	jsontext_number(&root, workflow->first_open);
 	jsontext_raw(&root, ",\"done\":[");
@@ -407,6 +422,23 @@
 	return 0;
 }
 
+/* The record may be newer than the state. */
+static int decode_queue(struct workflow *workflow, const json_t *object)
+{
+	struct queue_config queue;
+
+	if (!object)
+		return 0;
+	if (queue_config_decode(object, &queue) ||
+	    strcmp(queue.name, workflow->queue.name) != 0)
+		return ERR_MALFORMED;
+	if (queue.version >= workflow->queue.version) {
+		workflow->queue = queue;
+		workflow->queue_changed = 1;
+	}
+	return 0;
+}
+
 static int decode_root(struct workflow *workflow, const json_t *root)
 {
 	const json_t *locations = json_object_get(root, "places");
@@ -420,6 +452,8 @@
 	if (!err)
 		err = decode_complete(workflow,
 				      json_object_get(root, "complete"));
+	if (!err)
+		err = decode_queue(workflow, json_object_get(root, "queue"));
 	for (i = 0; !err && i < json_array_size(ranges); i++)
 		err = decode_range(workflow, json_array_get(ranges, i));
 	for (i = 0; !err && i < json_array_size(done); i++)
--- a/packages/daemon/src/jobstore.c
+++ b/packages/daemon/src/jobstore.c
@@ -9,6 +9,7 @@
 #include "errors.h"
 #include "mem.h"
 #include "platformjson.h"
+#include "queueconfig.h"
 
 void jobstore_key(char *key, const char *prefix, const char *job)
 {
@@ -25,46 +26,15 @@
 char *jobstore_record_encode(const struct queue_config *queue, const char *body,
 			     size_t len)
 {
-	json_t *root =
-		json_pack("{s:s, s:s, s:i, s:i, s:f, s:I, s:b, s:I, s:s%}",
-			  "queue", queue->name, "service", queue->service,
-			  "priority", (int)queue->priority, "max_attempts",
-			  (int)queue->max_attempts, "stretch", queue->stretch,
-			  "extra_ms", (json_int_t)queue->extra_ms, "has_advice",
-			  (int)queue->has_advice, "config_version",
-			  (json_int_t)queue->version, "body", body, len);
-	char *text;
-
-	if (!root)
-		return NULL;
-	text = json_dumps(root, JSON_COMPACT);
+	json_t *root = queue_config_encode(queue);
+	char *text = NULL;
+
+	if (!json_object_set_new(root, "body", json_stringn(body, len)))
+		text = json_dumps(root, JSON_COMPACT);
 	json_decref(root);
 	return text;
 }
 
-static int decode_queue(const json_t *root, struct queue_config *queue)
-{
-	const char *name = json_string_value(json_object_get(root, "queue"));
-	const char *service =
-		json_string_value(json_object_get(root, "service"));
-
-	memset(queue, 0, sizeof(*queue));
-	if (!name || !service ||
-	    str_copy(queue->name, name, sizeof(queue->name)) ||
-	    str_copy(queue->service, service, sizeof(queue->service)))
-		return -1;
-	queue->priority =
-		(uint32_t)json_integer_value(json_object_get(root, "priority"));
-	queue->max_attempts = (uint32_t)json_integer_value(
-		json_object_get(root, "max_attempts"));
-	queue->stretch = json_number_value(json_object_get(root, "stretch"));
-	queue->extra_ms = json_integer_value(json_object_get(root, "extra_ms"));
-	queue->has_advice = json_is_true(json_object_get(root, "has_advice"));
-	queue->version =
-		json_integer_value(json_object_get(root, "config_version"));
-	return 0;
-}
-
 static struct workflow *decode_record(const char *job, const json_t *root,
 				      int64_t submitted_ms, const char **reason)
 {
@@ -73,7 +43,7 @@
 	struct workflow_spec spec;
 
 	*reason = "workflow record is malformed";
-	if (!json_is_string(body) || decode_queue(root, &queue))
+	if (!json_is_string(body) || queue_config_decode(root, &queue))
 		return NULL;
 	if (platform_decode_workflow(json_string_value(body),
 				     json_string_length(body), job, &spec,
@@ -98,7 +68,7 @@
 			   struct queue_config *queue)
 {
 	json_t *root = json_loadb(record, len, 0, NULL);
-	int err = decode_queue(root, queue) ? ERR_MALFORMED : 0;
+	int err = queue_config_decode(root, queue);
 
 	json_decref(root);
 	return err;
