scheduler: order the backlog by the priorities in force after a takeover

After a change of priorities and a takeover, jobs of the queue that goes first now waited behind those of the queue that went first when they were accepted: whatever exceeds the memory for workflows is taken in by the priority of its queue.

Change: the settings of the record are resolved by dispatch, as those of a workflow that is added.

--- a/packages/core/include/dispatch.h
+++ b/packages/core/include/dispatch.h
@@ -270,6 +270,10 @@
 			      const struct queue_config *queue);
 void dispatch_apply_queues(struct dispatch *dispatch, struct mstime now);
 
+/* Replaces settings by those that hold for a workflow that has them. */
+void dispatch_resolve_queue(const struct dispatch *dispatch,
+			    struct queue_config *queue);
+
 /* Forgets the queues of lower versions that no workflow at hand is in. */
 void dispatch_forget_queues(struct dispatch *dispatch, int64_t version);
 
--- a/packages/core/src/dispatch_queues.c
+++ b/packages/core/src/dispatch_queues.c
@@ -30,6 +30,12 @@
 	queue_table_set(&dispatch->queues, queue);
 }
 
+void dispatch_resolve_queue(const struct dispatch *dispatch,
+			    struct queue_config *queue)
+{
+	queue_table_update(&dispatch->queues, queue);
+}
+
 void dispatch_apply_queues(struct dispatch *dispatch, struct mstime now)
 {
 	struct list *pos;
--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -92,6 +92,7 @@
 		log_event(EV_WORKFLOW_INVALID, "job=%s reason=record", id);
 		return;
 	}
+	dispatch_resolve_queue(scheduler->dispatch, &queue);
 	scheduler_backlog_add(scheduler, &entry);
 }
 
--- a/tests/e2e/test_backlog.py
+++ b/tests/e2e/test_backlog.py
@@ -12,11 +12,12 @@
 import sys
 import time
 
-from workflow_rig import check, run_scenarios
+from workflow_rig import CONFIG, check, run_scenarios
 from cluster import wait_for  # noqa: E402
 
 TEXT_BYTES = 60000
 LARGE_JOBS = 700  # 42 MB of specifications; 24 MB are taken in
+FILLING_JOBS = 450  # 27 MB
 MEMORY_MB = 128   # of the VMs
 
 
@@ -132,7 +133,36 @@
     rig.wait_state(other, "complete")
 
 
-SCENARIOS = [no_place, all_end, full]
+def priority_changes(rig):
+    """A scheduler that takes in what waits by the priorities that were in
+    force when the jobs were accepted."""
+    rig.wait_workers()
+    submit_large(rig, FILLING_JOBS, "fast", cpu=70000)
+    later = {"fast": [], "slow": []}
+    for _ in range(10):
+        for queue, jobs in later.items():
+            jobs += submit_large(rig, 1, queue, cpu=70000)
+    wait_pending(rig, "slow", len(later["slow"]))
+    fast, slow = CONFIG["routes"]
+    rig.put_config(dict(CONFIG, version=4, routes=[
+        dict(fast, priority=slow["priority"]),
+        dict(slow, priority=fast["priority"])]))
+    restart_scheduler(rig)
+    leader = rig.processes[rig.leader()]
+
+    def taken_in():
+        """Jobs that were taken in after the first reading, in their order."""
+        text = leader.text().partition(" scheduler-loaded ")[2]
+        return [line.split("job=")[1].split()[0]
+                for line in text.splitlines() if " workflow-taken " in line]
+    wait_for("those that go first", lambda:
+             set(later["slow"]) <= set(taken_in()))
+    jobs = taken_in()
+    last = max(jobs.index(job) for job in later["slow"])
+    check(not set(later["fast"]) & set(jobs[:last]), "the others come later")
+
+
+SCENARIOS = [no_place, all_end, full, priority_changes]
 
 
 def main():
