dispatch: start all members of a gang from the same checkpoint

Cause: a checkpoint is kept for each task, and each member's start carried its own. The survivors list the one of their stop, the lost member's last one is older, and nothing made them equal again. Rival causes, ruled out by the recorded runs: starts that come too late for each other (all three are there within their wait), a worker that refuses to resume (the runs begin and end "alone", not "failed").

Change: the newest checkpoint of its members becomes that of all when a gang is assigned, before the assignment is stored, so that repeated starts and the next scheduler have it, too. Newest is what was reported last; a checkpoint of an end goes before one of a running member, which may be reported late by the runner of a worker that is gone.

--- a/packages/core/include/workflow.h
+++ b/packages/core/include/workflow.h
@@ -98,6 +98,8 @@
 	uint32_t last_run; /* number; 0: none yet */
 	uint32_t failures; /* failed runs */
 	char *checkpoint;  /* NULL: none */
+	/* Among members of a gang, the highest is that of the newest one. */
+	uint64_t checkpoint_order;
 	struct run_location *location;
 	struct run *current_run;    /* owned by dispatch */
 	struct mstime not_before;   /* delay after a failure */
--- a/packages/core/src/dispatch_assign.c
+++ b/packages/core/src/dispatch_assign.c
@@ -160,6 +160,36 @@
 	return task ? task->last_run : 0;
 }
 
+/*
+ * The checkpoint of any member is valid for all, and they work together only
+ * from the same one. At the end of a run, or when its worker is lost, members
+ * may have saved different ones; the newest is taken.
+ */
+static void share_checkpoint(const struct placement_request *request)
+{
+	struct workflow *workflow = request->workflow;
+	struct workflow_task *task, *newest = NULL;
+	struct task_id id = { "", request->occurrence, request->step_index, 0 };
+
+	for (; id.index < request->step->task_count; id.index++) {
+		task = workflow_find_task(workflow, &id);
+		if (task && task->checkpoint &&
+		    (!newest ||
+		     task->checkpoint_order > newest->checkpoint_order))
+			newest = task;
+	}
+	if (!newest)
+		return;
+	newest->checkpoint_order = 0;
+	for (id.index = 0; id.index < request->step->task_count; id.index++) {
+		task = workflow_begin_task(workflow, &id);
+		if (task == newest)
+			continue;
+		workflow_set_checkpoint(workflow, task, newest->checkpoint);
+		task->checkpoint_order = 0;
+	}
+}
+
 /* Assigns all tasks of the gang, with the same run number, or none. */
 static int assign_gang(struct dispatch *dispatch,
 		       struct placement_request *request, struct mstime now)
@@ -189,6 +219,8 @@
 			place_task(dispatch, request, i, worker, number + 1);
 		dispatch_update_best(dispatch, request, now);
 	}
+	if ((uint32_t)placed == count)
+		share_checkpoint(request);
 	for (i = 0; i < (uint32_t)placed; i++) {
 		if ((uint32_t)placed == count)
 			commit_run(dispatch, runs[i]);
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -70,6 +70,7 @@
 	struct dispatch_limits limits;
 	uint64_t epoch;
 	uint64_t version;
+	uint64_t checkpoint_count; /* checkpoints that were reported */
 	int64_t wall_ms;
 	struct mstime takeover_at;
 	struct mstime now;     /* of the call in progress */
--- a/packages/core/src/dispatch_report.c
+++ b/packages/core/src/dispatch_report.c
@@ -18,6 +18,12 @@
  */
 #define RESPONSE_INTERVAL_MS 300
 
+/*
+ * The members of a gang end together, so what one of them saved then is newer
+ * than what a running one is still reported to have saved.
+ */
+#define SAVED_AT_END (UINT64_C(1) << 63)
+
 /* Rows of the first list of pending ends. */
 #define PENDING_ENDS_MIN 16
 
@@ -154,8 +160,9 @@
 }
 
 /* A task without a state needs none: its step is done. */
-static void set_checkpoint(struct workflow *workflow, const struct task_id *id,
-			   const char *checkpoint)
+static void set_checkpoint(struct dispatch *dispatch, struct workflow *workflow,
+			   const struct task_id *id, const char *checkpoint,
+			   int at_end)
 {
 	struct workflow_task *task = workflow_find_task(workflow, id);
 
@@ -167,6 +174,9 @@
 	if (!text_is_utf8(checkpoint))
 		return;
 	workflow_set_checkpoint(workflow, task, checkpoint);
+	task->checkpoint_order = ++dispatch->checkpoint_count;
+	if (at_end)
+		task->checkpoint_order |= SAVED_AT_END;
 }
 
 /* Only the worker tells that it has begun a task; an order may never start. */
@@ -186,7 +196,7 @@
 	const struct workflow_step *step = &workflow->spec.steps[run->id.step];
 	struct task_id id = run->id;
 
-	set_checkpoint(workflow, &id, end->checkpoint);
+	set_checkpoint(dispatch, workflow, &id, end->checkpoint, 1);
 	if (end->how == RUN_END_FAILED) {
 		handle_failed_task(dispatch, workflow, &id, now);
 		dispatch_count_failure(dispatch, run->worker, workflow, now);
@@ -358,7 +368,8 @@
 	run->progress = status->progress_percent;
 	run->latency_or_cpu = status->latency_or_cpu;
 	if (run->workflow && !run->is_orphan)
-		set_checkpoint(run->workflow, &run->id, status->checkpoint);
+		set_checkpoint(dispatch, run->workflow, &run->id,
+			       status->checkpoint, 0);
 }
 
 /* Drops confirmed runs that the runner no longer reports. */
