platform: a draining worker's heartbeat has its remaining time

Cause: the decoder asked for the fields that every worker gives, not for the one that only a draining worker gives, and read 0. The entry was taken as the worker's word, and its sequence made all of the worker's own heartbeats outdated. Ruled out: a worker that said so itself (its own heartbeats said "ready" all the time, and were dropped).

Change: a heartbeat with the state "draining" and without a number for remainingMs is malformed.

--- a/packages/platform/src/platformjson.c
+++ b/packages/platform/src/platformjson.c
@@ -232,6 +232,10 @@
 			reject(reader, "capacity");
 	if (!json_is_integer(json_object_get(root, "born")))
 		reject(reader, "born");
+	/* Only a worker that leaves knows how long it stays. */
+	if (read_state(reader, root) == WORKER_LEAVING &&
+	    !json_is_number(json_object_get(root, "remainingMs")))
+		reject(reader, "remainingMs");
 }
 
 static void read_labels(struct reader *reader, const json_t *root,
--- a/tests/e2e/test_workflows.py
+++ b/tests/e2e/test_workflows.py
@@ -521,6 +521,7 @@
             ("w-r0", {"capacity": None}),
             ("w-r0", {"capacity": {"cpu": 0, "memMb": 0}}),
             ("w-r0", {"address": None, "state": "draining"}),
+            ("w-r0", {"state": "draining"}),
             ("w-r0", {"state": "gone"}),
             ("w-r1", {"born": now})):
         body = {key: value for key, value in dict(own, **fields).items()
