--- a/packages/daemon/src/scheduler_load.c
+++ b/packages/daemon/src/scheduler_load.c
@@ -279,7 +279,7 @@
 		scheduler_backlog_configure(scheduler, queue);
 	}
 	dispatch_apply_queues(scheduler->dispatch, sysclock_now());
-	/* Jobs in the backlog are not known by their queues. */
+	/* Jobs in the backlog need the settings of their queues, too. */
 	if (!scheduler_backlog_count(scheduler))
 		dispatch_forget_queues(scheduler->dispatch, config->version);
 	scheduler_wake(scheduler);
