dispatch: start nothing at a worker with more runs than it has room for

Cause: an assignment is stored before its start is ordered, but the room that it takes may be that of a run of another workflow that the worker has refused, and that this run was given up is stored later. A scheduler that takes over in between finds both assigned and repeats the starts of both.

Change: nothing is started at a worker with more runs than it has room for. Runs that it does not list are stopped, the last ones first, until the rest fits, and their tasks are placed anew once the stops are settled.

--- a/packages/core/src/dispatch.c
+++ b/packages/core/src/dispatch.c
@@ -521,6 +521,7 @@
 			dispatch_note_orders(worker);
 		dispatch_expire_lease(dispatch, worker, now);
 		evict_stuck(dispatch, worker, now);
+		dispatch_evict_excess(dispatch, worker);
 		dispatch_move_departing(dispatch, worker, now);
 	}
 }
--- a/packages/core/src/dispatch_internal.h
+++ b/packages/core/src/dispatch_internal.h
@@ -172,6 +172,15 @@
 /* Lets the run be stopped, so that its task runs elsewhere. */
 void dispatch_evict(struct run *run);
 
+/*
+ * A scheduler that takes over may find more assigned to a worker than it has
+ * room for: that a run was given up there may not have been stored before what
+ * took its place. Nothing is started there until the rest fits, and runs that
+ * the worker doesn't list are stopped and placed anew as far as needed.
+ */
+int dispatch_exceeds_capacity(const struct worker *worker);
+void dispatch_evict_excess(struct dispatch *dispatch, struct worker *worker);
+
 /* Keeps new runs from the worker for a while. */
 void dispatch_penalize(struct dispatch *dispatch, struct worker *worker,
 		       struct mstime now);
--- a/packages/core/src/dispatch_orders.c
+++ b/packages/core/src/dispatch_orders.c
@@ -27,6 +27,7 @@
 {
 	return run->state == RUN_SAVED && !must_not_run(run) &&
 	       !run->worker->is_evacuated &&
+	       !dispatch_exceeds_capacity(run->worker) &&
 	       run->worker_start_ms == run->worker->start_ms &&
 	       may_send(dispatch, run->start_sent_at, now);
 }
--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -831,9 +831,20 @@
 	}
 }
 
+/*
+ * Guards against a worker over its capacity after a takeover: it refused
+ * starts, and that they were given up was not stored before what took their
+ * place.
+ */
+static void test_takeover_of_refused_starts(void **state)
+{
+	run_schedule(2389);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(test_takeover_of_refused_starts),
 		cmocka_unit_test(test_random_schedules),
 	};
 
