tests: runners of the schedule give up starts whose lease has passed

Cause: the model, not the product. Its runner repeated a start that was 14 s old and had never been answered, with the fence and the lease of a new scheduler. The product's runner gives such starts up before it takes over a new lease (abandon_starts() in runner_worker.c, tried by test_unconfirmed_starts, orders_late).

Change: the model's runner does the same. The checks are the same; the start is reported as refused, so the scheduler handles it as it does on real links.

--- a/tests/unit/test_dispatch_schedule.c
+++ b/tests/unit/test_dispatch_schedule.c
@@ -521,6 +521,24 @@
 	model->done_acknowledged[job][end->task.step][end->task.index] = 1;
 }
 
+/* The runner gives up open starts before it takes over a new lease. */
+static void abandon_starts(const struct model *model,
+			   struct model_worker *worker)
+{
+	size_t i;
+
+	if (model->now_ms < worker->granted_until_ms)
+		return;
+	for (i = 0; i < worker->delayed_start_count; i++) {
+		struct delayed_start *start = &worker->delayed_starts[i];
+
+		if (!start->is_pending || start->is_stopping)
+			continue;
+		start->is_pending = 0;
+		add_missing(worker, &start->run, RUN_REFUSED);
+	}
+}
+
 static void process_orders(struct model *model, struct model_worker *worker,
 			   const struct msg_work_orders *orders)
 {
@@ -532,6 +550,7 @@
 		return;
 	worker->fence = orders->fence;
 	worker->listed_fence = orders->fence;
+	abandon_starts(model, worker);
 	if (orders->lease_ms)
 		lease_end_ms = worker->report_sent_ms[orders->report_seq % 16] +
 			       orders->lease_ms;
